--- /dev/null
+++ b/cmd/rwlocal/main.go
@@ -0,0 +1,4 @@
+// Command rwlocal runs the whole system in one process on embedded stand-ins.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,51 @@
+// Package invariant checks in every build that the program keeps its
+// guarantees, which docs/design.md numbers P1 to P9.
+package invariant
+
+import (
+	"fmt"
+	"sync/atomic"
+)
+
+// Promise names the guarantee that a check protects.
+type Promise string
+
+// The guarantees of the design page.
+const (
+	NeverOvercommitted  Promise = "P1"
+	OnePlaceAtATime     Promise = "P2"
+	ResumedOnce         Promise = "P3"
+	WholeAnswer         Promise = "P4"
+	TrueRefusal         Promise = "P5"
+	AtMostOnce          Promise = "P6"
+	LeavingGetsNothing  Promise = "P7"
+	GracefulStop        Promise = "P8"
+	ConfigNeverReverts  Promise = "P9"
+	InternalConsistency Promise = "P0"
+)
+
+// Violation is the panic value of a failed check.
+type Violation struct {
+	Promise Promise
+	Detail  string
+}
+
+// Error makes a Violation usable as an error.
+func (v *Violation) Error() string {
+	return "invariant " + string(v.Promise) + " violated: " + v.Detail
+}
+
+var violations atomic.Int64
+
+// Violations returns the number of failed checks in this process.
+func Violations() int64 { return violations.Load() }
+
+// Check panics with a Violation when ok is false. A process that has broken a
+// guarantee must not go on deciding; its state is rebuilt from the log.
+func Check(ok bool, promise Promise, format string, args ...any) {
+	if ok {
+		return
+	}
+	violations.Add(1)
+	panic(&Violation{Promise: promise, Detail: fmt.Sprintf(format, args...)})
+}
