--- /dev/null
+++ b/internal/fence/fence.go
@@ -0,0 +1,86 @@
+// Package fence decides which records of a group's stream are valid.
+//
+// A claim is valid when it replaces the current epoch; every record of an
+// older epoch that stands after it is void for every reader. All readers see
+// the records in the same order, so all agree.
+package fence
+
+import (
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// Verdict is the result of applying a record to a Fence.
+type Verdict uint8
+
+// The verdicts. Only Valid, Claimed and Released records have an effect.
+const (
+	// Void records have no effect for any reader.
+	Void Verdict = iota
+	// Valid records were written by the current owner in its epoch.
+	Valid
+	// Claimed records started a new epoch.
+	Claimed
+	// Released records ended the current ownership on purpose.
+	Released
+)
+
+// Fence holds the ownership of one group as the log states it.
+type Fence struct {
+	Epoch       spec.Epoch
+	Owner       spec.InstanceID
+	Incarnation spec.Incarnation
+	// Released states that the owner gave the group up; NextOwner is its wish.
+	Released  bool
+	NextOwner spec.InstanceID
+}
+
+// Apply takes the next record of the group's stream in log order.
+func (f *Fence) Apply(env *recordv1.Envelope) Verdict {
+	if claim := env.GetGroup().GetClaim(); claim != nil {
+		return f.applyClaim(claim)
+	}
+	if !f.writtenByOwner(env) {
+		return Void
+	}
+	if release := env.GetGroup().GetRelease(); release != nil {
+		f.Released = true
+		f.NextOwner = spec.InstanceID(release.GetNextOwner())
+		return Released
+	}
+	return Valid
+}
+
+// Restore sets the ownership from a snapshot that replaces earlier records.
+func (f *Fence) Restore(snapshot *recordv1.GroupSnapshot) {
+	f.Epoch = spec.Epoch(snapshot.GetEpoch())
+	f.Owner = spec.InstanceID(snapshot.GetOwner())
+	f.Incarnation = spec.Incarnation(snapshot.GetOwnerIncarnation())
+	f.Released = false
+	f.NextOwner = ""
+}
+
+// OwnedBy reports whether the instance owns the group and has not released it.
+func (f *Fence) OwnedBy(id spec.InstanceID, incarnation spec.Incarnation) bool {
+	return !f.Released && f.Owner == id && f.Incarnation == incarnation
+}
+
+func (f *Fence) applyClaim(claim *recordv1.Claim) Verdict {
+	if spec.Epoch(claim.GetReplacesEpoch()) != f.Epoch {
+		return Void
+	}
+	f.Epoch++
+	f.Owner = spec.InstanceID(claim.GetOwner())
+	f.Incarnation = spec.Incarnation(claim.GetOwnerIncarnation())
+	f.Released = false
+	f.NextOwner = ""
+	return Claimed
+}
+
+func (f *Fence) writtenByOwner(env *recordv1.Envelope) bool {
+	sameEpoch := spec.Epoch(env.GetEpoch()) == f.Epoch
+	sameOwner := spec.InstanceID(env.GetInstance()) == f.Owner
+	sameRun := spec.Incarnation(env.GetIncarnation()) == f.Incarnation
+	return sameEpoch && sameOwner && sameRun && !f.Released
+}
