--- /dev/null
+++ b/internal/sched/configuration.go
@@ -0,0 +1,83 @@
+package sched
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingvale/internal/config"
+	"redwingvale/internal/group"
+	"redwingvale/internal/platform"
+	"redwingvale/internal/policy"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// stepConfig runs the configuration core and carries out its effects.
+func (d *decision) stepConfig(now time.Duration, e config.Event) {
+	changed := false
+	for _, effect := range d.config.Step(now, e) {
+		switch out := effect.(type) {
+		case config.InForce:
+			changed = true
+			d.log("config_in_force", zap.String("service", out.Service.Key.String()), zap.Uint64("revision", out.Service.Revision), zap.String("author", out.Service.Author))
+		case config.Publish:
+			d.publishConfig(now, out)
+		case config.Incomplete:
+			d.log("config_incomplete", zap.Int64("from", out.From), zap.Int64("to", out.To))
+		case config.Diverged:
+			d.log("config_diverged", zap.String("service", out.Key.String()), zap.Int64("offset", out.Offset))
+		case config.Unreadable:
+			d.log("config_unreadable", zap.Int64("offset", out.Offset), zap.String("error", out.Err.Error()))
+		}
+	}
+	if changed {
+		d.onConfigChanged(now)
+	}
+}
+
+func (d *decision) publishConfig(now time.Duration, out config.Publish) {
+	for _, record := range out.Records {
+		envelope := &recordv1.Envelope{
+			Why:  "snapshot ahead of the retention",
+			Body: &recordv1.Envelope_Config{Config: record},
+		}
+		d.write(now, envelope, pendingWrite{stream: platform.ConfigStream}, true)
+	}
+}
+
+func (d *decision) onConfigChanged(now time.Duration) {
+	services := d.policyServices()
+	for _, g := range d.sortedGroups() {
+		d.stepGroup(now, g, group.SetServices{Services: services})
+	}
+	d.publishView()
+}
+
+// policyServices returns what placement needs of each document.
+func (d *decision) policyServices() []policy.Service {
+	var out []policy.Service
+	for _, service := range d.config.State().Services() {
+		if service.Document != nil {
+			out = append(out, service.Document.Policy())
+		}
+	}
+	return out
+}
+
+// tellConfigRank tells the configuration core this instance's place among the
+// active members, which decides who republishes first.
+func (d *decision) tellConfigRank(now time.Duration) {
+	rank := -1
+	position := 0
+	for _, member := range d.ownership.Members() {
+		if !member.GetActive() {
+			continue
+		}
+		if member.GetInstance() == d.sched.config.Instance {
+			rank = position
+		}
+		position++
+	}
+	d.stepConfig(now, config.MembersEvent{Rank: rank})
+}
--- /dev/null
+++ b/internal/sched/heartbeats.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"redwingvale/internal/ownership"
+	"redwingvale/internal/spec"
+
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+)
+
+// Limits of heartbeats.
+const (
+	heartbeatTimeout = 800 * time.Millisecond
+	// heartbeatsOpen bounds the unanswered heartbeats to one member. Further
+	// ones are dropped: the member does not answer anyway.
+	heartbeatsOpen = 4
+)
+
+// heartbeats is the duty that sends heartbeats to the other members.
+type heartbeats struct {
+	clients *Clients
+	deliver func(context.Context, event)
+
+	mu   sync.Mutex
+	open map[spec.InstanceID]int
+	wait sync.WaitGroup
+}
+
+func newHeartbeats(clients *Clients, deliver func(context.Context, event)) *heartbeats {
+	return &heartbeats{clients: clients, deliver: deliver, open: make(map[spec.InstanceID]int)}
+}
+
+// send starts one heartbeat.
+func (h *heartbeats) send(ctx context.Context, out ownership.SendHeartbeat) {
+	if !h.begin(out.To) {
+		return
+	}
+	h.wait.Add(1)
+	go func() {
+		defer h.wait.Done()
+		defer h.end(out.To)
+		h.exchange(ctx, out)
+	}()
+}
+
+func (h *heartbeats) begin(to spec.InstanceID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.open[to] >= heartbeatsOpen {
+		return false
+	}
+	h.open[to]++
+	return true
+}
+
+func (h *heartbeats) end(to spec.InstanceID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open[to]--
+}
+
+func (h *heartbeats) exchange(ctx context.Context, out ownership.SendHeartbeat) {
+	limited, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	response, err := h.clients.Peer(out.Addr).Heartbeat(limited, connect.NewRequest(out.Request))
+	if err != nil {
+		return
+	}
+	h.deliver(ctx, heartbeatAnswered{to: out.To, sentAt: out.SentAt, response: response.Msg})
+}
+
+// Heartbeat implements the PeerService.
+func (s *Sched) Heartbeat(ctx context.Context, call *connect.Request[schedv1.HeartbeatRequest]) (*connect.Response[schedv1.HeartbeatResponse], error) {
+	response := make(chan *schedv1.HeartbeatResponse, 1)
+	err := s.events.Put(ctx, heartbeatReceived{request: call.Msg, response: response})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	select {
+	case answer := <-response:
+		return connect.NewResponse(answer), nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/sched/view.go
@@ -0,0 +1,122 @@
+package sched
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+)
+
+// maxViewWait bounds how long a call may wait for a new view.
+const maxViewWait = 10 * time.Second
+
+// viewKey is the one key under which changes of the view are announced.
+type viewKey struct{}
+
+// sharedView is the newest view, for the handlers of the connect servers.
+type sharedView struct {
+	current atomic.Pointer[schedv1.GetViewResponse]
+	changed *changes[viewKey]
+}
+
+func newSharedView() *sharedView {
+	view := &sharedView{changed: newChanges[viewKey]()}
+	view.current.Store(&schedv1.GetViewResponse{})
+	return view
+}
+
+// publishView replaces the shared view by what the cores know now.
+func (d *decision) publishView() {
+	view := d.sched.view
+	next := &schedv1.GetViewResponse{
+		Version:  view.current.Load().GetVersion() + 1,
+		Members:  d.ownership.Members(),
+		Services: d.config.State().Revisions(),
+	}
+	for _, owner := range d.ownership.Owners() {
+		next.Groups = append(next.Groups, &schedv1.GroupView{
+			Id:    string(owner.Group),
+			Owner: string(owner.Owner),
+			Epoch: uint64(owner.Epoch),
+		})
+	}
+	for _, known := range d.workers.sorted() {
+		next.Workers = append(next.Workers, workerView(known))
+	}
+	view.current.Store(next)
+	view.changed.notify(viewKey{})
+}
+
+func workerView(known knownWorker) *schedv1.WorkerView {
+	return &schedv1.WorkerView{
+		Id:         string(known.worker.ID),
+		Group:      string(known.worker.Group),
+		Rack:       string(known.worker.Rack),
+		DataCentre: string(known.worker.DataCentre),
+		TargetAddr: known.worker.TargetAddr,
+		Service:    string(known.worker.Service),
+		Leaving:    known.leaving,
+		ListStamp:  known.stamp,
+		Capacity:   resourcesRecord(known.worker.Capacity),
+	}
+}
+
+func resourcesRecord(r spec.Resources) *recordv1.Resources {
+	return &recordv1.Resources{
+		MilliCpu:     r.MilliCPU,
+		MemoryMib:    r.MemoryMiB,
+		Accelerators: r.Accelerators,
+		Slots:        r.Slots,
+		Connections:  r.Connections,
+	}
+}
+
+// GetView implements the SchedService. A repeated version waits for the next.
+func (s *Sched) GetView(ctx context.Context, call *connect.Request[schedv1.GetViewRequest]) (*connect.Response[schedv1.GetViewResponse], error) {
+	limit := min(milliseconds(int64(call.Msg.GetWaitMs())), maxViewWait)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		changed := s.view.changed.next(viewKey{})
+		current := s.view.current.Load()
+		if current.GetVersion() != call.Msg.GetKnownVersion() || !wait(ctx, changed) {
+			return connect.NewResponse(current), nil
+		}
+	}
+}
+
+// ownerOf returns the address of the rwsched that owns a group, and whether
+// it is this one.
+func (s *Sched) ownerOf(id spec.GroupID) (addr string, own bool) {
+	view := s.view.current.Load()
+	owner := ""
+	for _, g := range view.GetGroups() {
+		if g.GetId() == string(id) {
+			owner = g.GetOwner()
+		}
+	}
+	if owner == s.config.Instance {
+		return s.sockets.Peer.Addr().String(), true
+	}
+	return memberAddress(view, owner), false
+}
+
+func memberAddress(view *schedv1.GetViewResponse, instance string) string {
+	for _, member := range view.GetMembers() {
+		if member.GetInstance() == instance {
+			return member.GetSchedAddr()
+		}
+	}
+	return ""
+}
+
+func (d *decision) addressOfOwner(id spec.GroupID) string {
+	addr, _ := d.sched.ownerOf(id)
+	return addr
+}
--- /dev/null
+++ b/internal/sched/workers.go
@@ -0,0 +1,141 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"redwingvale/internal/group"
+	"redwingvale/internal/ownership"
+	"redwingvale/internal/platform"
+	"redwingvale/internal/spec"
+)
+
+// knownWorker is a worker as the instance list showed it with the largest
+// stamp so far.
+type knownWorker struct {
+	worker  spec.Worker
+	leaving bool
+	stamp   uint64
+}
+
+// workerCatalogue keeps the newest state of each worker. An entry with an
+// older stamp changes nothing, so a list that repeats an older state does no
+// harm.
+type workerCatalogue struct {
+	workers map[spec.WorkerID]knownWorker
+}
+
+func newWorkerCatalogue() *workerCatalogue {
+	return &workerCatalogue{workers: make(map[spec.WorkerID]knownWorker)}
+}
+
+// update takes the entries in and reports whether a worker changed.
+func (c *workerCatalogue) update(entries []platform.InstanceEntry) bool {
+	changed := false
+	for _, entry := range entries {
+		if entry.Kind != platform.KindWorker || entry.Worker == nil {
+			continue
+		}
+		known, ok := c.workers[entry.Worker.ID]
+		if ok && entry.Stamp <= known.stamp {
+			continue
+		}
+		c.workers[entry.Worker.ID] = knownWorker{
+			worker:  *entry.Worker,
+			leaving: entry.State != platform.InstanceLive,
+			stamp:   entry.Stamp,
+		}
+		changed = true
+	}
+	return changed
+}
+
+// sorted returns the workers in the order of their ids.
+func (c *workerCatalogue) sorted() []knownWorker {
+	out := make([]knownWorker, 0, len(c.workers))
+	for _, known := range c.workers {
+		out = append(out, known)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].worker.ID < out[j].worker.ID })
+	return out
+}
+
+// largest returns the largest capacity of any worker in each dimension.
+func (c *workerCatalogue) largest() spec.Resources {
+	var out spec.Resources
+	for _, known := range c.workers {
+		capacity := known.worker.Capacity
+		out.MilliCPU = max(out.MilliCPU, capacity.MilliCPU)
+		out.MemoryMiB = max(out.MemoryMiB, capacity.MemoryMiB)
+		out.Accelerators = max(out.Accelerators, capacity.Accelerators)
+		out.Slots = max(out.Slots, capacity.Slots)
+		out.Connections = max(out.Connections, capacity.Connections)
+	}
+	return out
+}
+
+// groups returns the groups of all workers, by id.
+func (c *workerCatalogue) groups() []ownership.Group {
+	seen := make(map[spec.GroupID]bool)
+	var out []ownership.Group
+	for _, known := range c.sorted() {
+		if seen[known.worker.Group] {
+			continue
+		}
+		seen[known.worker.Group] = true
+		out = append(out, ownership.Group{ID: known.worker.Group, DataCentre: known.worker.DataCentre})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// inGroup returns the workers of one group.
+func (c *workerCatalogue) inGroup(id spec.GroupID) []group.WorkerInfo {
+	var out []group.WorkerInfo
+	for _, known := range c.sorted() {
+		if known.worker.Group == id {
+			out = append(out, group.WorkerInfo{Worker: known.worker, Leaving: known.leaving})
+		}
+	}
+	return out
+}
+
+// onInstances takes a read of the instance list in.
+func (d *decision) onInstances(now time.Duration, entries []platform.InstanceEntry) {
+	d.stepOwnership(now, ownership.InstanceList{Entries: entries})
+	if !d.workers.update(entries) {
+		return
+	}
+	d.stepOwnership(now, ownership.GroupsKnown{Groups: d.workers.groups()})
+	for _, g := range d.sortedGroups() {
+		d.tellWorkers(now, g)
+	}
+	d.publishView()
+}
+
+func (d *decision) tellWorkers(now time.Duration, g *followedGroup) {
+	d.stepGroup(now, g, group.SetWorkers{Workers: d.workers.inGroup(g.id), Largest: d.workers.largest()})
+	d.stepGroup(now, g, group.SetPeers{Groups: d.handOffPeers(g.id)})
+}
+
+// handOffPeers returns the other groups, those of the same data centre first.
+func (d *decision) handOffPeers(id spec.GroupID) []spec.GroupID {
+	var own spec.DataCentre
+	groups := d.workers.groups()
+	for _, g := range groups {
+		if g.ID == id {
+			own = g.DataCentre
+		}
+	}
+	var near, far []spec.GroupID
+	for _, g := range groups {
+		switch {
+		case g.ID == id:
+		case g.DataCentre == own:
+			near = append(near, g.ID)
+		default:
+			far = append(far, g.ID)
+		}
+	}
+	return append(near, far...)
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -127,6 +127,8 @@
 	w.measure()
 }
 
+func (w *Worker) bootID() string { return fmt.Sprintf("%s-%d", w.spec.ID, w.boot) }
+
 func (w *Worker) clock() time.Duration { return time.Since(w.bootedAt) }
 
 // advance moves every running task forward to now.
@@ -174,6 +176,9 @@
 		report.Fenced = true
 		return report, nil
 	}
+	if batch.Boot != "" && batch.Boot != w.bootID() {
+		return w.report(), nil
+	}
 	w.epoch = batch.Epoch
 	for _, command := range batch.Commands {
 		w.carryOut(command)
@@ -284,7 +289,7 @@
 	now := w.clock()
 	out := platform.WorkerReport{
 		Worker: w.spec.ID,
-		Boot:   fmt.Sprintf("%s-%d", w.spec.ID, w.boot),
+		Boot:   w.bootID(),
 		Clock:  now,
 		Epoch:  w.epoch,
 	}
