--- /dev/null
+++ b/internal/journal/reader.go
@@ -0,0 +1,160 @@
+package journal
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"redwingvale/internal/platform"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// Record is one decoded record.
+type Record struct {
+	Offset   int64
+	Envelope *recordv1.Envelope
+}
+
+// Batch is the result of one read. A batch with Err holds nothing else but
+// the stream and SentAt.
+type Batch struct {
+	Stream platform.Stream
+	// SentAt is the monotonic time before the read was sent. A log lease is
+	// counted from it.
+	SentAt time.Duration
+	// AtTail states that the read reached the tail of the stream.
+	AtTail bool
+	// First is the oldest offset that is still kept, Next the next to read.
+	First   int64
+	Next    int64
+	Records []Record
+	// Expired states that records before the first one of this batch were
+	// dropped by the log before they were read; a snapshot must follow.
+	Expired bool
+	// Skipped counts records that could not be decoded.
+	Skipped int
+	Err     error
+}
+
+// ReaderSettings bounds the reads of a Reader.
+type ReaderSettings struct {
+	// Limit is the largest number of records of one read.
+	Limit int
+	// Wait is how long the log may hold a read open at the tail. It must be
+	// well below the ownership lease, which is counted from SentAt.
+	Wait time.Duration
+	// CallLimit bounds a read beyond Wait.
+	CallLimit time.Duration
+	// RetryMin and RetryMax bound the jittered wait after a failed read.
+	RetryMin time.Duration
+	RetryMax time.Duration
+}
+
+// DefaultReaderSettings returns settings for an ownership lease of 1.2 s.
+func DefaultReaderSettings() ReaderSettings {
+	return ReaderSettings{
+		Limit:     1000,
+		Wait:      300 * time.Millisecond,
+		CallLimit: 5 * time.Second,
+		RetryMin:  50 * time.Millisecond,
+		RetryMax:  time.Second,
+	}
+}
+
+// Reader is the duty that follows one stream.
+type Reader struct {
+	log      platform.Log
+	stream   platform.Stream
+	settings ReaderSettings
+	clock    func() time.Duration
+	deliver  func(context.Context, Batch) error
+	next     int64
+	failures int
+}
+
+// NewReader returns a reader that starts at offset from. clock returns the
+// monotonic time since the start of the process. deliver hands a batch to the
+// duty that applies it, in order; it may block until its context ends.
+func NewReader(log platform.Log, stream platform.Stream, from int64, settings ReaderSettings,
+	clock func() time.Duration, deliver func(context.Context, Batch) error,
+) *Reader {
+	return &Reader{log: log, stream: stream, settings: settings, clock: clock, deliver: deliver, next: from}
+}
+
+// Run reads until ctx ends or deliver fails, and returns that error.
+func (r *Reader) Run(ctx context.Context) error {
+	for {
+		batch := r.read(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := r.deliver(ctx, batch); err != nil {
+			return err
+		}
+		if batch.Err == nil {
+			r.failures = 0
+			continue
+		}
+		r.failures++
+		if err := sleep(ctx, r.pause()); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Reader) read(ctx context.Context) Batch {
+	limited, cancel := context.WithTimeout(ctx, r.settings.Wait+r.settings.CallLimit)
+	defer cancel()
+	batch := Batch{Stream: r.stream, SentAt: r.clock()}
+	result, err := r.log.Read(limited, r.stream, r.next, r.settings.Limit, r.settings.Wait)
+	if err != nil {
+		batch.Err = err
+		return batch
+	}
+	batch.AtTail = result.AtTail
+	batch.First = result.First
+	batch.Next = max(result.Next, result.First, r.next)
+	batch.Expired = result.First > r.next
+	for _, raw := range result.Records {
+		if raw.Offset < r.next {
+			continue
+		}
+		batch.add(raw)
+	}
+	r.next = batch.Next
+	return batch
+}
+
+func (b *Batch) add(raw platform.LogRecord) {
+	env := new(recordv1.Envelope)
+	if err := proto.Unmarshal(raw.Data, env); err != nil {
+		b.Skipped++
+		return
+	}
+	b.Records = append(b.Records, Record{Offset: raw.Offset, Envelope: env})
+}
+
+// pause doubles with each failure in a row and is drawn between half and all
+// of that, so that the readers do not return all at once.
+func (r *Reader) pause() time.Duration {
+	wait := r.settings.RetryMin
+	for i := 1; i < r.failures && wait < r.settings.RetryMax; i++ {
+		wait *= 2
+	}
+	wait = min(wait, r.settings.RetryMax)
+	return wait/2 + rand.N(wait/2+1)
+}
+
+func sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
