--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -34,6 +34,17 @@
 	// Released states that the owner gave the group up; NextOwner is its wish.
 	Released  bool
 	NextOwner spec.InstanceID
+	// Previous is the ownership that the current epoch replaced. It is zero
+	// when a snapshot set the current epoch.
+	Previous Previous
+}
+
+// Previous describes an ownership that a claim has replaced.
+type Previous struct {
+	Owner       spec.InstanceID
+	Incarnation spec.Incarnation
+	// Released states that the owner had given the group up before the claim.
+	Released bool
 }
 
 // Apply takes the next record of the group's stream in log order.
@@ -59,6 +70,7 @@
 	f.Incarnation = spec.Incarnation(snapshot.GetOwnerIncarnation())
 	f.Released = false
 	f.NextOwner = ""
+	f.Previous = Previous{}
 }
 
 // OwnedBy reports whether the instance owns the group and has not released it.
@@ -70,6 +82,7 @@
 	if spec.Epoch(claim.GetReplacesEpoch()) != f.Epoch {
 		return Void
 	}
+	f.Previous = Previous{Owner: f.Owner, Incarnation: f.Incarnation, Released: f.Released}
 	f.Epoch++
 	f.Owner = spec.InstanceID(claim.GetOwner())
 	f.Incarnation = spec.Incarnation(claim.GetOwnerIncarnation())
--- /dev/null
+++ b/internal/ownership/events.go
@@ -0,0 +1,106 @@
+package ownership
+
+import (
+	"time"
+
+	"redwingvale/internal/fence"
+	"redwingvale/internal/platform"
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+)
+
+// Event is an input of Core.Step.
+type Event interface{ isEvent() }
+
+// MembersRecord is one record of the members stream, in log order. The core
+// drops repeats itself.
+type MembersRecord struct {
+	Offset   int64
+	Envelope *recordv1.Envelope
+}
+
+// MembersRead follows the MembersRecord events of one read. SentAt is the
+// monotonic time before the read was sent. Expired states that records were
+// dropped by the log before they were read; it precedes the records.
+type MembersRead struct {
+	SentAt  time.Duration
+	AtTail  bool
+	Expired bool
+}
+
+// GroupFence is the latest valid ownership that the group's stream shows. It
+// precedes the StreamRead of the read that showed it.
+type GroupFence struct {
+	Group spec.GroupID
+	Fence fence.Fence
+}
+
+// StreamRead follows each successful read of a group's stream. SentAt is the
+// monotonic time before the read was sent.
+type StreamRead struct {
+	Group  spec.GroupID
+	SentAt time.Duration
+	AtTail bool
+}
+
+// HeartbeatReceived is a heartbeat of a member. Call names it in Respond.
+type HeartbeatReceived struct {
+	Call    uint64
+	Request *schedv1.HeartbeatRequest
+}
+
+// HeartbeatAnswered is the response to a heartbeat. SentAt is that of the
+// SendHeartbeat effect.
+type HeartbeatAnswered struct {
+	To       spec.InstanceID
+	SentAt   time.Duration
+	Response *schedv1.HeartbeatResponse
+}
+
+// InstanceList is what the platform's instance list shows.
+type InstanceList struct {
+	Entries []platform.InstanceEntry
+}
+
+// Group names a worker group and its data centre.
+type Group struct {
+	ID         spec.GroupID
+	DataCentre spec.DataCentre
+}
+
+// GroupsKnown replaces the set of groups that must have an owner.
+type GroupsKnown struct {
+	Groups []Group
+}
+
+// AppendRejected states that the journal gave up a claim or a release of the
+// group and that the record has no effect for any reader.
+type AppendRejected struct {
+	Group spec.GroupID
+}
+
+// ForceRemove is an operator's confirmation that an instance is dead.
+type ForceRemove struct {
+	Instance spec.InstanceID
+}
+
+// LeaveRequested starts a planned leave.
+type LeaveRequested struct{}
+
+// Tick lets time pass. The period should be 50 ms or less.
+type Tick struct{}
+
+func (MembersRecord) isEvent()     {}
+func (MembersRead) isEvent()       {}
+func (GroupFence) isEvent()        {}
+func (StreamRead) isEvent()        {}
+func (HeartbeatReceived) isEvent() {}
+func (HeartbeatAnswered) isEvent() {}
+func (InstanceList) isEvent()      {}
+func (GroupsKnown) isEvent()       {}
+func (AppendRejected) isEvent()    {}
+func (ForceRemove) isEvent()       {}
+func (LeaveRequested) isEvent()    {}
+func (Tick) isEvent()              {}
--- /dev/null
+++ b/internal/ownership/takeover.go
@@ -0,0 +1,179 @@
+package ownership
+
+import (
+	"time"
+
+	"redwingvale/internal/invariant"
+	"redwingvale/internal/spec"
+)
+
+// advance brings a takeover and the right to the group up to date.
+func (c *Core) advance(now time.Duration, g *group) {
+	if g.take != nil && !g.superseded() && !g.take.started {
+		c.countMajority(now, g)
+		if c.mayStart(now, g) {
+			g.take.started = true
+			g.startedEpoch = g.take.epoch
+		}
+	}
+	c.updateRight(now, g)
+}
+
+// countMajority notes when a majority of the voters knows the claim. The read
+// of the members stream after the claim makes sure that the voter set is at
+// least as new as the one that the old owner knew at its last confirmation.
+func (c *Core) countMajority(now time.Duration, g *group) {
+	t := g.take
+	if t.majority || !c.hasMembersTail {
+		return
+	}
+	if c.membersTail < t.readBackAt && !c.faults.skipSetHistory {
+		return
+	}
+	t.majority = majority(c.members.current().voters, func(id spec.InstanceID) bool {
+		return c.acknowledged(now, t, id)
+	})
+	if t.majority {
+		t.majorityAt = now
+	}
+}
+
+func (c *Core) acknowledged(now time.Duration, t *take, id spec.InstanceID) bool {
+	if id == c.settings.Instance {
+		return c.mayVote(now)
+	}
+	p := c.peers[id]
+	if p == nil {
+		return false
+	}
+	incarnation, ok := t.acks[id]
+	if ok && incarnation == p.incarnation {
+		return true
+	}
+	return c.proven(now, id, t.readBackAt)
+}
+
+// mayStart reports whether no earlier ownership can have a right any more.
+func (c *Core) mayStart(now time.Duration, g *group) bool {
+	t := g.take
+	if t.previous.Released || t.stopped || c.faults.skipWait {
+		return true
+	}
+	wait := c.settings.OwnershipLease + c.settings.LogStaleness
+	if now < t.readBackAt+wait {
+		return false
+	}
+	if c.faults.skipMajority {
+		return true
+	}
+	return t.majority && now >= t.majorityAt+c.settings.OwnershipLease
+}
+
+// updateRight emits the right when it was extended or lost.
+func (c *Core) updateRight(now time.Duration, g *group) {
+	until := c.rightUntil(g)
+	if until > 0 {
+		until = max(until, g.until)
+	}
+	if until <= now {
+		until = 0
+	}
+	if until == g.until {
+		return
+	}
+	epoch := g.startedEpoch
+	if until > 0 {
+		c.checkRight(now, g, until)
+		epoch = g.take.epoch
+	}
+	g.until = until
+	c.emit(Right{Group: g.id, Epoch: epoch, Until: until})
+}
+
+func (c *Core) checkRight(now time.Duration, g *group, until time.Duration) {
+	t := g.take
+	invariant.Check(t.epoch == g.fence.Epoch && t.epoch >= g.known, invariant.NeverOvercommitted,
+		"group %s: right in epoch %d, the log shows %d, %d is known", g.id, t.epoch, g.fence.Epoch, g.known)
+	invariant.Check(t.started && t.confirmed, invariant.NeverOvercommitted,
+		"group %s: right before the takeover was complete", g.id)
+	invariant.Check(until <= now+c.settings.OwnershipLease, invariant.NeverOvercommitted,
+		"group %s: right of %s, longer than the ownership lease", g.id, until-now)
+}
+
+// rightUntil returns the end of the right by the log lease or the peer lease,
+// whichever is later, or zero.
+func (c *Core) rightUntil(g *group) time.Duration {
+	if !g.deciding() || !g.take.confirmed {
+		return 0
+	}
+	held := c.settings.held(c.settings.OwnershipLease)
+	return max(g.take.confirmedAt+held, c.peerLease(g))
+}
+
+// peerLease returns until when a majority of the voters has promised that it
+// knows no newer claim, in each voter set since the last confirmation.
+func (c *Core) peerLease(g *group) time.Duration {
+	base := c.members.versionAt(g.take.confirmedAt)
+	if c.faults.skipSetHistory {
+		base = c.members.version
+	}
+	sets, ok := c.members.since(base)
+	if !ok {
+		return 0
+	}
+	until := time.Duration(1<<63 - 1)
+	for _, set := range sets {
+		until = min(until, c.majorityPromise(g, set.voters))
+	}
+	if until == 1<<63-1 {
+		return c.soleVoterLease(g)
+	}
+	return until
+}
+
+// soleVoterLease is the lease of an owner that is a majority by itself.
+func (c *Core) soleVoterLease(g *group) time.Duration {
+	return c.lastStep + c.settings.held(c.settings.OwnershipLease)
+}
+
+// majorityPromise returns the end of the promise that the last voter needed
+// for a majority has given, the largest duration when this instance is a
+// majority by itself, or zero when there is none.
+func (c *Core) majorityPromise(g *group, voters []spec.InstanceID) time.Duration {
+	ends := make([]time.Duration, 0, len(voters))
+	for _, id := range voters {
+		ends = append(ends, c.promiseEnd(g, id))
+	}
+	return nthLargest(ends, len(voters)/2+1)
+}
+
+func (c *Core) promiseEnd(g *group, id spec.InstanceID) time.Duration {
+	if id == c.settings.Instance {
+		return 1<<63 - 1
+	}
+	p := c.peers[id]
+	if p == nil || !p.heard {
+		return 0
+	}
+	if p.heardFirst > g.take.confirmedAt && !c.faults.skipHeardRule {
+		return 0
+	}
+	given, ok := p.promises[g.id]
+	if !ok || given.epoch != g.take.epoch {
+		return 0
+	}
+	return given.sentAt + c.settings.held(c.settings.OwnershipLease)
+}
+
+// nthLargest returns the n-th largest value, counted from 1, or zero.
+func nthLargest(values []time.Duration, n int) time.Duration {
+	if n < 1 || n > len(values) {
+		return 0
+	}
+	for i := 1; i < len(values); i++ {
+		for j := i; j > 0 && values[j] > values[j-1]; j-- {
+			values[j], values[j-1] = values[j-1], values[j]
+		}
+	}
+	return values[n-1]
+}
