--- /dev/null
+++ b/internal/group/effects.go
@@ -0,0 +1,63 @@
+package group
+
+import (
+	"redwingvale/internal/code"
+	"redwingvale/internal/platform"
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+)
+
+// Effect is an output of Core.Step. Effects are carried out in their order.
+type Effect interface{ effect() }
+
+// Write adds a record to the group's stream through the journal, which fills
+// in instance, incarnation, sequence and wall-clock time. The record counts
+// when it comes back as RecordRead.
+type Write struct {
+	Token    Token
+	Envelope *recordv1.Envelope
+}
+
+// Send sends a batch to a worker. The answer is WorkerAnswered or
+// WorkerFailed with the same serial. At most one Send per worker is open.
+type Send struct {
+	Serial uint64
+	Worker spec.Worker
+	Batch  platform.CommandBatch
+}
+
+// Reply answers a request. When Forward is set, the caller repeats the
+// request at that group. Grants is set for RenewGrants; a ReceiveJob is
+// recorded when Code is OK.
+type Reply struct {
+	Request  Request
+	Code     code.Code
+	Response *schedv1.JobResponse
+	Forward  spec.GroupID
+	Grants   []*schedv1.Grant
+}
+
+// HandOff sends a job to the owner of another group. It is repeated until
+// HandOffAnswered states that the job is recorded.
+type HandOff struct {
+	Group spec.GroupID
+	Job   *recordv1.JobReceived
+}
+
+// Changed states that a job's state has changed, for callers that wait.
+type Changed struct{ Job spec.JobID }
+
+// Note is one line of the event log: a name and pairs of key and value.
+type Note struct {
+	Name  string
+	Pairs []string
+}
+
+func (Write) effect()   {}
+func (Send) effect()    {}
+func (Reply) effect()   {}
+func (HandOff) effect() {}
+func (Changed) effect() {}
+func (Note) effect()    {}
--- /dev/null
+++ b/internal/group/handoff.go
@@ -0,0 +1,173 @@
+package group
+
+import (
+	"redwingvale/internal/code"
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// pendingReceive is a JobReceived record that is not read back.
+type pendingReceive struct {
+	hop      uint32
+	requests []Request
+}
+
+// maybeHandOff records that a job moves to another group when none of its
+// tasks could be placed here for some time.
+func (c *Core) maybeHandOff(j *job) {
+	if !j.open() || j.movePending || j.endPending || j.active > 0 || j.pendingIntents > 0 {
+		return
+	}
+	if j.hop >= c.opts.MaxHops || j.finished == len(j.tasks) || c.owner.cancels[j.id] != nil {
+		return
+	}
+	if c.fitsHere(j) && c.now-j.since < c.opts.HandOffAfter {
+		return
+	}
+	to := c.peerFor(j)
+	if to == "" {
+		return
+	}
+	j.movePending = true
+	record := &recordv1.JobHandOff{Job: jobRef(j.id), ToGroup: string(to), Hop: j.hop + 1}
+	body := &recordv1.GroupRecord{Kind: &recordv1.GroupRecord_JobHandOff{JobHandOff: record}}
+	c.write("cannot be placed here", "", body, func(code.Code) { j.movePending = false })
+}
+
+// fitsHere reports whether an empty worker of the group could run a task.
+func (c *Core) fitsHere(j *job) bool {
+	for _, info := range c.infos {
+		if !info.Leaving && j.resources().Fits(info.Worker.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// peerFor chooses the group that gets a job: the next one in order, by hop, of
+// those with a worker that is large enough.
+func (c *Core) peerFor(j *job) spec.GroupID {
+	var fitting []spec.GroupID
+	for _, p := range c.peers {
+		if p.Group != c.opts.Group && j.resources().Fits(p.Largest) {
+			fitting = append(fitting, p.Group)
+		}
+	}
+	if len(fitting) == 0 {
+		return ""
+	}
+	return fitting[int(j.hop)%len(fitting)]
+}
+
+func (c *Core) handOffBack(changed change) {
+	if !changed.valid {
+		return
+	}
+	j := changed.job
+	j.movePending = false
+	j.since = c.now
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == taskWaiting {
+			c.decider.Dequeue(t.id())
+		}
+	}
+	c.owner.ended = append(c.owner.ended, j)
+	c.emit(Changed{Job: j.id})
+	c.note("job_handed_off", "job", j.id.String(), "to", string(j.movedTo), "hop", itoa(j.hop))
+	c.offerHandOff(j)
+}
+
+// offerHandOff sends a moved job to its group until that has recorded it.
+func (c *Core) offerHandOff(j *job) {
+	if !c.deciding() || j.moveDone || j.movePending || c.now < j.nextOffer {
+		return
+	}
+	j.nextOffer = c.now + c.opts.HandOffRetry
+	received := &recordv1.JobReceived{
+		Job:         j.spec,
+		ContentHash: j.hash,
+		FromGroup:   string(c.opts.Group),
+		Hop:         j.hop,
+	}
+	for i := range j.tasks {
+		if stated := j.tasks[i].stated(); stated != nil {
+			received.Tasks = append(received.Tasks, stated)
+		}
+	}
+	c.emit(HandOff{Group: j.movedTo, Job: received})
+}
+
+func (c *Core) onHandOffAnswered(e HandOffAnswered) {
+	if !e.Recorded || !c.deciding() {
+		return
+	}
+	j := c.state().jobs[e.Job]
+	if j == nil || j.movedTo == "" || j.moveDone || j.movePending || j.hop != e.Hop {
+		return
+	}
+	j.movePending = true
+	record := &recordv1.JobHandOffDone{Job: jobRef(j.id), Hop: j.hop}
+	body := &recordv1.GroupRecord{Kind: &recordv1.GroupRecord_JobHandOffDone{JobHandOffDone: record}}
+	c.write("recorded by "+string(j.movedTo), "", body, func(code.Code) { j.movePending = false })
+}
+
+func (c *Core) handOffDoneBack(changed change) {
+	if changed.valid {
+		changed.job.movePending = false
+		changed.job.since = c.now
+	}
+}
+
+// onReceive records a job that another group hands over.
+func (c *Core) onReceive(e ReceiveJob) {
+	if !c.deciding() {
+		c.emit(Reply{Request: e.Request, Code: code.NotOwner})
+		return
+	}
+	id := jobID(e.Job.GetJob().GetId())
+	known := c.state().jobs[id]
+	if known != nil && known.hop >= e.Job.GetHop() {
+		c.emit(Reply{Request: e.Request, Code: code.OK})
+		return
+	}
+	if pending := c.owner.receives[id]; pending != nil {
+		if pending.hop == e.Job.GetHop() {
+			pending.requests = append(pending.requests, e.Request)
+			return
+		}
+		c.emit(Reply{Request: e.Request, Code: code.OwnerUnknown})
+		return
+	}
+	c.owner.receives[id] = &pendingReceive{hop: e.Job.GetHop(), requests: []Request{e.Request}}
+	body := &recordv1.GroupRecord{Kind: &recordv1.GroupRecord_JobReceived{JobReceived: e.Job}}
+	c.write("handed over by "+e.Job.GetFromGroup(), "", body, func(reason code.Code) {
+		c.endReceive(id, reason)
+	})
+}
+
+func (c *Core) receivedBack(r *recordv1.JobReceived, changed change) {
+	id := jobID(r.GetJob().GetId())
+	if changed.valid {
+		j := changed.job
+		j.movePending = false
+		j.endPending = false
+		c.startJob(j)
+	}
+	result := code.OK
+	if j := c.state().jobs[id]; j == nil || j.hop < r.GetHop() {
+		result = code.JobConflict
+	}
+	c.endReceive(id, result)
+}
+
+func (c *Core) endReceive(id spec.JobID, result code.Code) {
+	pending := c.owner.receives[id]
+	delete(c.owner.receives, id)
+	if pending == nil {
+		return
+	}
+	for _, request := range pending.requests {
+		c.emit(Reply{Request: request, Code: result})
+	}
+}
--- /dev/null
+++ b/internal/group/options.go
@@ -0,0 +1,108 @@
+package group
+
+import (
+	"time"
+
+	"redwingvale/internal/grant"
+	"redwingvale/internal/spec"
+)
+
+// Options are the constants of a Core. Durations are on the owner's clock.
+type Options struct {
+	Group       spec.GroupID
+	Instance    spec.InstanceID
+	Incarnation spec.Incarnation
+	// UnixMSAtZero is the wall-clock time in milliseconds at monotonic zero.
+	// It serves only to turn a job's wall-clock deadline into a monotonic one.
+	UnixMSAtZero int64
+	// FirstOffset is the offset of the first record that a stream ever has.
+	FirstOffset int64
+	// TickEvery is the period of Tick events.
+	TickEvery time.Duration
+	// OwnershipLease bounds how long a right lasts after it was confirmed.
+	OwnershipLease time.Duration
+	// TaskLease is how long a task outlives the owner's confirmed right.
+	TaskLease time.Duration
+	// ClockRatePPM bounds the difference of two clocks' rates, in millionths.
+	ClockRatePPM int64
+	// PollEvery is the period at which each worker is asked for a report.
+	PollEvery time.Duration
+	// ReviewEvery is the period of the policy's review of running tasks.
+	ReviewEvery time.Duration
+	// StopGrace is the time that a stopped task has for a last checkpoint.
+	StopGrace time.Duration
+	// MaxPendingIntents bounds intents that wait to be read back.
+	MaxPendingIntents int
+	// MaxCancelWork bounds tasks of cancelled jobs handled in one Tick.
+	MaxCancelWork int
+	// HandOffAfter is how long a job waits without a running task before it is
+	// handed off; MaxHops bounds how often that happens.
+	HandOffAfter time.Duration
+	MaxHops      uint32
+	// HandOffRetry is the period at which a HandOff is repeated.
+	HandOffRetry time.Duration
+	// KeepEnded and KeepMoved are how long ended jobs and the entries of moved
+	// jobs are kept.
+	KeepEnded time.Duration
+	KeepMoved time.Duration
+	// Retention is the log's retention; a snapshot is written when
+	// SnapshotShare of it has passed.
+	Retention     time.Duration
+	SnapshotShare float64
+	// SnapshotDelay is the time from a takeover to a snapshot when the age of
+	// the last one is unknown, and between tries after a refusal.
+	SnapshotDelay time.Duration
+	// MaxPartBytes bounds the size of one part of a snapshot.
+	MaxPartBytes int
+	// MaxTasks and MaxPayloadBytes bound a job.
+	MaxTasks        uint32
+	MaxPayloadBytes int
+	// MaxFailures is how many attempts of a task may fail before it has failed.
+	MaxFailures uint32
+	Grants      grant.Options
+
+	// broken switches mechanisms off, one at a time, in tests only.
+	broken broken
+}
+
+// broken names mechanisms that a test can switch off to see that its checks
+// notice the fault.
+type broken struct {
+	startBeforeReadBack bool
+	leaseFromReceipt    bool
+	reuseAttempt        bool
+	noLatestStart       bool
+	noLeaseWait         bool
+	noWorkerFence       bool
+	noRecordFence       bool
+	noCancelHorizon     bool
+	ignoreBoot          bool
+}
+
+// DefaultOptions returns the options of the design page without identity.
+func DefaultOptions() Options {
+	return Options{
+		TickEvery:         50 * time.Millisecond,
+		OwnershipLease:    1200 * time.Millisecond,
+		TaskLease:         20 * time.Second,
+		ClockRatePPM:      1000,
+		PollEvery:         time.Second,
+		ReviewEvery:       time.Second,
+		StopGrace:         2 * time.Second,
+		MaxPendingIntents: 512,
+		MaxCancelWork:     256,
+		HandOffAfter:      30 * time.Second,
+		MaxHops:           4,
+		HandOffRetry:      time.Second,
+		KeepEnded:         time.Hour,
+		KeepMoved:         30 * 24 * time.Hour,
+		Retention:         24 * time.Hour,
+		SnapshotShare:     0.5,
+		SnapshotDelay:     30 * time.Second,
+		MaxPartBytes:      256 << 10,
+		MaxTasks:          100_000,
+		MaxPayloadBytes:   64 << 10,
+		MaxFailures:       3,
+		Grants:            grant.DefaultOptions(),
+	}
+}
--- a/internal/platform/worker.go
+++ b/internal/platform/worker.go
@@ -61,8 +61,11 @@
 // has seen a larger epoch carries out nothing of it and sets Fenced. An empty
 // batch asks for a report.
 type CommandBatch struct {
-	Worker   spec.WorkerID
-	Epoch    spec.Epoch
+	Worker spec.WorkerID
+	Epoch  spec.Epoch
+	// Boot is the boot for whose clock the commands' times are meant. A worker
+	// of another boot carries out nothing of the batch and only reports.
+	Boot     string
 	Commands []Command
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -150,3 +150,10 @@
 	// Overdue lists waiting or running tasks that cannot meet their deadline.
 	Overdue(now time.Duration) []spec.TaskID
 }
+
+// QuarantineRestorer is implemented by a Decider that can be told after a
+// takeover which workers the log states to be quarantined.
+type QuarantineRestorer interface {
+	// RestoreQuarantine is called after SetWorker for the worker.
+	RestoreQuarantine(now time.Duration, id spec.WorkerID)
+}
