--- /dev/null
+++ b/internal/audit/read.go
@@ -0,0 +1,161 @@
+package audit
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"redwingvale/internal/platform"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// Bounds of one reading.
+const (
+	// DefaultLimit bounds the entries of a result when the query sets none.
+	DefaultLimit = 1000
+	// MaxLimit is the largest limit of a query.
+	MaxLimit = 100_000
+	// readLimit is the number of records asked for at a time.
+	readLimit = 500
+)
+
+// Gap states what is missing of one stream.
+type Gap struct {
+	Stream string `json:"stream"`
+	// Expired counts the offsets before the oldest record that is kept.
+	Expired int64 `json:"expired"`
+	// OldestKept is the writer's time of the oldest record that is kept.
+	OldestKept time.Time `json:"oldest_kept"`
+	// Unread is the reason why the stream could not be read to its end.
+	Unread string `json:"unread,omitempty"`
+	// Damaged counts records that could not be decoded.
+	Damaged int `json:"damaged,omitempty"`
+}
+
+// Result is the part of the audit trail that a query selects, by time, and
+// what is missing from it.
+type Result struct {
+	Entries []Entry `json:"entries"`
+	Gaps    []Gap   `json:"gaps"`
+	// Omitted counts older entries that exceed the limit.
+	Omitted int `json:"omitted"`
+	// Notes state in plain terms what may be missing.
+	Notes []string `json:"notes"`
+}
+
+// Read reads the streams and returns the entries that the query selects. A
+// stream that cannot be read becomes a Gap. The error is set only when the
+// list of streams cannot be read.
+func Read(ctx context.Context, log platform.Log, query Query) (Result, error) {
+	streams, err := streamsOf(ctx, log, query.Streams)
+	if err != nil {
+		return Result{}, err
+	}
+	var out Result
+	for _, stream := range streams {
+		entries, gap := readStream(ctx, log, stream, query)
+		out.Entries = append(out.Entries, entries...)
+		if gap.Expired > 0 || gap.Unread != "" || gap.Damaged > 0 {
+			out.Gaps = append(out.Gaps, gap)
+		}
+	}
+	sort.SliceStable(out.Entries, func(i, j int) bool { return out.Entries[i].When.Before(out.Entries[j].When) })
+	out.cut(query.Limit)
+	out.Notes = notes(out.Gaps)
+	return out, nil
+}
+
+// streamsOf lists the streams in a fixed order.
+func streamsOf(ctx context.Context, log platform.Log, prefix string) ([]platform.Stream, error) {
+	streams, err := log.Streams(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	out := append([]platform.Stream(nil), streams...)
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out, nil
+}
+
+func readStream(ctx context.Context, log platform.Log, stream platform.Stream, query Query) ([]Entry, Gap) {
+	gap := Gap{Stream: string(stream)}
+	j := newJudge(stream)
+	var entries []Entry
+	for from, first := int64(0), true; ; first = false {
+		read, err := log.Read(ctx, stream, from, readLimit, 0)
+		if err != nil {
+			gap.Unread = err.Error()
+			return entries, gap
+		}
+		if first {
+			gap.Expired = read.First
+		}
+		for _, record := range read.Records {
+			entry, ok := toEntry(j, stream, read, record)
+			if !ok {
+				gap.Damaged++
+				continue
+			}
+			if gap.OldestKept.IsZero() {
+				gap.OldestKept = entry.When
+			}
+			if query.Matches(entry) {
+				entries = append(entries, entry)
+			}
+		}
+		if read.AtTail || read.Next <= from {
+			return entries, gap
+		}
+		from = read.Next
+	}
+}
+
+func toEntry(j *judge, stream platform.Stream, read platform.ReadResult, record platform.LogRecord) (Entry, bool) {
+	env := &recordv1.Envelope{}
+	if err := proto.Unmarshal(record.Data, env); err != nil {
+		return Entry{}, false
+	}
+	entry := describe(env)
+	entry.Stream = string(stream)
+	entry.Offset = record.Offset
+	standing, note := j.judge(record.Offset, env, read, record)
+	entry.Standing = standing
+	if note != "" {
+		entry.What += "; " + note
+	}
+	return entry, true
+}
+
+// cut keeps the newest entries.
+func (r *Result) cut(limit int) {
+	if limit <= 0 {
+		limit = DefaultLimit
+	}
+	limit = min(limit, MaxLimit)
+	if len(r.Entries) > limit {
+		r.Omitted = len(r.Entries) - limit
+		r.Entries = r.Entries[r.Omitted:]
+	}
+}
+
+// notes states what the gaps mean for a reader of the trail.
+func notes(gaps []Gap) []string {
+	out := []string{"Records that an instance has not yet written are missing; they appear when the log takes them, or are lost if the instance dies first."}
+	for _, gap := range gaps {
+		if gap.Expired > 0 {
+			out = append(out, gap.Stream+": "+strconv.FormatInt(gap.Expired, 10)+" older records have expired and are gone; the oldest one kept is of "+gap.OldestKept.Format(time.RFC3339)+".")
+		}
+		if gap.Unread != "" {
+			out = append(out, gap.Stream+": not read to its end: "+gap.Unread)
+		}
+		if gap.Damaged > 0 {
+			out = append(out, gap.Stream+": "+strconv.Itoa(gap.Damaged)+" records could not be decoded.")
+		}
+	}
+	return out
+}
+
+func uintText(v uint64) string { return strconv.FormatUint(v, 10) }
--- /dev/null
+++ b/internal/audit/standing.go
@@ -0,0 +1,111 @@
+package audit
+
+import (
+	"strings"
+
+	"redwingvale/internal/config"
+	"redwingvale/internal/fence"
+	"redwingvale/internal/journal"
+	"redwingvale/internal/platform"
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+const groupPrefix = "group/"
+
+// judge states whether the records of one stream had an effect. It is fed in
+// log order.
+type judge struct {
+	stream platform.Stream
+	filter *journal.Filter
+	fence  fence.Fence
+	// known states that the owner of the group is known.
+	known  bool
+	config *config.Core
+}
+
+func newJudge(stream platform.Stream) *judge {
+	return &judge{
+		stream: stream,
+		filter: journal.NewFilter(),
+		config: config.NewCore(config.Options{}),
+	}
+}
+
+// judge returns the standing of a record and what it adds to the entry.
+func (j *judge) judge(offset int64, env *recordv1.Envelope, read platform.ReadResult, record platform.LogRecord) (Standing, string) {
+	switch {
+	case j.stream == platform.ConfigStream:
+		return j.ofConfig(offset, read, record)
+	case strings.HasPrefix(string(j.stream), groupPrefix):
+		return j.ofGroup(env), ""
+	case !j.filter.Accept(env):
+		return Void, "a repeat"
+	default:
+		return Recorded, ""
+	}
+}
+
+// ofConfig follows the revision chain.
+func (j *judge) ofConfig(offset int64, read platform.ReadResult, record platform.LogRecord) (Standing, string) {
+	one := platform.ReadResult{Records: []platform.LogRecord{record}, First: read.First, Next: offset + 1}
+	for _, effect := range j.config.Step(0, config.ReadEvent{Result: one}) {
+		judged, ok := effect.(config.Judged)
+		if !ok || judged.Verdict.Offset != offset {
+			continue
+		}
+		v := judged.Verdict
+		switch v.Kind {
+		case config.AcceptedNow:
+			return Valid, "accepted as revision " + uintText(v.Revision)
+		case config.AcceptedBefore:
+			return Void, "a repeat of revision " + uintText(v.Revision)
+		default:
+			return Void, v.Err.Error()
+		}
+	}
+	if !j.config.Whole() {
+		return Recorded, ""
+	}
+	return Valid, ""
+}
+
+// ofGroup follows the ownership of the group. Before the first claim or
+// snapshot that is still kept, the owner is not known.
+func (j *judge) ofGroup(env *recordv1.Envelope) Standing {
+	record := env.GetGroup()
+	if claim := record.GetClaim(); claim != nil {
+		return j.ofClaim(env, claim)
+	}
+	if snapshot := record.GetSnapshot(); snapshot != nil && !j.known {
+		j.fence.Restore(snapshot)
+		j.known = true
+	}
+	if !j.known {
+		return Recorded
+	}
+	verdict := j.fence.Apply(env)
+	if verdict == fence.Void || !j.filter.Accept(env) {
+		return Void
+	}
+	return Valid
+}
+
+func (j *judge) ofClaim(env *recordv1.Envelope, claim *recordv1.Claim) Standing {
+	if !j.known && claim.GetReplacesEpoch() > 0 {
+		// The owner before the first kept record is unknown, so a claim may
+		// itself be void; the next one that fits settles it.
+		if spec.Epoch(claim.GetReplacesEpoch()) < j.fence.Epoch {
+			return Recorded
+		}
+		j.fence.Epoch = spec.Epoch(claim.GetReplacesEpoch())
+		j.fence.Apply(env)
+		return Recorded
+	}
+	j.known = true
+	if j.fence.Apply(env) == fence.Void {
+		return Void
+	}
+	return Valid
+}
--- a/internal/document/lines.go
+++ b/internal/document/lines.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
@@ -103,23 +102,3 @@
 func entryPath(path string, index int) string {
 	return path + "[" + strconv.Itoa(index) + "]"
 }
-
-// pattern replaces the indices of a path by [], as in Field.Key.
-func pattern(path string) string {
-	var b strings.Builder
-	inside := false
-	for _, r := range path {
-		if r == '[' {
-			inside = true
-			b.WriteString("[")
-			continue
-		}
-		if r == ']' {
-			inside = false
-		}
-		if !inside {
-			b.WriteRune(r)
-		}
-	}
-	return b.String()
-}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/h2c"
 
 	operatorv1 "redwingvale/internal/gen/redwingvale/operator/v1"
 	"redwingvale/internal/gen/redwingvale/operator/v1/operatorv1connect"
@@ -51,8 +49,12 @@
 	path, handler := Handler(source)
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &Server{http: &http.Server{
-		Handler:           h2c.NewHandler(mux, &http2.Server{}),
+		Handler:           mux,
+		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeLimit,
 		ReadTimeout:       ReadTimeLimit,
 		WriteTimeout:      ChangeTimeLimit + ReadTimeLimit,
