--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -19,11 +19,13 @@
 	// RetryAfter is the time after which a snapshot that was not read back is
 	// written again.
 	RetryAfter time.Duration
+	// PartBytes bounds the services in one record of a snapshot.
+	PartBytes int
 }
 
 // DefaultOptions returns the settings for a log that keeps records for a time.
 func DefaultOptions(retention time.Duration) Options {
-	return Options{Retention: retention, RankDelay: time.Minute, RetryAfter: 2 * time.Minute}
+	return Options{Retention: retention, RankDelay: time.Minute, RetryAfter: 2 * time.Minute, PartBytes: MaxPartBytes}
 }
 
 // Event is an input of Core.Step: ReadEvent, MembersEvent or TickEvent.
--- a/internal/config/renewal.go
+++ b/internal/config/renewal.go
@@ -65,5 +65,5 @@
 	}
 	c.renewal.published = now
 	c.renewal.publishing = true
-	c.emit(Publish{Records: c.state.Snapshot(c.inForce)})
+	c.emit(Publish{Records: c.state.Snapshot(c.inForce, c.options.PartBytes)})
 }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -11,7 +11,7 @@
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
-// MaxPartBytes bounds the encoded size of the services in one snapshot record.
+// MaxPartBytes is the usual bound of the services in one snapshot record.
 const MaxPartBytes = 256 << 10
 
 // Revisions returns the current revisions as records, ordered by key.
@@ -24,13 +24,13 @@
 }
 
 // Snapshot returns the state through an offset as records of at most about
-// MaxPartBytes each.
-func (s *State) Snapshot(through int64) []*recordv1.ConfigRecord {
+// partBytes each. A single service larger than that has a record of its own.
+func (s *State) Snapshot(through int64, partBytes int) []*recordv1.ConfigRecord {
 	parts := []*recordv1.ConfigSnapshot{{ThroughOffset: through, Refused: s.refusedRecords()}}
 	size := 0
 	for _, revision := range s.Revisions() {
 		more := proto.Size(revision)
-		if size > 0 && size+more > MaxPartBytes {
+		if size > 0 && size+more > partBytes {
 			parts = append(parts, &recordv1.ConfigSnapshot{ThroughOffset: through})
 			size = 0
 		}
