--- /dev/null
+++ b/internal/framework/cluster.go
@@ -0,0 +1,178 @@
+package framework
+
+import (
+	"time"
+
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// Cluster is what plug-ins see: the workers, the tasks and the services of one
+// group. Plug-ins read it and change nothing but their own state.
+type Cluster struct {
+	// Now is the owner's monotonic time of the current call.
+	Now time.Duration
+	// Config is the kernel's configuration with the defaults filled in.
+	Config Config
+	// Lag is the current measurement lag: the largest age of a report on
+	// arrival, at least Config.MeasurementLag.
+	Lag time.Duration
+	// Workers holds every worker ever set, in order of arrival. A worker's
+	// Index is its position.
+	Workers []*Worker
+	// Items holds every waiting and running task in no particular but
+	// reproducible order.
+	Items []*Item
+	// Services is in the order of the last Configure.
+	Services []policy.Service
+	// Largest is the largest capacity of a worker in each dimension.
+	Largest spec.Resources
+	// Kinds holds every (team, kind) seen; Item.Kind is a position in it.
+	Kinds []KindKey
+
+	workerByID  map[spec.WorkerID]*Worker
+	itemByID    map[spec.TaskID]*Item
+	serviceByID map[spec.ServiceID]int
+	kindByKey   map[KindKey]int
+	profiles    []Profile
+	fallback    Profile
+}
+
+// KindKey identifies the jobs that behave alike.
+type KindKey struct {
+	Team spec.TeamID
+	Kind string
+}
+
+// Worker is one worker as the kernel keeps it.
+type Worker struct {
+	spec.Worker
+	// Index is the position in Cluster.Workers.
+	Index int
+	// ServiceIndex is the position of the worker's service, or -1.
+	ServiceIndex int
+	// Granted is held by urgent requests; Reserved by tasks.
+	Granted  spec.Resources
+	Reserved spec.Resources
+	// Running holds the tasks on the worker in reproducible order.
+	Running []*Item
+	// Removed, Isolated and Probing state whether tasks may be placed.
+	Removed  bool
+	Isolated bool
+	Probing  bool
+	// Report is the newest report; ReportedAt is when it arrived.
+	Report     policy.Report
+	ReportedAt time.Duration
+	HasReport  bool
+	// LastAction is the last throttle, move or eviction on the worker.
+	LastAction time.Duration
+	HasAction  bool
+
+	dirty bool
+}
+
+// Free returns what is neither granted nor reserved. A dimension is negative
+// when grants were raised above what reservations leave.
+func (w *Worker) Free() spec.Resources {
+	return w.Capacity.Sub(w.Granted).Sub(w.Reserved)
+}
+
+// Takes reports whether tasks may be placed on the worker.
+func (w *Worker) Takes() bool {
+	if w.Removed {
+		return false
+	}
+	return !w.Isolated || (w.Probing && len(w.Running) == 0)
+}
+
+// Item is one waiting or running task as the kernel keeps it.
+type Item struct {
+	policy.Task
+	// Kind is the position of (team, kind) in Cluster.Kinds.
+	KindIndex int
+	// ServiceIndex is the position of the task's service, or -1.
+	ServiceIndex int
+	// Need is what the task reserves: at least its declared resources.
+	Need spec.Resources
+	// Predicted is the predicted run time of the whole task at a safe
+	// quantile; Shortest is a run time that it hardly undercuts. Zero means
+	// that nothing is known.
+	Predicted time.Duration
+	Shortest  time.Duration
+	// Worker is nil while the task waits.
+	Worker *Worker
+	// StartedAt is when the task was placed; StartProgress its progress then.
+	StartedAt     time.Duration
+	StartProgress float64
+	// ThrottledTo is the processor share that a throttle left, in percent.
+	ThrottledTo int
+	// Borrowed is set when the task was admitted beyond its team's quota.
+	Borrowed bool
+	// LastAction is the last throttle, move or eviction of the task.
+	LastAction time.Duration
+	HasAction  bool
+	// Leaving is set once a move or an eviction was returned.
+	Leaving bool
+	// LatestStart is the task's position in the queue.
+	LatestStart time.Duration
+
+	shape   *shape
+	state   itemState
+	heap    *itemHeap
+	heapPos int
+	key     time.Duration
+	seq     uint64
+	allPos  int
+	runPos  int
+	refusal Status
+}
+
+// itemState says in which queue a task is, if any.
+type itemState uint8
+
+const (
+	inActive itemState = iota + 1
+	inBackoff
+	inParked
+	assumed
+)
+
+// Remaining returns the predicted remaining run time at a safe quantile.
+func (t *Item) Remaining() time.Duration {
+	return time.Duration(float64(t.Predicted) * (1 - t.Progress))
+}
+
+// Worker returns the worker with the id, or nil.
+func (c *Cluster) Worker(id spec.WorkerID) *Worker { return c.workerByID[id] }
+
+// Item returns the task with the id, or nil.
+func (c *Cluster) Item(id spec.TaskID) *Item { return c.itemByID[id] }
+
+// ServiceIndex returns the position of a service in Services, or -1.
+func (c *Cluster) ServiceIndex(id spec.ServiceID) int {
+	if i, known := c.serviceByID[id]; known {
+		return i
+	}
+	return -1
+}
+
+// Profile returns the weights that the service at a position chose; -1
+// selects the balanced profile.
+func (c *Cluster) Profile(serviceIndex int) *Profile {
+	if serviceIndex < 0 || serviceIndex >= len(c.profiles) {
+		return &c.fallback
+	}
+	return &c.profiles[serviceIndex]
+}
+
+// kindIndex returns the position of (team, kind), which it adds when new.
+func (c *Cluster) kindIndex(team spec.TeamID, kind string) int {
+	key := KindKey{Team: team, Kind: kind}
+	i, known := c.kindByKey[key]
+	if !known {
+		i = len(c.Kinds)
+		c.Kinds = append(c.Kinds, key)
+		c.kindByKey[key] = i
+	}
+	return i
+}
--- /dev/null
+++ b/internal/framework/explain.go
@@ -0,0 +1,113 @@
+package framework
+
+import (
+	"sort"
+	"time"
+
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// Explain implements policy.Decider. For a waiting task it asks every filter
+// about every worker, so it is for people and not for each decision. Reasons
+// are in descending order of the number of workers.
+func (k *Kernel) Explain(id spec.TaskID) []policy.Reason {
+	var out []policy.Reason
+	if past, known := k.history.byTask[id]; known {
+		out = append(out, past)
+	}
+	t := k.cluster.itemByID[id]
+	if t == nil || t.state == assumed {
+		return out
+	}
+	if t.state == inBackoff {
+		return append(out, policy.Reason{Dimension: "backoff", Detail: "waits until " + t.key.String()})
+	}
+	if t.refusal.Code != Success {
+		out = append(out, policy.Reason{
+			Dimension: t.refusal.Dimension,
+			Workers:   0,
+			Detail:    t.refusal.Code.String() + ": " + t.refusal.Detail,
+		})
+	}
+	return append(out, k.countRefusals(t)...)
+}
+
+// countRefusals counts for each reason the workers that it rules out.
+func (k *Kernel) countRefusals(t *Item) []policy.Reason {
+	var out []policy.Reason
+	for _, w := range k.cluster.Workers {
+		if w.Removed {
+			continue
+		}
+		if dimension, detail := k.refusalBy(t, w); dimension != "" {
+			out = count(out, dimension, detail)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Workers > out[j].Workers })
+	return out
+}
+
+// refusalBy returns the first reason against placing a task on a worker.
+func (k *Kernel) refusalBy(t *Item, w *Worker) (dimension, detail string) {
+	if !w.Takes() {
+		return "quarantine", "the worker is isolated"
+	}
+	if d := t.Need.FirstExceeded(w.Free()); d != "" {
+		return string(d), "not enough is free"
+	}
+	for _, p := range k.plugins.filter {
+		if s := p.Filter(&k.cluster, t, w); !s.OK() {
+			return s.Dimension, s.Detail
+		}
+	}
+	return "", ""
+}
+
+// count adds one worker to the reason with the dimension and detail.
+func count(out []policy.Reason, dimension, detail string) []policy.Reason {
+	for i := range out {
+		if out[i].Dimension == dimension && out[i].Detail == detail {
+			out[i].Workers++
+			return out
+		}
+	}
+	return append(out, policy.Reason{Dimension: dimension, Workers: 1, Detail: detail})
+}
+
+// Overdue implements policy.Decider. Tasks are in ascending order of their
+// deadlines.
+func (k *Kernel) Overdue(now time.Duration) []spec.TaskID {
+	k.cluster.Now = now
+	var late []*Item
+	for _, t := range k.cluster.Items {
+		if t.Deadline != 0 && k.isLate(t) {
+			late = append(late, t)
+		}
+	}
+	sort.Slice(late, func(i, j int) bool {
+		if late[i].Deadline != late[j].Deadline {
+			return late[i].Deadline < late[j].Deadline
+		}
+		return late[i].seq < late[j].seq
+	})
+	out := make([]spec.TaskID, 0, len(late))
+	for _, t := range late {
+		out = append(out, t.ID)
+	}
+	return out
+}
+
+// isLate reports whether a deadline has passed or a plug-in knows that it
+// cannot be met.
+func (k *Kernel) isLate(t *Item) bool {
+	if k.cluster.Now >= t.Deadline {
+		return true
+	}
+	for _, p := range k.plugins.overdue {
+		if p.Late(&k.cluster, t) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/framework/random_test.go
@@ -0,0 +1,93 @@
+package framework_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/framework"
+	_ "redwingvale/internal/plugins/all"
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+var (
+	seedFlag  = flag.Uint64("seed", envNumber("REDWINGVALE_SEED", 1), "first seed of the random runs")
+	stepsFlag = flag.Uint64("steps", envNumber("REDWINGVALE_STEPS", 20000), "steps of each random run")
+)
+
+func envNumber(name string, otherwise uint64) uint64 {
+	n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+// Guards against any order of calls that breaks an invariant of the kernel or
+// of a plug-in: overcommitted workers, tasks that are lost or run twice, wrong
+// quota accounting, two actions on a task within one measurement lag.
+func TestRandomRuns(t *testing.T) {
+	for i := range uint64(4) {
+		seed := *seedFlag + i
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			c := qt.New(t)
+			k, err := framework.New(framework.Config{Seed: seed})
+			c.Assert(err, qt.IsNil)
+			r := framework.NewRandomRun(k, seed)
+			r.Steps(int(*stepsFlag))
+			c.Assert(r.Placed > 0 && r.Actions > 0, qt.IsTrue, qt.Commentf("placed %d, actions %d", r.Placed, r.Actions))
+		})
+	}
+}
+
+// Guards against decisions that depend on anything but the calls and the
+// seed, such as the iteration order of a map.
+func TestSameSeedGivesSameDecisions(t *testing.T) {
+	c := qt.New(t)
+	var sums []uint64
+	for range 2 {
+		k, err := framework.New(framework.Config{Seed: 7})
+		c.Assert(err, qt.IsNil)
+		r := framework.NewRandomRun(k, 7)
+		r.Steps(3000)
+		sums = append(sums, r.Digest)
+	}
+	c.Assert(sums[0], qt.Equals, sums[1])
+}
+
+// Guards against invariants that notice nothing: with a mechanism switched
+// off, a random run has to fail.
+func TestBrokenMechanismsAreNoticed(t *testing.T) {
+	for _, mechanism := range framework.Mechanisms {
+		t.Run(mechanism, func(t *testing.T) {
+			c := qt.New(t)
+			k, err := framework.New(framework.Broken(framework.Config{Seed: 1}, mechanism))
+			c.Assert(err, qt.IsNil)
+			r := framework.NewRandomRun(k, 1)
+			c.Assert(func() { r.Steps(20000) }, qt.PanicMatches, "invariant P[0-9].*")
+		})
+	}
+}
+
+// Guards against a task that waits although a worker has room, and a
+// placement that leaves no trace.
+func TestPlacesOnTheWorkerWithRoom(t *testing.T) {
+	c := qt.New(t)
+	k, err := framework.New(framework.Config{})
+	c.Assert(err, qt.IsNil)
+	small := spec.Resources{MilliCPU: 1000, MemoryMiB: 1024, Slots: 1}
+	k.SetWorker(0, spec.Worker{ID: "small", Capacity: small})
+	k.SetWorker(0, spec.Worker{ID: "large", Capacity: small.Scale(4)})
+	task := policy.Task{ID: spec.TaskID{Job: spec.JobID{Team: "t", Name: "j"}}, Resources: small.Scale(2), Class: spec.Deadline}
+	k.Enqueue(0, task)
+	placed := k.Schedule(time.Second, 10)
+	c.Assert(placed, qt.HasLen, 1)
+	c.Assert(placed[0].Worker, qt.Equals, spec.WorkerID("large"))
+	k.Audit()
+}
--- /dev/null
+++ b/internal/framework/review.go
@@ -0,0 +1,154 @@
+package framework
+
+import (
+	"time"
+
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// Observe implements policy.Decider. A report that is not newer than the last
+// one of its worker is dropped.
+func (k *Kernel) Observe(now time.Duration, report policy.Report) {
+	k.cluster.Now = now
+	w := k.cluster.workerByID[report.Worker]
+	if w == nil || (w.HasReport && report.MeasuredAt <= w.Report.MeasuredAt) {
+		return
+	}
+	k.cluster.Lag = max(k.cluster.Lag, min(now-report.MeasuredAt, maxLag))
+	w.Report = report
+	w.ReportedAt = now
+	w.HasReport = true
+	k.takeProgress(&report)
+	for _, p := range k.plugins.learn {
+		p.Observe(&k.cluster, w, &w.Report)
+	}
+	if !w.dirty {
+		w.dirty = true
+		k.dirty = append(k.dirty, w)
+	}
+}
+
+// maxLag bounds the measurement lag that a late report can set.
+const maxLag = time.Minute
+
+// takeProgress copies the progress of running tasks.
+func (k *Kernel) takeProgress(report *policy.Report) {
+	for _, u := range report.Tasks {
+		t := k.cluster.itemByID[u.Task]
+		if t != nil && t.state == assumed && u.Progress > t.Progress {
+			t.Progress = min(u.Progress, 1)
+		}
+	}
+}
+
+// Review implements policy.Decider.
+func (k *Kernel) Review(now time.Duration) []policy.Action {
+	k.cluster.Now = now
+	var out []policy.Action
+	out = k.judgeAll(out)
+	if len(k.dirty) > 0 {
+		k.queues.wake(MeasurementArrived, nil)
+	}
+	budget := k.cluster.Config.ActionsPerReview
+	for _, w := range k.dirty {
+		w.dirty = false
+		if !k.measuredSinceAction(w) {
+			continue
+		}
+		out = k.reviewWorker(w, out, &budget)
+	}
+	k.dirty = k.dirty[:0]
+	k.proposals = k.proposals[:0]
+	for _, p := range k.plugins.periodic {
+		k.proposals = p.Cycle(&k.cluster, k.proposals)
+	}
+	return k.accept(out, &budget)
+}
+
+// reviewWorker collects the actions for one worker with a new report.
+func (k *Kernel) reviewWorker(w *Worker, out []policy.Action, budget *int) []policy.Action {
+	k.proposals = k.proposals[:0]
+	for _, p := range k.plugins.throttle {
+		k.proposals = p.Throttle(&k.cluster, w, k.proposals)
+	}
+	for _, p := range k.plugins.evict {
+		k.proposals = p.Evict(&k.cluster, w, spec.Resources{}, k.proposals)
+	}
+	return k.accept(out, budget)
+}
+
+// measuredSinceAction reports whether the newest report was measured after the
+// last action on the worker had taken effect for one measurement lag.
+func (k *Kernel) measuredSinceAction(w *Worker) bool {
+	if !w.HasAction {
+		return true
+	}
+	return w.Report.MeasuredAt > w.LastAction && k.cluster.Now >= w.LastAction+k.cluster.Lag
+}
+
+// accept appends the proposals that the rules of the kernel allow.
+func (k *Kernel) accept(out []policy.Action, budget *int) []policy.Action {
+	for _, a := range k.proposals {
+		moves := a.Kind == policy.ActionMove || a.Kind == policy.ActionEvict
+		if moves && *budget <= 0 {
+			continue
+		}
+		t := k.cluster.itemByID[a.Task]
+		if t == nil || !k.MayActOn(t, a.Kind) {
+			continue
+		}
+		k.apply(t, &a)
+		out = append(out, a)
+		if moves {
+			*budget--
+		}
+	}
+	return out
+}
+
+// MayActOn reports whether an action on a task is allowed now: the task runs,
+// is not leaving already, had no action within the measurement lag, and, for a
+// move of a long-running task, has moves left today.
+func (k *Kernel) MayActOn(t *Item, kind policy.ActionKind) bool {
+	if t.state != assumed || t.Leaving {
+		return false
+	}
+	tooEarly := t.HasAction && k.cluster.Now < t.LastAction+k.cluster.Lag
+	if tooEarly && k.cluster.Config.broken != brokenLag {
+		return false
+	}
+	leaves := kind == policy.ActionMove || kind == policy.ActionEvict
+	if !leaves || t.Class != spec.LongRunning {
+		return true
+	}
+	return k.moves.count(t, k.cluster.Now) < k.cluster.MovesPerDay(t)
+}
+
+// MovesPerDay returns how often a long-running task may be moved in a day.
+func (c *Cluster) MovesPerDay(t *Item) int {
+	if t.ServiceIndex >= 0 && c.Services[t.ServiceIndex].MaxMovesPerDay > 0 {
+		return c.Services[t.ServiceIndex].MaxMovesPerDay
+	}
+	return c.Config.LongRunMovesPerDay
+}
+
+// apply notes an accepted action.
+func (k *Kernel) apply(t *Item, a *policy.Action) {
+	k.checkAction(t)
+	now := k.cluster.Now
+	t.LastAction, t.HasAction = now, true
+	t.Worker.LastAction, t.Worker.HasAction = now, true
+	a.Worker = t.Worker.ID
+	switch a.Kind {
+	case policy.ActionThrottle, policy.ActionUnthrottle:
+		t.ThrottledTo = a.ThrottlePercent
+	case policy.ActionMove, policy.ActionEvict:
+		t.Leaving = true
+		k.history.add(t.ID, policy.Reason{Dimension: string(a.Kind), Workers: 1, Detail: a.Why})
+		if t.Class == spec.LongRunning {
+			k.moves.count(t, now)
+			k.moves.add(t.ID, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/plugins/relief/relief.go
@@ -0,0 +1,105 @@
+// Package relief chooses which tasks leave a worker when urgent requests need
+// its resources.
+//
+// Order of the victims: tasks on borrowed quota first; then tasks that still
+// meet their deadline when they start again; then batch before long-running
+// tasks; then the least work lost, in seconds:
+//
+//	lost = elapsed - (progress - progress at start) * predicted run time
+//
+// A task moves (with a checkpoint) when it would lose more than the service
+// accepts, and is evicted at once otherwise:
+//
+//	accepted loss = 60 s * tail share of the worker's service
+package relief
+
+import (
+	"sort"
+	"time"
+
+	"redwingvale/internal/framework"
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// Name is the name of the plug-in.
+const Name = "relief"
+
+// acceptedLoss is the work that an eviction may lose with the tail share 1.
+const acceptedLoss = 60 * time.Second
+
+func init() { framework.Register(Name, New) }
+
+// victim is a task with what decides its place.
+type victim struct {
+	item *framework.Item
+	rank int
+	lost time.Duration
+}
+
+// Plugin implements evict for urgent pressure.
+type Plugin struct{ victims []victim }
+
+var _ framework.Evicter = (*Plugin)(nil)
+
+// New returns the plug-in.
+func New(framework.Config) framework.Plugin { return &Plugin{} }
+
+// Name implements framework.Plugin.
+func (*Plugin) Name() string { return Name }
+
+// Evict proposes every task of the worker, the cheapest first. Without a need
+// it proposes nothing.
+func (p *Plugin) Evict(c *framework.Cluster, w *framework.Worker, need spec.Resources, out []policy.Action) []policy.Action {
+	if need.IsZero() {
+		return out
+	}
+	p.victims = p.victims[:0]
+	for _, t := range w.Running {
+		p.victims = append(p.victims, victim{t, rank(c, t), Lost(c, t)})
+	}
+	sort.SliceStable(p.victims, func(i, j int) bool {
+		a, b := p.victims[i], p.victims[j]
+		if a.rank != b.rank {
+			return a.rank < b.rank
+		}
+		return a.lost < b.lost
+	})
+	limit := time.Duration(float64(acceptedLoss) * c.Profile(w.ServiceIndex).TailShare)
+	for _, v := range p.victims {
+		out = append(out, action(v, limit))
+	}
+	return out
+}
+
+// action evicts a victim that loses little and moves another.
+func action(v victim, limit time.Duration) policy.Action {
+	why := "urgent requests need the room; borrowed or least work lost"
+	kind := policy.ActionEvict
+	if v.lost > limit {
+		kind = policy.ActionMove
+	}
+	return policy.Action{Kind: kind, Task: v.item.ID, Why: why}
+}
+
+// rank orders the victims before the work lost does; lower leaves first.
+func rank(c *framework.Cluster, t *framework.Item) int {
+	r := 0
+	if t.Class == spec.LongRunning {
+		r++
+	}
+	if t.Deadline != 0 && c.Now+t.Remaining()+Lost(c, t) > t.Deadline {
+		r += 2
+	}
+	if !t.Borrowed {
+		r += 4
+	}
+	return r
+}
+
+// Lost returns the run time that a task loses when it stops now without a
+// checkpoint.
+func Lost(c *framework.Cluster, t *framework.Item) time.Duration {
+	saved := time.Duration((t.Progress - t.StartProgress) * float64(t.Predicted))
+	return max(0, c.Now-t.StartedAt-saved)
+}
