--- a/internal/framework/cluster.go
+++ b/internal/framework/cluster.go
@@ -36,6 +36,7 @@
 	kindByKey   map[KindKey]int
 	profiles    []Profile
 	fallback    Profile
+	queues      *queues
 }
 
 // KindKey identifies the jobs that behave alike.
@@ -64,6 +65,8 @@
 	Report     policy.Report
 	ReportedAt time.Duration
 	HasReport  bool
+	// UsedMiB is the memory that the newest report shows in use by tasks.
+	UsedMiB int64
 	// LastAction is the last throttle, move or eviction on the worker.
 	LastAction time.Duration
 	HasAction  bool
@@ -106,6 +109,16 @@
 	StartProgress float64
 	// ThrottledTo is the processor share that a throttle left, in percent.
 	ThrottledTo int
+	// Throttled is set once the task was throttled, even if it no longer is.
+	Throttled bool
+	// Used is the newest measured use, and Peak its maximum, in processors
+	// and memory.
+	Used spec.Resources
+	Peak spec.Resources
+	// MemoryRate is the growth of the memory in use, in MiB per second.
+	MemoryRate float64
+	// UsedAt is when Used was measured.
+	UsedAt time.Duration
 	// Borrowed is set when the task was admitted beyond its team's quota.
 	Borrowed bool
 	// LastAction is the last throttle, move or eviction of the task.
@@ -176,3 +189,16 @@
 	}
 	return i
 }
+
+// EachParked calls visit with the first parked or woken task of each shape
+// that was refused, and with the refusal.
+func (c *Cluster) EachParked(visit func(t *Item, refusal Status)) {
+	for _, s := range c.queues.closed {
+		switch {
+		case s.trial != nil:
+			visit(s.trial, s.refusal)
+		case s.parked.len() > 0:
+			visit(s.parked.items[0], s.refusal)
+		}
+	}
+}
--- a/internal/framework/config.go
+++ b/internal/framework/config.go
@@ -56,3 +56,6 @@
 	}
 	return c
 }
+
+// IsBroken reports whether a test has switched a mechanism off.
+func (c Config) IsBroken(mechanism string) bool { return c.broken == mechanism }
--- a/internal/framework/explain.go
+++ b/internal/framework/explain.go
@@ -20,6 +20,9 @@
 	if t == nil || t.state == assumed {
 		return out
 	}
+	for _, p := range k.plugins.explain {
+		out = p.Explain(&k.cluster, t, out)
+	}
 	if t.state == inBackoff {
 		return append(out, policy.Reason{Dimension: "backoff", Detail: "waits until " + t.key.String()})
 	}
--- a/internal/framework/kernel.go
+++ b/internal/framework/kernel.go
@@ -54,6 +54,7 @@
 		moves:   newMoveLog(),
 	}
 	k.cluster = Cluster{
+		queues:      &k.queues,
 		Config:      cfg,
 		Lag:         cfg.MeasurementLag,
 		workerByID:  map[spec.WorkerID]*Worker{},
--- a/internal/framework/plugins.go
+++ b/internal/framework/plugins.go
@@ -1,5 +1,7 @@
 package framework
 
+import "redwingvale/internal/policy"
+
 // Configurable is implemented by plug-ins that keep state per service.
 // Configured is called after the services were replaced and must not block.
 type Configurable interface {
@@ -24,6 +26,7 @@
 	overdue    []Forecaster
 	configured []Configurable
 	audit      []Auditor
+	explain    []Explainer
 }
 
 // sortPlugins distributes plug-ins over the extension points.
@@ -44,6 +47,7 @@
 		p.overdue = collect(p.overdue, each)
 		p.configured = collect(p.configured, each)
 		p.audit = collect(p.audit, each)
+		p.explain = collect(p.explain, each)
 	}
 	return p
 }
@@ -64,3 +68,11 @@
 	// must hold even when the task runs as fast as such tasks ever did.
 	Late(c *Cluster, t *Item) bool
 }
+
+// Explainer is implemented by plug-ins that can add reasons about a waiting
+// task. Explain is called for people, not for each decision; it must not
+// block. It appends its reasons to out.
+type Explainer interface {
+	Plugin
+	Explain(c *Cluster, t *Item, out []policy.Reason) []policy.Reason
+}
--- a/internal/framework/review.go
+++ b/internal/framework/review.go
@@ -19,7 +19,7 @@
 	w.Report = report
 	w.ReportedAt = now
 	w.HasReport = true
-	k.takeProgress(&report)
+	k.takeUsage(w)
 	for _, p := range k.plugins.learn {
 		p.Observe(&k.cluster, w, &w.Report)
 	}
@@ -32,16 +32,6 @@
 // maxLag bounds the measurement lag that a late report can set.
 const maxLag = time.Minute
 
-// takeProgress copies the progress of running tasks.
-func (k *Kernel) takeProgress(report *policy.Report) {
-	for _, u := range report.Tasks {
-		t := k.cluster.itemByID[u.Task]
-		if t != nil && t.state == assumed && u.Progress > t.Progress {
-			t.Progress = min(u.Progress, 1)
-		}
-	}
-}
-
 // Review implements policy.Decider.
 func (k *Kernel) Review(now time.Duration) []policy.Action {
 	k.cluster.Now = now
@@ -143,6 +133,7 @@
 	switch a.Kind {
 	case policy.ActionThrottle, policy.ActionUnthrottle:
 		t.ThrottledTo = a.ThrottlePercent
+		t.Throttled = true
 	case policy.ActionMove, policy.ActionEvict:
 		t.Leaving = true
 		k.history.add(t.ID, policy.Reason{Dimension: string(a.Kind), Workers: 1, Detail: a.Why})
--- a/internal/framework/schedule.go
+++ b/internal/framework/schedule.go
@@ -39,10 +39,10 @@
 			continue
 		}
 		k.queues.detach(t)
-		k.assume(t, w)
 		if k.cluster.Config.broken == brokenDetach {
 			k.queues.backoff.push(t, now+moveWindow)
 		}
+		k.assume(t, w)
 		k.checkRoom(w)
 		if out == nil {
 			out = make([]policy.Placement, 0, min(limit, k.queues.active.len()+1))
@@ -198,6 +198,7 @@
 // assume books a task on a worker.
 func (k *Kernel) assume(t *Item, w *Worker) {
 	invariant.Check(t.Worker == nil, invariant.OnePlaceAtATime, "task %s is assumed twice", t.ID)
+	invariant.Check(t.heap == nil, invariant.OnePlaceAtATime, "task %s is queued and assumed", t.ID)
 	t.Worker = w
 	t.state = assumed
 	t.StartedAt = k.cluster.Now
--- /dev/null
+++ b/internal/plugins/health/health.go
@@ -0,0 +1,278 @@
+// Package health isolates workers that fail everything they start, and tells
+// them from jobs that fail everywhere.
+//
+// Evidence against a worker is a failure of a job that has not failed there
+// since the worker's last success, or of a job that succeeded elsewhere:
+//
+//	isolate when evidence >= 3 and isolated workers < max(1, workers / 4)
+//	probe after 30 s * 2^(failed probes), at most 30 min; one success releases
+//
+// A job is faulty when it failed on 3 workers in service and never succeeded.
+// Failures of a faulty job are no evidence, and what it gave as evidence before
+// is taken back. Failures on an isolated worker do not count against the job,
+// and those on a worker that becomes isolated are taken back. The loss of a
+// worker is evidence against neither.
+//
+// Filter: a probe is a batch task with more laxity than twice its run time.
+// Score: 0 on a worker where the job has failed, else 1.
+package health
+
+import (
+	"time"
+
+	"redwingvale/internal/framework"
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// Name is the name of the plug-in.
+const Name = "health"
+
+const (
+	// evidenceToIsolate is the number of starts that a sick worker may spoil.
+	evidenceToIsolate = 3
+	// workersToBlameJob is the number of workers on which a faulty job failed.
+	workersToBlameJob = 3
+	// maxIsolatedShare is the inverse of the share of workers that may be
+	// isolated: more failing at once have a common cause that is not theirs.
+	maxIsolatedShare = 4
+	firstProbeAfter  = 30 * time.Second
+	lastProbeAfter   = 30 * time.Minute
+	// probeLaxity is the slack of a probe as a multiple of its run time.
+	probeLaxity = 2
+	// maxJobs bounds the jobs that are remembered; the oldest is dropped.
+	maxJobs = 8192
+)
+
+func init() { framework.Register(Name, New) }
+
+// record is what is known about one worker.
+type record struct {
+	// failed holds the jobs that failed since the last success.
+	failed   []spec.JobID
+	evidence int
+	isolated bool
+	probeAt  time.Duration
+	probes   int
+}
+
+// job is what is known about one job.
+type job struct {
+	failedOn  []int
+	succeeded bool
+	faulty    bool
+}
+
+// Plugin implements quarantine, filter and score.
+type Plugin struct {
+	workers  []record
+	jobs     map[spec.JobID]*job
+	order    []spec.JobID
+	isolated int
+}
+
+var (
+	_ framework.Quarantiner = (*Plugin)(nil)
+	_ framework.Filterer    = (*Plugin)(nil)
+	_ framework.Scorer      = (*Plugin)(nil)
+	_ framework.Learner     = (*Plugin)(nil)
+	_ framework.Explainer   = (*Plugin)(nil)
+)
+
+// New returns the plug-in.
+func New(framework.Config) framework.Plugin {
+	return &Plugin{jobs: map[spec.JobID]*job{}}
+}
+
+// Name implements framework.Plugin.
+func (*Plugin) Name() string { return Name }
+
+// Observe does nothing: only ends of attempts say something about health.
+func (*Plugin) Observe(*framework.Cluster, *framework.Worker, *policy.Report) {}
+
+// Learn takes the end of an attempt in.
+func (p *Plugin) Learn(c *framework.Cluster, t *framework.Item, end policy.EndKind, _ time.Duration) {
+	p.grow(c)
+	w := t.Worker
+	switch end {
+	case policy.EndDone:
+		p.succeeded(w, t.ID.Job)
+	case policy.EndFailed:
+		p.failed(c, w, t.ID.Job)
+	}
+}
+
+// succeeded clears the worker and the job. Only failures leave a record.
+func (p *Plugin) succeeded(w *framework.Worker, id spec.JobID) {
+	r := &p.workers[w.Index]
+	r.failed, r.evidence = r.failed[:0], 0
+	if r.isolated {
+		r.isolated, r.probes = false, 0
+		p.isolated--
+	}
+	if j := p.jobs[id]; j != nil {
+		j.succeeded, j.faulty = true, false
+		return
+	}
+	p.remember(id).succeeded = true
+}
+
+// failed adds evidence against the worker and the job, unless either verdict
+// already explains the failure.
+func (p *Plugin) failed(c *framework.Cluster, w *framework.Worker, id spec.JobID) {
+	r := &p.workers[w.Index]
+	if r.isolated {
+		r.probes++
+		r.probeAt = c.Now + probeWait(r.probes)
+		return
+	}
+	j := p.remember(id)
+	if j.faulty {
+		return
+	}
+	if !contains(r.failed, id) {
+		r.failed = append(r.failed, id)
+		r.evidence++
+	} else if j.succeeded {
+		r.evidence++
+	}
+	if !contains(j.failedOn, w.Index) {
+		j.failedOn = append(j.failedOn, w.Index)
+	}
+	if !j.succeeded && len(j.failedOn) >= workersToBlameJob {
+		p.blameJob(j, id)
+	}
+}
+
+// blameJob marks a job as faulty and takes its evidence back.
+func (p *Plugin) blameJob(j *job, id spec.JobID) {
+	j.faulty = true
+	for _, i := range j.failedOn {
+		r := &p.workers[i]
+		if r.isolated {
+			continue
+		}
+		if at := index(r.failed, id); at >= 0 {
+			r.failed = append(r.failed[:at], r.failed[at+1:]...)
+			r.evidence--
+		}
+	}
+}
+
+// Judge implements framework.Quarantiner.
+func (p *Plugin) Judge(c *framework.Cluster, w *framework.Worker) (framework.Verdict, string) {
+	p.grow(c)
+	r := &p.workers[w.Index]
+	switch {
+	case w.Isolated && !r.isolated:
+		return framework.Release, "a probe succeeded"
+	case w.Isolated && w.Probing && c.Now < r.probeAt:
+		return framework.Isolate, "a probe failed"
+	case w.Isolated && !w.Probing && c.Now >= r.probeAt:
+		return framework.Probe, ""
+	case !w.Isolated && r.evidence >= evidenceToIsolate && p.mayIsolate(c):
+		p.isolate(c, w)
+		return framework.Isolate, "3 starts of jobs that run elsewhere failed in a row"
+	}
+	return framework.Keep, ""
+}
+
+// mayIsolate reports whether few enough workers are isolated.
+func (p *Plugin) mayIsolate(c *framework.Cluster) bool {
+	return p.isolated < max(1, len(c.Workers)/maxIsolatedShare)
+}
+
+// isolate marks a worker and takes its failures back from the jobs.
+func (p *Plugin) isolate(c *framework.Cluster, w *framework.Worker) {
+	r := &p.workers[w.Index]
+	r.isolated, r.probes = true, 0
+	r.probeAt = c.Now + probeWait(0)
+	p.isolated++
+	for _, id := range r.failed {
+		j := p.jobs[id]
+		if j == nil {
+			continue
+		}
+		if at := index(j.failedOn, w.Index); at >= 0 {
+			j.failedOn = append(j.failedOn[:at], j.failedOn[at+1:]...)
+		}
+	}
+	r.failed, r.evidence = r.failed[:0], 0
+}
+
+// Filter keeps tasks that have to be on time, and long-running ones, off a
+// worker that is being probed.
+func (p *Plugin) Filter(c *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
+	if !w.Isolated {
+		return framework.Status{}
+	}
+	slack := time.Duration(probeLaxity * float64(t.Predicted))
+	safe := t.Class == spec.Deadline && (t.Deadline == 0 || t.LatestStart-c.Now > slack)
+	if safe {
+		return framework.Status{}
+	}
+	return framework.Refuse(Name, "the worker is probed with tasks that can wait", framework.HealthChanged)
+}
+
+// Score avoids workers where the job has failed.
+func (p *Plugin) Score(_ *framework.Cluster, t *framework.Item, w *framework.Worker) float64 {
+	if len(p.jobs) == 0 {
+		return 1
+	}
+	j := p.jobs[t.ID.Job]
+	if j != nil && contains(j.failedOn, w.Index) {
+		return 0
+	}
+	return 1
+}
+
+// Explain names a faulty job.
+func (p *Plugin) Explain(_ *framework.Cluster, t *framework.Item, out []policy.Reason) []policy.Reason {
+	j := p.jobs[t.ID.Job]
+	if j == nil || !j.faulty {
+		return out
+	}
+	return append(out, policy.Reason{
+		Dimension: Name,
+		Workers:   len(j.failedOn),
+		Detail:    "the job failed on several workers and never succeeded",
+	})
+}
+
+// remember returns the record of a job, which it makes when new.
+func (p *Plugin) remember(id spec.JobID) *job {
+	if j := p.jobs[id]; j != nil {
+		return j
+	}
+	j := &job{}
+	p.jobs[id] = j
+	p.order = append(p.order, id)
+	if len(p.order) > maxJobs {
+		delete(p.jobs, p.order[0])
+		p.order = p.order[1:]
+	}
+	return j
+}
+
+func (p *Plugin) grow(c *framework.Cluster) {
+	for len(p.workers) < len(c.Workers) {
+		p.workers = append(p.workers, record{})
+	}
+}
+
+// probeWait returns the wait before the next probe.
+func probeWait(failedProbes int) time.Duration {
+	return min(firstProbeAfter<<min(failedProbes, 10), lastProbeAfter)
+}
+
+func contains[T comparable](list []T, value T) bool { return index(list, value) >= 0 }
+
+// index returns the position of a value, or -1.
+func index[T comparable](list []T, value T) int {
+	for i, each := range list {
+		if each == value {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/plugins/longrun/longrun.go
@@ -0,0 +1,75 @@
+// Package longrun keeps long-running tasks from waiting for long.
+//
+// Order:
+//
+//	latest start = submitted + 30 s
+//
+// A long-running task that still waits for room after its latest start gets it
+// from batch tasks: at each review one worker is chosen on which moving batch
+// tasks loses the least work.
+//
+// How often long-running tasks themselves are moved is bounded by the kernel
+// (MaxMovesPerDay of the service, 4 by default).
+package longrun
+
+import (
+	"time"
+
+	"redwingvale/internal/framework"
+	"redwingvale/internal/plugins/preempt"
+	"redwingvale/internal/plugins/relief"
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// Name is the name of the plug-in.
+const Name = "longrun"
+
+// MaxWait is the wait after which room is made for a long-running task.
+const MaxWait = 30 * time.Second
+
+func init() { framework.Register(Name, New) }
+
+// Plugin implements order and makes room at reviews.
+type Plugin struct{ search preempt.Search }
+
+var (
+	_ framework.Orderer  = (*Plugin)(nil)
+	_ framework.Periodic = (*Plugin)(nil)
+)
+
+// New returns the plug-in.
+func New(framework.Config) framework.Plugin { return &Plugin{} }
+
+// Name implements framework.Plugin.
+func (*Plugin) Name() string { return Name }
+
+// LatestStart returns the latest start of a long-running task.
+func (*Plugin) LatestStart(_ *framework.Cluster, t *framework.Item) time.Duration {
+	if t.Class != spec.LongRunning {
+		return framework.NoLatestStart
+	}
+	return t.Submitted + MaxWait
+}
+
+// Cycle makes room for the long-running tasks that have waited too long.
+func (p *Plugin) Cycle(c *framework.Cluster, out []policy.Action) []policy.Action {
+	c.EachParked(func(t *framework.Item, refusal framework.Status) {
+		late := t.Class == spec.LongRunning && t.LatestStart <= c.Now
+		if !late || refusal.WakeOn&framework.RoomFreed == 0 {
+			return
+		}
+		for _, victim := range p.search.Cheapest(c, t, cost(c)) {
+			why := "a long-running task has waited longer than 30s for room"
+			out = append(out, policy.Action{Kind: policy.ActionMove, Task: victim.ID, Why: why})
+		}
+	})
+	return out
+}
+
+// cost allows batch tasks to be moved, at the work that they lose.
+func cost(c *framework.Cluster) func(*framework.Item) (time.Duration, bool) {
+	return func(t *framework.Item) (time.Duration, bool) {
+		return relief.Lost(c, t), t.Class == spec.Deadline
+	}
+}
--- /dev/null
+++ b/internal/plugins/runtimes/runtimes.go
@@ -0,0 +1,92 @@
+// Package runtimes predicts run times from how long tasks of the same team and
+// kind ran.
+//
+// With the ratios run time / declared run time of the last 64 finished tasks,
+// or the run times in seconds themselves where none is declared:
+//
+//	Predicted = declared * Safe(0.9), the declared run time without history
+//	Shortest  = declared * 0.8 * smallest ratio, from 8 finished tasks on
+//
+// A task that resumed from a checkpoint counts as run time / remaining share.
+package runtimes
+
+import (
+	"time"
+
+	"redwingvale/internal/framework"
+	"redwingvale/internal/plugins/sample"
+	"redwingvale/internal/policy"
+)
+
+// Name is the name of the plug-in.
+const Name = "runtimes"
+
+const (
+	// quantile is the share of tasks that run no longer than predicted.
+	quantile = 0.9
+	// shortestMargin allows for a task faster than all that were seen.
+	shortestMargin = 0.8
+	// minForShortest is the history that Shortest needs.
+	minForShortest = 8
+	// minShare is the smallest remaining share that a ratio is computed from;
+	// below it the error of the progress dominates.
+	minShare = 0.2
+)
+
+func init() { framework.Register(Name, New) }
+
+// Plugin learns and estimates run times.
+type Plugin struct {
+	// kinds is indexed by Item.KindIndex; declared and undeclared run times
+	// have separate windows.
+	declared   []sample.Window
+	undeclared []sample.Window
+}
+
+var (
+	_ framework.Learner   = (*Plugin)(nil)
+	_ framework.Estimator = (*Plugin)(nil)
+)
+
+// New returns the plug-in.
+func New(framework.Config) framework.Plugin { return &Plugin{} }
+
+// Name implements framework.Plugin.
+func (*Plugin) Name() string { return Name }
+
+// Observe does nothing: progress is kept by the kernel.
+func (*Plugin) Observe(*framework.Cluster, *framework.Worker, *policy.Report) {}
+
+// Learn takes the run time of a finished, unthrottled task in.
+func (p *Plugin) Learn(c *framework.Cluster, t *framework.Item, end policy.EndKind, ran time.Duration) {
+	left := 1 - t.StartProgress
+	if end != policy.EndDone || left < minShare || ran <= 0 || t.Throttled {
+		return
+	}
+	window, unit := p.window(c, t)
+	window.Add(float64(ran) / left / float64(unit))
+}
+
+// Estimate sets Predicted and Shortest.
+func (p *Plugin) Estimate(c *framework.Cluster, t *framework.Item) {
+	window, unit := p.window(c, t)
+	if window.Len() == 0 {
+		return
+	}
+	t.Predicted = time.Duration(float64(unit) * window.Safe(quantile))
+	if window.Len() >= minForShortest {
+		t.Shortest = time.Duration(float64(unit) * shortestMargin * window.Min())
+	}
+}
+
+// window returns the history of a task's kind and its unit.
+func (p *Plugin) window(c *framework.Cluster, t *framework.Item) (*sample.Window, time.Duration) {
+	for len(p.declared) < len(c.Kinds) {
+		p.declared = append(p.declared, sample.Window{})
+		p.undeclared = append(p.undeclared, sample.Window{})
+	}
+	if t.RunTime > 0 {
+		return &p.declared[t.KindIndex], t.RunTime
+	}
+	return &p.undeclared[t.KindIndex], time.Second
+}
--- /dev/null
+++ b/internal/plugins/sample/window.go
@@ -0,0 +1,58 @@
+// Package sample keeps the newest values of a quantity and their quantiles.
+package sample
+
+import "sort"
+
+// Size is the number of values that a window keeps.
+const Size = 64
+
+// Window holds the last Size values. The zero value is empty.
+type Window struct {
+	ring   []float64
+	next   int
+	sorted []float64
+}
+
+// Add takes a value in and drops the oldest when the window is full.
+func (w *Window) Add(value float64) {
+	if len(w.ring) < Size {
+		w.ring = append(w.ring, value)
+	} else {
+		w.drop(w.ring[w.next])
+		w.ring[w.next] = value
+		w.next = (w.next + 1) % Size
+	}
+	at := sort.SearchFloat64s(w.sorted, value)
+	w.sorted = append(w.sorted, 0)
+	copy(w.sorted[at+1:], w.sorted[at:])
+	w.sorted[at] = value
+}
+
+func (w *Window) drop(value float64) {
+	at := sort.SearchFloat64s(w.sorted, value)
+	w.sorted = append(w.sorted[:at], w.sorted[at+1:]...)
+}
+
+// Len returns the number of values.
+func (w *Window) Len() int { return len(w.sorted) }
+
+// Safe returns a value that a further one exceeds with a probability of at
+// most 1-q, as far as the values kept can tell: the order statistic
+// ceil(q*(n+1)), and the largest value when there are too few. It returns 0
+// for an empty window.
+func (w *Window) Safe(q float64) float64 {
+	n := len(w.sorted)
+	if n == 0 {
+		return 0
+	}
+	rank := int(q*float64(n+1) + 0.999999)
+	return w.sorted[min(max(rank, 1), n)-1]
+}
+
+// Min returns the smallest value, or 0 for an empty window.
+func (w *Window) Min() float64 {
+	if len(w.sorted) == 0 {
+		return 0
+	}
+	return w.sorted[0]
+}
