--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -30,6 +30,9 @@
 	// owner is set while this instance owns the group and has had a right.
 	owner *owner
 
+	// lastVerdict is the fence's verdict on the last record that was read.
+	lastVerdict fence.Verdict
+
 	now       time.Duration
 	out       []Effect
 	nextToken Token
@@ -209,6 +212,7 @@
 // onRecord applies a record and lets the owner act on what it changed.
 func (c *Core) onRecord(e RecordRead) {
 	changed := c.follow.read(c.now, e)
+	c.lastVerdict = changed.verdict
 	if changed.verdict == fence.Claimed || changed.verdict == fence.Released {
 		return
 	}
--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -37,6 +37,9 @@
 	ListLagMS int64 `toml:"list_lag_ms"`
 	// LogRetentionS is how long the log keeps records.
 	LogRetentionS int64 `toml:"log_retention_s"`
+	// HandOffAfterMS is how long a job waits in a group that cannot place it
+	// before it is handed to another group.
+	HandOffAfterMS int64 `toml:"hand_off_after_ms"`
 	// AppendsPerSecond is this instance's share of the log's capacity.
 	AppendsPerSecond float64 `toml:"appends_per_second"`
 }
@@ -49,6 +52,7 @@
 		UrgentLimitMS:    10_000,
 		ListLagMS:        30_000,
 		LogRetentionS:    3600,
+		HandOffAfterMS:   5_000,
 		AppendsPerSecond: 28,
 	}
 }
@@ -74,6 +78,7 @@
 	p.Range("task_lease_ms", c.TaskLeaseMS, minLeaseMS, maxTaskLease)
 	p.Range("urgent_limit_ms", c.UrgentLimitMS, minLeaseMS, maxLimitMS)
 	p.Range("list_lag_ms", c.ListLagMS, 0, maxLimitMS)
+	p.Range("hand_off_after_ms", c.HandOffAfterMS, minLeaseMS, maxLimitMS)
 	p.Range("log_retention_s", c.LogRetentionS, 1, maxRetentionS)
 	if c.AppendsPerSecond <= 0 {
 		p.Add("appends_per_second", c.AppendsPerSecond, "a number above 0")
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -36,6 +36,9 @@
 	heartbeats map[uint64]chan<- *schedv1.HeartbeatResponse
 	lastCall   uint64
 
+	// offsets holds the configuration that each member reported.
+	offsets map[string]heardOffset
+
 	lastLogTail   time.Duration
 	lastAlarmStep time.Duration
 	journalFull   bool
@@ -67,6 +70,7 @@
 		workers:    newWorkerCatalogue(),
 		tokens:     make(map[uint64]pendingWrite),
 		heartbeats: make(map[uint64]chan<- *schedv1.HeartbeatResponse),
+		offsets:    make(map[string]heardOffset),
 	}
 }
 
@@ -109,6 +113,7 @@
 	case heartbeatReceived:
 		d.onHeartbeat(now, e)
 	case heartbeatAnswered:
+		d.noteOffset(now, string(e.to), e.response.GetConfigOffset())
 		d.stepOwnership(now, ownership.HeartbeatAnswered{To: e.to, SentAt: e.sentAt, Response: e.response})
 	case workerCalled:
 		d.onWorkerCalled(now, e)
@@ -137,6 +142,7 @@
 }
 
 func (d *decision) onHeartbeat(now time.Duration, e heartbeatReceived) {
+	d.noteOffset(now, e.request.GetInstance(), e.request.GetConfigOffset())
 	d.lastCall++
 	d.heartbeats[d.lastCall] = e.response
 	d.stepOwnership(now, ownership.HeartbeatReceived{Call: d.lastCall, Request: e.request})
--- /dev/null
+++ b/internal/sched/handoff.go
@@ -0,0 +1,51 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/group"
+	"redwingvale/internal/spec"
+
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+)
+
+// handOffTimeout bounds one try to hand a job to another group.
+const handOffTimeout = 3 * time.Second
+
+// handOff asks the owner of another group to record a job. The source repeats
+// it until it has an answer, and the destination drops repeats.
+func (s *Sched) handOff(ctx context.Context, from spec.GroupID, out group.HandOff, addr string) {
+	if addr == "" {
+		return
+	}
+	s.duties.Add(1)
+	go func() {
+		defer s.duties.Done()
+		limited, cancel := context.WithTimeout(ctx, handOffTimeout)
+		defer cancel()
+		request := &schedv1.ReceiveJobRequest{Group: string(out.Group), Job: out.Job}
+		answer, err := s.clients.Peer(addr).ReceiveJob(limited, connect.NewRequest(request))
+		recorded := err == nil && answer.Msg.GetRecorded()
+		s.deliver(ctx, groupEvent{group: from, event: group.HandOffAnswered{
+			Job:      jobID(out.Job.GetJob().GetId()),
+			Hop:      out.Job.GetHop(),
+			Recorded: recorded,
+		}})
+	}()
+}
+
+// ReceiveJob implements the PeerService.
+func (s *Sched) ReceiveJob(ctx context.Context, call *connect.Request[schedv1.ReceiveJobRequest]) (*connect.Response[schedv1.ReceiveJobResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, handOffTimeout)
+	defer cancel()
+	id := spec.GroupID(call.Msg.GetGroup())
+	reply, err := s.ask(ctx, code.AcceptanceUnsure, func(r group.Request) event {
+		return groupEvent{group: id, request: r, event: group.ReceiveJob{Request: r, Job: call.Msg.GetJob()}}
+	})
+	recorded := err == nil && reply.Code == code.OK && reply.Forward == ""
+	return connect.NewResponse(&schedv1.ReceiveJobResponse{Recorded: recorded}), nil
+}
--- /dev/null
+++ b/internal/sched/operate.go
@@ -0,0 +1,287 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingvale/internal/alarm"
+	"redwingvale/internal/code"
+	"redwingvale/internal/ownership"
+	"redwingvale/internal/spec"
+
+	operatorv1 "redwingvale/internal/gen/redwingvale/operator/v1"
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// inDecision runs f in the decision duty and waits for it.
+func (s *Sched) inDecision(ctx context.Context, f func(*decision)) error {
+	done := make(chan struct{})
+	err := s.events.Put(ctx, inspect{run: func(d *decision) {
+		f(d)
+		close(done)
+	}})
+	if err == nil && wait(ctx, done) {
+		return nil
+	}
+	return code.New(code.Overloaded, "the decision duty does not answer in time")
+}
+
+// Instance implements operator.Source.
+func (s *Sched) Instance() string { return s.config.Instance }
+
+// Status implements operator.Source.
+func (s *Sched) Status(ctx context.Context) (*operatorv1.StatusResponse, error) {
+	var out *operatorv1.StatusResponse
+	err := s.inDecision(ctx, func(d *decision) { out = d.status(s.now()) })
+	return out, err
+}
+
+func (d *decision) status(now time.Duration) *operatorv1.StatusResponse {
+	s := d.sched
+	out := &operatorv1.StatusResponse{
+		Instance:      s.config.Instance,
+		Incarnation:   uint64(s.incarnation),
+		DataCentre:    s.config.DataCentre,
+		State:         s.state(),
+		UptimeMs:      now.Milliseconds(),
+		VotersVersion: d.ownership.VotersVersion(),
+		ConfigOffset:  d.config.InForceOffset(),
+		Alarms:        uint32(len(d.alarms.Raised())),
+		Log: &operatorv1.LogStatus{
+			Readable:     now-d.lastLogTail <= logReachableFor,
+			SinceTailMs:  (now - d.lastLogTail).Milliseconds(),
+			JournalBytes: int64(d.writer.Buffered()),
+		},
+	}
+	voters := d.votersReading(now)
+	out.Majority = voters.Reachable*2 > voters.Voters
+	out.Members = d.memberStatuses(now)
+	for _, owner := range d.ownership.Owners() {
+		out.Groups = append(out.Groups, d.groupStatus(now, owner))
+	}
+	return out
+}
+
+func (s *Sched) state() string {
+	switch {
+	case s.draining.Load():
+		return "draining"
+	case s.Ready():
+		return "ready"
+	default:
+		return "starting"
+	}
+}
+
+func (d *decision) memberStatuses(now time.Duration) []*operatorv1.MemberStatus {
+	byID := make(map[string]*recordv1.Member)
+	for _, member := range d.ownership.Members() {
+		byID[member.GetInstance()] = member
+	}
+	var out []*operatorv1.MemberStatus
+	for _, peer := range d.ownership.Peers(now) {
+		member := byID[string(peer.Instance)]
+		out = append(out, &operatorv1.MemberStatus{
+			Instance:     string(peer.Instance),
+			Incarnation:  member.GetIncarnation(),
+			DataCentre:   member.GetDataCentre(),
+			State:        memberState(peer),
+			HeardMs:      peer.Heard.Milliseconds(),
+			ConfigOffset: d.offsetOf(string(peer.Instance)),
+		})
+	}
+	return out
+}
+
+func memberState(peer ownership.PeerStatus) string {
+	switch {
+	case peer.Leaving:
+		return "leaving"
+	case peer.Suspected:
+		return "suspected"
+	case peer.Voter:
+		return "active"
+	default:
+		return "joined"
+	}
+}
+
+func (d *decision) offsetOf(instance string) int64 {
+	if instance == d.sched.config.Instance {
+		return d.config.InForceOffset()
+	}
+	heard, ok := d.offsets[instance]
+	if !ok {
+		return -1
+	}
+	return heard.offset
+}
+
+func (d *decision) groupStatus(now time.Duration, owner ownership.Owner) *operatorv1.GroupStatus {
+	out := &operatorv1.GroupStatus{
+		Group:   string(owner.Group),
+		Owner:   string(owner.Owner),
+		Epoch:   uint64(owner.Epoch),
+		Workers: uint32(len(d.workers.inGroup(owner.Group))),
+	}
+	g, followed := d.groups[owner.Group]
+	if !followed || string(owner.Owner) != d.sched.config.Instance {
+		return out
+	}
+	summary := g.core.Summary()
+	out.Deciding = g.right.Until > now
+	out.WaitingTasks = uint32(summary.Waiting)
+	out.RunningTasks = uint32(summary.Running)
+	return out
+}
+
+// Explain implements operator.Source.
+func (s *Sched) Explain(ctx context.Context, req *operatorv1.ExplainRequest) (*operatorv1.ExplainResponse, error) {
+	if req.GetWorker() != "" {
+		return s.explainWorker(ctx, req.GetWorker())
+	}
+	job, err := s.find(ctx, &recordv1.JobRef{Team: req.GetTeam(), Name: req.GetJob()})
+	if err != nil {
+		return nil, err
+	}
+	out := &operatorv1.ExplainResponse{
+		Subject: req.GetTeam() + "/" + req.GetJob(),
+		State:   job.GetState(),
+		Group:   job.GetGroup(),
+		Owner:   s.ownerName(spec.GroupID(job.GetGroup())),
+		Code:    job.GetCode(),
+		Detail:  job.GetDetail(),
+	}
+	for _, task := range job.GetTasks() {
+		if req.GetHasTask() && task.GetIndex() != req.GetTask() {
+			continue
+		}
+		out.Items = append(out.Items, explainTask(jobID(job.GetJob().GetId()), task))
+	}
+	return out, nil
+}
+
+// Alarms implements operator.Source.
+func (s *Sched) Alarms(ctx context.Context, cleared bool) ([]*operatorv1.Alarm, error) {
+	var out []*operatorv1.Alarm
+	err := s.inDecision(ctx, func(d *decision) {
+		all := d.alarms.Raised()
+		if cleared {
+			all = append(all, d.alarms.Cleared()...)
+		}
+		for _, a := range all {
+			out = append(out, alarmMessage(s.config.Instance, s.now(), a))
+		}
+	})
+	return out, err
+}
+
+func alarmMessage(instance string, now time.Duration, a alarm.Alarm) *operatorv1.Alarm {
+	return &operatorv1.Alarm{
+		Cause:    string(a.Cause),
+		Subject:  a.Subject,
+		Severity: string(a.Severity),
+		Detail:   a.Detail,
+		Action:   a.Action,
+		AgeMs:    (now - a.RaisedAt).Milliseconds(),
+		Cleared:  a.Cleared,
+		Instance: instance,
+	}
+}
+
+// Drain implements operator.Source. The process ends by itself when the leave
+// is done.
+func (s *Sched) Drain(_ context.Context, actor, reason string) (*operatorv1.DrainResponse, error) {
+	s.log.Info("drain_requested", zap.String("actor", actor), zap.String("reason", reason))
+	if s.draining.CompareAndSwap(false, true) {
+		s.drainOnce.Do(func() { close(s.drainWanted) })
+	}
+	view := s.view.current.Load()
+	left := uint32(0)
+	for _, g := range view.GetGroups() {
+		if g.GetOwner() == s.config.Instance {
+			left++
+		}
+	}
+	return &operatorv1.DrainResponse{State: "draining", GroupsLeft: left}, nil
+}
+
+// DrainWanted is closed when an operator has asked for a planned stop.
+func (s *Sched) DrainWanted() <-chan struct{} { return s.drainWanted }
+
+// removePollPeriod is how often a removal is looked for in the membership.
+const removePollPeriod = 100 * time.Millisecond
+
+// RemoveMember implements operator.Source.
+func (s *Sched) RemoveMember(ctx context.Context, req *operatorv1.RemoveMemberRequest) (*operatorv1.RemoveMemberResponse, error) {
+	s.log.Info("remove_member_requested", zap.String("instance", req.GetInstance()), zap.String("actor", req.GetActor()), zap.String("reason", req.GetReason()))
+	for ctx.Err() == nil {
+		version, present := uint64(0), false
+		err := s.inDecision(ctx, func(d *decision) {
+			version = d.ownership.VotersVersion()
+			present = d.hasMember(req)
+			if present && req.GetForced() {
+				d.stepOwnership(s.now(), ownership.ForceRemove{Instance: spec.InstanceID(req.GetInstance())})
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if !present {
+			return &operatorv1.RemoveMemberResponse{VotersVersion: version}, nil
+		}
+		if !req.GetForced() {
+			return nil, code.New(code.BadRequest, "%s is still a member; a dead member is removed by itself, or with -forced when no majority is left", req.GetInstance())
+		}
+		pause(ctx, removePollPeriod)
+	}
+	return nil, code.New(code.AcceptanceUnsure, "the removal was not read back in time")
+}
+
+func (d *decision) hasMember(req *operatorv1.RemoveMemberRequest) bool {
+	for _, member := range d.ownership.Members() {
+		if member.GetInstance() == req.GetInstance() && member.GetIncarnation() == req.GetIncarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+// Services implements operator.Source.
+func (s *Sched) Services(ctx context.Context, team string, withDocuments bool) (*operatorv1.ListServicesResponse, error) {
+	out := &operatorv1.ListServicesResponse{}
+	err := s.inDecision(ctx, func(d *decision) {
+		for _, revision := range d.config.State().Revisions() {
+			if team == "" || team == revision.GetTeam() {
+				out.Services = append(out.Services, serviceStatus(revision, withDocuments))
+			}
+		}
+		for _, peer := range d.ownership.Peers(s.now()) {
+			if peer.Voter {
+				out.Instances = append(out.Instances, &operatorv1.InstanceConfig{
+					Instance:     string(peer.Instance),
+					ConfigOffset: d.offsetOf(string(peer.Instance)),
+					HeardMs:      peer.Heard.Milliseconds(),
+				})
+			}
+		}
+	})
+	return out, err
+}
+
+func serviceStatus(revision *recordv1.ServiceRevision, withDocument bool) *operatorv1.ServiceStatus {
+	out := &operatorv1.ServiceStatus{
+		Team:     revision.GetTeam(),
+		Service:  revision.GetService(),
+		Revision: revision.GetRevision(),
+		Author:   revision.GetAuthor(),
+		UnixMs:   revision.GetUnixMs(),
+		ApplyId:  revision.GetApplyId(),
+	}
+	if withDocument {
+		out.Document = revision.GetDocument()
+	}
+	return out
+}
--- a/internal/sched/view.go
+++ b/internal/sched/view.go
@@ -22,15 +22,21 @@
 // sharedView is the newest view, for the handlers of the connect servers.
 type sharedView struct {
 	current atomic.Pointer[schedv1.GetViewResponse]
+	byID    atomic.Pointer[map[string]spec.GroupID]
 	changed *changes[viewKey]
 }
 
 func newSharedView() *sharedView {
 	view := &sharedView{changed: newChanges[viewKey]()}
 	view.current.Store(&schedv1.GetViewResponse{})
+	view.byID.Store(&map[string]spec.GroupID{})
 	return view
 }
 
+// groupOfWorker returns the group of each known worker. The map must not be
+// changed.
+func (v *sharedView) groupOfWorker() map[string]spec.GroupID { return *v.byID.Load() }
+
 // publishView replaces the shared view by what the cores know now.
 func (d *decision) publishView() {
 	view := d.sched.view
@@ -46,9 +52,12 @@
 			Epoch: uint64(owner.Epoch),
 		})
 	}
+	index := make(map[string]spec.GroupID)
 	for _, known := range d.workers.sorted() {
 		next.Workers = append(next.Workers, workerView(known))
+		index[string(known.worker.ID)] = known.worker.Group
 	}
+	view.byID.Store(&index)
 	view.current.Store(next)
 	view.changed.notify(viewKey{})
 }
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -64,12 +64,7 @@
 func (c *workerCatalogue) largest() spec.Resources {
 	var out spec.Resources
 	for _, known := range c.workers {
-		capacity := known.worker.Capacity
-		out.MilliCPU = max(out.MilliCPU, capacity.MilliCPU)
-		out.MemoryMiB = max(out.MemoryMiB, capacity.MemoryMiB)
-		out.Accelerators = max(out.Accelerators, capacity.Accelerators)
-		out.Slots = max(out.Slots, capacity.Slots)
-		out.Connections = max(out.Connections, capacity.Connections)
+		out = out.Max(known.worker.Capacity)
 	}
 	return out
 }
@@ -115,11 +110,11 @@
 
 func (d *decision) tellWorkers(now time.Duration, g *followedGroup) {
 	d.stepGroup(now, g, group.SetWorkers{Workers: d.workers.inGroup(g.id), Largest: d.workers.largest()})
-	d.stepGroup(now, g, group.SetPeers{Groups: d.handOffPeers(g.id)})
+	d.stepGroup(now, g, group.SetPeers{Peers: d.handOffPeers(g.id)})
 }
 
 // handOffPeers returns the other groups, those of the same data centre first.
-func (d *decision) handOffPeers(id spec.GroupID) []spec.GroupID {
+func (d *decision) handOffPeers(id spec.GroupID) []group.Peer {
 	var own spec.DataCentre
 	groups := d.workers.groups()
 	for _, g := range groups {
@@ -127,15 +122,24 @@
 			own = g.DataCentre
 		}
 	}
-	var near, far []spec.GroupID
+	var near, far []group.Peer
 	for _, g := range groups {
+		peer := group.Peer{Group: g.ID, Largest: largestOf(d.workers.inGroup(g.ID))}
 		switch {
 		case g.ID == id:
 		case g.DataCentre == own:
-			near = append(near, g.ID)
+			near = append(near, peer)
 		default:
-			far = append(far, g.ID)
+			far = append(far, peer)
 		}
 	}
 	return append(near, far...)
 }
+
+func largestOf(workers []group.WorkerInfo) spec.Resources {
+	var out spec.Resources
+	for _, info := range workers {
+		out = out.Max(info.Worker.Capacity)
+	}
+	return out
+}
--- a/internal/spec/resources.go
+++ b/internal/spec/resources.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// Max returns the larger amount in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		MilliCPU:     max(r.MilliCPU, o.MilliCPU),
+		MemoryMiB:    max(r.MemoryMiB, o.MemoryMiB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+		Slots:        max(r.Slots, o.Slots),
+		Connections:  max(r.Connections, o.Connections),
+	}
+}
+
 // FirstExceeded returns the first dimension in which r is larger than limit,
 // or "" when r fits.
 func (r Resources) FirstExceeded(limit Resources) Dimension {
