Entry: callers' API, grant book, admission, idempotency keys, connection pool

The entry process had no code. This first version has the whole interface that other packages use: entry.New, Run, Drain, Ready, Config and Deps, and the EntryService between entries.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -64,6 +64,7 @@
 	DuplicateKey    Code = 3006
 	KeyUndecidable  Code = 3007
 	HomeUnreachable Code = 3008
+	AnswerNotKept   Code = 3009
 
 	UnknownJob        Code = 4001
 	JobConflict       Code = 4002
@@ -127,6 +128,7 @@
 	DuplicateKey:    {DuplicateKey, "duplicate_key", http.StatusConflict, NotRun, "the idempotency key was used with other content; this request did not run"},
 	KeyUndecidable:  {KeyUndecidable, "key_undecidable", http.StatusConflict, Unknown, "an earlier request with this idempotency key may have run before a takeover"},
 	HomeUnreachable: {HomeUnreachable, "home_unreachable", http.StatusServiceUnavailable, NotRun, "the instance that decides on this idempotency key cannot be reached"},
+	AnswerNotKept:   {AnswerNotKept, "answer_not_kept", http.StatusConflict, Ran, "the request with this idempotency key ran; its answer is no longer kept"},
 
 	UnknownJob:        {UnknownJob, "unknown_job", http.StatusNotFound, NotRun, "the team has no job with this id"},
 	JobConflict:       {JobConflict, "job_conflict", http.StatusConflict, NotRun, "a job with this id and other content exists"},
--- /dev/null
+++ b/internal/connpool/failure.go
@@ -0,0 +1,76 @@
+package connpool
+
+import (
+	"redwingvale/internal/code"
+)
+
+// Kind says how a request to a target failed.
+type Kind uint8
+
+// The kinds of failure.
+const (
+	// NoConnection: every granted connection is in use, or dialling is held
+	// back after failures.
+	NoConnection Kind = iota + 1
+	// DialFailed: no connection was established in time.
+	DialFailed
+	// NotWritten: the connection ended before anything was written.
+	NotWritten
+	// Lost: the connection ended after something was written.
+	Lost
+	// OutOfTime: there was no answer before the time limit.
+	OutOfTime
+	// TargetRefused: the target answered that it did not run the request.
+	TargetRefused
+	// CutShort: the answer ended before its end.
+	CutShort
+)
+
+// Failure is the error of a request to a target.
+type Failure struct {
+	Kind Kind
+	// Written states that some of the request may have reached the target.
+	Written bool
+	Cause   error
+}
+
+// Error names the kind and the cause.
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return f.Kind.String()
+	}
+	return f.Kind.String() + ": " + f.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Outcome is not_run only when it is known that the target ran nothing.
+func (f *Failure) Outcome() code.Outcome {
+	if f.Kind == TargetRefused || !f.Written {
+		return code.NotRun
+	}
+	return code.Unknown
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case NoConnection:
+		return "no connection is free"
+	case DialFailed:
+		return "the target cannot be dialled"
+	case NotWritten:
+		return "the connection ended before the request was written"
+	case Lost:
+		return "the connection ended before the answer"
+	case OutOfTime:
+		return "there was no answer before the time limit"
+	case TargetRefused:
+		return "the target did not run the request"
+	case CutShort:
+		return "the answer was cut short"
+	default:
+		return "unknown failure"
+	}
+}
--- /dev/null
+++ b/internal/connpool/pool.go
@@ -0,0 +1,169 @@
+package connpool
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"redwingvale/internal/spec"
+)
+
+// Settings are the constants of a pool.
+type Settings struct {
+	DialTimeout   time.Duration
+	ProbeInterval time.Duration
+	ProbeTimeout  time.Duration
+	// Fresh is the time after which an idle connection that carried nothing is
+	// not used without a probe.
+	Fresh time.Duration
+	// IdleClose is the time after which an unused connection is closed.
+	IdleClose  time.Duration
+	HealthPath string
+	Seed       uint64
+}
+
+// Event is what the pool found out about a target.
+type Event uint8
+
+// The events.
+const (
+	// DialsFailing: several dials in a row failed.
+	DialsFailing Event = iota + 1
+	// DialsWorking: a dial succeeded after DialsFailing.
+	DialsWorking
+	// Stopping: the health path answered 503.
+	Stopping
+)
+
+// dialFailuresToReport is the number of failed dials in a row after which the
+// target is reported.
+const dialFailuresToReport = 3
+
+// The back-off between dials to a target that cannot be reached.
+const (
+	firstDialDelay = 50 * time.Millisecond
+	maxDialDelay   = 2 * time.Second
+)
+
+// Pool holds the connections to all targets.
+type Pool struct {
+	settings Settings
+	now      func() time.Time
+	onEvent  func(spec.WorkerID, Event)
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	targets map[spec.WorkerID]*target
+	closed  bool
+}
+
+// target is the pool's state of one target, guarded by Pool.mu.
+type target struct {
+	id    spec.WorkerID
+	addr  string
+	limit int
+	// open counts connections that are established or being dialled.
+	open int
+	idle []*connection
+
+	failures int
+	nextDial time.Time
+	reported bool
+	probing  bool
+}
+
+// New returns an empty pool. onEvent is called without a lock held.
+func New(settings Settings, onEvent func(spec.WorkerID, Event)) *Pool {
+	return &Pool{
+		settings: settings,
+		now:      time.Now,
+		onEvent:  onEvent,
+		random:   rand.New(rand.NewPCG(settings.Seed, settings.Seed+1)),
+		targets:  make(map[spec.WorkerID]*target),
+	}
+}
+
+// Open returns the number of connections to the target that are established
+// or being dialled.
+func (p *Pool) Open(id spec.WorkerID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[id]
+	if t == nil {
+		return 0
+	}
+	return t.open
+}
+
+// SetLimit sets the granted number of connections and closes idle ones above.
+func (p *Pool) SetLimit(id spec.WorkerID, addr string, limit int) {
+	p.mu.Lock()
+	t := p.target(id, addr)
+	t.limit = limit
+	excess := t.dropAbove(limit)
+	p.mu.Unlock()
+	closeAll(excess)
+}
+
+// target returns the state of a target. A target with another address than
+// before is a new one; connections to the old address are not used again.
+func (p *Pool) target(id spec.WorkerID, addr string) *target {
+	t := p.targets[id]
+	if t == nil {
+		t = &target{id: id, addr: addr}
+		p.targets[id] = t
+	}
+	if t.addr != addr {
+		t.addr = addr
+		t.failures = 0
+		t.nextDial = time.Time{}
+		go closeAll(t.idle)
+		t.idle = nil
+	}
+	return t
+}
+
+// dropAbove takes idle connections out until at most limit are open. They stay
+// counted until they are closed.
+func (t *target) dropAbove(limit int) []*connection {
+	var out []*connection
+	for t.open-len(out) > limit && len(t.idle) > 0 {
+		out = append(out, t.idle[0])
+		t.idle = t.idle[1:]
+	}
+	return out
+}
+
+func closeAll(connections []*connection) {
+	for _, c := range connections {
+		c.close()
+	}
+}
+
+// Close closes all idle connections and refuses new requests.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	var all []*connection
+	for _, t := range p.targets {
+		all = append(all, t.idle...)
+		t.idle = nil
+	}
+	p.mu.Unlock()
+	closeAll(all)
+}
+
+// Run probes idle connections until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(p.settings.ProbeInterval / probeRounds)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.probeRound(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dedupe/asked.go
@@ -0,0 +1,226 @@
+package dedupe
+
+import (
+	"slices"
+	"time"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/spec"
+)
+
+// Findings is the result of asking the other entries about a key.
+type Findings struct {
+	// Records is what the entries know, in the order of the question.
+	Records []Record
+	// MovedTo is set when another entry decides on the key already.
+	MovedTo spec.InstanceID
+	// Authoritative lists entries that would know of an earlier use.
+	Authoritative []spec.InstanceID
+	// Missing states that an entry did not answer.
+	Missing bool
+}
+
+// Asked takes the findings about a key in.
+func (c *Core) Asked(now time.Duration, key Key, f Findings) []Effect {
+	r := c.records[key]
+	if r == nil || !r.asking {
+		return nil
+	}
+	r.asking = false
+	if f.MovedTo != "" {
+		return c.giveUp(r, Reply{Kind: Moved, Home: f.MovedTo})
+	}
+	if best := best(f.Records); best != nil {
+		return c.adopt(now, r, *best)
+	}
+	if !c.decided(r, f) {
+		return c.undecided(now, r, f)
+	}
+	return c.nextWaiter(now, r)
+}
+
+// decided reports whether the findings exclude an earlier use.
+func (c *Core) decided(r *record, f Findings) bool {
+	if r.need == undecidable {
+		former := c.formerHome(r.key)
+		for _, id := range f.Authoritative {
+			if id == former && !f.Missing {
+				return true
+			}
+		}
+		return false
+	}
+	return !f.Missing
+}
+
+// undecided ends the uses of a key that cannot be decided. When only an answer
+// is missing, nothing is remembered and the caller may repeat the request.
+func (c *Core) undecided(now time.Duration, r *record, f Findings) []Effect {
+	if r.need != undecidable || (f.Missing && c.formerHome(r.key) != "") {
+		return c.giveUp(r, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "an entry that may know the key does not answer"})
+	}
+	r.state = Unsure
+	c.setEnd(r, now+c.settings.Retention)
+	return c.replyAll(r)
+}
+
+// giveUp forgets the key and sends all waiters the reply.
+func (c *Core) giveUp(r *record, with Reply) []Effect {
+	delete(c.records, r.key)
+	var effects []Effect
+	for _, u := range r.waiters {
+		effects = append(effects, reply(u, with)...)
+	}
+	r.waiters = nil
+	return effects
+}
+
+// best returns the record that says most: an end before a use in flight.
+func best(records []Record) *Record {
+	var found *Record
+	for i := range records {
+		if found == nil || rank(records[i].State) > rank(found.State) {
+			found = &records[i]
+		}
+	}
+	return found
+}
+
+func rank(s State) int {
+	switch s {
+	case Answered:
+		return 4
+	case RanOnly:
+		return 3
+	case Unsure:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// adopt takes a record of another instance over and answers the waiters.
+func (c *Core) adopt(now time.Duration, r *record, from Record) []Effect {
+	r.hash = from.Hash
+	r.state = from.State
+	r.executor = from.Executor
+	r.started = 1
+	c.keepAnswer(r, from.Answer)
+	remaining := from.Remaining
+	if r.state == InFlight {
+		remaining += limitGuard
+	}
+	c.setEnd(r, now+remaining)
+	if r.state == InFlight {
+		return c.refuseOthers(r)
+	}
+	return c.replyAll(r)
+}
+
+// refuseOthers refuses the waiters whose content differs; the others wait on.
+func (c *Core) refuseOthers(r *record) []Effect {
+	var effects []Effect
+	kept := r.waiters[:0:0]
+	for _, u := range r.waiters {
+		if u.Hash == r.hash {
+			kept = append(kept, u)
+			continue
+		}
+		effects = append(effects, reply(u, Reply{Kind: Refuse, Code: code.DuplicateKey})...)
+	}
+	r.waiters = kept
+	return effects
+}
+
+// nextWaiter lets the first waiter proceed, or forgets the key.
+func (c *Core) nextWaiter(now time.Duration, r *record) []Effect {
+	if len(r.waiters) == 0 {
+		delete(c.records, r.key)
+		return nil
+	}
+	u := r.waiters[0]
+	r.waiters = r.waiters[1:]
+	effects := c.proceed(now, r, u)
+	return append(effects, c.refuseOthers(r)...)
+}
+
+// Ask answers another instance that is, or is becoming, the key's home. From
+// then on this instance uses it as the key's home.
+func (c *Core) Ask(now time.Duration, wall time.Time, key Key, home spec.InstanceID) (found *Record, movedTo spec.InstanceID, authoritative bool, effects []Effect) {
+	r := c.records[key]
+	if r != nil && r.movedTo != "" && r.movedTo != home {
+		return nil, r.movedTo, false, nil
+	}
+	if r != nil && r.asking {
+		if c.settings.Self.Instance < home {
+			return nil, c.settings.Self.Instance, false, nil
+		}
+		r.asking = false
+		effects = c.giveUp(r, Reply{Kind: Moved, Home: home})
+		r = nil
+	}
+	if !c.faults.ignoreLocal {
+		found = c.local.ask(now, key, home, c.settings.TakeoverWindow)
+	}
+	if r != nil {
+		r.movedTo = home
+		found = best(append(compact(found), c.export(now, r)))
+	}
+	return found, "", c.wouldKnow(now, wall, key, home), effects
+}
+
+func compact(r *Record) []Record {
+	if r == nil {
+		return nil
+	}
+	return []Record{*r}
+}
+
+// wouldKnow reports whether this instance was the key's home before asker and
+// is certain about earlier uses.
+func (c *Core) wouldKnow(now time.Duration, wall time.Time, key Key, asker spec.InstanceID) bool {
+	if homeOf(key, c.members, asker) != c.settings.Self.Instance {
+		return false
+	}
+	moved, ok := c.takeoverWithout(key, asker)
+	if !ok {
+		return true
+	}
+	made, ordered := timeOf(key.Key)
+	if ordered {
+		return !made.Before(moved.wall.Add(c.settings.ClockGuard))
+	}
+	return now-moved.at >= c.settings.TakeoverWindow
+}
+
+// takeoverWithout is takeover as it was before asker joined.
+func (c *Core) takeoverWithout(key Key, asker spec.InstanceID) (change, bool) {
+	for i := len(c.changes) - 1; i >= 0; i-- {
+		ch := c.changes[i]
+		if !ch.start && ch.onlyAdds(asker) {
+			continue
+		}
+		if ch.moves(key, c.clean) {
+			return ch, true
+		}
+	}
+	return change{}, false
+}
+
+// onlyAdds reports whether the change is the join of the instance alone.
+func (ch *change) onlyAdds(id spec.InstanceID) bool {
+	if len(ch.after) != len(ch.before)+1 {
+		return false
+	}
+	return slices.Equal(ch.before, without(ch.after, id))
+}
+
+func without(members []Member, id spec.InstanceID) []Member {
+	out := make([]Member, 0, len(members))
+	for _, m := range members {
+		if m.Instance != id {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dedupe/takeover.go
@@ -0,0 +1,187 @@
+package dedupe
+
+import (
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"redwingvale/internal/spec"
+)
+
+// change is one change of the members as this instance learned it.
+type change struct {
+	at     time.Duration
+	wall   time.Time
+	before []Member
+	after  []Member
+	// start marks the first members after the start of the process: nothing
+	// is known about any earlier use.
+	start bool
+}
+
+// SetMembers takes the active members in. wall is the wall clock.
+func (c *Core) SetMembers(now time.Duration, wall time.Time, members []Member) {
+	active := c.withoutHandedOver(members)
+	if c.started && slices.Equal(active, c.members) {
+		return
+	}
+	c.changes = append(c.changes, change{
+		at:     now,
+		wall:   wall,
+		before: c.members,
+		after:  active,
+		start:  !c.started,
+	})
+	c.started = true
+	c.members = active
+	c.dropOldChanges(now)
+}
+
+// withoutHandedOver returns the members, sorted, without those that have
+// handed their keys over before a stop.
+func (c *Core) withoutHandedOver(members []Member) []Member {
+	out := make([]Member, 0, len(members))
+	for _, m := range members {
+		if at, ok := c.handedOver[m.Instance]; ok && at == m.Incarnation {
+			continue
+		}
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int {
+		if a.Instance < b.Instance {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (c *Core) dropOldChanges(now time.Duration) {
+	for len(c.changes) > 1 && now-c.changes[0].at > c.horizon() {
+		c.changes = c.changes[1:]
+	}
+}
+
+// horizon is the age up to which a takeover matters.
+func (c *Core) horizon() time.Duration {
+	return max(c.settings.Retention, c.settings.TakeoverWindow)
+}
+
+// takeover returns the newest change in which the key's home changed and its
+// state was not handed over.
+func (c *Core) takeover(key Key) (change, bool) {
+	for i := len(c.changes) - 1; i >= 0; i-- {
+		if c.changes[i].moves(key, c.clean) {
+			return c.changes[i], true
+		}
+	}
+	return change{}, false
+}
+
+// moves reports whether the change lost state of the key.
+func (ch *change) moves(key Key, clean map[Member]bool) bool {
+	if ch.start {
+		return true
+	}
+	before := homeOf(key, ch.before)
+	after := homeOf(key, ch.after)
+	for _, m := range ch.before {
+		if m.Instance != before {
+			continue
+		}
+		// A process that restarted in place has lost its state as well.
+		restarted := !slices.Contains(ch.after, m)
+		return (before != after || restarted) && !clean[m]
+	}
+	return before != after
+}
+
+// need says what is to be done about a key that is not known here.
+type need uint8
+
+const (
+	// certain: no earlier use can have happened.
+	certain need = iota
+	// askFirst: ask; when nobody knows the key, no earlier use has happened.
+	askFirst
+	// undecidable: ask; when nobody knows the key and its former home did not
+	// answer, an earlier use may have run.
+	undecidable
+	// expired: an earlier use may have been forgotten.
+	expired
+)
+
+// needOf applies the takeover rule to an unknown key.
+func (c *Core) needOf(now time.Duration, wall time.Time, key Key) need {
+	if c.faults.ignoreTakeover {
+		return certain
+	}
+	made, ordered := timeOf(key.Key)
+	if ordered && made.Add(c.settings.Retention).Before(wall) {
+		return expired
+	}
+	if homeOf(key, c.members) != c.settings.Self.Instance {
+		return c.ruleAt(now, now, wall, made, ordered)
+	}
+	moved, ok := c.takeover(key)
+	if !ok {
+		return certain
+	}
+	return c.ruleAt(now, moved.at, moved.wall, made, ordered)
+}
+
+// ruleAt is the rule for a takeover at the given monotonic and wall time.
+func (c *Core) ruleAt(now, at time.Duration, wallAt, made time.Time, ordered bool) need {
+	recent := now-at < c.settings.TakeoverWindow
+	if ordered {
+		if made.Before(wallAt.Add(c.settings.ClockGuard)) {
+			return undecidable
+		}
+		if recent {
+			return askFirst
+		}
+		return certain
+	}
+	if recent {
+		return undecidable
+	}
+	return certain
+}
+
+// timeOf returns the time of a UUIDv7 key; ordered is false for other keys.
+func timeOf(key string) (made time.Time, ordered bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	var millis int64
+	for _, b := range id[:6] {
+		millis = millis<<8 | int64(b)
+	}
+	return time.UnixMilli(millis), true
+}
+
+// formerHome returns the live instance that was the key's home before this
+// one, or "" when the former home is gone.
+func (c *Core) formerHome(key Key) spec.InstanceID {
+	self := c.settings.Self.Instance
+	current := homeOf(key, c.members)
+	if current != self {
+		return current
+	}
+	moved, ok := c.takeover(key)
+	if !ok {
+		return ""
+	}
+	if moved.start {
+		return homeOf(key, c.members, self)
+	}
+	former := homeOf(key, moved.before)
+	for _, m := range moved.before {
+		if m.Instance == former && slices.Contains(c.members, m) {
+			return former
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// drainPoll is the period at which a stopping entry looks for work in flight.
+const drainPoll = 10 * time.Millisecond
+
+// Drain stops the entry without cutting a request: readiness is withdrawn, the
+// listener stays open for the balancer wait, requests in flight end, grants
+// and idempotency keys are given back, and the servers stop. It returns nil
+// when all of that was done before ctx ended. A second call waits for the
+// first.
+func (e *Entry) Drain(ctx context.Context) error {
+	first := false
+	e.drainedOnce.Do(func() { first = true })
+	if !first {
+		select {
+		case <-e.drained:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	defer close(e.drained)
+	return e.drain(ctx)
+}
+
+func (e *Entry) drain(ctx context.Context) error {
+	began := time.Now()
+	e.phase.Store(draining)
+	e.views.nudgeRenewers()
+	sleep(ctx, ms(e.config.BalancerWaitMS))
+	e.phase.Store(closing)
+	e.views.nudgeRenewers()
+	if err := e.awaitIdle(ctx); err != nil {
+		return err
+	}
+	moved := e.keys.HandOver(ctx)
+	e.views.nudgeRenewers()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		return err
+	}
+	e.keys.Wait()
+	if err := e.peerServer.Shutdown(ctx); err != nil {
+		return err
+	}
+	if e.stopDuties != nil {
+		e.stopDuties()
+	}
+	e.background.Wait()
+	e.deps.Log.Info("entry drained", zap.Duration("took", time.Since(began)), zap.Int("keys_handed_over", moved))
+	return nil
+}
+
+// awaitIdle returns when no request is in flight.
+func (e *Entry) awaitIdle(ctx context.Context) error {
+	for e.inFlight.Load() > 0 {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sleep(ctx, drainPoll)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/jobbody.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"math"
+	"time"
+
+	"redwingvale/internal/code"
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	"redwingvale/internal/spec"
+)
+
+// The bounds of a job.
+const (
+	maxTasks       = 100_000
+	maxRunTime     = 366 * 24 * time.Hour
+	maxAmount      = math.MaxInt32
+	maxKindLength  = 128
+	restartAllowed = "from_start"
+	restartNever   = "never"
+)
+
+// jobBody is the JSON body of a submission.
+type jobBody struct {
+	Service string        `json:"service"`
+	Class   string        `json:"class"`
+	Kind    string        `json:"kind"`
+	Tasks   uint32        `json:"tasks"`
+	PerTask resourcesBody `json:"per_task"`
+	// RunTimeS is the declared run time of one task in seconds.
+	RunTimeS float64 `json:"run_time_s"`
+	// Deadline is in the form of RFC 3339, or absent.
+	Deadline string `json:"deadline"`
+	// Restart is "never" or "from_start".
+	Restart string `json:"restart"`
+	// Payload is in base64.
+	Payload []byte `json:"payload"`
+}
+
+type resourcesBody struct {
+	MilliCPU     int64 `json:"milli_cpu"`
+	MemoryMiB    int64 `json:"memory_mib"`
+	Accelerators int64 `json:"accelerators"`
+	Slots        int64 `json:"slots"`
+	Connections  int64 `json:"connections"`
+}
+
+// parseJob checks a submission as a whole before anything is sent on.
+func parseJob(body []byte, ref *recordv1.JobRef, now time.Time) (*recordv1.JobSpec, error) {
+	var b jobBody
+	if err := decodeStrict(body, &b); err != nil {
+		return nil, err
+	}
+	if !spec.ValidID(b.Service) {
+		return nil, code.New(code.BadID, "service is not a valid id")
+	}
+	class, ok := spec.ParseClass(b.Class)
+	if !ok || class == spec.Urgent {
+		return nil, code.New(code.BadRequest, "class must be deadline or long_running")
+	}
+	if len(b.Kind) > maxKindLength || (b.Kind != "" && !spec.ValidID(b.Kind)) {
+		return nil, code.New(code.BadID, "kind is not a valid id")
+	}
+	if b.Tasks < 1 || b.Tasks > maxTasks {
+		return nil, code.New(code.BadRequest, "tasks must be 1 to %d", maxTasks)
+	}
+	if err := b.PerTask.check(); err != nil {
+		return nil, err
+	}
+	if b.Restart != "" && b.Restart != restartAllowed && b.Restart != restartNever {
+		return nil, code.New(code.BadRequest, "restart must be %s or %s", restartNever, restartAllowed)
+	}
+	runTime, err := b.runTime(class)
+	if err != nil {
+		return nil, err
+	}
+	deadline, err := b.deadlineMS(now)
+	if err != nil {
+		return nil, err
+	}
+	return &recordv1.JobSpec{
+		Id:               ref,
+		Service:          b.Service,
+		Class:            uint32(class),
+		Kind:             b.Kind,
+		Tasks:            b.Tasks,
+		PerTask:          b.PerTask.toRecord(),
+		RunTimeMs:        runTime.Milliseconds(),
+		DeadlineUnixMs:   deadline,
+		RestartFromStart: b.Restart == restartAllowed,
+		Payload:          b.Payload,
+	}, nil
+}
+
+func (r resourcesBody) toRecord() *recordv1.Resources {
+	return &recordv1.Resources{
+		MilliCpu:     r.MilliCPU,
+		MemoryMib:    r.MemoryMiB,
+		Accelerators: r.Accelerators,
+		Slots:        r.Slots,
+		Connections:  r.Connections,
+	}
+}
+
+// check refuses negative or huge amounts and a task that reserves nothing.
+func (r resourcesBody) check() error {
+	amounts := []int64{r.MilliCPU, r.MemoryMiB, r.Accelerators, r.Slots, r.Connections}
+	sum := int64(0)
+	for _, a := range amounts {
+		if a < 0 || a > maxAmount {
+			return code.New(code.BadResources, "each amount in per_task must be 0 to %d", maxAmount)
+		}
+		sum += a
+	}
+	if sum == 0 {
+		return code.New(code.BadResources, "per_task must reserve something")
+	}
+	return nil
+}
+
+// runTime checks the declared run time; a deadline job must declare one.
+func (b jobBody) runTime(class spec.Class) (time.Duration, error) {
+	if !(b.RunTimeS >= 0 && b.RunTimeS <= maxRunTime.Seconds()) {
+		return 0, code.New(code.BadRequest, "run_time_s must be 0 to %.0f", maxRunTime.Seconds())
+	}
+	if class == spec.Deadline && b.RunTimeS == 0 {
+		return 0, code.New(code.BadRequest, "a deadline job must declare run_time_s")
+	}
+	return time.Duration(b.RunTimeS * float64(time.Second)), nil
+}
+
+// deadlineMS returns the deadline in milliseconds of Unix time, or 0.
+func (b jobBody) deadlineMS(now time.Time) (int64, error) {
+	if b.Deadline == "" {
+		return 0, nil
+	}
+	at, err := time.Parse(time.RFC3339, b.Deadline)
+	if err != nil {
+		return 0, code.New(code.BadRequest, "deadline is not in the form of RFC 3339")
+	}
+	if !at.After(now) {
+		return 0, code.New(code.DeadlinePast, "the deadline %s has passed", b.Deadline)
+	}
+	return at.UnixMilli(), nil
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"redwingvale/internal/gen/redwingvale/entry/v1/entryv1connect"
+	"redwingvale/internal/spec"
+)
+
+// The limits of connections to other entries.
+const (
+	peerDialTimeout = 500 * time.Millisecond
+	peerIdleTimeout = 30 * time.Second
+	peerIdleConns   = 64
+)
+
+// peer is another entry instance.
+type peer struct {
+	id     spec.InstanceID
+	addr   string
+	client entryv1connect.EntryServiceClient
+	// notBefore holds forwards back after the peer had no spare slot.
+	notBefore time.Time
+}
+
+// peerSet holds the clients of the other entries.
+type peerSet struct {
+	transport *http.Transport
+
+	mu    sync.Mutex
+	peers map[spec.InstanceID]*peer
+	order []*peer
+	next  int
+}
+
+func newPeerSet() *peerSet {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	return &peerSet{
+		transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: peerIdleConns,
+			IdleConnTimeout:     peerIdleTimeout,
+			DisableCompression:  true,
+		},
+		peers: make(map[spec.InstanceID]*peer),
+	}
+}
+
+// set replaces the known entries by their addresses.
+func (p *peerSet) set(addresses map[spec.InstanceID]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client := &http.Client{Transport: p.transport}
+	old := p.peers
+	p.peers = make(map[spec.InstanceID]*peer)
+	p.order = nil
+	for id, addr := range addresses {
+		known := old[id]
+		if known == nil || known.addr != addr {
+			known = &peer{id: id, addr: addr}
+			known.client = entryv1connect.NewEntryServiceClient(client, "http://"+addr)
+		}
+		p.peers[id] = known
+		p.order = append(p.order, known)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i].id < p.order[j].id })
+}
+
+// client returns the client of an entry, or nil when it is not known.
+func (p *peerSet) client(id spec.InstanceID) entryv1connect.EntryServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.peers[id]
+	if known == nil {
+		return nil
+	}
+	return known.client
+}
+
+// candidate returns the next peer that may have spare grants, or nil.
+func (p *peerSet) candidate(now time.Time) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range p.order {
+		p.next++
+		known := p.order[p.next%len(p.order)]
+		if now.After(known.notBefore) {
+			return known
+		}
+	}
+	return nil
+}
+
+// holdBack keeps forwards from a peer for a while.
+func (p *peerSet) holdBack(known *peer, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known.notBefore = until
+}
+
+func (p *peerSet) close() { p.transport.CloseIdleConnections() }
--- /dev/null
+++ b/internal/route/health.go
@@ -0,0 +1,132 @@
+package route
+
+import "time"
+
+// The constants of outlier ejection.
+const (
+	// latencyWeight is the weight of a new sample in a target's average.
+	latencyWeight = 0.2
+	// baselineWeight is the weight of a sample in the tier's average.
+	baselineWeight = 0.01
+	// baselineClip bounds one sample's effect on the tier's average, in
+	// multiples of the average.
+	baselineClip = 2.0
+	// outlierFactor is the multiple of the tier's average above which a target
+	// is ejected. Exponential service times stay below it.
+	outlierFactor = 3.0
+	// outlierMargin keeps very fast tiers from ejecting on scheduling noise.
+	outlierMargin = 5 * time.Millisecond
+	// failuresToEject is the number of failures in a row that eject a target.
+	failuresToEject = 3
+	// ejectFor is the first ejection's length; each further one doubles it.
+	ejectFor    = 5 * time.Second
+	maxEjectFor = 40 * time.Second
+	// keepShare is the share of a tier's targets that ejection leaves.
+	keepShare = 0.5
+)
+
+// health is the recent behaviour of one target.
+type health struct {
+	// latency is the weighted average in nanoseconds, or 0 without a sample.
+	latency  float64
+	failures int
+
+	ejected   bool
+	until     time.Duration
+	ejections int
+	// probation allows one request at a time until a good sample arrives.
+	probation bool
+}
+
+// sample takes a latency in and reports whether the target is an outlier.
+func (h *health) sample(latency time.Duration, baseline float64) bool {
+	value := float64(latency)
+	if h.latency == 0 || h.probation {
+		h.latency = value
+	} else {
+		h.latency += latencyWeight * (value - h.latency)
+	}
+	h.failures = 0
+	if baseline > 0 && h.latency > outlierFactor*baseline+float64(outlierMargin) {
+		return true
+	}
+	if h.probation {
+		h.probation = false
+		h.ejections = 0
+	}
+	return false
+}
+
+// failed counts a failure and reports whether the target is an outlier.
+func (h *health) failed() bool {
+	h.failures++
+	return h.failures >= failuresToEject || h.probation
+}
+
+func (r *tier) learn(latency time.Duration) {
+	value := float64(latency)
+	if r.baseline == 0 {
+		r.baseline = value
+		return
+	}
+	if value > baselineClip*r.baseline {
+		value = baselineClip * r.baseline
+	}
+	r.baseline += baselineWeight * (value - r.baseline)
+}
+
+// eject takes the target out of use unless too few would be left.
+func (r *tier) eject(now time.Duration, t *target) {
+	if t.health.ejected || !r.mayEject() {
+		return
+	}
+	length := ejectFor << t.health.ejections
+	if length >= maxEjectFor {
+		length = maxEjectFor
+	} else {
+		t.health.ejections++
+	}
+	t.health.ejected = true
+	t.health.failures = 0
+	t.health.until = now + length
+	r.ejected = append(r.ejected, t)
+	r.setNextReturn()
+	t.refresh(now)
+}
+
+func (r *tier) mayEject() bool {
+	usable := 0
+	for _, t := range r.all {
+		if !t.health.ejected && !t.leaving.marked() {
+			usable++
+		}
+	}
+	return float64(usable-1) >= keepShare*float64(len(r.all)) && usable > 1
+}
+
+// returnEjected puts targets whose ejection has ended on probation.
+func (r *tier) returnEjected(now time.Duration) {
+	if len(r.ejected) == 0 || now < r.nextReturn {
+		return
+	}
+	kept := r.ejected[:0]
+	for _, t := range r.ejected {
+		if now < t.health.until {
+			kept = append(kept, t)
+			continue
+		}
+		t.health.ejected = false
+		t.health.probation = true
+		t.refresh(now)
+	}
+	r.ejected = kept
+	r.setNextReturn()
+}
+
+func (r *tier) setNextReturn() {
+	for i, t := range r.ejected {
+		if i == 0 || t.health.until < r.nextReturn {
+			r.nextReturn = t.health.until
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/roundrobin/roundrobin.go
@@ -0,0 +1,131 @@
+// Package roundrobin is the plain baseline that the grant book is compared
+// with: targets in turn, without regard to latency, failures or data centre.
+package roundrobin
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"redwingvale/internal/route"
+	"redwingvale/internal/spec"
+)
+
+type target struct {
+	worker      route.Worker
+	end         time.Duration
+	epoch       spec.Epoch
+	slots       int
+	connections int
+	inUse       int
+}
+
+// Router hands out the granted targets of a service in turn.
+type Router struct {
+	targets map[spec.WorkerID]*target
+	order   map[spec.ServiceID][]*target
+	next    map[spec.ServiceID]int
+	want    int
+}
+
+var _ route.Router = (*Router)(nil)
+
+// New returns a router that wants the given number of slots of each worker.
+func New(want int) *Router {
+	return &Router{
+		targets: make(map[spec.WorkerID]*target),
+		next:    make(map[spec.ServiceID]int),
+		want:    want,
+	}
+}
+
+// SetWorkers replaces the known workers.
+func (r *Router) SetWorkers(_ time.Duration, workers []route.Worker) {
+	r.order = make(map[spec.ServiceID][]*target)
+	for _, w := range workers {
+		t := r.targets[w.ID]
+		if t == nil {
+			t = &target{}
+			r.targets[w.ID] = t
+		}
+		t.worker = w
+		if !w.Leaving {
+			r.order[w.Service] = append(r.order[w.Service], t)
+		}
+	}
+}
+
+// Granted takes grants in.
+func (r *Router) Granted(_, sent time.Duration, _ spec.InstanceID, grants []route.Grant) {
+	for _, g := range grants {
+		t := r.targets[g.Worker]
+		if t == nil || g.Epoch < t.epoch {
+			continue
+		}
+		t.epoch = g.Epoch
+		t.end = sent + g.Valid
+		t.slots = g.Slots
+		t.connections = g.Connections
+	}
+}
+
+// Sign is ignored: the baseline knows only the instance list.
+func (r *Router) Sign(time.Duration, spec.WorkerID, route.Sign) {}
+
+// Choose returns the next target in turn that has a free slot.
+func (r *Router) Choose(now time.Duration, service spec.ServiceID, avoid []spec.WorkerID) (route.Pick, bool) {
+	targets := r.order[service]
+	for range targets {
+		t := targets[r.next[service]%len(targets)]
+		r.next[service]++
+		if now >= t.end || t.inUse >= t.slots || slices.Contains(avoid, t.worker.ID) {
+			continue
+		}
+		t.inUse++
+		return route.Pick{Worker: t.worker.ID, Addr: t.worker.Addr, Connections: t.connections, Start: now}, true
+	}
+	return route.Pick{}, false
+}
+
+// Finished returns the slot; the result is ignored.
+func (r *Router) Finished(_ time.Duration, pick route.Pick, _ route.Result) {
+	r.targets[pick.Worker].inUse--
+}
+
+// Queued is ignored: the baseline always wants the same number of slots.
+func (r *Router) Queued(time.Duration, spec.ServiceID, int) {}
+
+// Holdings returns what to report to an owner, ordered by worker.
+func (r *Router) Holdings(_ time.Duration, owner spec.InstanceID) []route.Holding {
+	var out []route.Holding
+	for _, t := range r.targets {
+		if t.worker.Owner == owner {
+			out = append(out, route.Holding{Worker: t.worker.ID, InUse: t.inUse, Want: r.want})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
+	return out
+}
+
+// Slots returns the free and the granted slots of the service.
+func (r *Router) Slots(now time.Duration, service spec.ServiceID) (free, granted int) {
+	for _, t := range r.order[service] {
+		if now < t.end {
+			granted += t.slots
+			free += max(t.slots-t.inUse, 0)
+		}
+	}
+	return free, granted
+}
+
+// Known reports whether the service has a target.
+func (r *Router) Known(service spec.ServiceID) bool { return len(r.order[service]) > 0 }
+
+// Connections returns the granted connections of a worker.
+func (r *Router) Connections(now time.Duration, worker spec.WorkerID) int {
+	t := r.targets[worker]
+	if t == nil || now >= t.end {
+		return 0
+	}
+	return t.connections
+}
