--- /dev/null
+++ b/cmd/rwctl/environment.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// connectTimeLimit bounds one call to an instance, above the time limit that
+// the instance itself keeps.
+const connectTimeLimit = 20 * time.Second
+
+func newEnvironment(stdout, stderr io.Writer) *environment {
+	start := time.Now()
+	return &environment{
+		stdout:  stdout,
+		stderr:  stderr,
+		client:  &http.Client{Timeout: connectTimeLimit},
+		openLog: openLog,
+		now:     func() time.Duration { return time.Since(start) },
+		wall:    time.Now,
+		pause:   pause,
+		newID:   func() string { return uuid.Must(uuid.NewV7()).String() },
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/rwctl/follow.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/config"
+	"redwingvale/internal/platform"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+const (
+	// recordsPerRead bounds the records of one read.
+	recordsPerRead = 200
+	// retryPause separates reads that fail.
+	retryPause = 200 * time.Millisecond
+)
+
+// follower reads the config stream into a config.Core.
+type follower struct {
+	*environment
+	log  platform.Log
+	core *config.Core
+}
+
+func newFollower(e *environment, log platform.Log) *follower {
+	return &follower{environment: e, log: log, core: config.NewCore(config.Options{})}
+}
+
+// read carries out one read that waits up to wait for a record.
+func (f *follower) read(ctx context.Context, wait time.Duration) ([]config.Effect, bool, error) {
+	sent := f.now()
+	result, err := f.log.Read(ctx, platform.ConfigStream, f.core.Next(), recordsPerRead, wait)
+	if err != nil {
+		return nil, false, err
+	}
+	return f.core.Step(f.now(), config.ReadEvent{Result: result, Sent: sent}), result.AtTail, nil
+}
+
+// toTail reads everything that stands in the stream.
+func (f *follower) toTail(ctx context.Context) error {
+	for {
+		_, tail, err := f.read(ctx, 0)
+		if err != nil {
+			return code.New(code.LogUnavailable, "the configuration cannot be read: %s", err.Error())
+		}
+		if tail {
+			break
+		}
+	}
+	if !f.core.Whole() {
+		return code.New(code.LogUnavailable, "older changes have expired and no snapshot repeats them yet; try again in a minute")
+	}
+	return nil
+}
+
+// stateOfFiles builds a configuration from the documents in a directory.
+func stateOfFiles(directory string) (*config.State, error) {
+	files, err := readFiles([]string{directory})
+	if err != nil {
+		return nil, err
+	}
+	state := config.NewState()
+	for i, f := range files {
+		if f.doc == nil {
+			return nil, code.New(code.BadDocument, "%s: %s", f.Path, f.Problems.Error())
+		}
+		apply := &recordv1.Apply{
+			ApplyId: "file", Team: f.doc.Team, Service: f.doc.Service, Document: f.text, Author: "file",
+		}
+		if v := state.Apply(int64(i), apply, 0); v.Err != nil {
+			return nil, v.Err
+		}
+	}
+	return state, nil
+}
--- /dev/null
+++ b/cmd/rwctl/main.go
@@ -0,0 +1,85 @@
+// Command rwctl is the operators' tool: it validates, plans and applies
+// service documents, and shows and changes the state of the instances.
+// docs/rwctl.md describes the commands, settings and exit codes.
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"redwingvale/internal/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	e := newEnvironment(os.Stdout, os.Stderr)
+	status := run(ctx, e, os.Args[1:])
+	stop()
+	os.Exit(status)
+}
+
+// environment is what the commands use of the world around them.
+type environment struct {
+	stdout, stderr io.Writer
+	client         *http.Client
+	// openLog returns the log service at a base URL.
+	openLog func(baseURL string, client *http.Client) (platform.Log, error)
+	// now is a monotonic clock; wall is the wall clock for the audit trail.
+	now  func() time.Duration
+	wall func() time.Time
+	// pause waits for a duration or until ctx ends.
+	pause func(ctx context.Context, d time.Duration)
+	// newID returns a new apply id.
+	newID func() string
+}
+
+// command is one subcommand with its settings.
+type command struct {
+	*environment
+	settings settings
+	flags    *flag.FlagSet
+}
+
+// run carries out one command line and returns the exit code.
+func run(ctx context.Context, e *environment, args []string) int {
+	root := &ffcli.Command{
+		Name:       "rwctl",
+		ShortUsage: "rwctl <command> [flags] [arguments]",
+		ShortHelp:  "operate redwingvale",
+		FlagSet:    newFlagSet(e, "rwctl"),
+		Exec: func(context.Context, []string) error {
+			return usageError("name a command; rwctl -h lists them")
+		},
+		Subcommands: []*ffcli.Command{
+			validateCommand(e), planCommand(e), applyCommand(e), statusCommand(e), explainCommand(e),
+			auditCommand(e), alarmsCommand(e), drainCommand(e), membersCommand(e),
+		},
+	}
+	if err := root.Parse(args); err != nil {
+		return report(e, asUsageError(err))
+	}
+	return report(e, root.Run(ctx))
+}
+
+func newFlagSet(e *environment, name string) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(e.stderr)
+	return flags
+}
+
+// asUsageError marks what the flag parser refused, except a request for help.
+func asUsageError(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return &exitError{status: exitUsage, err: err}
+}
--- /dev/null
+++ b/cmd/rwctl/output.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// printJSON writes a value as indented JSON.
+func (c *command) printJSON(value any) error {
+	encoder := json.NewEncoder(c.stdout)
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(value)
+}
+
+// raw turns a message into JSON with the names of its definition.
+func raw(message proto.Message) (json.RawMessage, error) {
+	return protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(message)
+}
+
+// table writes rows in aligned columns under a header.
+func (c *command) table(header []string, rows [][]string) error {
+	w := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+func (c *command) line(format string, args ...any) {
+	fmt.Fprintf(c.stdout, format+"\n", args...)
+}
+
+// millis writes a number of milliseconds as a duration.
+func millis(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/rwctl/status.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"connectrpc.com/connect"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	operatorv1 "redwingvale/internal/gen/redwingvale/operator/v1"
+)
+
+// statusCommand shows the instances, members and groups.
+func statusCommand(e *environment) *ffcli.Command {
+	c := newCommand(e, "status")
+	groups := c.flags.Bool("groups", false, "list the worker groups too")
+	return c.build("", "show instances, members and worker groups", func(ctx context.Context, args []string) error {
+		answers, err := c.askStatus(ctx)
+		if err != nil {
+			return err
+		}
+		if c.settings.json {
+			if err := c.statusJSON(answers); err != nil {
+				return err
+			}
+		} else if err := c.showStatus(answers, *groups); err != nil {
+			return err
+		}
+		if _, err := firstValue(answers); err != nil {
+			return finished(exitUnreachable)
+		}
+		return nil
+	})
+}
+
+func (c *command) askStatus(ctx context.Context) ([]answer[operatorv1.StatusResponse], error) {
+	return askAll(ctx, c, func(ctx context.Context, client client) (*operatorv1.StatusResponse, error) {
+		out, err := client.Status(ctx, connect.NewRequest(&operatorv1.StatusRequest{}))
+		return message(out, err)
+	})
+}
+
+func (c *command) statusJSON(answers []answer[operatorv1.StatusResponse]) error {
+	type entry struct {
+		Address string          `json:"address"`
+		Error   string          `json:"error,omitempty"`
+		Status  json.RawMessage `json:"status,omitempty"`
+	}
+	out := make([]entry, 0, len(answers))
+	for _, a := range answers {
+		one := entry{Address: a.address}
+		if a.err != nil {
+			one.Error = a.err.Error()
+		} else {
+			status, err := raw(a.value)
+			if err != nil {
+				return err
+			}
+			one.Status = status
+		}
+		out = append(out, one)
+	}
+	return c.printJSON(out)
+}
+
+func (c *command) showStatus(answers []answer[operatorv1.StatusResponse], groups bool) error {
+	rows := make([][]string, 0, len(answers))
+	for _, a := range answers {
+		rows = append(rows, statusRow(a))
+	}
+	header := []string{"ADDRESS", "INSTANCE", "STATE", "UPTIME", "MAJORITY", "LOG", "CONFIG", "GROUPS", "ALARMS"}
+	if err := c.table(header, rows); err != nil {
+		return err
+	}
+	view, err := firstValue(answers)
+	if err != nil {
+		return nil
+	}
+	c.line("\nMembers as %s sees them, voters version %d:", view.GetInstance(), view.GetVotersVersion())
+	if err := c.showMembers(view.GetMembers()); err != nil || !groups {
+		return err
+	}
+	c.line("\nGroups:")
+	return c.showGroups(answers)
+}
+
+func statusRow(a answer[operatorv1.StatusResponse]) []string {
+	if a.err != nil {
+		return []string{a.address, "-", "no answer: " + a.err.Error(), "-", "-", "-", "-", "-", "-"}
+	}
+	s := a.value
+	log := "readable"
+	if !s.GetLog().GetReadable() {
+		log = "down for " + millis(s.GetLog().GetSinceTailMs())
+	}
+	owned := 0
+	for _, g := range s.GetGroups() {
+		if g.GetOwner() == s.GetInstance() {
+			owned++
+		}
+	}
+	return []string{
+		a.address, s.GetInstance(), s.GetState(), millis(s.GetUptimeMs()), yesNo(s.GetMajority()), log,
+		strconv.FormatInt(s.GetConfigOffset(), 10), strconv.Itoa(owned), strconv.FormatUint(uint64(s.GetAlarms()), 10),
+	}
+}
+
+func (c *command) showMembers(members []*operatorv1.MemberStatus) error {
+	var rows [][]string
+	for _, m := range members {
+		rows = append(rows, []string{
+			m.GetInstance(), strconv.FormatUint(m.GetIncarnation(), 10), m.GetDataCentre(), m.GetState(),
+			millis(m.GetHeardMs()), strconv.FormatInt(m.GetConfigOffset(), 10), dash(m.GetOperatorAddr()),
+		})
+	}
+	return c.table([]string{"INSTANCE", "INCARNATION", "DATA CENTRE", "STATE", "HEARD", "CONFIG", "OPERATOR ADDRESS"}, rows)
+}
+
+// showGroups lists each group once, as its owner describes it if it answers.
+func (c *command) showGroups(answers []answer[operatorv1.StatusResponse]) error {
+	known := make(map[string]*operatorv1.GroupStatus)
+	for _, a := range answers {
+		for _, g := range a.value.GetGroups() {
+			if _, seen := known[g.GetGroup()]; !seen || g.GetOwner() == a.value.GetInstance() {
+				known[g.GetGroup()] = g
+			}
+		}
+	}
+	var rows [][]string
+	for _, name := range sortedNames(known) {
+		g := known[name]
+		rows = append(rows, []string{
+			name, dash(g.GetOwner()), strconv.FormatUint(g.GetEpoch(), 10), yesNo(g.GetDeciding()), count(g.GetWorkers()),
+			count(g.GetQuarantined()), count(g.GetRunningTasks()), count(g.GetWaitingTasks()),
+		})
+	}
+	return c.table([]string{"GROUP", "OWNER", "EPOCH", "DECIDING", "WORKERS", "QUARANTINED", "RUNNING", "WAITING"}, rows)
+}
+
+func count(v uint32) string { return strconv.FormatUint(uint64(v), 10) }
+
+func yesNo(v bool) string {
+	if v {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -47,7 +47,7 @@
 // Apply takes the Apply record at an offset. unixMS is the wall clock of its
 // envelope and is kept for people only. Records must be given in log order.
 func (s *State) Apply(offset int64, apply *recordv1.Apply, unixMS int64) Verdict {
-	v := Verdict{Key: keyOf(apply), ApplyID: apply.GetApplyId(), Offset: offset}
+	v := Verdict{Key: KeyOf(apply), ApplyID: apply.GetApplyId(), Offset: offset}
 	if err := checkForm(apply); err != nil {
 		return v.refused(err)
 	}
@@ -77,7 +77,8 @@
 	return v
 }
 
-func keyOf(apply *recordv1.Apply) Key {
+// KeyOf returns the service that a change is for.
+func KeyOf(apply *recordv1.Apply) Key {
 	return Key{spec.TeamID(apply.GetTeam()), spec.ServiceID(apply.GetService())}
 }
 
--- a/internal/config/valid.go
+++ b/internal/config/valid.go
@@ -34,7 +34,7 @@
 	if len(problems) > 0 {
 		return nil, problems.Coded()
 	}
-	key := keyOf(apply)
+	key := KeyOf(apply)
 	if doc.TeamID() != key.Team || doc.ServiceID() != key.Service {
 		return nil, code.New(code.BadDocument, "the document is for %s/%s, the change is for %s", doc.Team, doc.Service, key)
 	}
--- a/internal/config/world_test.go
+++ b/internal/config/world_test.go
@@ -108,7 +108,7 @@
 
 func (o *oracle) apply(a *recordv1.Apply) {
 	id := a.GetApplyId()
-	key := keyOf(a)
+	key := KeyOf(a)
 	account, valid := docCode(a.GetDocument())
 	if o.accepted[id] > 0 || o.refused[id] || o.revision[key] > a.GetBaseRevision() {
 		return
@@ -329,7 +329,7 @@
 			return w.tell(i, judged.Verdict)
 		}
 	}
-	if v, known := p.core.State().Outcome(keyOf(p.apply), p.apply.GetApplyId(), p.apply.GetBaseRevision()); known && p.core.Whole() {
+	if v, known := p.core.State().Outcome(KeyOf(p.apply), p.apply.GetApplyId(), p.apply.GetBaseRevision()); known && p.core.Whole() {
 		return w.tell(i, v)
 	}
 	if w.now-p.sent > time.Minute {
