--- /dev/null
+++ b/cmd/rwentry/main.go
@@ -0,0 +1,99 @@
+// Command rwentry serves callers: urgent requests, jobs, and their answers.
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"redwingvale/internal/cli"
+	"redwingvale/internal/directory"
+	"redwingvale/internal/entry"
+	"redwingvale/internal/sched"
+	"redwingvale/internal/settings"
+	"redwingvale/internal/telemetry"
+)
+
+// drainTimeout bounds a planned stop.
+const drainTimeout = 60 * time.Second
+
+// config is the settings file of rwentry.
+type config struct {
+	entry.Config
+	// SchedAddr is the host:port of the rwsched on the same instance.
+	SchedAddr string `toml:"sched_addr"`
+	// OpsAddr is the host:port of health, readiness and metrics.
+	OpsAddr string `toml:"ops_addr"`
+}
+
+// Check implements settings.Checker.
+func (c *config) Check(p *settings.Problems) {
+	c.Config.Check(p)
+	p.Address("sched_addr", c.SchedAddr)
+	p.Address("ops_addr", c.OpsAddr)
+}
+
+func main() {
+	daemon := cli.Daemon[config]{
+		Name:     "rwentry",
+		Help:     "rwentry serves callers: urgent requests, jobs, and their answers.",
+		Defaults: func() config { return config{Config: entry.DefaultConfig()} },
+		Run:      run,
+	}
+	os.Exit(daemon.Main())
+}
+
+func run(ctx context.Context, c config) error {
+	tele := telemetry.New("rwentry", c.Instance, os.Stderr)
+	defer tele.Close()
+	clients := sched.NewClients()
+	defer clients.Close()
+	services := directory.New()
+	c.Incarnation = uint64(time.Now().UnixMilli())
+	e, err := entry.New(c.Config, entry.Deps{
+		Log:      tele.Log,
+		Scope:    tele.Scope,
+		Sched:    clients.Sched,
+		OwnSched: clients.Sched(c.SchedAddr),
+		Services: services,
+		OnView:   services.Update,
+	})
+	if err != nil {
+		return err
+	}
+	ops, err := net.Listen("tcp", c.OpsAddr)
+	if err != nil {
+		return errors.Wrap(err, "listen for health and metrics")
+	}
+	return runUntilDrained(ctx, e, tele, ops)
+}
+
+// runUntilDrained runs e until SIGTERM, then stops it without cutting a
+// request.
+func runUntilDrained(ctx context.Context, e *entry.Entry, tele *telemetry.Telemetry, ops net.Listener) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return e.Run(running) })
+	group.Go(func() error { return tele.Serve(running, ops, e.Ready) })
+	group.Go(func() error {
+		select {
+		case <-running.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		limited, cancel := context.WithTimeout(running, drainTimeout)
+		defer cancel()
+		if err := e.Drain(limited); err != nil {
+			tele.Log.Warn("drain_failed", zap.String("error", err.Error()))
+		}
+		stop()
+		return nil
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,101 @@
+// Package directory answers an entry's questions about teams and services
+// from the newest configuration that its view carries.
+package directory
+
+import (
+	"sync/atomic"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/config"
+	"redwingvale/internal/document"
+	"redwingvale/internal/entry"
+	"redwingvale/internal/spec"
+
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+)
+
+// Directory implements entry.Services. Update may run while others read.
+type Directory struct {
+	current atomic.Pointer[contents]
+}
+
+type contents struct {
+	names    *document.Directory
+	services map[config.Key]entry.ServiceSettings
+	revision map[config.Key]uint64
+}
+
+// New returns a directory without services.
+func New() *Directory {
+	d := &Directory{}
+	d.current.Store(&contents{names: document.NewDirectory(nil)})
+	return d
+}
+
+// Update takes the services of a view over. A service whose revision in the
+// view is older than the known one keeps the known one, so that a view from
+// another instance that lags cannot bring an older document back.
+func (d *Directory) Update(view *schedv1.GetViewResponse) {
+	known := d.current.Load()
+	if d.lags(known, view) {
+		return
+	}
+	next := &contents{
+		services: make(map[config.Key]entry.ServiceSettings),
+		revision: make(map[config.Key]uint64),
+	}
+	var documents []*document.Document
+	for _, revision := range view.GetServices() {
+		service := config.FromRevision(revision)
+		if service.Document == nil {
+			continue
+		}
+		documents = append(documents, service.Document)
+		next.services[service.Key] = settingsOf(service.Document)
+		next.revision[service.Key] = service.Revision
+	}
+	next.names = document.NewDirectory(documents)
+	d.current.Store(next)
+}
+
+// lags reports whether the view holds an older revision of a known service.
+func (d *Directory) lags(known *contents, view *schedv1.GetViewResponse) bool {
+	offered := make(map[config.Key]uint64, len(view.GetServices()))
+	for _, revision := range view.GetServices() {
+		key := config.Key{Team: spec.TeamID(revision.GetTeam()), Service: spec.ServiceID(revision.GetService())}
+		offered[key] = revision.GetRevision()
+	}
+	for key, revision := range known.revision {
+		if offered[key] < revision {
+			return true
+		}
+	}
+	return false
+}
+
+func settingsOf(doc *document.Document) entry.ServiceSettings {
+	out := entry.ServiceSettings{QuotaSlots: int(doc.Quota.Slots)}
+	if doc.Urgent == nil {
+		return out
+	}
+	out.Idempotent = doc.Urgent.IdempotentByDefault
+	out.UrgentLimit = doc.Urgent.TimeLimit()
+	out.QueueBound = int(doc.Urgent.QueueLimit)
+	return out
+}
+
+// Resolve implements entry.Services.
+func (d *Directory) Resolve(name string) (spec.TeamID, error) {
+	return d.current.Load().names.Resolve(name)
+}
+
+// Service implements entry.Services.
+func (d *Directory) Service(team spec.TeamID, service spec.ServiceID) (entry.ServiceSettings, error) {
+	settings, ok := d.current.Load().services[config.Key{Team: team, Service: service}]
+	if !ok {
+		return settings, code.New(code.UnknownService, "team %s has no service %s", team, service)
+	}
+	return settings, nil
+}
+
+var _ entry.Services = (*Directory)(nil)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -206,3 +206,15 @@
 func dialer(limit time.Duration) func(context.Context, string, string) (net.Conn, error) {
 	return (&net.Dialer{Timeout: limit}).DialContext
 }
+
+// GroupsOwned reports whether every known group has an owner as far as this
+// instance knows.
+func (s *Sched) GroupsOwned() bool {
+	groups := s.view.current.Load().GetGroups()
+	for _, g := range groups {
+		if g.GetOwner() == "" {
+			return false
+		}
+	}
+	return len(groups) > 0
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -146,6 +146,10 @@
 	var keys []string
 	for i := range kind.NumField() {
 		field := kind.Field(i)
+		if field.Anonymous {
+			keys = append(keys, structKeys(field.Type, prefix)...)
+			continue
+		}
 		name := field.Tag.Get("toml")
 		if name == "" || name == "-" {
 			continue
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -67,7 +67,7 @@
 		DataCentres:    []string{"kago-a", "kuma-b", "miya-c"},
 		Workers:        12,
 		WorkersPerRack: 2,
-		Service:        "reconciliation",
+		Service:        "meter-reads",
 		ServiceTimeMS:  4,
 		RetentionS:     3600,
 		ListLagMS:      500,
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
@@ -44,7 +45,7 @@
 	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoder), zapcore.AddSync(out), zap.InfoLevel)
 	log := zap.New(core).With(zap.String("program", program), zap.String("instance", instance))
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	reporter := promreporter.NewReporter(registryOptions())
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "redwingvale",
 		Tags:            map[string]string{"program": program, "instance": instance},
@@ -55,6 +56,13 @@
 	return &Telemetry{Log: log, Scope: scope, reporter: reporter, closer: closer}
 }
 
+// registryOptions gives each program a registry of its own, so that several
+// programs can run in one process.
+func registryOptions() promreporter.Options {
+	registry := prometheus.NewRegistry()
+	return promreporter.Options{Registerer: registry, Gatherer: registry}
+}
+
 // Close reports the last metrics.
 func (t *Telemetry) Close() { _ = t.closer.Close() }
 
