--- a/internal/local/instance.go
+++ b/internal/local/instance.go
@@ -27,12 +27,23 @@
 	schedOpsPort
 )
 
+// sameClockGuardMS is the guard between the clocks of callers and instances.
+// Here all of them run on one machine and read the same clock.
+const sameClockGuardMS = 50
+
+// idleSlots is the number of slots that an idle entry keeps. The local cluster
+// has 96 slots, so the default of a real deployment would leave too few for
+// batch tasks.
+const idleSlots = 4
+
 // Instance is one entry instance: an rwentry and an rwsched.
 type Instance struct {
 	Name     string
 	Entry    *entry.Entry
 	Sched    *sched.Sched
 	Operator string
+	// Services is the configuration in force at the entry.
+	Services *directory.Directory
 
 	kill    context.CancelFunc
 	alive   atomic.Bool
@@ -76,21 +87,23 @@
 func (i *Instance) buildEntry(c *Cluster, index int, centre, schedAddr string) error {
 	tele := telemetry.New("rwentry", i.Name, c.options.Log)
 	i.tele = append(i.tele, tele)
-	services := directory.New()
+	i.Services = directory.New()
 	config := entry.DefaultConfig()
 	config.Instance = i.Name
 	config.DataCentre = centre
 	config.Listen = c.address(index, callersPort)
 	config.PeerListen = c.address(index, entryPeerPort)
 	config.BalancerWaitMS = c.options.BalancerWaitMS
+	config.KeyClockGuardMS = sameClockGuardMS
+	config.IdleSlots = idleSlots
 	config.Incarnation = uint64(sched.NextIncarnation(c.ctx, c.Platform.Log.For(i.Name), spec.InstanceID(i.Name)))
 	e, err := entry.New(config, entry.Deps{
 		Log:      tele.Log,
 		Scope:    tele.Scope,
 		Sched:    i.clients.Sched,
 		OwnSched: i.clients.Sched(schedAddr),
-		Services: services,
-		OnView:   services.Update,
+		Services: i.Services,
+		OnView:   i.Services.Update,
 	})
 	i.Entry = e
 	return err
--- a/internal/ownership/settings.go
+++ b/internal/ownership/settings.go
@@ -59,7 +59,7 @@
 		SuspectAfter:    time.Second,
 		LogReadableFor:  1500 * time.Millisecond,
 		ListLag:         30 * time.Second,
-		RemoveAfter:     10 * time.Second,
+		RemoveAfter:     2 * time.Second,
 		SettleTime:      time.Second,
 		RetryAfter:      5 * time.Second,
 		SnapshotPeriod:  time.Hour,
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -53,12 +53,19 @@
 	return c.proven(now, id, t.readBackAt)
 }
 
+// firstEpoch is the epoch of the first claim of a group. No ownership comes
+// before it, so there is none to wait for.
+const firstEpoch spec.Epoch = 1
+
 // mayStart reports whether no earlier ownership can have a right any more.
 func (c *Core) mayStart(now time.Duration, g *group) bool {
 	t := g.take
 	if t.previous.Released || t.stopped || c.faults.skipWait {
 		return true
 	}
+	if t.epoch == firstEpoch {
+		return true
+	}
 	wait := c.settings.OwnershipLease + c.settings.LogStaleness
 	if now < t.readBackAt+wait {
 		return false
--- /dev/null
+++ b/internal/sample/jobs.go
@@ -0,0 +1,129 @@
+package sample
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingvale/internal/standin"
+)
+
+// jobBody is the JSON body of a submitted job, as docs/api.md describes it.
+type jobBody struct {
+	Service  string     `json:"service"`
+	Class    string     `json:"class"`
+	Kind     string     `json:"kind"`
+	Tasks    int        `json:"tasks"`
+	PerTask  amountBody `json:"per_task"`
+	RunTimeS float64    `json:"run_time_s,omitempty"`
+	Deadline string     `json:"deadline,omitempty"`
+	Restart  string     `json:"restart,omitempty"`
+}
+
+type amountBody struct {
+	MilliCPU  int64 `json:"milli_cpu"`
+	MemoryMiB int64 `json:"memory_mib"`
+	Slots     int64 `json:"slots"`
+}
+
+const (
+	team          = "kagoshima-billing"
+	submitTimeout = 3 * time.Second
+	submitRetry   = 100 * time.Millisecond
+	jobPoll       = 100 * time.Millisecond
+)
+
+// batch submits jobs and follows them through any ready entry.
+type batch struct {
+	entries  func() []string
+	client   *http.Client
+	truth    *standin.Truth
+	accepted map[string]jobBody
+	order    []string
+}
+
+func newBatch(entries func() []string, truth *standin.Truth) *batch {
+	return &batch{
+		entries:  entries,
+		client:   &http.Client{Timeout: submitTimeout},
+		truth:    truth,
+		accepted: make(map[string]jobBody),
+	}
+}
+
+// submit repeats the submission of a job until it is accepted or ctx ends. The
+// job's id makes a repeat harmless.
+func (b *batch) submit(ctx context.Context, name string, job jobBody) error {
+	content, err := json.Marshal(job)
+	if err != nil {
+		return errors.Wrap(err, "encode job")
+	}
+	for {
+		status := b.put(name, content)
+		if status >= 200 && status < 300 {
+			b.accepted[name] = job
+			b.order = append(b.order, name)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("job %s was not accepted: last status %d", name, status)
+		case <-time.After(submitRetry):
+		}
+	}
+}
+
+func (b *batch) put(name string, content []byte) int {
+	entries := b.entries()
+	if len(entries) == 0 {
+		return 0
+	}
+	url := "http://" + entries[0] + "/v1/teams/" + team + "/jobs/" + name
+	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(content))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := b.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
+
+// missing returns the number of tasks of accepted jobs that have not ended as
+// they should: finished for deadline jobs, running for long-running ones. The
+// workers' own records decide.
+func (b *batch) missing() int {
+	missing := 0
+	for _, name := range b.order {
+		job := b.accepted[name]
+		if job.Class == "long_running" {
+			missing += job.Tasks - b.truth.RunningTasks(team, name)
+			continue
+		}
+		missing += job.Tasks - b.truth.FinishedTasks(team, name)
+	}
+	return missing
+}
+
+// await waits until nothing is missing or ctx ends, and returns what is
+// missing then.
+func (b *batch) await(ctx context.Context) int {
+	for {
+		missing := b.missing()
+		if missing == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return missing
+		case <-time.After(jobPoll):
+		}
+	}
+}
--- /dev/null
+++ b/internal/sample/sample.go
@@ -0,0 +1,269 @@
+// Package sample runs a short day on a local cluster: urgent requests,
+// month-end batch, watchers, a noisy neighbour, a worker that fails
+// everything, the death of an instance and a log outage. It judges the day by
+// what the workers and the callers saw.
+package sample
+
+import (
+	"context"
+	"embed"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingvale/internal/invariant"
+	"redwingvale/internal/local"
+	"redwingvale/internal/spec"
+	"redwingvale/internal/standin"
+)
+
+//go:embed documents/*.toml
+var documents embed.FS
+
+// Times and loads of the day.
+const (
+	startTimeout  = 15 * time.Second
+	dayLength     = 12 * time.Second
+	endTimeout    = 6 * time.Second
+	steadyLoad    = 200
+	surgeLoad     = 2000
+	surgeLength   = 2 * time.Second
+	serviceTimeMS = 15
+	lateTasks     = 40
+	outageLength  = 2 * time.Second
+	monthEndTasks = 30
+	noisyTasks    = 4
+	watcherTasks  = 3
+	sickWorker    = spec.WorkerID("w011")
+)
+
+// Result is how the day went.
+type Result struct {
+	Violations int
+	Lost       int
+	Doubled    int
+	Evictions  int
+	Refused    int
+	Unknown    int
+	Answered   int
+	UrgentP50  time.Duration
+	UrgentP99  time.Duration
+}
+
+// Kept reports whether every guarantee was kept and nothing was lost.
+func (r Result) Kept() bool { return r.Violations == 0 && r.Lost == 0 && r.Doubled == 0 }
+
+// Line returns the result as one line of key=value pairs.
+func (r Result) Line() string {
+	return fmt.Sprintf("violations=%d lost=%d doubled=%d evictions=%d urgent_p99_ms=%.1f urgent_p50_ms=%.1f answered=%d refused=%d unknown=%d",
+		r.Violations, r.Lost, r.Doubled, r.Evictions,
+		milliseconds(r.UrgentP99), milliseconds(r.UrgentP50), r.Answered, r.Refused, r.Unknown)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// day is one run of the sample.
+type day struct {
+	out     io.Writer
+	began   time.Time
+	cluster *local.Cluster
+	callers *callers
+	batch   *batch
+}
+
+// Run runs the day and writes its progress to out. The log lines of the
+// instances go to log.
+func Run(ctx context.Context, out, log io.Writer) (Result, error) {
+	options := local.DefaultOptions()
+	options.Log = log
+	options.Platform.ServiceTimeMS = serviceTimeMS
+	cluster, err := local.Start(ctx, options)
+	if err != nil {
+		return Result{}, err
+	}
+	defer cluster.Stop()
+	d := &day{
+		out:     out,
+		began:   time.Now(),
+		cluster: cluster,
+		callers: newCallers(cluster.ReadyEntries, "/v1/teams/SNK-2207/services/meter-reads/call/read"),
+		batch:   newBatch(cluster.ReadyEntries, cluster.Platform.Truth),
+	}
+	if err := d.prepare(ctx); err != nil {
+		return Result{}, err
+	}
+	if err := d.live(ctx); err != nil {
+		return Result{}, err
+	}
+	return d.judge(ctx), nil
+}
+
+func (d *day) say(format string, args ...any) {
+	fmt.Fprintf(d.out, "%6.2fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// prepare waits for the cluster and publishes the documents.
+func (d *day) prepare(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.cluster.AwaitReady(ctx); err != nil {
+		return err
+	}
+	d.say("%d instances ready, every worker group has an owner", len(d.cluster.Instances()))
+	if err := ApplyDocuments(ctx, d.cluster); err != nil {
+		return err
+	}
+	d.say("documents are in force on every instance")
+	return d.cluster.Platform.SetWorkerFaults(sickWorker, standin.WorkerFaults{FailEverything: true})
+}
+
+// ApplyDocuments publishes the sample's documents and waits until they are in
+// force on every instance.
+func ApplyDocuments(ctx context.Context, cluster *local.Cluster) error {
+	files, err := documents.ReadDir("documents")
+	if err != nil {
+		return errors.Wrap(err, "list the sample's documents")
+	}
+	for _, file := range files {
+		text, err := documents.ReadFile("documents/" + file.Name())
+		if err != nil {
+			return errors.Wrap(err, "read a sample document")
+		}
+		if err := cluster.Apply(ctx, text, "sample"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// live carries out the day's programme.
+func (d *day) live(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, dayLength)
+	defer cancel()
+	go d.callers.run(ctx, steadyLoad)
+	if err := d.submitJobs(ctx); err != nil {
+		return err
+	}
+	for _, step := range d.programme() {
+		if !until(ctx, step.after) {
+			break
+		}
+		step.do(ctx)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+type step struct {
+	after time.Duration
+	do    func(context.Context)
+}
+
+// programme returns the day's incidents, each with the pause before it.
+func (d *day) programme() []step {
+	return []step{
+		{2 * time.Second, d.killInstance},
+		{3 * time.Second, d.startOutage},
+		{outageLength, d.endOutage},
+		{500 * time.Millisecond, d.submitLateRun},
+		{700 * time.Millisecond, d.surge},
+	}
+}
+
+func (d *day) submitJobs(ctx context.Context) error {
+	deadline := time.Now().Add(dayLength).UTC().Format(time.RFC3339)
+	jobs := []struct {
+		name string
+		body jobBody
+	}{
+		{"watchers", jobBody{Service: "ledger-watch", Class: "long_running", Kind: "watcher", Tasks: watcherTasks,
+			PerTask: amountBody{MilliCPU: 500, MemoryMiB: 1024, Slots: 1}, Restart: "from_start"}},
+		{"month-end", jobBody{Service: "tariff-invoices", Class: "deadline", Kind: "month-end", Tasks: monthEndTasks,
+			PerTask: amountBody{MilliCPU: 4000, MemoryMiB: 8192, Slots: 2}, RunTimeS: 1, Deadline: deadline}},
+		{"noisy", jobBody{Service: "tariff-invoices", Class: "deadline", Kind: standin.NoisyKind, Tasks: noisyTasks,
+			PerTask: amountBody{MilliCPU: 2000, MemoryMiB: 4096, Slots: 1}, RunTimeS: 5, Restart: "from_start"}},
+	}
+	for _, job := range jobs {
+		if err := d.batch.submit(ctx, job.name, job.body); err != nil {
+			return err
+		}
+		d.say("job %s accepted: %d tasks", job.name, job.body.Tasks)
+	}
+	return nil
+}
+
+// submitLateRun fills the workers with batch tasks, so that the surge after it
+// needs slots that they hold.
+func (d *day) submitLateRun(ctx context.Context) {
+	deadline := time.Now().Add(dayLength).UTC().Format(time.RFC3339)
+	job := jobBody{Service: "tariff-invoices", Class: "deadline", Kind: "month-end", Tasks: lateTasks,
+		PerTask: amountBody{MilliCPU: 4000, MemoryMiB: 8192, Slots: 2}, RunTimeS: 1.5, Deadline: deadline}
+	if err := d.batch.submit(ctx, "late-run", job); err != nil {
+		d.say("late run not accepted: %v", err)
+		return
+	}
+	d.say("job late-run accepted: %d tasks", lateTasks)
+}
+
+func (d *day) killInstance(context.Context) {
+	victim := d.cluster.Instances()[1]
+	victim.Kill()
+	d.say("instance %s killed; %s", victim.Name, d.callers)
+}
+
+func (d *day) startOutage(context.Context) {
+	d.cluster.Platform.Log.SetFaults(standin.LogFaults{Down: true})
+	d.say("log service down; %s", d.callers)
+}
+
+func (d *day) endOutage(context.Context) {
+	d.cluster.Platform.Log.SetFaults(standin.LogFaults{})
+	d.say("log service up again; %s", d.callers)
+}
+
+func (d *day) surge(ctx context.Context) {
+	d.say("surge to %d urgent requests a second", surgeLoad)
+	limited, cancel := context.WithTimeout(ctx, surgeLength)
+	defer cancel()
+	d.callers.run(limited, surgeLoad)
+	d.say("surge over; %s", d.callers)
+}
+
+// judge waits for the end of the work and counts.
+func (d *day) judge(ctx context.Context) Result {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	d.callers.wait()
+	lost := d.batch.await(ctx)
+	counters := d.cluster.Platform.Truth.Counters()
+	d.say("end of the day; %s", d.callers)
+	d.say("result codes of refused and unknown tries:%s", d.callers.codeCounts())
+	d.say("workers: %d starts, %d tasks done, %d failed attempts, %d evictions, %d lapsed leases",
+		counters.Starts, counters.Done, counters.Failed, counters.Evictions, counters.LapsedLeases)
+	for _, violation := range counters.Violations {
+		d.say("violation: %s", violation)
+	}
+	return Result{
+		Violations: len(counters.Violations) + d.callers.wrong + int(invariant.Violations()),
+		Lost:       lost,
+		Doubled:    counters.Doubled,
+		Evictions:  counters.Evictions,
+		Refused:    d.callers.refused,
+		Unknown:    d.callers.unknown,
+		Answered:   d.callers.answered,
+		UrgentP50:  d.callers.quantile(0.5),
+		UrgentP99:  d.callers.quantile(0.99),
+	}
+}
+
+// until waits for d and reports whether ctx still runs.
+func until(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -61,8 +61,7 @@
 	return spec.JobID{Team: spec.TeamID(ref.GetTeam()), Name: ref.GetName()}
 }
 
-// SubmitJob implements the SchedService. It first looks for the job in every
-// group that may have been its home, so that a repeat cannot start it twice.
+// SubmitJob implements the SchedService. A large job is submitted in parts.
 func (s *Sched) SubmitJob(ctx context.Context, call *connect.Request[schedv1.SubmitJobRequest]) (*connect.Response[schedv1.JobResponse], error) {
 	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
 	defer cancel()
@@ -70,20 +69,28 @@
 	if request.GetForwarded() {
 		return s.respondJob(s.submitHere(ctx, spec.GroupID(request.GetGroup()), request))
 	}
-	homes := s.homes(jobID(request.GetJob().GetId()))
+	return s.respondJob(s.submitParts(ctx, request.GetJob()))
+}
+
+// submitOne submits a job that is kept as one part. It first looks for it in
+// every group that may have been its home, so that a repeat cannot start it
+// twice.
+func (s *Sched) submitOne(ctx context.Context, job *recordv1.JobSpec) (*schedv1.JobResponse, error) {
+	request := &schedv1.SubmitJobRequest{Job: job}
+	homes := s.homes(jobID(job.GetId()))
 	if len(homes) == 0 {
-		return s.respondJob(nil, code.New(code.OwnerUnknown, "no worker group is known yet"))
+		return nil, code.New(code.OwnerUnknown, "no worker group is known yet")
 	}
 	for _, candidate := range homes[1:] {
-		_, err := s.getIn(ctx, candidate, request.GetJob().GetId())
+		_, err := s.getIn(ctx, candidate, job.GetId())
 		if err == nil {
-			return s.respondJob(s.submitIn(ctx, candidate, request))
+			return s.submitIn(ctx, candidate, request)
 		}
 		if code.Of(err) != code.UnknownJob {
-			return s.respondJob(nil, refusedUnsent(err))
+			return nil, refusedUnsent(err)
 		}
 	}
-	return s.respondJob(s.submitIn(ctx, homes[0], request))
+	return s.submitIn(ctx, homes[0], request)
 }
 
 // refusedUnsent turns a failed lookup into a refusal: nothing was submitted.
@@ -132,7 +139,7 @@
 	until := time.Now().Add(min(milliseconds(int64(request.GetWaitMs())), maxJobWait))
 	for {
 		changed := s.jobChanges.next(jobID(request.GetJob()))
-		response, err := s.find(ctx, request.GetJob())
+		response, err := s.findWhole(ctx, request.GetJob())
 		left := time.Until(until)
 		if err != nil || response.GetState() != request.GetKnownState() || left <= 0 {
 			return response, err
@@ -205,15 +212,20 @@
 	if request.GetForwarded() {
 		return s.respondJob(s.cancelHere(ctx, spec.GroupID(request.GetGroup()), request))
 	}
+	return s.respondJob(s.cancelParts(ctx, request))
+}
+
+// cancelOne cancels a job that is kept as one part.
+func (s *Sched) cancelOne(ctx context.Context, request *schedv1.CancelJobRequest) (*schedv1.JobResponse, error) {
 	err := code.New(code.OwnerUnknown, "no worker group is known yet")
 	for _, candidate := range s.homes(jobID(request.GetJob())) {
 		var response *schedv1.JobResponse
 		response, err = s.cancelIn(ctx, candidate, request)
 		if code.Of(err) != code.UnknownJob {
-			return s.respondJob(response, err)
+			return response, err
 		}
 	}
-	return s.respondJob(nil, err)
+	return nil, err
 }
 
 func (s *Sched) cancelIn(ctx context.Context, id spec.GroupID, request *schedv1.CancelJobRequest) (*schedv1.JobResponse, error) {
--- a/internal/sched/operate.go
+++ b/internal/sched/operate.go
@@ -142,7 +142,7 @@
 	if req.GetWorker() != "" {
 		return s.explainWorker(ctx, req.GetWorker())
 	}
-	job, err := s.find(ctx, &recordv1.JobRef{Team: req.GetTeam(), Name: req.GetJob()})
+	job, err := s.findWhole(ctx, &recordv1.JobRef{Team: req.GetTeam(), Name: req.GetJob()})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/truth.go
+++ b/internal/standin/truth.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 
 	"redwingvale/internal/spec"
@@ -64,29 +65,30 @@
 	return out
 }
 
-// FinishedTasks returns how many tasks of a job finished at least once.
-func (t *Truth) FinishedTasks(job spec.JobID) int {
+// FinishedTasks returns how many tasks of a submitted job finished at least
+// once, over all of its parts.
+func (t *Truth) FinishedTasks(team spec.TeamID, job string) int {
+	return t.countTasks(team, job, func(h *taskHistory) bool { return h.finished > 0 })
+}
+
+// RunningTasks returns how many tasks of a submitted job run now.
+func (t *Truth) RunningTasks(team spec.TeamID, job string) int {
+	return t.countTasks(team, job, func(h *taskHistory) bool { return h.runningOn != "" })
+}
+
+func (t *Truth) countTasks(team spec.TeamID, job string, match func(*taskHistory) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for id, h := range t.tasks {
-		if id.Job == job && h.finished > 0 {
+		whole := id.Job.Name == job || strings.HasPrefix(id.Job.Name, job+".part-")
+		if id.Job.Team == team && whole && match(h) {
 			n++
 		}
 	}
 	return n
 }
 
-// Running returns the worker on which a task runs now, or "".
-func (t *Truth) Running(id spec.TaskID) spec.WorkerID {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if h, ok := t.tasks[id]; ok {
-		return h.runningOn
-	}
-	return ""
-}
-
 // RequestRuns returns how often a target ran the request with this id.
 func (t *Truth) RequestRuns(id string) int {
 	t.mu.Lock()
