Entry: want fewer slots for a queue; sample explains what has not ended

Cause: each queued request counted as a need for a slot, and the peak halved only in 10 s, so batch tasks found no room after a surge.

Conclusion: part of the cause; the slots that the owner books for 11 s per grant are the other part.

--- a/internal/route/want.go
+++ b/internal/route/want.go
@@ -12,7 +12,9 @@
 const (
 	// peakHalfLife is the time in which the remembered peak of requests in
 	// flight halves.
-	peakHalfLife = 10 * time.Second
+	peakHalfLife = 3 * time.Second
+	// leastStep is the number of queued requests that always count in full.
+	leastStep = 4
 	// headroom is the share of slots wanted above the peak.
 	headroom = 1.5
 )
@@ -39,7 +41,14 @@
 		d.peak *= math.Exp2(-float64(elapsed) / float64(peakHalfLife))
 	}
 	d.peakAt = now
-	d.peak = math.Max(d.peak, float64(d.inFlight+d.queued))
+	d.peak = math.Max(d.peak, float64(d.inFlight+d.counted()))
+}
+
+// counted returns how many queued requests count as a need for slots. A slot
+// serves many requests one after another, so a long queue does not need a slot
+// for each: the need at most doubles from one renewal to the next.
+func (d *demand) counted() int {
+	return min(d.queued, max(d.inFlight, leastStep))
 }
 
 // slots returns the number of slots that the service wants.
--- a/internal/sample/jobs.go
+++ b/internal/sample/jobs.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -127,3 +129,47 @@
 		}
 	}
 }
+
+// maxReasons bounds the lines of explainMissing.
+const maxReasons = 8
+
+// explainMissing returns the state of tasks that have not ended, with the
+// reasons that the scheduler gives.
+func (b *batch) explainMissing() []string {
+	var out []string
+	for _, name := range b.order {
+		for _, task := range b.tasks(name) {
+			ended := task.State == "ended" || (task.State == "running" && b.accepted[name].Class == "long_running")
+			if !ended && len(out) < maxReasons {
+				out = append(out, fmt.Sprintf("%s#%d %s attempt %d: %s", name, task.Index, task.State, task.Attempt, strings.Join(task.Reasons, "; ")))
+			}
+		}
+	}
+	return out
+}
+
+type taskAnswer struct {
+	Index   int      `json:"index"`
+	State   string   `json:"state"`
+	Attempt int      `json:"attempt"`
+	Reasons []string `json:"reasons"`
+}
+
+func (b *batch) tasks(name string) []taskAnswer {
+	entries := b.entries()
+	if len(entries) == 0 {
+		return nil
+	}
+	answer, err := b.client.Get("http://" + entries[0] + "/v1/teams/" + team + "/jobs/" + name)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var job struct {
+		Tasks []taskAnswer `json:"tasks"`
+	}
+	if json.NewDecoder(answer.Body).Decode(&job) != nil {
+		return nil
+	}
+	return job.Tasks
+}
