--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -109,8 +109,9 @@
 
 // dialCounted dials; the connection is already counted in t.open.
 func (p *Pool) dialCounted(ctx context.Context, t *target, addr string) (*connection, error) {
-	dialer := net.Dialer{Timeout: p.settings.DialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	limited, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	raw, err := p.settings.Dial(limited, addr)
+	cancel()
 	if err != nil {
 		p.dialFailed(t)
 		return nil, &Failure{Kind: DialFailed, Cause: err}
@@ -119,6 +120,12 @@
 	return p.newConnection(t, addr, raw), nil
 }
 
+// dialTCP dials without TCP's own keep-alive: the pool probes by HTTP.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
 func (p *Pool) newConnection(t *target, addr string, raw net.Conn) *connection {
 	counted := &countingConn{Conn: raw}
 	counted.onEnd = func() { p.ended(t) }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	IdleClose  time.Duration
 	HealthPath string
 	Seed       uint64
+	// Dial replaces the dialling of TCP, for tests; nil dials.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // Event is what the pool found out about a target.
@@ -75,6 +78,9 @@
 
 // New returns an empty pool. onEvent is called without a lock held.
 func New(settings Settings, onEvent func(spec.WorkerID, Event)) *Pool {
+	if settings.Dial == nil {
+		settings.Dial = dialTCP
+	}
 	return &Pool{
 		settings: settings,
 		now:      time.Now,
--- a/internal/dedupe/begin.go
+++ b/internal/dedupe/begin.go
@@ -51,12 +51,15 @@
 		case Moved:
 			home = r.Home
 		case Proceed:
-			other := s.executing(u, home)
-			if other == "" {
+			local := s.executing(u, home)
+			if local.Kind == Proceed {
 				return &Ticket{use: u, home: home}, r
 			}
 			s.complete(home, Completion{Key: key, Hash: hash, Executor: executor, Outcome: code.NotRun})
-			home = other
+			if local.Kind != Moved {
+				return nil, local
+			}
+			home = local.Home
 		default:
 			return nil, r
 		}
@@ -64,7 +67,7 @@
 	return nil, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "the home of the idempotency key does not answer"}
 }
 
-func (s *Service) executing(u Use, home spec.InstanceID) spec.InstanceID {
+func (s *Service) executing(u Use, home spec.InstanceID) Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.core.Executing(s.timing.Now(), u, home)
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -81,7 +81,7 @@
 
 // first handles a key that is not known here.
 func (c *Core) first(now time.Duration, wall time.Time, u Use) []Effect {
-	if home := c.local.homeOf(now, u.Key); home != "" && home != c.settings.Self.Instance {
+	if home := c.askedBy(now, u.Key); home != "" && home != c.settings.Self.Instance {
 		return reply(u, Reply{Kind: Moved, Home: home})
 	}
 	if len(c.records) >= c.settings.MaxKeys {
@@ -137,6 +137,9 @@
 		return c.wait(r, u)
 	}
 	if r.state == InFlight {
+		if !c.isMember(r.movedTo) {
+			r.movedTo = ""
+		}
 		if r.movedTo != "" {
 			return reply(u, Reply{Kind: Moved, Home: r.movedTo})
 		}
--- a/internal/dedupe/local.go
+++ b/internal/dedupe/local.go
@@ -29,15 +29,6 @@
 	return localMemory{entries: make(map[Key]*execution), max: limit}
 }
 
-// homeOf returns the instance that has asked for the key, or "".
-func (m *localMemory) homeOf(now time.Duration, key Key) spec.InstanceID {
-	e := m.entries[key]
-	if e == nil || now >= e.ends {
-		return ""
-	}
-	return e.home
-}
-
 // ask returns what is known and remembers the asking home.
 func (m *localMemory) ask(now time.Duration, key Key, home spec.InstanceID, keep time.Duration) *Record {
 	e := m.entries[key]
@@ -68,9 +59,28 @@
 	}
 }
 
+// askedBy returns the member that has asked for the key as its home, or "". One
+// that is no member any more has no say: its keys have other homes.
+func (c *Core) askedBy(now time.Duration, key Key) spec.InstanceID {
+	e := c.local.entries[key]
+	if e == nil || now >= e.ends || !c.isMember(e.home) {
+		return ""
+	}
+	return e.home
+}
+
+func (c *Core) isMember(id spec.InstanceID) bool {
+	for _, m := range c.members {
+		if m.Instance == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Home returns the instance that decides on the key, as this instance knows.
 func (c *Core) Home(now time.Duration, key Key) spec.InstanceID {
-	if home := c.local.homeOf(now, key); home != "" {
+	if home := c.askedBy(now, key); home != "" {
 		return home
 	}
 	if c.stopped {
@@ -80,18 +90,30 @@
 }
 
 // Executing notes that this instance is about to carry a use out that home let
-// proceed. It returns another home when that one has asked for the key in the
-// meantime; the use must then be registered there and must not run.
-func (c *Core) Executing(now time.Duration, u Use, home spec.InstanceID) (otherHome spec.InstanceID) {
+// proceed. The use must not run unless the reply is Proceed: another home may
+// have asked for the key in the meantime, or this instance has run the key
+// before and home has lost that knowledge.
+func (c *Core) Executing(now time.Duration, u Use, home spec.InstanceID) Reply {
+	if asked := c.askedBy(now, u.Key); asked != "" && asked != home {
+		return Reply{Kind: Moved, Home: asked}
+	}
 	e := c.local.entries[u.Key]
-	if e != nil && e.home != "" && e.home != home && now < e.ends {
-		return e.home
+	if e != nil && e.known && now < e.ends && !c.faults.ignoreLocal {
+		return e.earlier()
 	}
-	e = &execution{known: true, home: ""}
+	e = &execution{known: true}
 	e.record = Record{Key: u.Key, Hash: u.Hash, State: InFlight, Executor: u.Executor}
 	c.local.entries[u.Key] = e
 	c.local.setEnd(u.Key, e, now+u.Limit)
-	return ""
+	return Reply{Kind: Proceed}
+}
+
+// earlier returns the reply for a key that was carried out here before.
+func (e *execution) earlier() Reply {
+	if e.record.State == RanOnly {
+		return Reply{Kind: AlreadyRan}
+	}
+	return Reply{Kind: Refuse, Code: code.KeyUndecidable, Detail: "an earlier use of the key may have run"}
 }
 
 // Executed notes how a use ended that this instance carried out.
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -68,6 +68,8 @@
 			hedges:  admit.NewBudget(admit.HedgeShare),
 		}
 		d.services[id] = s
+		_, granted := d.router.Slots(d.now(), id)
+		s.core.SetGranted(granted)
 	}
 	return s
 }
@@ -97,8 +99,6 @@
 	s.retries.Earn()
 	s.hedges.Earn()
 	s.waiters[id] = wait
-	_, granted := d.router.Slots(now, service)
-	s.core.SetGranted(granted)
 	request := admit.Request{ID: id, Team: team, Class: spec.Urgent, Deadline: deadline}
 	d.deliver(s, s.core.Arrive(now, request))
 	d.pump(now, s)
@@ -295,6 +295,15 @@
 	}
 }
 
+// countSlots tells admission how many slots are granted. It looks at every
+// target, so it is not done for each request.
+func (d *dispatcher) countSlots(now time.Duration) {
+	for id, s := range d.services {
+		_, granted := d.router.Slots(now, id)
+		s.core.SetGranted(granted)
+	}
+}
+
 func (d *dispatcher) sign(id spec.WorkerID, sign route.Sign) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -106,8 +106,7 @@
 
 // forwardError returns not_run only for a peer that could not be dialled.
 func forwardError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if neverSent(err) {
 		return code.New(code.NoCapacity, "the peer cannot be reached")
 	}
 	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
@@ -116,6 +115,12 @@
 	return code.New(code.AnswerLost, "the connection to the peer ended")
 }
 
+// neverSent reports whether a call failed before its connection was there.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // forwardReader reads the body of a forwarded answer.
 type forwardReader struct {
 	stream *connect.ServerStreamForClient[entryv1.ForwardResponse]
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,302 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"redwingvale/internal/code"
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+	"redwingvale/internal/gen/redwingvale/sched/v1/schedv1connect"
+	"redwingvale/internal/spec"
+)
+
+// exponential draws a value with mean 1 from the hash of an id.
+func exponential(id string) float64 {
+	u := (float64(xxhash.Sum64String(id)>>11) + 1) / (1 << 53)
+	return -math.Log(u)
+}
+
+// fakeOwner grants slots of its workers and keeps the truth about them.
+type fakeOwner struct {
+	schedv1connect.SchedServiceClient
+	world *world
+
+	mu   sync.Mutex
+	held map[string]map[string]heldGrant
+	jobs map[string]*schedv1.JobResponse
+	down bool
+}
+
+type heldGrant struct {
+	slots int
+	end   time.Time
+	inUse int
+}
+
+// world is a set of targets, one owner of all, and entries.
+type world struct {
+	tb       testing.TB
+	owner    *fakeOwner
+	services fakeServices
+
+	mu      sync.Mutex
+	targets map[string]*fakeTarget
+	workers []*schedv1.WorkerView
+	members []*recordv1.Member
+	version uint64
+	changed chan struct{}
+	slots   int
+	conns   int
+}
+
+type fakeServices map[spec.ServiceID]ServiceSettings
+
+func (f fakeServices) Resolve(name string) (spec.TeamID, error) {
+	switch name {
+	case "desk", "K-100":
+		return "desk", nil
+	case "rival":
+		return "rival", nil
+	case "K-2":
+		return "", code.New(code.AmbiguousAlias, "K-2 belongs to desk and rival")
+	}
+	return "", code.New(code.UnknownTeam, "no team %s", name)
+}
+
+func (f fakeServices) Service(_ spec.TeamID, service spec.ServiceID) (ServiceSettings, error) {
+	s, ok := f[service]
+	if !ok {
+		return s, code.New(code.UnknownService, "no service %s", service)
+	}
+	return s, nil
+}
+
+// newWorld returns a world with n targets of the service "draft".
+func newWorld(tb testing.TB, n int) *world {
+	w := &world{tb: tb, targets: map[string]*fakeTarget{}, version: 1, changed: make(chan struct{}), slots: 8, conns: 60}
+	w.services = fakeServices{"draft": {}, "safe": {Idempotent: true}}
+	w.owner = &fakeOwner{world: w, held: map[string]map[string]heldGrant{}, jobs: map[string]*schedv1.JobResponse{}}
+	for i := range n {
+		w.addTarget(fmt.Sprintf("w%03d", i), "draft", "dc1")
+	}
+	return w
+}
+
+func (w *world) addTarget(id, service, dc string) *fakeTarget {
+	t := newFakeTarget(w.tb)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.targets[id] = t
+	w.workers = append(w.workers, &schedv1.WorkerView{
+		Id: id, Group: "g1", DataCentre: dc, TargetAddr: t.addr(), Service: service, ListStamp: 1,
+	})
+	w.publish()
+	return t
+}
+
+// publish raises the version of the view; the lock is held.
+func (w *world) publish() {
+	w.version++
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *world) change(edit func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	edit()
+	w.publish()
+}
+
+func (w *world) view() *schedv1.GetViewResponse {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return &schedv1.GetViewResponse{
+		Version: w.version,
+		Members: append([]*recordv1.Member(nil), w.members...),
+		Groups:  []*schedv1.GroupView{{Id: "g1", Owner: "owner", Epoch: 1}},
+		Workers: append([]*schedv1.WorkerView(nil), w.workers...),
+	}
+}
+
+func (o *fakeOwner) GetView(ctx context.Context, req *connect.Request[schedv1.GetViewRequest]) (*connect.Response[schedv1.GetViewResponse], error) {
+	o.world.mu.Lock()
+	version, changed := o.world.version, o.world.changed
+	o.world.mu.Unlock()
+	if version == req.Msg.GetKnownVersion() {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(req.Msg.GetWaitMs()) * time.Millisecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return connect.NewResponse(o.world.view()), nil
+}
+
+const fakeGrant = time.Second
+
+// RenewGrants grants what is wanted within the capacity and an equal share.
+func (o *fakeOwner) RenewGrants(_ context.Context, req *connect.Request[schedv1.RenewGrantsRequest]) (*connect.Response[schedv1.RenewGrantsResponse], error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, connect.NewError(connect.CodeUnavailable, context.Canceled)
+	}
+	entries := max(len(o.world.view().GetMembers()), 1)
+	share := (o.world.slots + entries - 1) / entries
+	out := &schedv1.RenewGrantsResponse{}
+	now := time.Now()
+	for _, h := range req.Msg.GetHoldings() {
+		others := 0
+		for entry, g := range o.held[h.GetWorker()] {
+			if entry != req.Msg.GetEntry() {
+				others += max(g.inUse, g.slotsAt(now))
+			}
+		}
+		slots := max(min(int(h.GetWant()), share, o.world.slots-others), 0)
+		if o.held[h.GetWorker()] == nil {
+			o.held[h.GetWorker()] = map[string]heldGrant{}
+		}
+		o.held[h.GetWorker()][req.Msg.GetEntry()] = heldGrant{
+			slots: max(slots, int(h.GetInUse())), end: now.Add(fakeGrant), inUse: int(h.GetInUse()),
+		}
+		out.Grants = append(out.Grants, &schedv1.Grant{
+			Worker: h.GetWorker(), Epoch: 1, Slots: uint32(slots),
+			Connections: uint32(o.world.conns / entries), ValidMs: uint32(fakeGrant.Milliseconds()),
+		})
+	}
+	return connect.NewResponse(out), nil
+}
+
+func (g heldGrant) slotsAt(now time.Time) int {
+	if now.After(g.end) {
+		return 0
+	}
+	return g.slots
+}
+
+func (o *fakeOwner) SubmitJob(_ context.Context, req *connect.Request[schedv1.SubmitJobRequest]) (*connect.Response[schedv1.JobResponse], error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, connect.NewError(connect.CodeUnavailable, &net.OpError{Op: "dial", Err: context.Canceled})
+	}
+	answer := &schedv1.JobResponse{Job: req.Msg.GetJob(), State: "accepted", Group: "g1"}
+	o.jobs[req.Msg.GetJob().GetId().GetName()] = answer
+	return connect.NewResponse(answer), nil
+}
+
+func (o *fakeOwner) GetJob(_ context.Context, req *connect.Request[schedv1.GetJobRequest]) (*connect.Response[schedv1.JobResponse], error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if answer, ok := o.jobs[req.Msg.GetJob().GetName()]; ok {
+		return connect.NewResponse(answer), nil
+	}
+	return connect.NewResponse(&schedv1.JobResponse{Code: int32(code.UnknownJob)}), nil
+}
+
+func (o *fakeOwner) CancelJob(ctx context.Context, req *connect.Request[schedv1.CancelJobRequest]) (*connect.Response[schedv1.JobResponse], error) {
+	return o.GetJob(ctx, connect.NewRequest(&schedv1.GetJobRequest{Job: req.Msg.GetJob()}))
+}
+
+// testEntry is a running entry.
+type testEntry struct {
+	*Entry
+	stop context.CancelFunc
+	done chan error
+}
+
+var incarnations uint64
+
+// startEntry runs an entry and announces it as a member.
+func (w *world) startEntry(name string, edit func(*Config)) *testEntry {
+	config := DefaultConfig()
+	config.Instance, config.DataCentre = name, "dc1"
+	config.Listen, config.PeerListen = "127.0.0.1:0", "127.0.0.1:0"
+	config.BalancerWaitMS, config.Seed = 200, 1
+	config.KeyTakeoverMS, config.KeyClockGuardMS = 500, 100
+	incarnations++
+	config.Incarnation = incarnations
+	if edit != nil {
+		edit(&config)
+	}
+	e, err := New(config, Deps{
+		Log: zap.NewNop(), Scope: tally.NoopScope, Services: w.services, OwnSched: w.owner,
+		Sched: func(string) schedv1connect.SchedServiceClient { return w.owner },
+	})
+	if err != nil {
+		w.tb.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t := &testEntry{Entry: e, stop: stop, done: make(chan error, 1)}
+	w.change(func() {
+		w.members = append(w.members, &recordv1.Member{
+			Instance: name, Incarnation: config.Incarnation, DataCentre: "dc1",
+			SchedAddr: "owner", EntryAddr: e.PeerAddr(), Active: true,
+		})
+		if len(w.members) == 1 {
+			w.members = append(w.members, &recordv1.Member{Instance: "owner", SchedAddr: "owner"})
+		}
+	})
+	go func() { t.done <- e.Run(ctx) }()
+	w.tb.Cleanup(stop)
+	w.await("the entry's grants", func() bool { return t.Ready() && t.grantedSlots() > 0 })
+	return t
+}
+
+func (t *testEntry) grantedSlots() int {
+	t.dispatch.mu.Lock()
+	defer t.dispatch.mu.Unlock()
+	_, granted := t.dispatch.router.Slots(t.now(), "draft")
+	return granted
+}
+
+// await polls until the condition holds; its length is not judged.
+func (w *world) await(what string, condition func() bool) {
+	w.tb.Helper()
+	for range 3000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	w.tb.Fatal("gave up waiting for " + what)
+}
+
+func (w *world) runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	total := 0
+	for _, t := range w.targets {
+		total += t.count(id)
+	}
+	return total
+}
+
+func (w *world) setAll(mode int32) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.targets {
+		t.mode.Store(mode)
+	}
+}
+
+// client returns an HTTP client that closes its connections after the test.
+func (w *world) client() *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	w.tb.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -142,7 +142,7 @@
 		if err == nil {
 			return writeJob(c, resp.Msg)
 		}
-		reached = reached || connect.CodeOf(err) != connect.CodeUnavailable
+		reached = reached || !neverSent(err)
 	}
 	if changes && reached {
 		return code.New(code.AcceptanceUnsure, "no scheduler confirmed the change in time")
--- /dev/null
+++ b/internal/entry/keys_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"redwingvale/internal/code"
+)
+
+// settleKeys waits until a new UUIDv7 key is younger than every takeover.
+func settleKeys() { time.Sleep(250 * time.Millisecond) }
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// Guards against a key that runs its request again at another entry, that is
+// answered with another answer, or that is accepted with other content.
+func TestKeyRunsOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 3)
+	var entries []*testEntry
+	for _, name := range []string{"a", "b", "c"} {
+		entries = append(entries, w.startEntry(name, nil))
+	}
+	w.await("all members", func() bool { return len(entries[0].peers.order) == 2 })
+	settleKeys()
+	for i := range 6 {
+		key := newKey()
+		for j, e := range entries {
+			r := send(w.client(), "POST", callURL(e, "pay"), fmt.Sprint("k", i), "10", keyHeader, key)
+			c.Assert(r.code, qt.Equals, "RW0000", qt.Commentf("use %d at entry %d: %s", i, j, r.body))
+			c.Assert(r.body, qt.Equals, fmt.Sprintf("k%d POST /pay 10", i))
+		}
+		c.Assert(w.runs(fmt.Sprint("k", i)), qt.Equals, 1)
+		r := send(w.client(), "POST", callURL(entries[0], "pay"), fmt.Sprint("k", i), "11", keyHeader, key)
+		c.Assert(r.code, qt.Equals, code.DuplicateKey.String())
+	}
+}
+
+// Guards against a second use that runs while the first is in flight, and
+// against a key that stays blocked after a request that did not run.
+func TestKeyInFlight(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 2)
+	a, b := w.startEntry("a", nil), w.startEntry("b", nil)
+	w.await("all members", func() bool { return len(a.peers.order) == 1 })
+	settleKeys()
+	for _, target := range w.targets {
+		target.delay.Store(int64(200 * time.Millisecond))
+	}
+	key := newKey()
+	var all sync.WaitGroup
+	for i := range 6 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			e := []*testEntry{a, b}[i%2]
+			r := send(w.client(), "POST", callURL(e, "pay"), "same", "1", keyHeader, key)
+			c.Check(r.code, qt.Equals, "RW0000")
+		}()
+	}
+	all.Wait()
+	c.Assert(w.runs("same"), qt.Equals, 1)
+	key = newKey()
+	w.setAll(modeNotRun)
+	r := send(w.client(), "POST", callURL(a, "pay"), "again", "1", keyHeader, key)
+	c.Assert(r.outcome, qt.Equals, "not_run")
+	w.setAll(modeAnswer)
+	w.await("the key to be free", func() bool {
+		return send(w.client(), "POST", callURL(b, "pay"), "again", "1", keyHeader, key).code == "RW0000"
+	})
+	c.Assert(w.runs("again"), qt.Equals, 1)
+}
+
+// Guards against a planned stop that forgets what ran, and against a crash
+// after which a key that may have run runs again.
+func TestKeyAfterStopAndCrash(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 2)
+	a, b := w.startEntry("a", nil), w.startEntry("b", nil)
+	w.await("all members", func() bool { return len(a.peers.order) == 1 })
+	settleKeys()
+	keys := map[string]string{}
+	for i := range 8 {
+		id := fmt.Sprint("s", i)
+		keys[id] = newKey()
+		r := send(w.client(), "POST", callURL(a, "pay"), id, "1", keyHeader, keys[id])
+		c.Assert(r.code, qt.Equals, "RW0000")
+	}
+	c.Assert(a.Drain(context.Background()), qt.IsNil)
+	c.Assert(<-a.done, qt.IsNil)
+	for id, key := range keys {
+		r := send(w.client(), "POST", callURL(b, "pay"), id, "1", keyHeader, key)
+		c.Assert(r.code, qt.Equals, "RW0000", qt.Commentf("%s", r.body))
+		c.Assert(w.runs(id), qt.Equals, 1)
+	}
+	d := w.startEntry("d", nil)
+	w.change(func() { w.members = w.members[1:] })
+	w.await("the new member", func() bool { return len(b.peers.order) == 1 })
+	settleKeys()
+	for id, key := range keys {
+		r := send(w.client(), "POST", callURL(d, "pay"), id, "1", keyHeader, key)
+		c.Check(r.code, qt.Equals, "RW0000", qt.Commentf("%s", r.body))
+	}
+	b.stop()
+	<-b.done
+	w.change(func() { w.members = w.members[len(w.members)-1:] })
+	w.await("the crash", func() bool { return len(d.peers.order) == 0 })
+	for id, key := range keys {
+		r := send(w.client(), "POST", callURL(d, "pay"), id, "1", keyHeader, key)
+		c.Check(r.outcome, qt.Not(qt.Equals), "not_run", qt.Commentf("%s", r.body))
+		c.Check(w.runs(id), qt.Equals, 1)
+	}
+}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -187,6 +187,7 @@
 			limits.SetLimit(g.Worker, addr, d.router.Connections(now, g.Worker))
 		}
 	}
+	d.countSlots(now)
 	for _, s := range d.services {
 		d.pump(now, s)
 	}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -244,6 +244,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	d.countSlots(now)
 	out := make([]int, len(workers))
 	for i, w := range workers {
 		out[i] = d.router.Connections(now, w.ID)
