--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -196,6 +196,7 @@
 	e.duty(group, running, e.views.run)
 	e.duty(group, running, e.pool.Run)
 	e.duty(group, running, e.tick)
+	e.duty(group, running, e.followPressure)
 	e.phase.CompareAndSwap(starting, serving)
 	e.deps.Log.Info("entry started",
 		zap.String("instance", e.config.Instance), zap.String("listen", e.Addr()))
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -17,7 +17,7 @@
 	// renewTimeout leaves time for a second attempt before a grant ends.
 	renewTimeout = 400 * time.Millisecond
 	// minRenewPause spaces renewals under pressure.
-	minRenewPause = 20 * time.Millisecond
+	minRenewPause = 50 * time.Millisecond
 )
 
 // renewer renews the grants of one owner.
@@ -66,6 +66,19 @@
 	}
 }
 
+// followPressure renews ahead of time while requests wait for a slot.
+func (e *Entry) followPressure(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.dispatch.kick:
+			e.views.nudgeRenewers()
+			sleep(ctx, minRenewPause)
+		}
+	}
+}
+
 // nudgeRenewers asks all owners for grants now.
 func (v *viewKeeper) nudgeRenewers() {
 	v.mu.Lock()
