Entry: fault, drain and forwarding tests; wait for a connection, not refuse

Cause: with as many granted connections as slots, a request that met a probe of the last idle connection was refused with RW3001. A request now waits up to 50 ms for a connection, at most half of a target's idle connections are probed at a time, and a request that found none waits for another slot.

--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -30,32 +30,88 @@
 	c.transport.CloseIdleConnections()
 }
 
-// acquire returns a usable connection to the target or a Failure.
+// errHeldBack is the cause of a refusal while dialling is held back.
+var errHeldBack = errors.New("dialling is held back after failures")
+
+// acquire returns a usable connection to the target or a Failure. While all
+// granted connections are in use or being probed it waits for a short time.
 func (p *Pool) acquire(ctx context.Context, t *target) (*connection, error) {
+	timer := time.NewTimer(connectionWait)
+	defer timer.Stop()
+	for {
+		c, freed, err := p.tryAcquire(ctx, t)
+		if freed == nil {
+			return c, err
+		}
+		select {
+		case <-freed:
+		case <-timer.C:
+			return nil, &Failure{Kind: NoConnection}
+		case <-ctx.Done():
+			return nil, &Failure{Kind: NoConnection, Cause: ctx.Err()}
+		}
+	}
+}
+
+// connectionWait bounds the wait for a connection; a probe of a connection
+// that is well takes less.
+const connectionWait = 50 * time.Millisecond
+
+// tryAcquire takes an idle connection or dials. When neither is possible it
+// returns a channel that is closed when a connection has become free.
+func (p *Pool) tryAcquire(ctx context.Context, t *target) (c *connection, freed <-chan struct{}, err error) {
 	p.mu.Lock()
 	c, stale := p.takeIdle(t)
 	if c != nil {
 		p.mu.Unlock()
-		return c, nil
+		return c, nil, nil
 	}
-	if p.closed || p.now().Before(t.nextDial) || (t.open >= t.limit && stale == nil) {
+	full := t.open >= t.limit
+	if p.closed || p.now().Before(t.nextDial) {
+		t.putBack(stale)
 		p.mu.Unlock()
-		p.giveBackStale(t, stale)
-		return nil, &Failure{Kind: NoConnection}
+		return nil, nil, &Failure{Kind: DialFailed, Cause: errHeldBack}
+	}
+	if full && stale == nil {
+		freed = t.waitFreed()
+		p.mu.Unlock()
+		return nil, freed, nil
 	}
-	// A stale connection is replaced when the grant leaves room for no other.
-	replace := t.open >= t.limit
 	addr := t.addr
-	if !replace {
+	if !full {
 		t.reserve()
+		t.putBack(stale)
+		p.mu.Unlock()
+		c, err = p.dialCounted(ctx, t, addr)
+		return c, nil, err
 	}
+	// A stale connection is replaced when the grant leaves room for no other.
 	p.mu.Unlock()
-	if !replace {
-		p.giveBackStale(t, stale)
-		return p.dialCounted(ctx, t, addr)
-	}
 	stale.close()
-	return p.dialAfterClose(ctx, t, addr)
+	c, err = p.dialAfterClose(ctx, t, addr)
+	return c, nil, err
+}
+
+// waitFreed returns the channel that the next freed connection closes.
+func (t *target) waitFreed() <-chan struct{} {
+	if t.freed == nil {
+		t.freed = make(chan struct{})
+	}
+	return t.freed
+}
+
+// wake lets the requests that wait for a connection try again.
+func (t *target) wake() {
+	if t.freed != nil {
+		close(t.freed)
+		t.freed = nil
+	}
+}
+
+func (t *target) putBack(stale *connection) {
+	if stale != nil {
+		t.idle = append([]*connection{stale}, t.idle...)
+	}
 }
 
 // takeIdle returns the most recently used idle connection when it is fresh;
@@ -79,15 +135,6 @@
 	return nil, nil
 }
 
-func (p *Pool) giveBackStale(t *target, stale *connection) {
-	if stale == nil {
-		return
-	}
-	p.mu.Lock()
-	t.idle = append([]*connection{stale}, t.idle...)
-	p.mu.Unlock()
-}
-
 // dialAfterClose dials in place of a connection that was just closed.
 func (p *Pool) dialAfterClose(ctx context.Context, t *target, addr string) (*connection, error) {
 	p.mu.Lock()
@@ -156,6 +203,7 @@
 func (p *Pool) ended(t *target) {
 	p.mu.Lock()
 	t.open--
+	t.wake()
 	p.mu.Unlock()
 }
 
@@ -163,6 +211,7 @@
 func (p *Pool) dialFailed(t *target) {
 	p.mu.Lock()
 	t.open--
+	t.wake()
 	t.failures++
 	t.nextDial = p.now().Add(p.dialDelay(t.failures))
 	report := t.failures >= dialFailuresToReport && !t.reported
--- a/internal/connpool/do.go
+++ b/internal/connpool/do.go
@@ -110,5 +110,6 @@
 	c.lastUsed = p.now()
 	c.lastSent = sent
 	t.idle = append(t.idle, c)
+	t.wake()
 	return true
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -69,6 +69,8 @@
 	// open counts connections that are established or being dialled.
 	open int
 	idle []*connection
+	// freed is closed when a connection becomes free, if requests wait.
+	freed chan struct{}
 
 	failures int
 	nextDial time.Time
@@ -107,6 +109,7 @@
 	p.mu.Lock()
 	t := p.target(id, addr)
 	t.limit = limit
+	t.wake()
 	excess := t.dropAbove(limit)
 	p.mu.Unlock()
 	closeAll(excess)
--- a/internal/connpool/probe.go
+++ b/internal/connpool/probe.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"time"
 
 	"redwingvale/internal/spec"
 )
@@ -40,19 +41,9 @@
 			t.probing = true
 			dials = append(dials, id)
 		}
-		kept := t.idle[:0]
-		for _, c := range t.idle {
-			switch {
-			case c.conn.ended.Load():
-			case now.Sub(c.lastSent) >= p.settings.IdleClose:
-				unused = append(unused, c)
-			case now.Sub(c.lastUsed) >= p.settings.ProbeInterval && len(due) < maxProbesInRound:
-				due = append(due, c)
-			default:
-				kept = append(kept, c)
-			}
-		}
-		t.idle = kept
+		found := p.sortIdle(now, t, maxProbesInRound-len(due))
+		due = append(due, found.due...)
+		unused = append(unused, found.unused...)
 		if t.open == 0 && t.limit == 0 && !t.reported {
 			delete(p.targets, id)
 		}
@@ -61,6 +52,31 @@
 	return due, unused, dials
 }
 
+// sorted is what a round found among a target's idle connections.
+type sorted struct{ due, unused []*connection }
+
+// sortIdle takes connections out of the idle ones: those that nobody needs,
+// and at most half of them, up to limit, for a probe, so that requests find
+// the others.
+func (p *Pool) sortIdle(now time.Time, t *target, limit int) sorted {
+	var out sorted
+	limit = min(limit, (len(t.idle)+1)/2)
+	kept := make([]*connection, 0, len(t.idle))
+	for _, c := range t.idle {
+		switch {
+		case c.conn.ended.Load():
+		case now.Sub(c.lastSent) >= p.settings.IdleClose:
+			out.unused = append(out.unused, c)
+		case now.Sub(c.lastUsed) >= p.settings.ProbeInterval && len(out.due) < limit:
+			out.due = append(out.due, c)
+		default:
+			kept = append(kept, c)
+		}
+	}
+	t.idle = kept
+	return out
+}
+
 // probe sends HEAD for the health path on an idle connection. A connection
 // that does not answer in time is closed.
 func (p *Pool) probe(ctx context.Context, c *connection) {
--- a/internal/dedupe/asked.go
+++ b/internal/dedupe/asked.go
@@ -1,7 +1,6 @@
 package dedupe
 
 import (
-	"slices"
 	"time"
 
 	"redwingvale/internal/code"
@@ -164,6 +163,7 @@
 	}
 	if r != nil {
 		r.movedTo = home
+		r.movedAt = now
 		found = best(append(compact(found), c.export(now, r)))
 	}
 	return found, "", c.wouldKnow(now, wall, key, home), effects
@@ -182,7 +182,7 @@
 	if homeOf(key, c.members, asker) != c.settings.Self.Instance {
 		return false
 	}
-	moved, ok := c.takeoverWithout(key, asker)
+	moved, ok := c.takeover(key)
 	if !ok {
 		return true
 	}
@@ -193,28 +193,6 @@
 	return now-moved.at >= c.settings.TakeoverWindow
 }
 
-// takeoverWithout is takeover as it was before asker joined.
-func (c *Core) takeoverWithout(key Key, asker spec.InstanceID) (change, bool) {
-	for i := len(c.changes) - 1; i >= 0; i-- {
-		ch := c.changes[i]
-		if !ch.start && ch.onlyAdds(asker) {
-			continue
-		}
-		if ch.moves(key, c.clean) {
-			return ch, true
-		}
-	}
-	return change{}, false
-}
-
-// onlyAdds reports whether the change is the join of the instance alone.
-func (ch *change) onlyAdds(id spec.InstanceID) bool {
-	if len(ch.after) != len(ch.before)+1 {
-		return false
-	}
-	return slices.Equal(ch.before, without(ch.after, id))
-}
-
 func without(members []Member, id spec.InstanceID) []Member {
 	out := make([]Member, 0, len(members))
 	for _, m := range members {
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -23,6 +23,7 @@
 	waiters []Use
 	// movedTo is set when another instance has taken the key over.
 	movedTo spec.InstanceID
+	movedAt time.Duration
 	// started counts the uses that were told to proceed and have not ended as
 	// not run.
 	started int
@@ -137,7 +138,7 @@
 		return c.wait(r, u)
 	}
 	if r.state == InFlight {
-		if !c.isMember(r.movedTo) {
+		if r.movedTo != "" && c.hasLeft(r.movedTo, r.movedAt) {
 			r.movedTo = ""
 		}
 		if r.movedTo != "" {
--- a/internal/dedupe/local.go
+++ b/internal/dedupe/local.go
@@ -14,8 +14,9 @@
 	// known is false when the key was only asked about.
 	known bool
 	// home is the instance that decides on the key, when it has asked.
-	home spec.InstanceID
-	ends time.Duration
+	home    spec.InstanceID
+	askedAt time.Duration
+	ends    time.Duration
 }
 
 // localMemory is what this instance has executed or was asked about.
@@ -37,6 +38,7 @@
 		m.entries[key] = e
 	}
 	e.home = home
+	e.askedAt = now
 	m.setEnd(key, e, max(e.ends, now+keep))
 	if !e.known {
 		return nil
@@ -59,18 +61,29 @@
 	}
 }
 
-// askedBy returns the member that has asked for the key as its home, or "". One
-// that is no member any more has no say: its keys have other homes.
+// askedBy returns the instance that has asked for the key as its home, or "".
+// One that has left since has no say any more: its keys have other homes.
 func (c *Core) askedBy(now time.Duration, key Key) spec.InstanceID {
 	e := c.local.entries[key]
-	if e == nil || now >= e.ends || !c.isMember(e.home) {
+	if e == nil || now >= e.ends || c.hasLeft(e.home, e.askedAt) {
 		return ""
 	}
 	return e.home
 }
 
-func (c *Core) isMember(id spec.InstanceID) bool {
-	for _, m := range c.members {
+// hasLeft reports whether the instance stopped being a member after since. An
+// instance that is not known yet has not left.
+func (c *Core) hasLeft(id spec.InstanceID, since time.Duration) bool {
+	for _, ch := range c.changes {
+		if ch.at >= since && contains(ch.before, id) && !contains(ch.after, id) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(members []Member, id spec.InstanceID) bool {
+	for _, m := range members {
 		if m.Instance == id {
 			return true
 		}
--- a/internal/dedupe/takeover.go
+++ b/internal/dedupe/takeover.go
@@ -68,33 +68,34 @@
 	return max(c.settings.Retention, c.settings.TakeoverWindow)
 }
 
-// takeover returns the newest change in which the key's home changed and its
-// state was not handed over.
+// takeover returns the newest change in which knowledge about the key may have
+// been lost. A key's state stays where it was registered until its home asks
+// for it, so the loss of any former home counts, not only of the last one.
 func (c *Core) takeover(key Key) (change, bool) {
 	for i := len(c.changes) - 1; i >= 0; i-- {
-		if c.changes[i].moves(key, c.clean) {
-			return c.changes[i], true
+		ch := c.changes[i]
+		if ch.start {
+			return ch, true
+		}
+		for _, m := range ch.before {
+			gone := !slices.Contains(ch.after, m)
+			if gone && !c.clean[m] && c.wasHome(key, m.Instance, i) {
+				return ch, true
+			}
 		}
 	}
 	return change{}, false
 }
 
-// moves reports whether the change lost state of the key.
-func (ch *change) moves(key Key, clean map[Member]bool) bool {
-	if ch.start {
-		return true
-	}
-	before := homeOf(key, ch.before)
-	after := homeOf(key, ch.after)
-	for _, m := range ch.before {
-		if m.Instance != before {
-			continue
+// wasHome reports whether the instance was the key's home before the i-th
+// change, as far as this instance remembers.
+func (c *Core) wasHome(key Key, id spec.InstanceID, i int) bool {
+	for _, ch := range c.changes[:i+1] {
+		if homeOf(key, ch.before) == id {
+			return true
 		}
-		// A process that restarted in place has lost its state as well.
-		restarted := !slices.Contains(ch.after, m)
-		return (before != after || restarted) && !clean[m]
 	}
-	return before != after
+	return false
 }
 
 // need says what is to be done about a key that is not known here.
@@ -171,17 +172,8 @@
 		return current
 	}
 	moved, ok := c.takeover(key)
-	if !ok {
-		return ""
-	}
-	if moved.start {
+	if ok && moved.start {
 		return homeOf(key, c.members, self)
 	}
-	former := homeOf(key, moved.before)
-	for _, m := range moved.before {
-		if m.Instance == former && slices.Contains(c.members, m) {
-			return former
-		}
-	}
 	return ""
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	defer release()
-	if u.key != "" && !u.idempotent {
+	if u.key != "" && !u.idempotent && !e.faults.ignoreKeys {
 		return e.callOnce(c, u)
 	}
 	a, err := e.carryOut(c.Request().Context(), u)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,7 @@
 // faults switches mechanisms off, for tests that show that a check notices.
 type faults struct {
 	retryAlways bool
+	ignoreKeys  bool
 }
 
 // New returns an entry that listens but does not serve yet. Errors:
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -41,16 +41,21 @@
 }
 
 // carryOut takes a slot and carries the request out. The error has the code
-// and so the outcome.
+// and so the outcome. A request that found no usable connection waits for
+// another slot.
 func (e *Entry) carryOut(caller context.Context, u *urgentCall) (*answer, error) {
-	h, err := e.dispatch.acquire(caller, u.team, u.service, u.settings, u.deadline)
-	if err != nil {
-		return e.forwardInstead(u, err)
+	for try := 0; ; try++ {
+		h, err := e.dispatch.acquire(caller, u.team, u.service, u.settings, u.deadline)
+		if err != nil {
+			return e.forwardInstead(u, err)
+		}
+		x := &execution{entry: e, call: u, state: h.state}
+		a, err := x.run(h.pick)
+		e.dispatch.finish(h, err == nil)
+		if err == nil || !x.unsent || try >= e.config.MaxRetries || e.config.Plain {
+			return a, err
+		}
 	}
-	x := &execution{entry: e, call: u, state: h.state}
-	a, err := x.run(h.pick)
-	e.dispatch.finish(h, err == nil)
-	return a, err
 }
 
 // execution is the course of one started request over its attempts.
@@ -62,6 +67,8 @@
 	avoid    []spec.WorkerID
 	// unsure is the first failure after which the request may have run.
 	unsure *connpool.Failure
+	// unsent states that no attempt found a usable connection.
+	unsent bool
 }
 
 // run makes attempts until one is answered or none is allowed any more.
@@ -75,6 +82,7 @@
 		x.note(result.failure)
 		next, ok := x.retry(result.failure)
 		if !ok {
+			x.unsent = x.unsure == nil && result.failure.Kind != connpool.TargetRefused
 			return nil, x.failed(result.failure)
 		}
 		pick = next
@@ -112,9 +120,16 @@
 		return route.Pick{}, false
 	}
 	pick, ok := e.dispatch.another(x.state, x.avoid)
+	if !ok && (f.Kind == connpool.NoConnection || f.Kind == connpool.NotWritten) {
+		pick, ok = e.dispatch.another(x.state, nil)
+	}
 	if !ok {
 		return route.Pick{}, false
 	}
+	if f.Kind == connpool.NoConnection {
+		// It has waited for a connection; only the deadline bounds this.
+		x.attempts--
+	}
 	invariant.Check(notRun || x.call.idempotent || e.config.Plain, invariant.AtMostOnce,
 		"a request that may have run is sent again after %v", f)
 	e.metrics.retries.Inc(1)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -174,6 +174,15 @@
 	entry *Entry
 }
 
+// HandOverKeys takes keys of a stopping instance. Unused connections to it are
+// closed after its last message, so that its server need not wait for them.
+func (h *peerHandler) HandOverKeys(ctx context.Context, req *connect.Request[entryv1.HandOverKeysRequest]) (*connect.Response[entryv1.HandOverKeysResponse], error) {
+	if req.Msg.GetLast() {
+		defer h.entry.peers.close()
+	}
+	return h.Service.HandOverKeys(ctx, req)
+}
+
 // Forward carries out a request with a spare slot, or refuses it.
 func (h *peerHandler) Forward(_ context.Context, req *connect.Request[entryv1.ForwardRequest], out *connect.ServerStream[entryv1.ForwardResponse]) error {
 	e := h.entry
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -37,6 +37,8 @@
 	held map[string]map[string]heldGrant
 	jobs map[string]*schedv1.JobResponse
 	down bool
+	// refuse names an entry whose renewals fail.
+	refuse string
 }
 
 type heldGrant struct {
@@ -152,7 +154,7 @@
 func (o *fakeOwner) RenewGrants(_ context.Context, req *connect.Request[schedv1.RenewGrantsRequest]) (*connect.Response[schedv1.RenewGrantsResponse], error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.down {
+	if o.down || o.refuse == req.Msg.GetEntry() {
 		return nil, connect.NewError(connect.CodeUnavailable, context.Canceled)
 	}
 	entries := max(len(o.world.view().GetMembers()), 1)
