--- a/internal/dedupe/local.go
+++ b/internal/dedupe/local.go
@@ -14,8 +14,9 @@
 	// known is false when the key was only asked about.
 	known bool
 	// home is the instance that decides on the key, when it has asked.
-	home spec.InstanceID
-	ends time.Duration
+	home    spec.InstanceID
+	askedAt time.Duration
+	ends    time.Duration
 }
 
 // localMemory is what this instance has executed or was asked about.
@@ -29,15 +30,6 @@
 	return localMemory{entries: make(map[Key]*execution), max: limit}
 }
 
-// homeOf returns the instance that has asked for the key, or "".
-func (m *localMemory) homeOf(now time.Duration, key Key) spec.InstanceID {
-	e := m.entries[key]
-	if e == nil || now >= e.ends {
-		return ""
-	}
-	return e.home
-}
-
 // ask returns what is known and remembers the asking home.
 func (m *localMemory) ask(now time.Duration, key Key, home spec.InstanceID, keep time.Duration) *Record {
 	e := m.entries[key]
@@ -46,6 +38,7 @@
 		m.entries[key] = e
 	}
 	e.home = home
+	e.askedAt = now
 	m.setEnd(key, e, max(e.ends, now+keep))
 	if !e.known {
 		return nil
@@ -68,9 +61,39 @@
 	}
 }
 
+// askedBy returns the instance that has asked for the key as its home, or "".
+// One that has left since has no say any more: its keys have other homes.
+func (c *Core) askedBy(now time.Duration, key Key) spec.InstanceID {
+	e := c.local.entries[key]
+	if e == nil || now >= e.ends || c.hasLeft(e.home, e.askedAt) {
+		return ""
+	}
+	return e.home
+}
+
+// hasLeft reports whether the instance stopped being a member after since. An
+// instance that is not known yet has not left.
+func (c *Core) hasLeft(id spec.InstanceID, since time.Duration) bool {
+	for _, ch := range c.changes {
+		if ch.at >= since && contains(ch.before, id) && !contains(ch.after, id) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(members []Member, id spec.InstanceID) bool {
+	for _, m := range members {
+		if m.Instance == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Home returns the instance that decides on the key, as this instance knows.
 func (c *Core) Home(now time.Duration, key Key) spec.InstanceID {
-	if home := c.local.homeOf(now, key); home != "" {
+	if home := c.askedBy(now, key); home != "" {
 		return home
 	}
 	if c.stopped {
@@ -80,18 +103,30 @@
 }
 
 // Executing notes that this instance is about to carry a use out that home let
-// proceed. It returns another home when that one has asked for the key in the
-// meantime; the use must then be registered there and must not run.
-func (c *Core) Executing(now time.Duration, u Use, home spec.InstanceID) (otherHome spec.InstanceID) {
+// proceed. The use must not run unless the reply is Proceed: another home may
+// have asked for the key in the meantime, or this instance has run the key
+// before and home has lost that knowledge.
+func (c *Core) Executing(now time.Duration, u Use, home spec.InstanceID) Reply {
+	if asked := c.askedBy(now, u.Key); asked != "" && asked != home {
+		return Reply{Kind: Moved, Home: asked}
+	}
 	e := c.local.entries[u.Key]
-	if e != nil && e.home != "" && e.home != home && now < e.ends {
-		return e.home
+	if e != nil && e.known && now < e.ends && !c.faults.ignoreLocal {
+		return e.earlier()
 	}
-	e = &execution{known: true, home: ""}
+	e = &execution{known: true}
 	e.record = Record{Key: u.Key, Hash: u.Hash, State: InFlight, Executor: u.Executor}
 	c.local.entries[u.Key] = e
 	c.local.setEnd(u.Key, e, now+u.Limit)
-	return ""
+	return Reply{Kind: Proceed}
+}
+
+// earlier returns the reply for a key that was carried out here before.
+func (e *execution) earlier() Reply {
+	if e.record.State == RanOnly {
+		return Reply{Kind: AlreadyRan}
+	}
+	return Reply{Kind: Refuse, Code: code.KeyUndecidable, Detail: "an earlier use of the key may have run"}
 }
 
 // Executed notes how a use ended that this instance carried out.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,7 @@
 // faults switches mechanisms off, for tests that show that a check notices.
 type faults struct {
 	retryAlways bool
+	ignoreKeys  bool
 }
 
 // New returns an entry that listens but does not serve yet. Errors:
@@ -196,6 +197,7 @@
 	e.duty(group, running, e.views.run)
 	e.duty(group, running, e.pool.Run)
 	e.duty(group, running, e.tick)
+	e.duty(group, running, e.followPressure)
 	e.phase.CompareAndSwap(starting, serving)
 	e.deps.Log.Info("entry started",
 		zap.String("instance", e.config.Instance), zap.String("listen", e.Addr()))
