--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,10 +46,12 @@
 	peers    *peerSet
 	metrics  *metrics
 
-	faults      faults
-	inFlight    atomic.Int64
-	bodyBytes   atomic.Int64
-	submits     atomic.Int64
+	faults    faults
+	inFlight  atomic.Int64
+	bodyBytes atomic.Int64
+	submits   atomic.Int64
+	// renewals numbers the renewals of grants.
+	renewals    atomic.Uint64
 	background  sync.WaitGroup
 	callers     *http.Server
 	peerServer  *http.Server
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -124,7 +124,9 @@
 	}
 }
 
-// renew reports what is held and wanted, and takes the grants in.
+// renew reports what is held and wanted, and takes the grants in. The sequence
+// is taken before the holdings, and one renewer has one request open at a
+// time, so an owner that sees a larger sequence sees newer holdings.
 func (r *renewer) renew(ctx context.Context) {
 	e := r.entry
 	client := e.views.schedOf(r.owner)
@@ -137,13 +139,16 @@
 		Entry:            e.config.Instance,
 		EntryIncarnation: e.config.Incarnation,
 		Draining:         draining,
+		Sequence:         e.renewals.Add(1),
 	}
 	for _, h := range e.dispatch.holdings(r.owner, e.phase.Load() >= closing) {
 		req.Holdings = append(req.Holdings, &schedv1.Holding{
-			Worker:      string(h.Worker),
-			InUse:       uint32(h.InUse),
-			Want:        uint32(h.Want),
-			Connections: uint32(e.pool.Open(h.Worker)),
+			Worker:          string(h.Worker),
+			InUse:           uint32(h.InUse),
+			Want:            uint32(h.Want),
+			Connections:     uint32(e.pool.Open(h.Worker)),
+			HeldSlots:       uint32(h.Held),
+			HeldConnections: uint32(h.HeldConnections),
 		})
 	}
 	limited, cancel := context.WithTimeout(ctx, renewTimeout)
--- a/internal/local/instance.go
+++ b/internal/local/instance.go
@@ -31,6 +31,10 @@
 // Here all of them run on one machine and read the same clock.
 const sameClockGuardMS = 50
 
+// handOffAfterMS is how long a job waits in a group that has no room. The
+// groups of the local cluster are small, so waiting longer helps little.
+const handOffAfterMS = 1000
+
 // idleSlots is the number of slots that an idle entry keeps. The local cluster
 // has 96 slots, so the default of a real deployment would leave too few for
 // batch tasks.
@@ -117,6 +121,7 @@
 	config.DataCentre = centre
 	config.EntryPeerAddr = i.Entry.PeerAddr()
 	config.LogRetentionS = int64(c.options.Platform.RetentionS)
+	config.HandOffAfterMS = handOffAfterMS
 	log := c.Platform.Log.For(i.Name)
 	i.Sched = sched.New(config, sockets, sched.Deps{
 		Log:         log,
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -84,6 +84,10 @@
 	Worker spec.WorkerID
 	InUse  int
 	Want   int
+	// Held and HeldConnections are what the grant allows that could still be
+	// used when the holdings were taken; 0 after its end.
+	Held            int
+	HeldConnections int
 }
 
 // Router chooses targets within the grants. Implementations are not safe for
--- a/internal/route/want.go
+++ b/internal/route/want.go
@@ -75,7 +75,7 @@
 			total = max(total-grantedSlots(now, tier), 0)
 		}
 	}
-	out = b.appendAbsent(out, owner)
+	out = b.appendAbsent(out, now, owner)
 	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
 	return out
 }
@@ -98,22 +98,32 @@
 			want = 1
 		}
 		if t.worker.Owner == owner && (want > 0 || t.inUse > 0 || t.live(now)) {
-			out = append(out, Holding{Worker: t.worker.ID, InUse: t.inUse, Want: want})
+			out = append(out, t.holding(now, want))
 		}
 	}
 	return out
 }
 
 // appendAbsent reports requests in flight on workers that the view has lost.
-func (b *Book) appendAbsent(out []Holding, owner spec.InstanceID) []Holding {
+func (b *Book) appendAbsent(out []Holding, now time.Duration, owner spec.InstanceID) []Holding {
 	for _, t := range b.targets {
-		if !t.present && t.inUse > 0 && t.worker.Owner == owner {
-			out = append(out, Holding{Worker: t.worker.ID, InUse: t.inUse})
+		if !t.present && (t.inUse > 0 || t.live(now)) && t.worker.Owner == owner {
+			out = append(out, t.holding(now, 0))
 		}
 	}
 	return out
 }
 
+// holding states what the target uses and what its grant still allows.
+func (t *target) holding(now time.Duration, want int) Holding {
+	out := Holding{Worker: t.worker.ID, InUse: t.inUse, Want: want}
+	if t.live(now) {
+		out.Held = t.slots
+		out.HeldConnections = t.connections
+	}
+	return out
+}
+
 // wantable reports whether more slots of the target would be of use.
 func (t *target) wantable() bool { return !t.leaving.marked() && !t.health.ejected }
 
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -242,8 +242,10 @@
 	d.say("result codes of refused and unknown tries:%s", d.callers.codeCounts())
 	d.say("workers: %d starts, %d tasks done, %d failed attempts, %d evictions, %d lapsed leases",
 		counters.Starts, counters.Done, counters.Failed, counters.Evictions, counters.LapsedLeases)
-	for _, line := range d.batch.explainMissing() {
-		d.say("not ended: %s", line)
+	if lost > 0 {
+		for _, line := range d.batch.explainMissing() {
+			d.say("not ended: %s", line)
+		}
 	}
 	for _, violation := range counters.Violations {
 		d.say("violation: %s", violation)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -66,7 +66,7 @@
 		ControlAddr:    "127.0.0.1:7400",
 		DataCentres:    []string{"kago-a", "kuma-b", "miya-c"},
 		Workers:        12,
-		WorkersPerRack: 2,
+		WorkersPerRack: 4,
 		Service:        "meter-reads",
 		ServiceTimeMS:  4,
 		RetentionS:     3600,
--- a/internal/standin/truth.go
+++ b/internal/standin/truth.go
@@ -20,7 +20,7 @@
 	Starts int `json:"starts"`
 	// Done counts tasks that finished.
 	Done int `json:"done"`
-	// Failed counts attempts that failed on their worker.
+	// Failed counts attempts that failed before any of them had run.
 	Failed int `json:"failed"`
 	// Evictions counts attempts that were stopped before they had finished.
 	Evictions int `json:"evictions"`
@@ -128,12 +128,18 @@
 
 const (
 	endDone taskEnd = iota
-	endFailed
 	endStopped
 	endLapsed
 	endBoot
 )
 
+// startFailed counts an attempt that failed before any of it had run.
+func (t *Truth) startFailed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters.Failed++
+}
+
 func (t *Truth) taskEnded(id spec.TaskID, how taskEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -143,8 +149,6 @@
 	case endDone:
 		h.finished++
 		t.counters.Done++
-	case endFailed:
-		t.counters.Failed++
 	case endStopped:
 		t.counters.Evictions++
 	case endLapsed:
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -16,7 +16,7 @@
 
 // WorkerFaults are the faults of one worker.
 type WorkerFaults struct {
-	// FailEverything makes each started task fail at once.
+	// FailEverything makes each task fail before any of it has run.
 	FailEverything bool `json:"fail_everything" toml:"fail_everything"`
 	// Unreachable makes the control interface and the target answer nothing.
 	Unreachable bool `json:"unreachable" toml:"unreachable"`
@@ -224,16 +224,17 @@
 		task.detail = "start came after the latest start time"
 		return
 	}
+	if w.faults.FailEverything {
+		task.state = platform.TaskFailed
+		task.detail = "the task could not be started"
+		w.truth.startFailed()
+		return
+	}
 	task.state = platform.TaskRunning
 	task.ran = true
 	task.checkpoint = command.Checkpoint
 	task.progress = progressOf(command.Checkpoint)
 	w.truth.taskStarted(key.task, key.attempt, w.spec.ID)
-	if w.faults.FailEverything {
-		task.state = platform.TaskFailed
-		task.detail = "worker fails everything"
-		w.truth.taskEnded(key.task, endFailed)
-	}
 }
 
 func (w *Worker) stop(key taskKey, task *runningTask) {
