Fault tests over the local cluster; load generator package

Cause: the guarantees have to be shown over the whole path, with the workers' and callers' own records as the judge.

--- a/cmd/rwctl/log.go
+++ b/cmd/rwctl/log.go
@@ -3,11 +3,11 @@
 import (
 	"net/http"
 
-	"redwingvale/internal/code"
 	"redwingvale/internal/platform"
+	"redwingvale/internal/platform/rest"
 )
 
 // openLog returns the adapter of the log service at a base URL.
-func openLog(string, *http.Client) (platform.Log, error) {
-	return nil, code.New(code.LogUnavailable, "this build has no adapter to the log service")
+func openLog(baseURL string, client *http.Client) (platform.Log, error) {
+	return rest.NewLog(baseURL, client), nil
 }
--- a/internal/sample/jobs.go
+++ b/internal/loadgen/batch.go
@@ -1,4 +1,4 @@
-package sample
+package loadgen
 
 import (
 	"bytes"
@@ -11,55 +11,60 @@
 
 	"github.com/cockroachdb/errors"
 
+	"redwingvale/internal/spec"
 	"redwingvale/internal/standin"
 )
 
-// jobBody is the JSON body of a submitted job, as docs/api.md describes it.
-type jobBody struct {
-	Service  string     `json:"service"`
-	Class    string     `json:"class"`
-	Kind     string     `json:"kind"`
-	Tasks    int        `json:"tasks"`
-	PerTask  amountBody `json:"per_task"`
-	RunTimeS float64    `json:"run_time_s,omitempty"`
-	Deadline string     `json:"deadline,omitempty"`
-	Restart  string     `json:"restart,omitempty"`
+// Job is the JSON body of a submitted job, as docs/api.md describes it.
+type Job struct {
+	Service  string  `json:"service"`
+	Class    string  `json:"class"`
+	Kind     string  `json:"kind"`
+	Tasks    int     `json:"tasks"`
+	PerTask  Amount  `json:"per_task"`
+	RunTimeS float64 `json:"run_time_s,omitempty"`
+	Deadline string  `json:"deadline,omitempty"`
+	Restart  string  `json:"restart,omitempty"`
 }
 
-type amountBody struct {
+// Amount is what one task of a job reserves.
+type Amount struct {
 	MilliCPU  int64 `json:"milli_cpu"`
 	MemoryMiB int64 `json:"memory_mib"`
 	Slots     int64 `json:"slots"`
 }
 
 const (
-	team          = "kagoshima-billing"
 	submitTimeout = 3 * time.Second
 	submitRetry   = 100 * time.Millisecond
 	jobPoll       = 100 * time.Millisecond
 )
 
-// batch submits jobs and follows them through any ready entry.
-type batch struct {
+// Batch submits jobs and follows them through any ready entry.
+type Batch struct {
+	team     spec.TeamID
 	entries  func() []string
 	client   *http.Client
 	truth    *standin.Truth
-	accepted map[string]jobBody
+	accepted map[string]Job
 	order    []string
 }
 
-func newBatch(entries func() []string, truth *standin.Truth) *batch {
-	return &batch{
+// NewBatch returns a team's batch work. The workers' own records, truth, tell
+// what has ended.
+func NewBatch(team spec.TeamID, entries func() []string, truth *standin.Truth) *Batch {
+	return &Batch{
+		team:     team,
 		entries:  entries,
 		client:   &http.Client{Timeout: submitTimeout},
 		truth:    truth,
-		accepted: make(map[string]jobBody),
+		accepted: make(map[string]Job),
 	}
 }
 
-// submit repeats the submission of a job until it is accepted or ctx ends. The
+// Submit repeats the submission of a job until it is accepted or ctx ends. The
 // job's id makes a repeat harmless.
-func (b *batch) submit(ctx context.Context, name string, job jobBody) error {
+func (b *Batch) Submit(ctx context.Context, name string, job Job) error {
 	content, err := json.Marshal(job)
 	if err != nil {
 		return errors.Wrap(err, "encode job")
@@ -79,12 +84,12 @@
 	}
 }
 
-func (b *batch) put(name string, content []byte) int {
+func (b *Batch) put(name string, content []byte) int {
 	entries := b.entries()
 	if len(entries) == 0 {
 		return 0
 	}
-	url := "http://" + entries[0] + "/v1/teams/" + team + "/jobs/" + name
+	url := "http://" + entries[0] + "/v1/teams/" + string(b.team) + "/jobs/" + name
 	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(content))
 	if err != nil {
 		return 0
@@ -98,27 +103,27 @@
 	return answer.StatusCode
 }
 
-// missing returns the number of tasks of accepted jobs that have not ended as
+// Missing returns the number of tasks of accepted jobs that have not ended as
 // they should: finished for deadline jobs, running for long-running ones. The
 // workers' own records decide.
-func (b *batch) missing() int {
+func (b *Batch) Missing() int {
 	missing := 0
 	for _, name := range b.order {
 		job := b.accepted[name]
 		if job.Class == "long_running" {
-			missing += job.Tasks - b.truth.RunningTasks(team, name)
+			missing += job.Tasks - b.truth.RunningTasks(b.team, name)
 			continue
 		}
-		missing += job.Tasks - b.truth.FinishedTasks(team, name)
+		missing += job.Tasks - b.truth.FinishedTasks(b.team, name)
 	}
 	return missing
 }
 
-// await waits until nothing is missing or ctx ends, and returns what is
+// Await waits until nothing is missing or ctx ends, and returns what is
 // missing then.
-func (b *batch) await(ctx context.Context) int {
+func (b *Batch) Await(ctx context.Context) int {
 	for {
-		missing := b.missing()
+		missing := b.Missing()
 		if missing == 0 {
 			return 0
 		}
@@ -130,12 +135,12 @@
 	}
 }
 
-// maxReasons bounds the lines of explainMissing.
+// maxReasons bounds the lines of ExplainMissing.
 const maxReasons = 8
 
-// explainMissing returns the state of tasks that have not ended, with the
+// ExplainMissing returns the state of tasks that have not ended, with the
 // reasons that the scheduler gives.
-func (b *batch) explainMissing() []string {
+func (b *Batch) ExplainMissing() []string {
 	var out []string
 	for _, name := range b.order {
 		for _, task := range b.tasks(name) {
@@ -155,12 +160,12 @@
 	Reasons []string `json:"reasons"`
 }
 
-func (b *batch) tasks(name string) []taskAnswer {
+func (b *Batch) tasks(name string) []taskAnswer {
 	entries := b.entries()
 	if len(entries) == 0 {
 		return nil
 	}
-	answer, err := b.client.Get("http://" + entries[0] + "/v1/teams/" + team + "/jobs/" + name)
+	answer, err := b.client.Get("http://" + entries[0] + "/v1/teams/" + string(b.team) + "/jobs/" + name)
 	if err != nil {
 		return nil
 	}
--- a/internal/sample/callers.go
+++ b/internal/loadgen/callers.go
@@ -1,4 +1,7 @@
-package sample
+// Package loadgen plays callers: desks that send urgent requests and check each
+// answer, and teams that submit jobs and follow them. It knows the system only
+// by the callers' interface.
+package loadgen
 
 import (
 	"bytes"
@@ -28,10 +31,22 @@
 	maxAnswerBytes = 1 << 20
 )
 
-// callers is a set of customers' desks that send urgent requests and check
+// Counts is how requests ended as their callers saw it.
+type Counts struct {
+	// Answered requests got a whole answer to themselves.
+	Answered int
+	// Wrong requests got an answer that is cut or belongs to another request.
+	Wrong int
+	// Refused requests surely did not run.
+	Refused int
+	// Unknown requests may have run.
+	Unknown int
+}
+
+// Callers is a set of customers' desks that send urgent requests and check
 // each answer. A request that surely did not run is sent again through
 // another entry.
-type callers struct {
+type Callers struct {
 	entries func() []string
 	path    string
 	client  *http.Client
@@ -39,17 +54,16 @@
 
 	mu        sync.Mutex
 	latencies []time.Duration
-	answered  int
-	wrong     int
-	refused   int
-	unknown   int
+	counts    Counts
 	codes     map[string]int
 	running   sync.WaitGroup
 }
 
-func newCallers(entries func() []string, path string) *callers {
+// NewCallers returns callers that send requests to path at one of the entries,
+// each a host:port, in turn.
+func NewCallers(entries func() []string, path string) *Callers {
 	transport := &http.Transport{MaxIdleConnsPerHost: callerConns}
-	return &callers{
+	return &Callers{
 		entries: entries,
 		path:    path,
 		client:  &http.Client{Transport: transport, Timeout: callerTimeout},
@@ -57,8 +71,8 @@
 	}
 }
 
-// run sends perSecond requests a second, evenly spaced, until ctx ends.
-func (c *callers) run(ctx context.Context, perSecond int) {
+// Run sends perSecond requests a second, evenly spaced, until ctx ends.
+func (c *Callers) Run(ctx context.Context, perSecond int) {
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	for {
@@ -75,7 +89,7 @@
 	}
 }
 
-func (c *callers) request() {
+func (c *Callers) request() {
 	id, err := uuid.NewV7()
 	if err != nil {
 		return
@@ -92,7 +106,7 @@
 }
 
 // send makes one try and returns ran, not_run, unknown or wrong.
-func (c *callers) send(id string) string {
+func (c *Callers) send(id string) string {
 	entries := c.entries()
 	if len(entries) == 0 {
 		return "not_run"
@@ -131,30 +145,37 @@
 	return "ran"
 }
 
-func (c *callers) count(outcome string, took time.Duration) {
+func (c *Callers) count(outcome string, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch outcome {
 	case "ran":
-		c.answered++
+		c.counts.Answered++
 		c.latencies = append(c.latencies, took)
 	case "wrong":
-		c.wrong++
+		c.counts.Wrong++
 	case "not_run":
-		c.refused++
+		c.counts.Refused++
 	default:
-		c.unknown++
+		c.counts.Unknown++
 	}
 }
 
-func (c *callers) countCode(code string) {
+func (c *Callers) countCode(code string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.codes[code]++
 }
 
-// codeCounts lists how often each result code other than success was seen.
-func (c *callers) codeCounts() string {
+// Counts returns the counts so far.
+func (c *Callers) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// CodeCounts lists how often each result code other than success was seen.
+func (c *Callers) CodeCounts() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	names := make([]string, 0, len(c.codes))
@@ -169,11 +190,11 @@
 	return out.String()
 }
 
-// wait returns when every request has ended.
-func (c *callers) wait() { c.running.Wait() }
+// Wait returns when every request has ended.
+func (c *Callers) Wait() { c.running.Wait() }
 
-// quantile returns the latency below which the share q of answers lies.
-func (c *callers) quantile(q float64) time.Duration {
+// Quantile returns the latency below which the share q of answers lies.
+func (c *Callers) Quantile(q float64) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.latencies) == 0 {
@@ -184,8 +205,7 @@
 }
 
 // String summarises the counts so far.
-func (c *callers) String() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return fmt.Sprintf("answered %d, refused %d, unknown %d, wrong %d", c.answered, c.refused, c.unknown, c.wrong)
+func (c *Callers) String() string {
+	n := c.Counts()
+	return fmt.Sprintf("answered %d, refused %d, unknown %d, wrong %d", n.Answered, n.Refused, n.Unknown, n.Wrong)
 }
--- /dev/null
+++ b/internal/local/faults_test.go
@@ -0,0 +1,141 @@
+package local_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/loadgen"
+	"redwingvale/internal/local"
+	"redwingvale/internal/sample"
+	"redwingvale/internal/standin"
+)
+
+// Bounds of the tests. Those on the system come from docs/design.md.
+const (
+	testTimeout   = 60 * time.Second
+	urgentPerSec  = 100
+	takeoverBound = 4200 * time.Millisecond
+)
+
+const urgentPath = "/v1/teams/kagoshima-billing/services/meter-reads/call/read"
+
+func startCluster(t *testing.T) (*qt.C, *local.Cluster, context.Context) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	cluster, err := local.Start(ctx, local.DefaultOptions())
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(cluster.Stop)
+	c.Assert(cluster.AwaitReady(ctx), qt.IsNil)
+	c.Assert(sample.ApplyDocuments(ctx, cluster), qt.IsNil)
+	return c, cluster, ctx
+}
+
+func monthEnd(tasks int, runTimeS float64) loadgen.Job {
+	return loadgen.Job{
+		Service:  "tariff-invoices",
+		Class:    "deadline",
+		Kind:     "month-end",
+		Tasks:    tasks,
+		PerTask:  loadgen.Amount{MilliCPU: 2000, MemoryMiB: 4096, Slots: 1},
+		RunTimeS: runTimeS,
+	}
+}
+
+// Guards against a job that is lost or run twice when an instance dies,
+// whichever instance it is.
+func TestAnyInstanceCanDie(t *testing.T) {
+	for victim := range 3 {
+		t.Run(local.DefaultOptions().Platform.DataCentres[victim], func(t *testing.T) {
+			t.Parallel()
+			c, cluster, ctx := startCluster(t)
+			batch := loadgen.NewBatch("kagoshima-billing", cluster.ReadyEntries, cluster.Platform.Truth)
+			c.Assert(batch.Submit(ctx, "run", monthEnd(24, 1)), qt.IsNil)
+			cluster.Instances()[victim].Kill()
+			c.Assert(batch.Await(ctx), qt.Equals, 0)
+			counters := cluster.Platform.Truth.Counters()
+			c.Assert(counters.Violations, qt.HasLen, 0)
+			c.Assert(counters.Done, qt.Equals, 24)
+		})
+	}
+}
+
+// Guards against state that lives in a process only: all instances die at
+// once and start again on the same addresses' names.
+func TestAllInstancesRestartAtOnce(t *testing.T) {
+	t.Parallel()
+	c, cluster, ctx := startCluster(t)
+	batch := loadgen.NewBatch("kagoshima-billing", cluster.ReadyEntries, cluster.Platform.Truth)
+	c.Assert(batch.Submit(ctx, "run", monthEnd(24, 3)), qt.IsNil)
+	instances := cluster.Instances()
+	for _, instance := range instances {
+		instance.Kill()
+	}
+	for _, instance := range instances {
+		_, err := cluster.StartInstance(instance.Name)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(batch.Await(ctx), qt.Equals, 0)
+	counters := cluster.Platform.Truth.Counters()
+	c.Assert(counters.Violations, qt.HasLen, 0)
+	c.Assert(counters.Done, qt.Equals, 24)
+	c.Assert(counters.LapsedLeases, qt.Equals, 0)
+}
+
+// Guards against urgent work that depends on the log.
+func TestUrgentGoesOnThroughLogOutage(t *testing.T) {
+	t.Parallel()
+	c, cluster, ctx := startCluster(t)
+	cluster.Platform.Log.SetFaults(standin.LogFaults{Down: true})
+	callers := loadgen.NewCallers(cluster.ReadyEntries, urgentPath)
+	limited, cancel := context.WithTimeout(ctx, 6*time.Second)
+	defer cancel()
+	callers.Run(limited, urgentPerSec)
+	callers.Wait()
+	counts := callers.Counts()
+	c.Assert(counts.Wrong+counts.Refused+counts.Unknown, qt.Equals, 0, qt.Commentf("%s%s", callers, callers.CodeCounts()))
+	c.Assert(counts.Answered > 0, qt.IsTrue)
+}
+
+// Guards against two owners when the log is hidden from one instance only, and
+// against worker groups that stay without an owner.
+func TestLogHiddenFromOneInstance(t *testing.T) {
+	t.Parallel()
+	c, cluster, ctx := startCluster(t)
+	batch := loadgen.NewBatch("kagoshima-billing", cluster.ReadyEntries, cluster.Platform.Truth)
+	c.Assert(batch.Submit(ctx, "run", monthEnd(48, 1)), qt.IsNil)
+	cluster.Platform.Log.SetFaults(standin.LogFaults{HiddenFrom: []string{"e1"}})
+	c.Assert(batch.Await(ctx), qt.Equals, 0)
+	cluster.Platform.Log.SetFaults(standin.LogFaults{})
+	counters := cluster.Platform.Truth.Counters()
+	c.Assert(counters.Violations, qt.HasLen, 0)
+	c.Assert(counters.Done, qt.Equals, 48)
+}
+
+// Guards against a planned stop that cuts, loses or doubles a request.
+func TestRollingRestartCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	c, cluster, ctx := startCluster(t)
+	callers := loadgen.NewCallers(cluster.ReadyEntries, urgentPath)
+	loading, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		callers.Run(loading, urgentPerSec)
+	}()
+	for _, instance := range cluster.Instances() {
+		c.Assert(instance.Drain(ctx), qt.IsNil)
+		_, err := cluster.StartInstance(instance.Name)
+		c.Assert(err, qt.IsNil)
+		c.Assert(cluster.AwaitReady(ctx), qt.IsNil)
+	}
+	stop()
+	<-done
+	callers.Wait()
+	counts := callers.Counts()
+	c.Assert(counts.Wrong+counts.Unknown, qt.Equals, 0, qt.Commentf("%s%s", callers, callers.CodeCounts()))
+	c.Assert(cluster.Platform.Truth.Counters().Violations, qt.HasLen, 0)
+}
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"redwingvale/internal/invariant"
+	"redwingvale/internal/loadgen"
 	"redwingvale/internal/local"
 	"redwingvale/internal/spec"
 	"redwingvale/internal/standin"
@@ -24,6 +25,7 @@
 
 // Times and loads of the day.
 const (
+	team          = "kagoshima-billing"
 	startTimeout  = 15 * time.Second
 	dayLength     = 12 * time.Second
 	endTimeout    = 6 * time.Second
@@ -69,8 +71,8 @@
 	out     io.Writer
 	began   time.Time
 	cluster *local.Cluster
-	callers *callers
-	batch   *batch
+	callers *loadgen.Callers
+	batch   *loadgen.Batch
 }
 
 // Run runs the day and writes its progress to out. The log lines of the
@@ -88,8 +90,8 @@
 		out:     out,
 		began:   time.Now(),
 		cluster: cluster,
-		callers: newCallers(cluster.ReadyEntries, "/v1/teams/SNK-2207/services/meter-reads/call/read"),
-		batch:   newBatch(cluster.ReadyEntries, cluster.Platform.Truth),
+		callers: loadgen.NewCallers(cluster.ReadyEntries, "/v1/teams/SNK-2207/services/meter-reads/call/read"),
+		batch:   loadgen.NewBatch(team, cluster.ReadyEntries, cluster.Platform.Truth),
 	}
 	if err := d.prepare(ctx); err != nil {
 		return Result{}, err
@@ -142,7 +144,7 @@
 func (d *day) live(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, dayLength)
 	defer cancel()
-	go d.callers.run(ctx, steadyLoad)
+	go d.callers.Run(ctx, steadyLoad)
 	if err := d.submitJobs(ctx); err != nil {
 		return err
 	}
@@ -176,17 +178,17 @@
 	deadline := time.Now().Add(dayLength).UTC().Format(time.RFC3339)
 	jobs := []struct {
 		name string
-		body jobBody
+		body loadgen.Job
 	}{
-		{"watchers", jobBody{Service: "ledger-watch", Class: "long_running", Kind: "watcher", Tasks: watcherTasks,
-			PerTask: amountBody{MilliCPU: 500, MemoryMiB: 1024, Slots: 1}, Restart: "from_start"}},
-		{"month-end", jobBody{Service: "tariff-invoices", Class: "deadline", Kind: "month-end", Tasks: monthEndTasks,
-			PerTask: amountBody{MilliCPU: 4000, MemoryMiB: 8192, Slots: 2}, RunTimeS: 1, Deadline: deadline}},
-		{"noisy", jobBody{Service: "tariff-invoices", Class: "deadline", Kind: standin.NoisyKind, Tasks: noisyTasks,
-			PerTask: amountBody{MilliCPU: 2000, MemoryMiB: 4096, Slots: 1}, RunTimeS: 5, Restart: "from_start"}},
+		{"watchers", loadgen.Job{Service: "ledger-watch", Class: "long_running", Kind: "watcher", Tasks: watcherTasks,
+			PerTask: loadgen.Amount{MilliCPU: 500, MemoryMiB: 1024, Slots: 1}, Restart: "from_start"}},
+		{"month-end", loadgen.Job{Service: "tariff-invoices", Class: "deadline", Kind: "month-end", Tasks: monthEndTasks,
+			PerTask: loadgen.Amount{MilliCPU: 4000, MemoryMiB: 8192, Slots: 2}, RunTimeS: 1, Deadline: deadline}},
+		{"noisy", loadgen.Job{Service: "tariff-invoices", Class: "deadline", Kind: standin.NoisyKind, Tasks: noisyTasks,
+			PerTask: loadgen.Amount{MilliCPU: 2000, MemoryMiB: 4096, Slots: 1}, RunTimeS: 5, Restart: "from_start"}},
 	}
 	for _, job := range jobs {
-		if err := d.batch.submit(ctx, job.name, job.body); err != nil {
+		if err := d.batch.Submit(ctx, job.name, job.body); err != nil {
 			return err
 		}
 		d.say("job %s accepted: %d tasks", job.name, job.body.Tasks)
@@ -198,9 +200,9 @@
 // needs slots that they hold.
 func (d *day) submitLateRun(ctx context.Context) {
 	deadline := time.Now().Add(dayLength).UTC().Format(time.RFC3339)
-	job := jobBody{Service: "tariff-invoices", Class: "deadline", Kind: "month-end", Tasks: lateTasks,
-		PerTask: amountBody{MilliCPU: 4000, MemoryMiB: 8192, Slots: 2}, RunTimeS: 1.5, Deadline: deadline}
-	if err := d.batch.submit(ctx, "late-run", job); err != nil {
+	job := loadgen.Job{Service: "tariff-invoices", Class: "deadline", Kind: "month-end", Tasks: lateTasks,
+		PerTask: loadgen.Amount{MilliCPU: 4000, MemoryMiB: 8192, Slots: 2}, RunTimeS: 1.5, Deadline: deadline}
+	if err := d.batch.Submit(ctx, "late-run", job); err != nil {
 		d.say("late run not accepted: %v", err)
 		return
 	}
@@ -227,7 +229,7 @@
 	d.say("surge to %d urgent requests a second", surgeLoad)
 	limited, cancel := context.WithTimeout(ctx, surgeLength)
 	defer cancel()
-	d.callers.run(limited, surgeLoad)
+	d.callers.Run(limited, surgeLoad)
 	d.say("surge over; %s", d.callers)
 }
 
@@ -235,15 +237,16 @@
 func (d *day) judge(ctx context.Context) Result {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
-	d.callers.wait()
-	lost := d.batch.await(ctx)
+	d.callers.Wait()
+	lost := d.batch.Await(ctx)
+	counts := d.callers.Counts()
 	counters := d.cluster.Platform.Truth.Counters()
 	d.say("end of the day; %s", d.callers)
-	d.say("result codes of refused and unknown tries:%s", d.callers.codeCounts())
+	d.say("result codes of refused and unknown tries:%s", d.callers.CodeCounts())
 	d.say("workers: %d starts, %d tasks done, %d failed attempts, %d evictions, %d lapsed leases",
 		counters.Starts, counters.Done, counters.Failed, counters.Evictions, counters.LapsedLeases)
 	if lost > 0 {
-		for _, line := range d.batch.explainMissing() {
+		for _, line := range d.batch.ExplainMissing() {
 			d.say("not ended: %s", line)
 		}
 	}
@@ -251,15 +254,15 @@
 		d.say("violation: %s", violation)
 	}
 	return Result{
-		Violations: len(counters.Violations) + d.callers.wrong + int(invariant.Violations()),
+		Violations: len(counters.Violations) + counts.Wrong + int(invariant.Violations()),
 		Lost:       lost,
 		Doubled:    counters.Doubled,
 		Evictions:  counters.Evictions,
-		Refused:    d.callers.refused,
-		Unknown:    d.callers.unknown,
-		Answered:   d.callers.answered,
-		UrgentP50:  d.callers.quantile(0.5),
-		UrgentP99:  d.callers.quantile(0.99),
+		Refused:    counts.Refused,
+		Unknown:    counts.Unknown,
+		Answered:   counts.Answered,
+		UrgentP50:  d.callers.Quantile(0.5),
+		UrgentP99:  d.callers.Quantile(0.99),
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -67,8 +67,10 @@
 
 	duties   sync.WaitGroup
 	draining atomic.Bool
-	left     chan struct{}
-	leftOnce sync.Once
+	// sawOwners is set once every worker group had an owner.
+	sawOwners atomic.Bool
+	left      chan struct{}
+	leftOnce  sync.Once
 	// drainWanted is closed when an operator asks for a planned stop.
 	drainWanted chan struct{}
 	drainOnce   sync.Once
@@ -170,11 +172,19 @@
 	return serve(ctx, s.sockets.Operator, handler)
 }
 
-// Ready reports whether the instance is a voter and not stopping.
+// Ready reports whether the instance is a voter and not stopping. It is not
+// ready before it has once seen an owner for every worker group; a later lack
+// of an owner concerns all instances and does not make this one useless.
 func (s *Sched) Ready() bool {
 	if s.draining.Load() {
 		return false
 	}
+	if !s.sawOwners.Load() {
+		if !s.GroupsOwned() {
+			return false
+		}
+		s.sawOwners.Store(true)
+	}
 	for _, member := range s.view.current.Load().GetMembers() {
 		if member.GetInstance() == s.config.Instance {
 			return member.GetActive()
