--- a/internal/dedupe/asked.go
+++ b/internal/dedupe/asked.go
@@ -41,9 +41,8 @@
 // decided reports whether the findings exclude an earlier use.
 func (c *Core) decided(r *record, f Findings) bool {
 	if r.need == undecidable {
-		former := c.formerHome(r.key)
 		for _, id := range f.Authoritative {
-			if id == former && !f.Missing {
+			if id == r.former && !f.Missing {
 				return true
 			}
 		}
@@ -55,7 +54,7 @@
 // undecided ends the uses of a key that cannot be decided. When only an answer
 // is missing, nothing is remembered and the caller may repeat the request.
 func (c *Core) undecided(now time.Duration, r *record, f Findings) []Effect {
-	if r.need != undecidable || (f.Missing && c.formerHome(r.key) != "") {
+	if r.need != undecidable || (f.Missing && r.former != "") {
 		return c.giveUp(r, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "an entry that may know the key does not answer"})
 	}
 	r.state = Unsure
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -14,8 +14,10 @@
 	hash  uint64
 	state State
 	// asking is set while other entries are asked about the key.
-	asking   bool
-	need     need
+	asking bool
+	need   need
+	// former is the home before this one at the time of the question.
+	former   spec.InstanceID
 	executor Executor
 	answer   *Answer
 	// ends is the limit of a use in flight, else when the record is forgotten.
@@ -98,6 +100,7 @@
 		return c.proceed(now, r, u)
 	}
 	r.asking = true
+	r.former = c.formerHome(u.Key)
 	r.waiters = append(r.waiters, u)
 	return []Effect{{Key: u.Key, Ask: instances(c.others())}}
 }
