Dedupe: each registration is a call of its own; repeated questions

A registration whose answer was lost was undone by a completion that could reach the next home after the same call had been registered there, and so undo a use that was running. Each attempt now has its own call number. While views differ during a hand-over, the question about a key is repeated up to 3 times.

--- a/internal/dedupe/asked.go
+++ b/internal/dedupe/asked.go
@@ -54,6 +54,9 @@
 // undecided ends the uses of a key that cannot be decided. When only an answer
 // is missing, nothing is remembered and the caller may repeat the request.
 func (c *Core) undecided(now time.Duration, r *record, f Findings) []Effect {
+	if r.former != "" && r.tries < askTries {
+		return c.askAgain(r)
+	}
 	if r.need != undecidable || (f.Missing && r.former != "") {
 		return c.giveUp(r, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "an entry that may know the key does not answer"})
 	}
@@ -62,6 +65,17 @@
 	return c.replyAll(r)
 }
 
+// askTries is the number of further questions while the live entries' views of
+// the members may differ, as during a hand-over.
+const askTries = 3
+
+func (c *Core) askAgain(r *record) []Effect {
+	r.tries++
+	r.asking = true
+	r.former = c.formerHome(r.key)
+	return []Effect{{Key: r.key, Ask: instances(c.others()), Again: true}}
+}
+
 // giveUp forgets the key and sends all waiters the reply.
 func (c *Core) giveUp(r *record, with Reply) []Effect {
 	delete(c.records, r.key)
--- a/internal/dedupe/begin.go
+++ b/internal/dedupe/begin.go
@@ -31,13 +31,11 @@
 // other reply nothing has run and nothing may run. limit is the time after
 // which the caller has ended the request.
 func (s *Service) Begin(ctx context.Context, key Key, hash uint64, limit time.Duration) (*Ticket, Reply) {
-	s.mu.Lock()
-	s.last++
-	executor := Executor{Instance: s.self.Instance, Incarnation: s.self.Incarnation, Call: s.last}
-	home := s.core.Home(s.timing.Now(), key)
-	s.mu.Unlock()
-	u := Use{Key: key, Hash: hash, Executor: executor, Limit: limit}
+	home := s.homeOf(key)
 	for hop := 0; hop < maxHops && home != ""; hop++ {
+		// Each attempt is a call of its own: the completion that undoes a
+		// failed one must not undo the next.
+		u := Use{Key: key, Hash: hash, Executor: s.newExecutor(), Limit: limit}
 		r, ok := s.registerAt(ctx, home, u)
 		if !ok {
 			next := s.homeAfterFailure(ctx, u, home)
@@ -55,7 +53,7 @@
 			if local.Kind == Proceed {
 				return &Ticket{use: u, home: home}, r
 			}
-			s.complete(home, Completion{Key: key, Hash: hash, Executor: executor, Outcome: code.NotRun})
+			s.complete(home, Completion{Key: key, Hash: hash, Executor: u.Executor, Outcome: code.NotRun})
 			if local.Kind != Moved {
 				return nil, local
 			}
@@ -67,6 +65,19 @@
 	return nil, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "the home of the idempotency key does not answer"}
 }
 
+func (s *Service) newExecutor() Executor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	return Executor{Instance: s.self.Instance, Incarnation: s.self.Incarnation, Call: s.last}
+}
+
+func (s *Service) homeOf(key Key) spec.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Home(s.timing.Now(), key)
+}
+
 func (s *Service) executing(u Use, home spec.InstanceID) Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,9 +92,7 @@
 	case <-time.After(retryPause):
 	case <-ctx.Done():
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.core.Home(s.timing.Now(), u.Key)
+	return s.homeOf(u.Key)
 }
 
 // registerAt registers the use at home; ok is false when home did not answer.
@@ -169,9 +178,7 @@
 			continue
 		}
 		time.Sleep(retryPause)
-		s.mu.Lock()
-		home = s.core.Home(s.timing.Now(), done.Key)
-		s.mu.Unlock()
+		home = s.homeOf(done.Key)
 	}
 }
 
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -18,6 +18,7 @@
 	need   need
 	// former is the home before this one at the time of the question.
 	former   spec.InstanceID
+	tries    int
 	executor Executor
 	answer   *Answer
 	// ends is the limit of a use in flight, else when the record is forgotten.
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -148,7 +148,11 @@
 func (c *cluster) carryOut(i *instance, effects []Effect) {
 	for _, e := range effects {
 		if e.Ask != nil {
-			c.ask(i, e)
+			pause := time.Duration(0)
+			if e.Again {
+				pause = retryPause
+			}
+			c.after(pause, func() { c.ask(i, e) })
 			continue
 		}
 		if to := i.replies[e.Waiter]; to != nil {
--- a/internal/dedupe/service.go
+++ b/internal/dedupe/service.go
@@ -72,7 +72,7 @@
 	for _, e := range effects {
 		if e.Ask != nil {
 			s.calls.Add(1)
-			go s.ask(e.Key, e.Ask)
+			go s.ask(e)
 			continue
 		}
 		if to, ok := s.waiting[e.Waiter]; ok {
@@ -116,8 +116,12 @@
 }
 
 // ask asks the other entries about a key and takes the findings in.
-func (s *Service) ask(key Key, entries []spec.InstanceID) {
+func (s *Service) ask(e Effect) {
 	defer s.calls.Done()
+	if e.Again {
+		time.Sleep(retryPause)
+	}
+	key, entries := e.Key, e.Ask
 	ctx, cancel := context.WithTimeout(context.Background(), s.timing.Call)
 	defer cancel()
 	answers := make([]*entryv1.AskKeyResponse, len(entries))
--- a/internal/dedupe/types.go
+++ b/internal/dedupe/types.go
@@ -133,6 +133,8 @@
 	// Ask lists the entries to ask about Key; the results go to Asked.
 	Ask []spec.InstanceID
 	Key Key
+	// Again states that the question is repeated after a pause.
+	Again bool
 }
 
 // Settings are the constants of the core.
