Dedupe: a use at a former home is sent on; hand-over batches are repeated

Cause: a use that reached a former home whose view was newer than the sender's was decided there without the knowledge of the new home's predecessor, so new keys were answered RW3007 during restarts. It is now sent on once. A batch of a hand-over that was lost made the stop count as a crash; it is repeated up to 3 times.

--- a/internal/dedupe/begin.go
+++ b/internal/dedupe/begin.go
@@ -31,23 +31,23 @@
 // other reply nothing has run and nothing may run. limit is the time after
 // which the caller has ended the request.
 func (s *Service) Begin(ctx context.Context, key Key, hash uint64, limit time.Duration) (*Ticket, Reply) {
-	home := s.homeOf(key)
+	home, moved := s.homeOf(key), false
 	for hop := 0; hop < maxHops && home != ""; hop++ {
 		// Each attempt is a call of its own: the completion that undoes a
 		// failed one must not undo the next.
-		u := Use{Key: key, Hash: hash, Executor: s.newExecutor(), Limit: limit}
+		u := Use{Key: key, Hash: hash, Executor: s.newExecutor(), Limit: limit, MovedHere: moved}
 		r, ok := s.registerAt(ctx, home, u)
 		if !ok {
 			next := s.homeAfterFailure(ctx, u, home)
 			if next == home && hop > 0 {
 				break
 			}
-			home = next
+			home, moved = next, false
 			continue
 		}
 		switch r.Kind {
 		case Moved:
-			home = r.Home
+			home, moved = r.Home, true
 		case Proceed:
 			local := s.executing(u, home)
 			if local.Kind == Proceed {
@@ -57,7 +57,7 @@
 			if local.Kind != Moved {
 				return nil, local
 			}
-			home = local.Home
+			home, moved = local.Home, true
 		default:
 			return nil, r
 		}
@@ -116,6 +116,7 @@
 		Call:                u.Executor.Call,
 		LimitMs:             uint32(u.Limit / time.Millisecond),
 		WaitMs:              uint32(max(wait, 0) / time.Millisecond),
+		MovedHere:           u.MovedHere,
 	}
 	resp, err := client.RegisterKey(ctx, connect.NewRequest(req))
 	if err != nil {
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -88,6 +88,9 @@
 	if home := c.askedBy(now, u.Key); home != "" && home != c.settings.Self.Instance {
 		return reply(u, Reply{Kind: Moved, Home: home})
 	}
+	if home := homeOf(u.Key, c.members); home != c.settings.Self.Instance && home != "" && !u.MovedHere {
+		return reply(u, Reply{Kind: Moved, Home: home})
+	}
 	if len(c.records) >= c.settings.MaxKeys {
 		return reply(u, Reply{Kind: Refuse, Code: code.Overloaded, Detail: "too many idempotency keys are remembered"})
 	}
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -213,6 +213,8 @@
 	if hop >= maxHops || home == "" || !i.alive {
 		return
 	}
+	i.last++
+	u.Executor.Call = i.last
 	c.call(home, func(h *instance) {
 		h.last++
 		u.Waiter = WaiterID(h.last)
@@ -221,6 +223,7 @@
 	}, func() {
 		c.after(retryPause, func() {
 			if i.alive {
+				u.MovedHere = false
 				c.register(i, u, i.core.Home(c.now, u.Key), hop+1)
 			}
 		})
@@ -241,6 +244,7 @@
 	case Proceed:
 		c.run(i, u, home)
 	case Moved:
+		u.MovedHere = true
 		c.register(i, u, r.Home, hop+1)
 	default:
 		c.outcomes[Reply{Kind: r.Kind, Code: r.Code}]++
--- a/internal/dedupe/serve.go
+++ b/internal/dedupe/serve.go
@@ -9,6 +9,7 @@
 
 	"redwingvale/internal/code"
 	entryv1 "redwingvale/internal/gen/redwingvale/entry/v1"
+	"redwingvale/internal/gen/redwingvale/entry/v1/entryv1connect"
 	"redwingvale/internal/spec"
 )
 
@@ -22,6 +23,8 @@
 		Hash:     m.GetContentHash(),
 		Executor: executorOf(m.GetExecutor(), m.GetExecutorIncarnation(), m.GetCall()),
 		Limit:    time.Duration(m.GetLimitMs()) * time.Millisecond,
+
+		MovedHere: m.GetMovedHere(),
 	})
 	return connect.NewResponse(replyToWire(r)), nil
 }
@@ -106,10 +109,7 @@
 		for _, r := range records[:n] {
 			req.Records = append(req.Records, recordToWire(r))
 		}
-		limited, cancel := context.WithTimeout(ctx, s.timing.Call)
-		_, err := client.HandOverKeys(limited, connect.NewRequest(req))
-		cancel()
-		if err != nil {
+		if !s.sendBatch(ctx, client, req) {
 			return moved
 		}
 		records = records[n:]
@@ -118,5 +118,20 @@
 	return moved
 }
 
+// handOverTries bounds the attempts to send one batch. A repeat does no harm.
+const handOverTries = 3
+
+func (s *Service) sendBatch(ctx context.Context, client entryv1connect.EntryServiceClient, req *entryv1.HandOverKeysRequest) bool {
+	for range handOverTries {
+		limited, cancel := context.WithTimeout(ctx, s.timing.Call)
+		_, err := client.HandOverKeys(limited, connect.NewRequest(req))
+		cancel()
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Wait returns when no call to another entry goes on in the background.
 func (s *Service) Wait() { s.calls.Wait() }
--- a/internal/dedupe/types.go
+++ b/internal/dedupe/types.go
@@ -97,6 +97,8 @@
 	// Limit is the time after which the executor has ended the request.
 	Limit  time.Duration
 	Waiter WaiterID
+	// MovedHere states that another instance named this one as the home.
+	MovedHere bool
 }
 
 // ReplyKind says how a use goes on.
