--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -14,8 +14,11 @@
 	hash  uint64
 	state State
 	// asking is set while other entries are asked about the key.
-	asking   bool
-	need     need
+	asking bool
+	need   need
+	// former is the home before this one at the time of the question.
+	former   spec.InstanceID
+	tries    int
 	executor Executor
 	answer   *Answer
 	// ends is the limit of a use in flight, else when the record is forgotten.
@@ -85,6 +88,9 @@
 	if home := c.askedBy(now, u.Key); home != "" && home != c.settings.Self.Instance {
 		return reply(u, Reply{Kind: Moved, Home: home})
 	}
+	if home := homeOf(u.Key, c.members); home != c.settings.Self.Instance && home != "" && !u.MovedHere {
+		return reply(u, Reply{Kind: Moved, Home: home})
+	}
 	if len(c.records) >= c.settings.MaxKeys {
 		return reply(u, Reply{Kind: Refuse, Code: code.Overloaded, Detail: "too many idempotency keys are remembered"})
 	}
@@ -98,6 +104,7 @@
 		return c.proceed(now, r, u)
 	}
 	r.asking = true
+	r.former = c.formerHome(u.Key)
 	r.waiters = append(r.waiters, u)
 	return []Effect{{Key: u.Key, Ask: instances(c.others())}}
 }
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -148,7 +148,11 @@
 func (c *cluster) carryOut(i *instance, effects []Effect) {
 	for _, e := range effects {
 		if e.Ask != nil {
-			c.ask(i, e)
+			pause := time.Duration(0)
+			if e.Again {
+				pause = retryPause
+			}
+			c.after(pause, func() { c.ask(i, e) })
 			continue
 		}
 		if to := i.replies[e.Waiter]; to != nil {
@@ -209,6 +213,8 @@
 	if hop >= maxHops || home == "" || !i.alive {
 		return
 	}
+	i.last++
+	u.Executor.Call = i.last
 	c.call(home, func(h *instance) {
 		h.last++
 		u.Waiter = WaiterID(h.last)
@@ -217,6 +223,7 @@
 	}, func() {
 		c.after(retryPause, func() {
 			if i.alive {
+				u.MovedHere = false
 				c.register(i, u, i.core.Home(c.now, u.Key), hop+1)
 			}
 		})
@@ -237,6 +244,7 @@
 	case Proceed:
 		c.run(i, u, home)
 	case Moved:
+		u.MovedHere = true
 		c.register(i, u, r.Home, hop+1)
 	default:
 		c.outcomes[Reply{Kind: r.Kind, Code: r.Code}]++
--- a/internal/dedupe/types.go
+++ b/internal/dedupe/types.go
@@ -97,6 +97,8 @@
 	// Limit is the time after which the executor has ended the request.
 	Limit  time.Duration
 	Waiter WaiterID
+	// MovedHere states that another instance named this one as the home.
+	MovedHere bool
 }
 
 // ReplyKind says how a use goes on.
@@ -133,6 +135,8 @@
 	// Ask lists the entries to ask about Key; the results go to Asked.
 	Ask []spec.InstanceID
 	Key Key
+	// Again states that the question is repeated after a pause.
+	Again bool
 }
 
 // Settings are the constants of the core.
