Planned stop of an instance: the entry leaves together with its rwsched

Cause: a drained entry stopped its peer interface while others still took it for the home of their keys, and handed its keys over under an incarnation that the others did not know. So requests were refused with RW3008 or ended as unknown with RW3007.

Ruled out: the takeover rule itself; with matching incarnations it decides.

Conclusion: the entry asks its rwsched to leave and answers its peers until the others know.

--- a/internal/dedupe/handover.go
+++ b/internal/dedupe/handover.go
@@ -41,6 +41,18 @@
 	return out, effects
 }
 
+// selfMember returns this instance as the membership lists it. The incarnation
+// there is that of the instance's rwsched; the others compare it with their
+// own lists of members.
+func (c *Core) selfMember() Member {
+	for _, m := range c.members {
+		if m.Instance == c.settings.Self.Instance {
+			return m
+		}
+	}
+	return c.settings.Self
+}
+
 func (c *Core) sorted() []*record {
 	out := make([]*record, 0, len(c.records))
 	for _, r := range c.records {
--- a/internal/dedupe/serve.go
+++ b/internal/dedupe/serve.go
@@ -79,6 +79,7 @@
 func (s *Service) HandOver(ctx context.Context) int {
 	s.mu.Lock()
 	byHome, effects := s.core.HandOver(s.timing.Now())
+	from := s.core.selfMember()
 	s.deliver(effects)
 	s.mu.Unlock()
 	homes := make([]spec.InstanceID, 0, len(byHome))
@@ -88,12 +89,12 @@
 	sort.Slice(homes, func(i, j int) bool { return homes[i] < homes[j] })
 	moved := 0
 	for _, home := range homes {
-		moved += s.handOverTo(ctx, home, byHome[home])
+		moved += s.handOverTo(ctx, from, home, byHome[home])
 	}
 	return moved
 }
 
-func (s *Service) handOverTo(ctx context.Context, home spec.InstanceID, records []Record) int {
+func (s *Service) handOverTo(ctx context.Context, from Member, home spec.InstanceID, records []Record) int {
 	client := s.peer(home)
 	if client == nil {
 		return 0
@@ -102,8 +103,8 @@
 	for first := true; first || len(records) > 0; first = false {
 		n := min(len(records), handOverBatch)
 		req := &entryv1.HandOverKeysRequest{
-			From:            string(s.self.Instance),
-			FromIncarnation: uint64(s.self.Incarnation),
+			From:            string(from.Instance),
+			FromIncarnation: uint64(from.Incarnation),
 			Last:            n == len(records),
 		}
 		for _, r := range records[:n] {
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -13,6 +13,7 @@
 	p.Address("peer_listen", c.PeerListen)
 	p.Range("max_body_bytes", c.MaxBodyBytes, 1, maxSetting)
 	p.Range("balancer_wait_ms", int64(c.BalancerWaitMS), 0, maxSetting)
+	p.Range("view_spread_ms", int64(c.ViewSpreadMS), 0, maxSetting)
 	p.Range("max_header_bytes", int64(c.MaxHeaderBytes), 1, maxSetting)
 	p.Range("max_in_flight", int64(c.MaxInFlight), 1, maxSetting)
 	p.Range("urgent_limit_ms", int64(c.UrgentLimitMS), 1, maxSetting)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -31,7 +31,10 @@
 	UrgentLimitMS int `toml:"urgent_limit_ms"`
 	// BalancerWaitMS is the time for which a stopping instance still accepts
 	// requests, so that the balancer can notice.
-	BalancerWaitMS  int `toml:"balancer_wait_ms"`
+	BalancerWaitMS int `toml:"balancer_wait_ms"`
+	// ViewSpreadMS is the time in which the other entries learn that this
+	// instance has left the membership.
+	ViewSpreadMS    int `toml:"view_spread_ms"`
 	RenewIntervalMS int `toml:"renew_interval_ms"`
 	// ClockRatePPM bounds the rate difference of two clocks (A6).
 	ClockRatePPM int `toml:"clock_rate_ppm"`
@@ -70,6 +73,7 @@
 		IdleTimeoutMS:       120_000,
 		UrgentLimitMS:       10_000,
 		BalancerWaitMS:      5_000,
+		ViewSpreadMS:        1_000,
 		RenewIntervalMS:     300,
 		ClockRatePPM:        1000,
 		IdleSlots:           16,
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
+
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
 )
 
 // drainPoll is the period at which a stopping entry looks for work in flight.
@@ -41,6 +44,7 @@
 		return err
 	}
 	moved := e.keys.HandOver(ctx)
+	e.stopInstance(ctx)
 	e.views.nudgeRenewers()
 	if err := e.callers.Shutdown(ctx); err != nil {
 		return err
@@ -57,6 +61,26 @@
 	return nil
 }
 
+// stopInstanceLimit bounds the wait for the own rwsched to leave.
+const stopInstanceLimit = 15 * time.Second
+
+// stopInstance lets the own rwsched hand its groups over and leave. Until that
+// has happened, other entries may still take this one for the home of their
+// keys, so the peer interface has to go on answering.
+func (e *Entry) stopInstance(ctx context.Context) {
+	if e.deps.OwnSched == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, stopInstanceLimit)
+	defer cancel()
+	request := connect.NewRequest(&schedv1.StopInstanceRequest{Instance: e.config.Instance})
+	if _, err := e.deps.OwnSched.StopInstance(limited, request); err != nil {
+		e.deps.Log.Warn("own rwsched did not leave", zap.String("error", err.Error()))
+		return
+	}
+	sleep(ctx, ms(e.config.ViewSpreadMS))
+}
+
 // awaitIdle returns when no request is in flight.
 func (e *Entry) awaitIdle(ctx context.Context) error {
 	for e.inFlight.Load() > 0 {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -41,6 +41,11 @@
 	refuse string
 }
 
+// StopInstance answers at once: the fake owner stays.
+func (f *fakeOwner) StopInstance(context.Context, *connect.Request[schedv1.StopInstanceRequest]) (*connect.Response[schedv1.StopInstanceResponse], error) {
+	return connect.NewResponse(&schedv1.StopInstanceResponse{}), nil
+}
+
 type heldGrant struct {
 	slots int
 	end   time.Time
@@ -228,7 +233,7 @@
 	config := DefaultConfig()
 	config.Instance, config.DataCentre = name, "dc1"
 	config.Listen, config.PeerListen = "127.0.0.1:0", "127.0.0.1:0"
-	config.BalancerWaitMS, config.Seed = 200, 1
+	config.BalancerWaitMS, config.ViewSpreadMS, config.Seed = 200, 0, 1
 	config.KeyTakeoverMS, config.KeyClockGuardMS = 500, 100
 	incarnations++
 	config.Incarnation = incarnations
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -195,9 +195,7 @@
 			continue
 		}
 		member := dedupe.Member{Instance: id, Incarnation: spec.Incarnation(m.GetIncarnation())}
-		if m.GetInstance() == v.entry.config.Instance {
-			member = v.entry.self()
-		} else {
+		if m.GetInstance() != v.entry.config.Instance {
 			entries[id] = m.GetEntryAddr()
 		}
 		active = append(active, member)
--- a/internal/gen/redwingvale/sched/v1/schedv1connect/sched.connect.go
+++ b/internal/gen/redwingvale/sched/v1/schedv1connect/sched.connect.go
@@ -49,6 +49,9 @@
 	SchedServiceCancelJobProcedure = "/redwingvale.sched.v1.SchedService/CancelJob"
 	// SchedServiceGetViewProcedure is the fully-qualified name of the SchedService's GetView RPC.
 	SchedServiceGetViewProcedure = "/redwingvale.sched.v1.SchedService/GetView"
+	// SchedServiceStopInstanceProcedure is the fully-qualified name of the SchedService's StopInstance
+	// RPC.
+	SchedServiceStopInstanceProcedure = "/redwingvale.sched.v1.SchedService/StopInstance"
 	// PeerServiceHeartbeatProcedure is the fully-qualified name of the PeerService's Heartbeat RPC.
 	PeerServiceHeartbeatProcedure = "/redwingvale.sched.v1.PeerService/Heartbeat"
 	// PeerServiceReceiveJobProcedure is the fully-qualified name of the PeerService's ReceiveJob RPC.
@@ -66,6 +69,10 @@
 	// GetView returns what an entry process needs to know: members, owners,
 	// workers and configuration.
 	GetView(context.Context, *connect.Request[v1.GetViewRequest]) (*connect.Response[v1.GetViewResponse], error)
+	// StopInstance is called by the entry process of the same instance during
+	// its planned stop. It returns when every group is handed over and the
+	// instance has left the membership; rwsched then ends.
+	StopInstance(context.Context, *connect.Request[v1.StopInstanceRequest]) (*connect.Response[v1.StopInstanceResponse], error)
 }
 
 // NewSchedServiceClient constructs a client for the redwingvale.sched.v1.SchedService service. By
@@ -109,16 +116,23 @@
 			connect.WithSchema(schedServiceMethods.ByName("GetView")),
 			connect.WithClientOptions(opts...),
 		),
+		stopInstance: connect.NewClient[v1.StopInstanceRequest, v1.StopInstanceResponse](
+			httpClient,
+			baseURL+SchedServiceStopInstanceProcedure,
+			connect.WithSchema(schedServiceMethods.ByName("StopInstance")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // schedServiceClient implements SchedServiceClient.
 type schedServiceClient struct {
-	renewGrants *connect.Client[v1.RenewGrantsRequest, v1.RenewGrantsResponse]
-	submitJob   *connect.Client[v1.SubmitJobRequest, v1.JobResponse]
-	getJob      *connect.Client[v1.GetJobRequest, v1.JobResponse]
-	cancelJob   *connect.Client[v1.CancelJobRequest, v1.JobResponse]
-	getView     *connect.Client[v1.GetViewRequest, v1.GetViewResponse]
+	renewGrants  *connect.Client[v1.RenewGrantsRequest, v1.RenewGrantsResponse]
+	submitJob    *connect.Client[v1.SubmitJobRequest, v1.JobResponse]
+	getJob       *connect.Client[v1.GetJobRequest, v1.JobResponse]
+	cancelJob    *connect.Client[v1.CancelJobRequest, v1.JobResponse]
+	getView      *connect.Client[v1.GetViewRequest, v1.GetViewResponse]
+	stopInstance *connect.Client[v1.StopInstanceRequest, v1.StopInstanceResponse]
 }
 
 // RenewGrants calls redwingvale.sched.v1.SchedService.RenewGrants.
@@ -146,6 +160,11 @@
 	return c.getView.CallUnary(ctx, req)
 }
 
+// StopInstance calls redwingvale.sched.v1.SchedService.StopInstance.
+func (c *schedServiceClient) StopInstance(ctx context.Context, req *connect.Request[v1.StopInstanceRequest]) (*connect.Response[v1.StopInstanceResponse], error) {
+	return c.stopInstance.CallUnary(ctx, req)
+}
+
 // SchedServiceHandler is an implementation of the redwingvale.sched.v1.SchedService service.
 type SchedServiceHandler interface {
 	// RenewGrants renews an entry's slot grants on the workers of the groups
@@ -157,6 +176,10 @@
 	// GetView returns what an entry process needs to know: members, owners,
 	// workers and configuration.
 	GetView(context.Context, *connect.Request[v1.GetViewRequest]) (*connect.Response[v1.GetViewResponse], error)
+	// StopInstance is called by the entry process of the same instance during
+	// its planned stop. It returns when every group is handed over and the
+	// instance has left the membership; rwsched then ends.
+	StopInstance(context.Context, *connect.Request[v1.StopInstanceRequest]) (*connect.Response[v1.StopInstanceResponse], error)
 }
 
 // NewSchedServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -196,6 +219,12 @@
 		connect.WithSchema(schedServiceMethods.ByName("GetView")),
 		connect.WithHandlerOptions(opts...),
 	)
+	schedServiceStopInstanceHandler := connect.NewUnaryHandler(
+		SchedServiceStopInstanceProcedure,
+		svc.StopInstance,
+		connect.WithSchema(schedServiceMethods.ByName("StopInstance")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/redwingvale.sched.v1.SchedService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SchedServiceRenewGrantsProcedure:
@@ -208,6 +237,8 @@
 			schedServiceCancelJobHandler.ServeHTTP(w, r)
 		case SchedServiceGetViewProcedure:
 			schedServiceGetViewHandler.ServeHTTP(w, r)
+		case SchedServiceStopInstanceProcedure:
+			schedServiceStopInstanceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -237,6 +268,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.sched.v1.SchedService.GetView is not implemented"))
 }
 
+func (UnimplementedSchedServiceHandler) StopInstance(context.Context, *connect.Request[v1.StopInstanceRequest]) (*connect.Response[v1.StopInstanceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.sched.v1.SchedService.StopInstance is not implemented"))
+}
+
 // PeerServiceClient is a client for the redwingvale.sched.v1.PeerService service.
 type PeerServiceClient interface {
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
--- a/internal/sched/operate.go
+++ b/internal/sched/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"redwingvale/internal/alarm"
@@ -13,6 +14,7 @@
 
 	operatorv1 "redwingvale/internal/gen/redwingvale/operator/v1"
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
 )
 
 // inDecision runs f in the decision duty and waits for it.
@@ -211,6 +213,20 @@
 // DrainWanted is closed when an operator has asked for a planned stop.
 func (s *Sched) DrainWanted() <-chan struct{} { return s.drainWanted }
 
+// StopInstance implements the SchedService.
+func (s *Sched) StopInstance(ctx context.Context, call *connect.Request[schedv1.StopInstanceRequest]) (*connect.Response[schedv1.StopInstanceResponse], error) {
+	if call.Msg.GetInstance() != s.config.Instance {
+		return nil, connect.NewError(connect.CodeInvalidArgument, code.New(code.BadRequest, "this is instance %s", s.config.Instance))
+	}
+	s.log.Info("stop_requested_by_entry")
+	err := s.Leave(ctx)
+	s.drainOnce.Do(func() { close(s.drainWanted) })
+	if err != nil {
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+	return connect.NewResponse(&schedv1.StopInstanceResponse{}), nil
+}
+
 // removePollPeriod is how often a removal is looked for in the membership.
 const removePollPeriod = 100 * time.Millisecond
 
