--- a/internal/ownership/balance.go
+++ b/internal/ownership/balance.go
@@ -269,12 +269,13 @@
 	if g == nil {
 		return
 	}
-	if g.claiming {
-		g.claiming = false
+	if !e.Release {
 		g.rejected = true
 		g.rejectedAt = now
+		g.claiming = false
+		return
 	}
-	if g.take != nil {
+	if g.take != nil && g.take.epoch == e.Epoch {
 		g.take.releasing = false
 		c.advance(now, g)
 	}
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -75,10 +75,13 @@
 	Groups []Group
 }
 
-// AppendRejected states that the journal gave up a claim or a release of the
-// group and that the record has no effect for any reader.
+// AppendRejected states that the journal gave up a claim (Release false) or
+// the release of the given epoch, and that the record has no effect for any
+// reader. A record whose outcome is unsure must not be reported.
 type AppendRejected struct {
-	Group spec.GroupID
+	Group   spec.GroupID
+	Release bool
+	Epoch   spec.Epoch
 }
 
 // ForceRemove is an operator's confirmation that an instance is dead.
--- a/internal/ownership/heartbeat.go
+++ b/internal/ownership/heartbeat.go
@@ -68,7 +68,7 @@
 	}
 	response := c.response(now)
 	c.vote(now, request, response)
-	if request.GetVotersVersion() < c.members.version {
+	if request.GetVotersVersion() < c.members.version && !c.faults.skipVersionRule {
 		response.Members = c.members.copies()
 	}
 	c.emit(Respond{Call: e.Call, Response: response})
