--- a/internal/journal/events.go
+++ b/internal/journal/events.go
@@ -19,6 +19,8 @@
 	Token    uint64
 	// Priority records may use the reserved part of the buffer.
 	Priority bool
+	// Urgent records, such as claims, do not wait for others to join a batch.
+	Urgent bool
 }
 
 // AppendDone reports the end of an append. Err does not mean that nothing was
--- a/internal/journal/outbox.go
+++ b/internal/journal/outbox.go
@@ -22,7 +22,9 @@
 	sequence    uint64
 	queue       []entry
 	queuedBytes int
-	batch       []entry
+	// urgent states that the queue holds a record that must not wait.
+	urgent bool
+	batch  []entry
 	// number is that of the newest append of the batch.
 	number  uint64
 	attempt int
@@ -41,7 +43,7 @@
 		return 0, false
 	}
 	oldest := o.queue[0].at
-	if o.queuedBytes >= s.MaxBatchBytes {
+	if o.urgent || o.queuedBytes >= s.MaxBatchBytes {
 		return oldest, true
 	}
 	return oldest + s.BatchTime, now >= oldest+s.BatchTime
@@ -63,6 +65,7 @@
 	o.queue = append([]entry(nil), o.queue[count:]...)
 	o.queuedBytes -= bytes
 	o.attempt = 0
+	o.urgent = o.urgent && len(o.queue) > 0
 }
 
 // records returns the encoded batch in order.
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -105,6 +105,7 @@
 	box.sequence++
 	box.queue = append(box.queue, entry{sequence: box.sequence, token: e.Token, data: data, at: now})
 	box.queuedBytes += len(data)
+	box.urgent = box.urgent || e.Urgent
 	w.buffered += len(data)
 	w.live[e.Token] = struct{}{}
 	return box
@@ -179,6 +180,7 @@
 	}
 	box.queue = nil
 	box.queuedBytes = 0
+	box.urgent = false
 	return box
 }
 
--- a/internal/ownership/balance.go
+++ b/internal/ownership/balance.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"sort"
 	"time"
 
 	"redwingvale/internal/spec"
@@ -54,9 +55,11 @@
 }
 
 // watchClaim withdraws a claim whose reason has gone before it was read back,
-// so that it does not take effect after a long log outage.
+// so that it does not take effect after a long log outage. A claim that the
+// stream does not show although it can be read is made again.
 func (c *Core) watchClaim(now time.Duration, g *group, wanted bool) {
 	if wanted && c.vacant(now, g) {
+		g.claiming = g.tailAt < g.claimedAt+c.settings.RetryAfter
 		return
 	}
 	if now-g.claimedAt < c.settings.SuspectAfter {
@@ -117,17 +120,17 @@
 		return "the owner released the group"
 	case f.Released:
 		return ""
-	case c.membersTail < g.fenceAt:
-		return ""
 	}
-	return c.fault(now, f.Owner, f.Incarnation)
+	return c.fault(now, g.fenceAt, f.Owner, f.Incarnation)
 }
 
-// fault returns why an owner cannot go on owning, or nothing.
-func (c *Core) fault(now time.Duration, owner spec.InstanceID, incarnation spec.Incarnation) string {
+// fault returns why an owner cannot go on owning, or nothing. An owner that is
+// no member may have joined later than the last read of the members stream,
+// so that read must have been sent after the ownership was seen at time at.
+func (c *Core) fault(now, at time.Duration, owner spec.InstanceID, incarnation spec.Incarnation) string {
 	member := c.members.find(owner)
 	switch {
-	case !member.GetActive():
+	case !member.GetActive() && c.membersTail >= at:
 		return "the owner " + string(owner) + " is no active member"
 	case spec.Incarnation(member.GetIncarnation()) > incarnation:
 		return "the owner " + string(owner) + " was restarted"
@@ -161,7 +164,9 @@
 		return
 	}
 	below := c.holding() < c.share()
-	for _, g := range c.from(last) {
+	first := c.after(last)
+	for i := range c.sorted {
+		g := c.sorted[(first+i)%len(c.sorted)]
 		if c.movable(now, g, below) {
 			c.moving = g.id
 			c.movingAt = now
@@ -170,15 +175,9 @@
 	}
 }
 
-// from returns the groups in order, starting after the one with the id.
-func (c *Core) from(last spec.GroupID) []*group {
-	for i, g := range c.sorted {
-		if g.id > last {
-			out := append([]*group(nil), c.sorted[i:]...)
-			return append(out, c.sorted[:i]...)
-		}
-	}
-	return c.sorted
+// after returns the index of the first group after the one with the id.
+func (c *Core) after(last spec.GroupID) int {
+	return sort.Search(len(c.sorted), func(i int) bool { return c.sorted[i].id > last })
 }
 
 // stillMoving gives up a move that its owner has not agreed to in time.
@@ -206,6 +205,7 @@
 func (c *Core) releaseOne(now time.Duration) {
 	for _, g := range c.sorted {
 		if g.take != nil && g.take.releasing {
+			c.watchRelease(now, g)
 			return
 		}
 	}
@@ -227,7 +227,7 @@
 		return "", false
 	}
 	if c.leaving && len(c.plan.members) == 0 {
-		return "", c.alone(now)
+		return "", true
 	}
 	for _, id := range c.plan.members {
 		p := c.peers[id]
@@ -238,22 +238,25 @@
 	return "", false
 }
 
-// alone reports whether no other active member is left.
-func (c *Core) alone(now time.Duration) bool {
-	for _, p := range c.order {
-		if c.members.isVoter(p.id) && !c.proven(now, p.id, 0) {
-			return false
-		}
-	}
-	return true
-}
-
 // release ends the right before the release record is asked for.
 func (c *Core) release(now time.Duration, g *group, next spec.InstanceID) {
 	g.take.releasing = true
-	g.take.releasedAt = now
+	g.take.next = next
 	c.updateRight(now, g)
-	c.emit(AppendRelease{Group: g.id, Epoch: g.take.epoch, Next: next, Why: c.releaseReason()})
+	c.appendRelease(now, g)
+}
+
+// watchRelease asks again for a release that the stream does not show although
+// it can be read. The right stays ended, because the first one may be late.
+func (c *Core) watchRelease(now time.Duration, g *group) {
+	if g.tailAt >= g.take.releasedAt+c.settings.RetryAfter {
+		c.appendRelease(now, g)
+	}
+}
+
+func (c *Core) appendRelease(now time.Duration, g *group) {
+	g.take.releasedAt = now
+	c.emit(AppendRelease{Group: g.id, Epoch: g.take.epoch, Next: g.take.next, Why: c.releaseReason()})
 }
 
 func (c *Core) releaseReason() string {
--- a/internal/ownership/broken_test.go
+++ b/internal/ownership/broken_test.go
@@ -11,6 +11,7 @@
 
 // broken requires that the random runs find a violation.
 func broken(t *testing.T, f faults) {
+	t.Parallel()
 	for seed := uint64(1); seed <= brokenSeeds; seed++ {
 		_, err := run(seed, f, false)
 		if err != nil {
@@ -39,3 +40,6 @@
 
 // TestBrokenPromise does the same for promises to a replaced owner.
 func TestBrokenPromise(t *testing.T) { broken(t, faults{promiseRegardless: true}) }
+
+// TestBrokenSetHistory does the same for the majority in each voter set.
+func TestBrokenSetHistory(t *testing.T) { broken(t, faults{skipSetHistory: true}) }
--- a/internal/ownership/change.go
+++ b/internal/ownership/change.go
@@ -11,7 +11,7 @@
 // changeMembership proposes the next record of the members stream, if any is
 // due: a join, the first voters, a removal, an activation or a snapshot.
 func (c *Core) changeMembership(now time.Duration) {
-	if !c.logReadable(now) || c.left {
+	if !c.logUsable(now) || c.left {
 		return
 	}
 	if !c.joined {
@@ -32,7 +32,7 @@
 	c.proposeActivation(now)
 }
 
-// request emits a members record unless the same one was asked for within
+// propose emits a members record unless the same one was asked for within
 // RetryAfter.
 func (c *Core) propose(now time.Duration, key string, record *recordv1.MembersRecord, why string) {
 	at, asked := c.requestedAt[key]
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -7,9 +7,9 @@
 // sent at s, and a claimer C that read its claim back at r:
 //
 //   - O's log lease ends before r + lease, and C starts after that.
-//   - C needs acknowledgements of a majority of its voter set. A voter that
-//     acknowledged never promises to O again; C starts one lease after the
-//     last acknowledgement, when older promises have run out.
+//   - C needs acknowledgements of a majority of its voter set, each at least
+//     one lease old when C starts. A voter that acknowledged never promises to
+//     O again, and its older promises have run out.
 //   - A voter that restarts forgets the claim. So O counts only promises of
 //     incarnations that it had heard from before s, which is before the claim
 //     was in the log.
@@ -54,10 +54,12 @@
 	left        bool
 
 	heartbeatAt time.Duration
-	lastStep    time.Duration
-	voterless   time.Duration
-	alarms      map[AlarmKind]bool
-	plan        plan
+	// suspectCount is how many members were suspected at the last tick.
+	suspectCount int
+	lastStep     time.Duration
+	voterless    time.Duration
+	alarms       map[AlarmKind]bool
+	plan         plan
 	// moving is the group that this instance prepares to take over from a
 	// healthy owner, since movingAt.
 	moving   spec.GroupID
@@ -73,10 +75,8 @@
 	skipMajority      bool
 	skipVersionRule   bool
 	skipHeardRule     bool
-	skipStartedRule   bool
 	skipSetHistory    bool
 	promiseRegardless bool
-	anyIncarnation    bool
 	skipVersionLease  bool
 }
 
@@ -136,6 +136,7 @@
 
 // tick carries out everything that depends on time.
 func (c *Core) tick(now time.Duration) {
+	c.hurryHeartbeat(now)
 	c.sendHeartbeats(now)
 	c.changeMembership(now)
 	c.balance(now)
--- a/internal/ownership/group.go
+++ b/internal/ownership/group.go
@@ -16,8 +16,10 @@
 
 	// following states that the group's stream is read; caughtUp that a read
 	// has reached the tail since, so that fence is complete.
-	following  bool
-	caughtUp   bool
+	following bool
+	caughtUp  bool
+	// tailAt is when the last read that reached the tail was sent.
+	tailAt     time.Duration
 	fence      fence.Fence
 	fenceAt    time.Duration
 	releasedAt time.Duration
@@ -50,25 +52,28 @@
 	epoch      spec.Epoch
 	readBackAt time.Duration
 	previous   fence.Previous
-	// acks holds the voters that know the claim, by incarnation.
-	acks map[spec.InstanceID]spec.Incarnation
-	// majority states that a majority of the voters knows the claim, since
-	// majorityAt.
-	majority   bool
-	majorityAt time.Duration
+	// acks holds the voters that know the claim.
+	acks map[spec.InstanceID]ack
 	// stopped states that the previous owner has confirmed that it stopped.
 	stopped bool
 	// started states that no earlier ownership has a right any more.
 	started bool
-	// releasing states that a release was asked for, since releasedAt.
+	// releasing states that a release to next was asked for at releasedAt.
 	releasing  bool
 	releasedAt time.Duration
+	next       spec.InstanceID
 	// confirmed states that a read of the stream sent at confirmedAt reached
 	// the tail and showed no newer claim.
 	confirmed   bool
 	confirmedAt time.Duration
 }
 
+// ack is a voter's statement that it knows a claim, and when it arrived.
+type ack struct {
+	incarnation spec.Incarnation
+	at          time.Duration
+}
+
 // superseded reports whether a newer claim than this instance's is known.
 func (g *group) superseded() bool { return g.take != nil && g.known > g.take.epoch }
 
@@ -116,6 +121,9 @@
 		g.take = nil
 	}
 	c.advance(now, g)
+	if changed && g.take == nil && c.reserved(now, g) {
+		c.pursue(now, g, c.mayClaim(now))
+	}
 }
 
 // begin starts the takeover of a claim that was read back.
@@ -127,7 +135,7 @@
 		epoch:      g.fence.Epoch,
 		readBackAt: now,
 		previous:   g.fence.Previous,
-		acks:       make(map[spec.InstanceID]spec.Incarnation),
+		acks:       make(map[spec.InstanceID]ack),
 	}
 	c.heartbeatAt = now
 }
@@ -139,6 +147,7 @@
 		return
 	}
 	g.caughtUp = true
+	g.tailAt = max(g.tailAt, e.SentAt)
 	if t := g.take; t != nil && (!t.confirmed || e.SentAt > t.confirmedAt) {
 		t.confirmed = true
 		t.confirmedAt = e.SentAt
--- a/internal/ownership/heartbeat.go
+++ b/internal/ownership/heartbeat.go
@@ -8,6 +8,21 @@
 	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
 )
 
+// hurryHeartbeat sends the next heartbeat at once when a member is suspected
+// for the first time, so that the others learn it without delay.
+func (c *Core) hurryHeartbeat(now time.Duration) {
+	count := 0
+	for _, p := range c.order {
+		if c.suspect(now, p) {
+			count++
+		}
+	}
+	if count > c.suspectCount {
+		c.heartbeatAt = now
+	}
+	c.suspectCount = count
+}
+
 // sendHeartbeats sends a heartbeat to each other member when it is time.
 func (c *Core) sendHeartbeats(now time.Duration) {
 	if now < c.heartbeatAt || !c.joined {
@@ -168,9 +183,6 @@
 // waiting cannot speak for the owner before it.
 func (c *Core) hasStopped(claim *schedv1.OwnedGroup) bool {
 	g := c.groups[spec.GroupID(claim.GetId())]
-	if c.faults.skipStartedRule {
-		return g.take != nil && uint64(g.take.epoch)+1 == claim.GetEpoch()
-	}
 	return g.startedEpoch > 0 && uint64(g.startedEpoch)+1 == claim.GetEpoch()
 }
 
@@ -196,9 +208,7 @@
 		c.promised(p, promised, e.SentAt)
 	}
 	for _, claim := range r.GetAcknowledged() {
-		if t := c.takeOf(claim); t != nil {
-			t.acks[p.id] = p.incarnation
-		}
+		c.acknowledged(now, p, claim)
 	}
 	for _, claim := range r.GetStopped() {
 		c.stopped(p, claim)
@@ -230,6 +240,19 @@
 	p.promises[spec.GroupID(owned.GetId())] = given
 }
 
+// acknowledged notes when a voter's incarnation first said that it knows the
+// claim.
+func (c *Core) acknowledged(now time.Duration, p *peer, claim *schedv1.OwnedGroup) {
+	t := c.takeOf(claim)
+	if t == nil {
+		return
+	}
+	if given, ok := t.acks[p.id]; ok && given.incarnation == p.incarnation {
+		return
+	}
+	t.acks[p.id] = ack{incarnation: p.incarnation, at: now}
+}
+
 func (c *Core) stopped(p *peer, claim *schedv1.OwnedGroup) {
 	t := c.takeOf(claim)
 	if t == nil {
--- a/internal/ownership/members.go
+++ b/internal/ownership/members.go
@@ -249,22 +249,11 @@
 // current returns the newest voter set.
 func (m *membership) current() voterSet { return m.sets[len(m.sets)-1] }
 
-// versionAt returns the version that this instance knew at a time, or the
-// oldest that it remembers.
-func (m *membership) versionAt(at time.Duration) uint64 {
-	for i := len(m.sets) - 1; i > 0; i-- {
+// setsSince returns the voter sets from the one that this instance knew at a
+// time to the current one. ok is false when some are no longer remembered.
+func (m *membership) setsSince(at time.Duration) (sets []voterSet, ok bool) {
+	for i := len(m.sets) - 1; i >= 0; i-- {
 		if m.sets[i].knownAt <= at {
-			return m.sets[i].version
-		}
-	}
-	return m.sets[0].version
-}
-
-// since returns all voter sets from the version on. ok is false when some
-// are no longer remembered.
-func (m *membership) since(version uint64) (sets []voterSet, ok bool) {
-	for i := range m.sets {
-		if m.sets[i].version == version {
 			return m.sets[i:], true
 		}
 	}
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -115,7 +115,7 @@
 // stream shows, else nil. Messages of other incarnations carry no weight.
 func (c *Core) peerOf(id string, incarnation uint64) *peer {
 	p := c.peers[spec.InstanceID(id)]
-	if p == nil || (p.incarnation != spec.Incarnation(incarnation) && !c.faults.anyIncarnation) {
+	if p == nil || p.incarnation != spec.Incarnation(incarnation) {
 		return nil
 	}
 	return p
--- a/internal/ownership/quorum.go
+++ b/internal/ownership/quorum.go
@@ -99,7 +99,7 @@
 
 func (c *Core) isFit(now time.Duration, id spec.InstanceID) bool {
 	if id == c.settings.Instance {
-		return c.members.isVoter(id) && !c.leaving && c.logReadable(now)
+		return c.members.isVoter(id) && !c.leaving && c.logUsable(now)
 	}
 	p := c.peers[id]
 	return p != nil && c.members.isVoter(id) && !p.leaving && !c.suspect(now, p)
@@ -111,6 +111,12 @@
 	return c.hasMembersTail && now-c.membersTail <= c.settings.LogReadableFor
 }
 
+// logUsable reports whether the log is worth writing to. A log that is only
+// slow stays usable.
+func (c *Core) logUsable(now time.Duration) bool {
+	return c.hasMembersTail && now-c.membersTail <= c.settings.LogUsableFor
+}
+
 // suspects lists whom this instance suspects, in a fixed order.
 func (c *Core) suspects(now time.Duration) []string {
 	var out []string
--- a/internal/ownership/settings.go
+++ b/internal/ownership/settings.go
@@ -30,6 +30,9 @@
 	// LogReadableFor is how old the last read of the members stream that
 	// reached the tail may be while the log counts as readable.
 	LogReadableFor time.Duration
+	// LogUsableFor is how old that read may be while claims and changes of the
+	// membership are still worth an attempt.
+	LogUsableFor time.Duration
 	// ListLag is how long the instance list must show a voter as gone before
 	// it counts as having agreed.
 	ListLag time.Duration
@@ -58,6 +61,7 @@
 		HeartbeatPeriod: 250 * time.Millisecond,
 		SuspectAfter:    time.Second,
 		LogReadableFor:  1500 * time.Millisecond,
+		LogUsableFor:    10 * time.Second,
 		ListLag:         30 * time.Second,
 		RemoveAfter:     10 * time.Second,
 		SettleTime:      time.Second,
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -9,66 +9,59 @@
 
 // advance brings a takeover and the right to the group up to date.
 func (c *Core) advance(now time.Duration, g *group) {
-	if g.take != nil && !g.superseded() && !g.take.started {
-		c.countMajority(now, g)
-		if c.mayStart(now, g) {
-			g.take.started = true
-			g.startedEpoch = g.take.epoch
-		}
+	if g.take != nil && !g.superseded() && !g.take.started && c.mayStart(now, g.take) {
+		g.take.started = true
+		g.startedEpoch = g.take.epoch
 	}
 	c.updateRight(now, g)
 }
 
-// countMajority notes when a majority of the voters knows the claim. The read
-// of the members stream after the claim makes sure that the voter set is at
-// least as new as the one that the old owner knew at its last confirmation.
-func (c *Core) countMajority(now time.Duration, g *group) {
-	t := g.take
-	if t.majority || !c.hasMembersTail {
-		return
+// mayStart reports whether no earlier ownership can have a right any more.
+func (c *Core) mayStart(now time.Duration, t *take) bool {
+	if t.previous.Released || t.stopped || c.faults.skipWait {
+		return true
+	}
+	wait := c.settings.OwnershipLease + c.settings.LogStaleness
+	if now < t.readBackAt+wait {
+		return false
+	}
+	return c.faults.skipMajority || c.majorityKnows(now, t)
+}
+
+// majorityKnows reports whether a majority of the voters has known the claim
+// for one lease. The read of the members stream after the claim makes sure
+// that the voter set is at least as new as the one that the old owner knew at
+// its last confirmation.
+func (c *Core) majorityKnows(now time.Duration, t *take) bool {
+	if !c.hasMembersTail {
+		return false
 	}
 	if c.membersTail < t.readBackAt && !c.faults.skipSetHistory {
-		return
+		return false
 	}
-	t.majority = majority(c.members.current().voters, func(id spec.InstanceID) bool {
-		return c.acknowledged(now, t, id)
+	return majority(c.members.current().voters, func(id spec.InstanceID) bool {
+		return c.knowsClaim(now, t, id)
 	})
-	if t.majority {
-		t.majorityAt = now
-	}
 }
 
-func (c *Core) acknowledged(now time.Duration, t *take, id spec.InstanceID) bool {
+// knowsClaim reports whether the voter has known the claim for one lease, so
+// that its promises to older owners have run out, or is proven dead.
+func (c *Core) knowsClaim(now time.Duration, t *take, id spec.InstanceID) bool {
+	lease := c.settings.OwnershipLease
 	if id == c.settings.Instance {
-		return c.mayVote(now)
+		return c.joined && now >= max(t.readBackAt, c.joinedAt+lease)+lease
 	}
 	p := c.peers[id]
 	if p == nil {
 		return false
 	}
-	incarnation, ok := t.acks[id]
-	if ok && incarnation == p.incarnation {
+	given, ok := t.acks[id]
+	if ok && given.incarnation == p.incarnation && now >= given.at+lease {
 		return true
 	}
 	return c.proven(now, id, t.readBackAt)
 }
 
-// mayStart reports whether no earlier ownership can have a right any more.
-func (c *Core) mayStart(now time.Duration, g *group) bool {
-	t := g.take
-	if t.previous.Released || t.stopped || c.faults.skipWait {
-		return true
-	}
-	wait := c.settings.OwnershipLease + c.settings.LogStaleness
-	if now < t.readBackAt+wait {
-		return false
-	}
-	if c.faults.skipMajority {
-		return true
-	}
-	return t.majority && now >= t.majorityAt+c.settings.OwnershipLease
-}
-
 // updateRight emits the right when it was extended or lost.
 func (c *Core) updateRight(now time.Duration, g *group) {
 	until := c.rightUntil(g)
@@ -113,11 +106,10 @@
 // peerLease returns until when a majority of the voters has promised that it
 // knows no newer claim, in each voter set since the last confirmation.
 func (c *Core) peerLease(g *group) time.Duration {
-	base := c.members.versionAt(g.take.confirmedAt)
+	sets, ok := c.members.setsSince(g.take.confirmedAt)
 	if c.faults.skipSetHistory {
-		base = c.members.version
+		sets, ok = []voterSet{c.members.current()}, true
 	}
-	sets, ok := c.members.since(base)
 	if !ok {
 		return 0
 	}
