--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -35,6 +35,10 @@
 	ignoreVoid           bool
 }
 
+// unknownOffset is the offset of a record that was not read back; only a
+// broken writer reports it.
+const unknownOffset = -1
+
 // NewWriter returns a writer with empty buffers and a full token bucket.
 func NewWriter(settings Settings) *Writer {
 	return &Writer{
@@ -101,6 +105,7 @@
 	box.sequence++
 	box.queue = append(box.queue, entry{sequence: box.sequence, token: e.Token, data: data, at: now})
 	box.queuedBytes += len(data)
+	box.urgent = box.urgent || e.Urgent
 	w.buffered += len(data)
 	w.live[e.Token] = struct{}{}
 	return box
@@ -124,7 +129,7 @@
 	}
 	if w.faults.countAppendAsWritten {
 		for len(box.batch) > 0 {
-			w.written(box.pop(), 0)
+			w.written(box.pop(), unknownOffset)
 		}
 	}
 	return box
@@ -175,6 +180,7 @@
 	}
 	box.queue = nil
 	box.queuedBytes = 0
+	box.urgent = false
 	return box
 }
 
