Random runs over the group core with fake log, workers and entries

Cause: the core had no test. The runs mix takeovers (waited and at once), crashes at any effect, pauses, lost, repeated and late messages, worker restarts with a new boot, failing and unreachable workers, cancellations and log outages; the workers keep the truth.

--- /dev/null
+++ b/internal/group/node_test.go
@@ -0,0 +1,170 @@
+package group
+
+import (
+	"time"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/policy/firstfit"
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// node is one instance: a core, its journal and its reader of the log.
+type node struct {
+	sim         *sim
+	name        spec.InstanceID
+	incarnation spec.Incarnation
+	core        *Core
+	rate        float64
+	offset      time.Duration
+	pausedUntil time.Duration
+	cursor      int
+	atTail      bool
+	sequence    uint64
+	queue       []*recordv1.Envelope
+	flight      []*recordv1.Envelope
+}
+
+// journalLimit is the number of records that the fake journal buffers.
+const journalLimit = 48
+
+func (n *node) clock() time.Duration {
+	return n.offset + time.Duration(float64(n.sim.now)*n.rate)
+}
+
+// boot starts the core with an empty memory.
+func (n *node) boot() {
+	n.incarnation++
+	opts := n.sim.opts
+	opts.Instance = n.name
+	opts.Incarnation = n.incarnation
+	n.core = New(opts, firstfit.New())
+	n.cursor = n.sim.log.first
+	n.atTail = false
+	n.sequence = 0
+	n.queue = nil
+	n.flight = nil
+	n.step(SetEntries{Entries: n.sim.entryNames()})
+	n.step(SetWorkers{Workers: n.sim.workerInfos()})
+}
+
+func (n *node) crash() {
+	n.core = nil
+	n.sim.after(n.sim.span(3*time.Second), n.boot)
+}
+
+// step hands an event to the core, later when the process is paused.
+func (n *node) step(e Event) {
+	s := n.sim
+	if n.core == nil || s.failure != "" {
+		return
+	}
+	if s.now < n.pausedUntil {
+		run := n.incarnation
+		s.after(n.pausedUntil-s.now, func() {
+			if n.incarnation == run {
+				n.step(e)
+			}
+		})
+		return
+	}
+	s.steps++
+	effects := append([]Effect(nil), n.core.Step(n.clock(), e)...)
+	for _, effect := range effects {
+		if s.fault(0.00015) {
+			n.crash()
+			return
+		}
+		n.perform(effect)
+	}
+}
+
+func (n *node) perform(effect Effect) {
+	s := n.sim
+	switch e := effect.(type) {
+	case Write:
+		if len(n.queue) >= journalLimit {
+			s.after(0, func() { n.step(Rejected{Token: e.Token, Code: code.JournalFull}) })
+			return
+		}
+		n.enqueue(e.Envelope)
+	case Send:
+		s.sendBatch(n, e)
+	case Reply:
+		s.truth.reply(e)
+	}
+}
+
+func (n *node) enqueue(env *recordv1.Envelope) {
+	n.sequence++
+	env.Instance = string(n.name)
+	env.Incarnation = uint64(n.incarnation)
+	env.Sequence = n.sequence
+	n.queue = append(n.queue, env)
+	n.pump()
+}
+
+// pump appends the next batch when the last one was read back.
+func (n *node) pump() {
+	if len(n.flight) > 0 || len(n.queue) == 0 {
+		return
+	}
+	n.flight = n.queue
+	n.queue = nil
+	n.send(n.flight, n.incarnation)
+}
+
+// send appends a batch and repeats it until it is read back. The answer and
+// the append may be lost, and an append may take effect late.
+func (n *node) send(batch []*recordv1.Envelope, run spec.Incarnation) {
+	s := n.sim
+	if !s.fault(0.1) {
+		s.after(s.transit(), func() {
+			if !s.log.down {
+				s.append(batch)
+			}
+		})
+	}
+	s.after(200*time.Millisecond+s.span(time.Second), func() {
+		same := len(n.flight) > 0 && n.flight[0] == batch[0]
+		if same && n.core != nil && n.incarnation == run {
+			n.send(batch, run)
+		}
+	})
+}
+
+// read takes records from the log.
+func (n *node) read() {
+	s := n.sim
+	if n.core == nil || s.log.down || s.now < n.pausedUntil || s.fault(0.1) {
+		return
+	}
+	if n.cursor < s.log.first {
+		n.cursor = s.log.first
+		n.atTail = false
+		n.step(RecordsExpired{})
+	}
+	run := n.incarnation
+	for limit := 64; limit > 0 && n.cursor < len(s.log.records); limit-- {
+		env := s.log.records[n.cursor].envelope
+		n.step(RecordRead{Offset: int64(n.cursor), Envelope: env, Fresh: n.atTail})
+		if n.core == nil || n.incarnation != run {
+			return
+		}
+		n.cursor++
+		n.readBack(env)
+	}
+	n.atTail = n.cursor == len(s.log.records)
+}
+
+func (n *node) readBack(env *recordv1.Envelope) {
+	if len(n.flight) == 0 {
+		return
+	}
+	last := n.flight[len(n.flight)-1]
+	if env.GetInstance() == string(n.name) && env.GetIncarnation() == uint64(n.incarnation) && env.GetSequence() == last.GetSequence() {
+		n.flight = nil
+		n.pump()
+	}
+}
--- /dev/null
+++ b/internal/group/worker_test.go
@@ -0,0 +1,239 @@
+package group
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"redwingvale/internal/platform"
+	"redwingvale/internal/spec"
+)
+
+// fakeWorker keeps the truth about what runs on it.
+type fakeWorker struct {
+	sim      *sim
+	worker   spec.Worker
+	leaving  bool
+	boots    int
+	bootAt   time.Duration
+	rate     float64
+	offset   time.Duration
+	epoch    spec.Epoch
+	runs     map[attemptKey]*fakeRun
+	failing  bool
+	deafTill time.Duration
+	used     spec.Resources
+	urgent   int64
+}
+
+// fakeRun is one attempt on a worker.
+type fakeRun struct {
+	command platform.Command
+	report  platform.TaskReport
+	// doneAt and stopAt are true times; stopAt is zero when no stop was asked.
+	doneAt  time.Duration
+	startAt time.Duration
+	stopAt  time.Duration
+	base    float64
+	slow    float64
+}
+
+func (w *fakeWorker) boot() string { return fmt.Sprintf("%s.%d", w.worker.ID, w.boots) }
+
+func (w *fakeWorker) clock() time.Duration {
+	return w.offset + time.Duration(float64(w.sim.now-w.bootAt)*w.rate)
+}
+
+// restart loses everything that the worker knew.
+func (w *fakeWorker) restart() {
+	for _, r := range w.sorted() {
+		if r.report.State == platform.TaskRunning {
+			w.end(r, platform.TaskStopped)
+		}
+	}
+	w.boots++
+	w.bootAt = w.sim.now
+	w.offset = w.sim.span(time.Hour)
+	w.epoch = 0
+	w.runs = make(map[attemptKey]*fakeRun)
+}
+
+func (w *fakeWorker) sorted() []*fakeRun {
+	out := make([]*fakeRun, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i].report, out[j].report
+		if a.Task != b.Task {
+			return a.Task.String() < b.Task.String()
+		}
+		return a.Attempt < b.Attempt
+	})
+	return out
+}
+
+// advance ends runs whose time, stop or lease has come.
+func (w *fakeWorker) advance() {
+	for _, r := range w.sorted() {
+		if r.report.State != platform.TaskRunning {
+			continue
+		}
+		switch {
+		case w.clock() >= r.report.LeaseEnd:
+			w.end(r, platform.TaskStopped)
+		case w.failing:
+			w.end(r, platform.TaskFailed)
+		case w.sim.now >= r.doneAt:
+			r.report.Progress = 1
+			w.end(r, platform.TaskDone)
+			w.sim.truth.finished[r.report.Task]++
+		case r.stopAt != 0 && w.sim.now >= r.stopAt:
+			w.checkpoint(r)
+			w.end(r, platform.TaskStopped)
+		}
+	}
+}
+
+func (w *fakeWorker) end(r *fakeRun, state platform.TaskState) {
+	r.report.State = state
+	r.report.Ran = true
+	w.used = w.used.Sub(r.command.Resources)
+	delete(w.sim.truth.running, r.report.Task)
+}
+
+// checkpoint saves the progress of a run. Tasks with an odd index cannot.
+func (w *fakeWorker) checkpoint(r *fakeRun) {
+	if r.report.Task.Index%2 == 1 {
+		return
+	}
+	share := float64(w.sim.now-r.startAt) / float64(r.command.RunTime)
+	r.report.Progress = min(1, r.base+share)
+	r.report.Checkpoint = fmt.Sprintf("%.6f", r.report.Progress)
+}
+
+// do carries out a batch and returns the worker's report.
+func (w *fakeWorker) do(batch platform.CommandBatch) *platform.WorkerReport {
+	w.advance()
+	report := &platform.WorkerReport{Worker: w.worker.ID, Boot: w.boot()}
+	if batch.Epoch < w.epoch {
+		report.Fenced = true
+	}
+	w.epoch = max(w.epoch, batch.Epoch)
+	ignoresBoot := w.sim.opts.broken.ignoreBoot
+	if !report.Fenced && (batch.Boot == report.Boot || ignoresBoot && batch.Boot != "") {
+		for _, command := range batch.Commands {
+			w.command(command)
+		}
+	}
+	report.Epoch = w.epoch
+	report.Clock = w.clock()
+	for _, r := range w.sorted() {
+		report.Tasks = append(report.Tasks, r.report)
+	}
+	return report
+}
+
+func (w *fakeWorker) command(c platform.Command) {
+	key := attemptKey{task: c.Task, attempt: c.Attempt}
+	r := w.runs[key]
+	if c.Kind == platform.CommandStart && r == nil {
+		w.start(key, c)
+		return
+	}
+	if r == nil {
+		return
+	}
+	running := r.report.State == platform.TaskRunning
+	switch {
+	case c.Kind == platform.CommandRenew && running:
+		r.report.LeaseEnd = max(r.report.LeaseEnd, w.leaseEnd(c))
+	case c.Kind == platform.CommandCheckpoint && running:
+		w.checkpoint(r)
+	case c.Kind == platform.CommandStop && running && r.stopAt == 0:
+		r.stopAt = w.sim.now + w.sim.span(c.Grace)
+	case c.Kind == platform.CommandForget && !running:
+		delete(w.runs, key)
+	}
+}
+
+// leaseEnd takes a negative end, which only a broken owner sends, as a lease
+// that counts from receipt.
+func (w *fakeWorker) leaseEnd(c platform.Command) time.Duration {
+	if c.LeaseEnd < 0 {
+		return w.clock() - c.LeaseEnd
+	}
+	return c.LeaseEnd
+}
+
+func (w *fakeWorker) start(key attemptKey, c platform.Command) {
+	r := &fakeRun{command: c, startAt: w.sim.now}
+	r.report = platform.TaskReport{Task: c.Task, Attempt: c.Attempt, LeaseEnd: w.leaseEnd(c), Checkpoint: c.Checkpoint}
+	w.runs[key] = r
+	if w.clock() > c.StartBy || w.clock() >= r.report.LeaseEnd {
+		r.report.State = platform.TaskRefused
+		return
+	}
+	r.report.State = platform.TaskRunning
+	if c.Checkpoint != "" {
+		_, _ = fmt.Sscanf(c.Checkpoint, "%f", &r.base)
+	}
+	r.report.Progress = r.base
+	r.doneAt = w.sim.now + time.Duration((1-r.base)*float64(c.RunTime))
+	w.used = w.used.Add(c.Resources)
+	w.sim.truth.started(w.sim, w, c)
+	w.sim.truth.checkWorker(w.sim, w)
+}
+
+// sendBatch carries a batch to its worker and the report back. Both can be
+// lost, late or repeated.
+func (s *sim) sendBatch(n *node, e Send) {
+	w := s.worker(e.Worker.ID)
+	run := n.incarnation
+	sentAt := n.clock()
+	s.after(time.Second, func() {
+		if n.incarnation == run {
+			n.step(WorkerFailed{Serial: e.Serial, Worker: e.Worker.ID})
+		}
+	})
+	copies := 1
+	if s.fault(0.04) {
+		copies = 2
+	}
+	for ; copies > 0; copies-- {
+		if w == nil || s.now < w.deafTill || s.fault(0.04) {
+			continue
+		}
+		s.after(s.transit(), func() { s.deliver(n, run, w, e, sentAt) })
+	}
+}
+
+func (s *sim) deliver(n *node, run spec.Incarnation, w *fakeWorker, e Send, sentAt time.Duration) {
+	report := w.do(e.Batch)
+	if s.fault(0.04) {
+		return
+	}
+	s.after(s.transit(), func() {
+		if n.incarnation != run || n.core == nil {
+			return
+		}
+		n.step(WorkerAnswered{Serial: e.Serial, Report: report, SentAt: sentAt, ReceivedAt: n.clock()})
+	})
+}
+
+func (s *sim) worker(id spec.WorkerID) *fakeWorker {
+	for _, w := range s.workers {
+		if w.worker.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
+func (s *sim) workerInfos() []WorkerInfo {
+	out := make([]WorkerInfo, 0, len(s.workers))
+	for _, w := range s.workers {
+		out = append(out, WorkerInfo{Worker: w.worker, Leaving: w.leaving})
+	}
+	return out
+}
