--- a/internal/grant/renew.go
+++ b/internal/grant/renew.go
@@ -13,6 +13,11 @@
 // owner's right ends. A worker that the request does not name counts as
 // unused and unwanted.
 //
+// After a takeover, a report that may be older than the owner's right is
+// answered with grants of 0 slots, which tell the epoch; the next request
+// states that epoch and is believed. An entry process that started less than
+// Valid plus UrgentLimit ago gets nothing until the kept slots are free.
+//
 // The caller must keep two rules. The sequence grows with each request of one
 // incarnation, and the grants of an answer are used only while no later
 // request that covers the same worker was sent. A request that is older than
@@ -26,6 +31,9 @@
 	if now >= right.Until || !l.acceptOrder(h, req.GetSequence()) {
 		return nil
 	}
+	if l.unproven(now, h, right, req) {
+		return l.askAgain(now, right, h, req)
+	}
 	l.takeReport(now, h, req)
 	valid := min(l.opts.Valid, right.Until-now)
 	validMS := valid.Milliseconds()
@@ -79,6 +87,44 @@
 	delete(l.unheard.entries, h.entry)
 }
 
+// unproven reports whether the request says too little about what the entry
+// holds from the old owner: it may have been sent before the old owner's last
+// grant, or requests of the entry's predecessor may still run on targets.
+func (l *Ledger) unproven(now time.Duration, h holder, right Right, req *schedv1.RenewGrantsRequest) bool {
+	if !l.unheard.entries[h.entry] || now >= l.unheard.until || l.opts.trustOldReports {
+		return false
+	}
+	running := time.Duration(req.GetRunningMs()) * time.Millisecond
+	if running <= l.guarded(l.opts.Valid+l.opts.UrgentLimit) {
+		return true
+	}
+	for _, holding := range req.GetHoldings() {
+		known := l.workers[spec.WorkerID(holding.GetWorker())] != nil
+		if known && holding.GetEpoch() == uint64(right.Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// askAgain books what the entry wants and tells it the epoch.
+func (l *Ledger) askAgain(now time.Duration, right Right, h holder, req *schedv1.RenewGrantsRequest) []*schedv1.Grant {
+	for _, holding := range req.GetHoldings() {
+		acc := l.workers[spec.WorkerID(holding.GetWorker())]
+		if acc == nil {
+			continue
+		}
+		u := acc.use(h)
+		u.want = int64(holding.GetWant())
+		u.wantUntil = now + 2*l.opts.Valid
+	}
+	out := make([]*schedv1.Grant, 0, len(l.order))
+	for _, id := range l.order {
+		out = append(out, &schedv1.Grant{Worker: string(id), Epoch: uint64(right.Epoch)})
+	}
+	return out
+}
+
 func (l *Ledger) takeHolding(now time.Duration, acc *account, h holder, stated *schedv1.Holding, req *schedv1.RenewGrantsRequest) {
 	u := acc.use(h)
 	inUse := amount{slots: int64(stated.GetInUse()), connections: int64(stated.GetConnections())}
@@ -111,6 +157,7 @@
 	u := acc.use(h)
 	others := l.heldByEntries(now, acc).sub(u.bound(now))
 	available := amountOf(acc.capacity.Sub(acc.reserved)).sub(others)
+	available = available.min(l.leftByPredecessors(now, acc, h))
 	given := l.share(now, acc, u).min(available).max(amount{})
 	if l.opts.noBound {
 		given = l.share(now, acc, u)
@@ -126,3 +173,16 @@
 	}
 	return given
 }
+
+// leftByPredecessors is the most that one entry gets of a worker, less what
+// earlier runs of the entry may still be using: one entry never holds more
+// than a new owner would keep for it.
+func (l *Ledger) leftByPredecessors(now time.Duration, acc *account, h holder) amount {
+	left := perEntry(acc.capacity, int64(len(l.entries)))
+	for _, u := range acc.uses {
+		if u.holder.entry == h.entry && u.holder != h {
+			left = left.sub(u.bound(now))
+		}
+	}
+	return left
+}
--- a/internal/group/contact.go
+++ b/internal/group/contact.go
@@ -113,6 +113,9 @@
 	if c.opts.broken.noWorkerFence {
 		batch.Epoch = 1
 	}
+	if c.opts.broken.noBoot {
+		batch.Boot = ""
+	}
 	if w.answered {
 		batch.Commands = c.commands(w)
 	}
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -76,7 +76,7 @@
 	noWorkerFence       bool
 	noRecordFence       bool
 	noCancelHorizon     bool
-	ignoreBoot          bool
+	noBoot              bool
 }
 
 // DefaultOptions returns the options of the design page without identity.
--- a/internal/group/recovery.go
+++ b/internal/group/recovery.go
@@ -17,6 +17,9 @@
 	state    *state
 	complete bool
 	started  bool
+	// from is the offset of the first record read. A snapshot that does not
+	// reach up to it leaves records out.
+	from int64
 	// held keeps records until a snapshot is whole, and heldFilter tells
 	// repeated parts from new ones meanwhile.
 	held       []RecordRead
@@ -65,6 +68,9 @@
 	if claim := r.Envelope.GetGroup().GetClaim(); claim != nil {
 		f.claimed = max(f.claimed, spec.Epoch(claim.GetReplacesEpoch())+1)
 	}
+	if len(f.held) == 0 && f.parts == nil {
+		f.from = r.Offset
+	}
 	f.held = append(f.held, r)
 	if !f.heldFilter.Accept(r.Envelope) {
 		return
@@ -93,6 +99,10 @@
 // addPart takes a part and reports whether the snapshot is whole. Parts are
 // written in order; a part of another snapshot starts over.
 func (f *follower) addPart(now time.Duration, p *recordv1.GroupSnapshot, fresh bool) bool {
+	if p.GetPart() == 0 && p.GetThroughOffset()+1 < f.from {
+		f.parts = nil
+		return false
+	}
 	if p.GetPart() == 0 {
 		f.parts = []*recordv1.GroupSnapshot{p}
 		f.partsSince = now
--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -153,7 +153,7 @@
 func (c *Core) onAbsent(w *contact, t *task) {
 	l := t.live
 	switch {
-	case l.sentBoot != "" && l.sentBoot != w.boot && !c.opts.broken.ignoreBoot:
+	case l.sentBoot != "" && l.sentBoot != w.boot:
 		c.writeStopped(t, reasonLost, true, true)
 	case t.ranNow():
 		c.writeStopped(t, reasonLost, true, true)
@@ -185,9 +185,10 @@
 		for _, t := range w.ordered() {
 			c.giveUp(t)
 		}
-		if w.offered {
-			w.offered = false
+		if w.answered {
+			// No renewal is sent until the worker answers, so the leases end.
 			w.answered = false
+			w.offered = false
 			c.decider.RemoveWorker(c.now, id)
 			c.note("worker_unreachable", "worker", string(id))
 		}
