--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -1,7 +1,7 @@
 package grant
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"redwingvale/internal/invariant"
@@ -48,8 +48,8 @@
 	if !ok {
 		acc = newAccount(worker.ID)
 		l.workers[worker.ID] = acc
-		l.order = append(l.order, worker.ID)
-		sort.Slice(l.order, func(i, j int) bool { return l.order[i] < l.order[j] })
+		at, _ := slices.BinarySearch(l.order, worker.ID)
+		l.order = slices.Insert(l.order, at, worker.ID)
 	}
 	acc.capacity = worker.Capacity
 	acc.leaving = leaving
@@ -61,14 +61,14 @@
 		return
 	}
 	delete(l.workers, id)
-	at := sort.Search(len(l.order), func(i int) bool { return l.order[i] >= id })
-	l.order = append(l.order[:at], l.order[at+1:]...)
+	at, _ := slices.BinarySearch(l.order, id)
+	l.order = slices.Delete(l.order, at, at+1)
 }
 
 // SetEntries replaces the active entry instances.
 func (l *Ledger) SetEntries(entries []spec.InstanceID) {
 	l.entries = append(l.entries[:0:0], entries...)
-	sort.Slice(l.entries, func(i, j int) bool { return l.entries[i] < l.entries[j] })
+	slices.Sort(l.entries)
 }
 
 // TakeOver keeps grant_cap slots of each worker for each entry until it
--- a/internal/group/broken_test.go
+++ b/internal/group/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -41,7 +42,7 @@
 // Guards against a random run that would not notice leases that count from
 // the receipt of a renewal instead of ending at a fixed time.
 func TestBrokenLeaseFromReceipt(t *testing.T) {
-	requireViolation(t, broken{leaseFromReceipt: true}, faults{late: 0.05, deaf: 0.1, claim: 0.005, atOnce: 0.5})
+	requireViolation(t, broken{leaseFromReceipt: true}, faults{deaf: 0.03, claim: 0.005, straggle: 0.9, longer: 20 * time.Second})
 }
 
 // Guards against a random run that would not notice an attempt number that is
--- a/internal/group/contact.go
+++ b/internal/group/contact.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -59,8 +60,8 @@
 		startBy: make(map[attemptKey]time.Duration),
 	}
 	c.owner.workers[id] = w
-	c.owner.order = append(c.owner.order, id)
-	sort.Slice(c.owner.order, func(i, j int) bool { return c.owner.order[i] < c.owner.order[j] })
+	at, _ := slices.BinarySearch(c.owner.order, id)
+	c.owner.order = slices.Insert(c.owner.order, at, id)
 	return w
 }
 
@@ -160,6 +161,7 @@
 	if l.throttle != l.throttled && l.seenRunning {
 		command.Kind = platform.CommandThrottle
 		command.ThrottlePercent = l.throttle
+		l.throttled = l.throttle
 		out = append(out, command)
 	}
 	return out
--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -41,11 +41,8 @@
 
 // owner is what the owner knows and does beyond the log.
 type owner struct {
-	epoch spec.Epoch
-	since time.Duration
-	// reused states that this process has sent commands in this epoch before
-	// it lost its state.
-	reused  bool
+	epoch   spec.Epoch
+	since   time.Duration
 	ledger  *grant.Ledger
 	workers map[spec.WorkerID]*contact
 	// order holds the workers sorted by id.
@@ -69,6 +66,8 @@
 	snapshotParts  []*recordv1.GroupSnapshot
 	nextSnapshot   time.Duration
 	pendingVerdict map[spec.WorkerID]bool
+	// overdue are the tasks that were late at the last review.
+	overdue map[spec.TaskID]bool
 }
 
 // writtenRecord is a Write that is neither read back nor refused.
@@ -98,8 +97,7 @@
 	case RecordRead:
 		c.onRecord(e)
 	case RecordsExpired:
-		c.resign("records expired")
-		c.follow.expired()
+		c.onExpired()
 	case RightChanged:
 		c.right = e
 	case Rejected:
@@ -139,11 +137,21 @@
 	if c.owner != nil && !c.ownsEpoch() {
 		c.resign("ownership lost")
 	}
-	if c.owner == nil && c.entitled() {
+	if c.owner == nil && c.entitled() && c.right.Epoch > c.lastEpoch {
 		c.takeOver()
 	}
 }
 
+// onExpired starts over with an empty memory. What was sent in the present
+// epoch is forgotten, so nothing more can be decided in it.
+func (c *Core) onExpired() {
+	if c.owner != nil {
+		c.emit(Abandon{Epoch: c.owner.epoch})
+	}
+	c.resign("records expired")
+	c.follow.expired()
+}
+
 // state returns what the log states.
 func (c *Core) state() *state { return c.follow.state }
 
--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -49,6 +49,14 @@
 // Changed states that a job's state has changed, for callers that wait.
 type Changed struct{ Job spec.JobID }
 
+// Abandon states that the core lost records while it owned the group and
+// decides nothing more in this epoch. The group must be claimed anew.
+type Abandon struct{ Epoch spec.Epoch }
+
+// Overdue states that a task can no longer meet its deadline. It is sent when
+// that becomes known, and again after a takeover.
+type Overdue struct{ Task spec.TaskID }
+
 // Note is one line of the event log: a name and pairs of key and value.
 type Note struct {
 	Name  string
@@ -60,4 +68,6 @@
 func (Reply) effect()   {}
 func (HandOff) effect() {}
 func (Changed) effect() {}
+func (Abandon) effect() {}
+func (Overdue) effect() {}
 func (Note) effect()    {}
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingvale/internal/code"
+	"redwingvale/internal/policy"
 	"redwingvale/internal/policy/firstfit"
 	"redwingvale/internal/spec"
 
@@ -39,7 +40,7 @@
 	opts := n.sim.opts
 	opts.Instance = n.name
 	opts.Incarnation = n.incarnation
-	n.core = New(opts, firstfit.New())
+	n.core = New(opts, &restless{Decider: firstfit.New(), sim: n.sim})
 	n.cursor = n.sim.log.first
 	n.atTail = false
 	n.sequence = 0
@@ -49,6 +50,32 @@
 	n.step(SetWorkers{Workers: n.sim.workerInfos()})
 }
 
+// restless is a decider that also acts on running tasks at random.
+type restless struct {
+	*firstfit.Decider
+	sim    *sim
+	placed []policy.Placement
+}
+
+func (r *restless) Schedule(now time.Duration, limit int) []policy.Placement {
+	out := r.Decider.Schedule(now, limit)
+	r.placed = append(r.placed[max(0, len(r.placed)-20):], out...)
+	return out
+}
+
+func (r *restless) Review(time.Duration) []policy.Action {
+	if r.sim.quiet || len(r.placed) == 0 {
+		return nil
+	}
+	kinds := []policy.ActionKind{
+		policy.ActionEvict, policy.ActionMove, policy.ActionThrottle,
+		policy.ActionUnthrottle, policy.ActionQuarantine, policy.ActionRelease,
+	}
+	p := r.placed[r.sim.rng.IntN(len(r.placed))]
+	kind := kinds[r.sim.rng.IntN(len(kinds))]
+	return []policy.Action{{Kind: kind, Task: p.Task, Worker: p.Worker, ThrottlePercent: 50}}
+}
+
 func (n *node) crash() {
 	n.core = nil
 	n.sim.after(n.sim.span(3*time.Second), n.boot)
--- a/internal/group/owner.go
+++ b/internal/group/owner.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -46,6 +47,9 @@
 // unthrottled is the throttle share that means no limit, in percent.
 const unthrottled = 100
 
+// throttleUnknown stands for a worker's share that the owner does not know.
+const throttleUnknown = -1
+
 // takeOver starts deciding in the right's epoch.
 func (c *Core) takeOver() {
 	c.owner = &owner{
@@ -58,7 +62,6 @@
 		receives:       make(map[spec.JobID]*pendingReceive),
 		pendingVerdict: make(map[spec.WorkerID]bool),
 	}
-	c.owner.reused = c.lastEpoch == c.owner.epoch
 	c.lastEpoch = c.owner.epoch
 	c.owner.ledger.SetEntries(c.entries)
 	c.syncWorkers()
@@ -114,6 +117,7 @@
 	case t.active():
 		t.live = newLive(c.now)
 		t.live.adopted = true
+		t.live.throttled = throttleUnknown
 		t.live.leaseUntil = c.oldRightEnd() + c.lengthened(c.opts.TaskLease)
 		t.live.checkpoint = t.checkpoint
 		t.live.progress = t.progress
@@ -237,10 +241,9 @@
 	id := w.worker.ID
 	c.owner.ledger.RemoveWorker(id)
 	delete(c.owner.workers, id)
-	at := sort.Search(len(c.owner.order), func(i int) bool { return c.owner.order[i] >= id })
-	invariant.Check(at < len(c.owner.order) && c.owner.order[at] == id, invariant.InternalConsistency,
-		"worker %s is not in the order", id)
-	c.owner.order = append(c.owner.order[:at], c.owner.order[at+1:]...)
+	at, found := slices.BinarySearch(c.owner.order, id)
+	invariant.Check(found, invariant.InternalConsistency, "worker %s is not in the order", id)
+	c.owner.order = slices.Delete(c.owner.order, at, at+1)
 }
 
 func (c *Core) onEntries(e SetEntries) {
--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -38,6 +38,9 @@
 	}
 	w.open = 0
 	w.failing = true
+	for _, t := range w.ordered() {
+		t.live.throttled = throttleUnknown
+	}
 }
 
 // onWorkerAnswered takes a worker's report in. Answers to other batches than
@@ -157,8 +160,6 @@
 		c.writeStopped(t, reasonLost, true, true)
 	case t.ranNow():
 		c.writeStopped(t, reasonLost, true, true)
-	case l.adopted && c.owner.reused && c.now <= c.oldRightEnd():
-		return
 	case l.adopted:
 		ran := t.boot != w.boot
 		c.writeStopped(t, reasonNotStarted, ran, ran)
--- a/internal/group/schedule.go
+++ b/internal/group/schedule.go
@@ -151,6 +151,7 @@
 	for _, action := range c.decider.Review(c.now) {
 		c.act(action)
 	}
+	c.reportOverdue()
 	var gone []*contact
 	for _, id := range c.owner.order {
 		w := c.owner.workers[id]
@@ -170,6 +171,18 @@
 	}
 }
 
+// reportOverdue tells about tasks that can no longer meet their deadline.
+func (c *Core) reportOverdue() {
+	late := make(map[spec.TaskID]bool)
+	for _, id := range c.decider.Overdue(c.now) {
+		late[id] = true
+		if !c.owner.overdue[id] {
+			c.emit(Overdue{Task: id})
+		}
+	}
+	c.owner.overdue = late
+}
+
 func (c *Core) act(a policy.Action) {
 	switch a.Kind {
 	case policy.ActionQuarantine:
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -50,9 +50,13 @@
 	// the old owner stops so that the new one need not wait.
 	claim  float64
 	atOnce float64
+	// straggle is how often a deaf worker still gets a batch, late.
+	straggle float64
+	// longer is added to each task's run time.
+	longer time.Duration
 }
 
-var usualFaults = faults{late: 0.01, deaf: 0.015, restart: 0.006, claim: 0.005, atOnce: 0.5}
+var usualFaults = faults{late: 0.01, deaf: 0.015, restart: 0.006, claim: 0.005, atOnce: 0.5, straggle: 0.3}
 
 type planned struct {
 	at    time.Duration
--- a/internal/group/truth_test.go
+++ b/internal/group/truth_test.go
@@ -100,7 +100,7 @@
 		PerTask: &recordv1.Resources{
 			MilliCpu: 1000 + s.rng.Int64N(9000), MemoryMib: 1000, Slots: 1 + s.rng.Int64N(3), Connections: 1,
 		},
-		RunTimeMs:        500 + s.rng.Int64N(9000),
+		RunTimeMs:        500 + s.rng.Int64N(9000) + s.faults.longer.Milliseconds(),
 		RestartFromStart: s.chance(0.5),
 	}
 	s.truth.jobs[id] = job
--- a/internal/group/worker_test.go
+++ b/internal/group/worker_test.go
@@ -212,7 +212,7 @@
 
 // late carries a batch through a broken link, mostly not, and never a report.
 func (s *sim) late(w *fakeWorker, e Send) {
-	if s.chance(0.3) {
+	if s.chance(s.faults.straggle) {
 		s.after(s.span(6*time.Second), func() { w.do(e.Batch) })
 	}
 }
