--- a/internal/audit/standing.go
+++ b/internal/audit/standing.go
@@ -7,7 +7,6 @@
 	"redwingvale/internal/fence"
 	"redwingvale/internal/journal"
 	"redwingvale/internal/platform"
-	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
@@ -71,9 +70,12 @@
 	return Valid, ""
 }
 
-// ofGroup follows the ownership of the group. Before the first claim or
-// snapshot that is still kept, the owner is not known.
+// ofGroup follows the ownership of the group. When its first claim has
+// expired, the owner is not known before the first snapshot.
 func (j *judge) ofGroup(env *recordv1.Envelope) Standing {
+	if !j.filter.Accept(env) {
+		return Void
+	}
 	record := env.GetGroup()
 	if claim := record.GetClaim(); claim != nil {
 		return j.ofClaim(env, claim)
@@ -85,22 +87,16 @@
 	if !j.known {
 		return Recorded
 	}
-	verdict := j.fence.Apply(env)
-	if verdict == fence.Void || !j.filter.Accept(env) {
+	if j.fence.Apply(env) == fence.Void {
 		return Void
 	}
 	return Valid
 }
 
+// ofClaim judges a claim. While the epoch is not known, only the first claim
+// of all can be told to be valid.
 func (j *judge) ofClaim(env *recordv1.Envelope, claim *recordv1.Claim) Standing {
 	if !j.known && claim.GetReplacesEpoch() > 0 {
-		// The owner before the first kept record is unknown, so a claim may
-		// itself be void; the next one that fits settles it.
-		if spec.Epoch(claim.GetReplacesEpoch()) < j.fence.Epoch {
-			return Recorded
-		}
-		j.fence.Epoch = spec.Epoch(claim.GetReplacesEpoch())
-		j.fence.Apply(env)
 		return Recorded
 	}
 	j.known = true
