rwctl page and tests; audit bounds its memory

Five patterns of lost answers lead to one record and one revision. The page is compared with the commands, flags and exit codes of the program.

--- a/cmd/rwctl/environment.go
+++ b/cmd/rwctl/environment.go
@@ -23,6 +23,7 @@
 		now:     func() time.Duration { return time.Since(start) },
 		wall:    time.Now,
 		pause:   pause,
+		limit:   context.WithTimeout,
 		newID:   func() string { return uuid.Must(uuid.NewV7()).String() },
 	}
 }
--- a/cmd/rwctl/main.go
+++ b/cmd/rwctl/main.go
@@ -38,6 +38,8 @@
 	wall func() time.Time
 	// pause waits for a duration or until ctx ends.
 	pause func(ctx context.Context, d time.Duration)
+	// limit returns a context that ends after a duration.
+	limit func(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc)
 	// newID returns a new apply id.
 	newID func() string
 }
--- /dev/null
+++ b/cmd/rwctl/page_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+func mustMarshal(b *bench, apply *recordv1.Apply) []byte {
+	data, err := proto.Marshal(envelopeOf(apply, 0))
+	b.Assert(err, qt.IsNil)
+	return data
+}
+
+// Guards against a page that describes other commands, flags or exit codes
+// than the program has.
+func TestPageMatchesProgram(t *testing.T) {
+	b := newBench(t)
+	text, err := os.ReadFile("../../docs/rwctl.md")
+	b.Assert(err, qt.IsNil)
+	page := string(text)
+	for _, line := range []string{"validate", "plan", "apply", "status", "explain", "audit", "alarms", "drain", "members list", "members remove"} {
+		b.Assert(b.run(append(strings.Fields(line), "-h")...), qt.Equals, exitOK)
+		b.Check(page, qt.Contains, "\n### rwctl "+line+"\n")
+		section := page[strings.Index(page, "### rwctl "+line+"\n"):]
+		section, _, _ = strings.Cut(section[1:], "\n### ")
+		for _, row := range strings.Split(b.err.String(), "\n") {
+			name, _, isFlag := strings.Cut(strings.TrimPrefix(row, "  -"), " ")
+			if !isFlag || !strings.HasPrefix(row, "  -") {
+				continue
+			}
+			name, _, _ = strings.Cut(name, "=")
+			common := strings.Contains("author config json log-url operators timeout", name)
+			b.Check(common || strings.Contains(section, "`-"+name), qt.IsTrue, qt.Commentf("%s -%s", line, name))
+		}
+	}
+	for _, exit := range []int{exitOK, exitFailed, exitUsage, exitInvalid, exitConflict, exitUnsure, exitNotInForce, exitUnreachable, exitFindings, exitNotFound} {
+		b.Check(page, qt.Contains, fmt.Sprintf("\n| %d | ", exit))
+	}
+}
--- /dev/null
+++ b/cmd/rwctl/rwctl_test.go
@@ -0,0 +1,318 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/code"
+	operatorv1 "redwingvale/internal/gen/redwingvale/operator/v1"
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	"redwingvale/internal/operator"
+	"redwingvale/internal/platform"
+)
+
+const docText = `team = "desk"
+service = "drafts"
+region = "mu-north"
+data_centres = ["a"]
+[urgent]
+time_limit_ms = 8000
+queue_limit = 80
+`
+
+// lossyLog keeps records and treats each append as the next letter of plan
+// says: k keeps it, l keeps it and loses the answer, d drops it.
+type lossyLog struct {
+	records []platform.LogRecord
+	plan    string
+	appends int
+	// before is called ahead of each append.
+	before func(l *lossyLog)
+}
+
+func (l *lossyLog) keep(data []byte) {
+	l.records = append(l.records, platform.LogRecord{Offset: int64(len(l.records)), Data: data})
+}
+
+func (l *lossyLog) Append(_ context.Context, _ platform.Stream, records [][]byte) error {
+	if l.before != nil {
+		l.before(l)
+	}
+	fate := byte('k')
+	if l.appends < len(l.plan) {
+		fate = l.plan[l.appends]
+	}
+	l.appends++
+	if fate != 'd' {
+		l.keep(records[0])
+	}
+	if fate != 'k' {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (l *lossyLog) Read(_ context.Context, _ platform.Stream, from int64, _ int, _ time.Duration) (platform.ReadResult, error) {
+	return platform.ReadResult{Records: l.records[from:], Next: int64(len(l.records)), AtTail: true}, nil
+}
+
+func (l *lossyLog) Streams(context.Context, string) ([]platform.Stream, error) {
+	return []platform.Stream{platform.ConfigStream}, nil
+}
+
+// applies counts the copies of Apply records.
+func (l *lossyLog) applies() int { return len(l.records) }
+
+// instance is an operator source with a fixed view of the members.
+type instance struct {
+	operator.Source
+	name    string
+	offsets map[string]int64
+}
+
+func (i *instance) Instance() string { return i.name }
+
+func (i *instance) Services(context.Context, string, bool) (*operatorv1.ListServicesResponse, error) {
+	out := &operatorv1.ListServicesResponse{}
+	for name, offset := range i.offsets {
+		out.Instances = append(out.Instances, &operatorv1.InstanceConfig{Instance: name, ConfigOffset: offset})
+		i.offsets[name]++
+	}
+	return out, nil
+}
+
+func (i *instance) Status(context.Context) (*operatorv1.StatusResponse, error) {
+	members := []*operatorv1.MemberStatus{{Instance: i.name, Incarnation: 3, State: "active"}}
+	return &operatorv1.StatusResponse{Instance: i.name, State: "ready", Members: members, Log: &operatorv1.LogStatus{Readable: true}}, nil
+}
+
+func (i *instance) Explain(context.Context, *operatorv1.ExplainRequest) (*operatorv1.ExplainResponse, error) {
+	return nil, code.New(code.UnknownJob, "desk/j")
+}
+
+func (i *instance) Alarms(context.Context, bool) ([]*operatorv1.Alarm, error) {
+	return []*operatorv1.Alarm{{Cause: "no_majority", Severity: "page", Subject: "voters", Action: "act", Instance: i.name}}, nil
+}
+
+func (i *instance) Drain(context.Context, string, string) (*operatorv1.DrainResponse, error) {
+	return &operatorv1.DrainResponse{State: "draining", GroupsLeft: 2}, nil
+}
+
+func (i *instance) RemoveMember(context.Context, *operatorv1.RemoveMemberRequest) (*operatorv1.RemoveMemberResponse, error) {
+	return &operatorv1.RemoveMemberResponse{VotersVersion: 9}, nil
+}
+
+// bench runs command lines against a lossy log and one instance. Its clock
+// moves by a second with each look, and a command's time is over after
+// maxPauses pauses or when a test ends it, so no wait takes real time.
+type bench struct {
+	*qt.C
+	log      *lossyLog
+	instance *instance
+	address  string
+	dir      string
+	out, err bytes.Buffer
+	clock    time.Duration
+	// timeOver ends the time of the command that runs.
+	timeOver context.CancelFunc
+}
+
+const maxPauses = 20
+
+func newBench(t *testing.T) *bench {
+	b := &bench{C: qt.New(t), log: &lossyLog{}, instance: &instance{name: "i1"}, dir: t.TempDir()}
+	path, handler := operator.Handler(b.instance)
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	server := httptest.NewServer(mux)
+	b.Cleanup(server.Close)
+	b.address = strings.TrimPrefix(server.URL, "http://")
+	return b
+}
+
+func (b *bench) run(args ...string) int {
+	b.out.Reset()
+	b.err.Reset()
+	e := newEnvironment(&b.out, &b.err)
+	e.openLog = func(string, *http.Client) (platform.Log, error) { return b.log, nil }
+	e.now = func() time.Duration { b.clock += time.Second; return b.clock }
+	e.newID = func() string { return "id-1" }
+	pauses := 0
+	e.pause = func(context.Context, time.Duration) {
+		if pauses++; pauses > maxPauses {
+			b.timeOver()
+		}
+	}
+	e.limit = func(ctx context.Context, _ time.Duration) (context.Context, context.CancelFunc) {
+		ctx, b.timeOver = context.WithCancel(ctx)
+		return ctx, b.timeOver
+	}
+	return run(context.Background(), e, args)
+}
+
+func (b *bench) file(name, text string) string {
+	path := filepath.Join(b.dir, name)
+	b.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+func (b *bench) apply(more ...string) int {
+	args := append([]string{"apply", "-log-url", "http://log", "-operators", b.address, "-author", "ana", "-reason", "test"}, more...)
+	return b.run(append(args, b.file("d.toml", docText))...)
+}
+
+// Guards against a change that is applied twice, or reported as failed, when
+// answers are lost before or after the write took effect.
+func TestLostAnswersApplyOnce(t *testing.T) {
+	for _, plan := range []string{"k", "l", "dk", "ddl", "ll"} {
+		t.Run(plan, func(t *testing.T) {
+			b := newBench(t)
+			b.log.plan = plan
+			b.Assert(b.apply("-json"), qt.Equals, exitOK, qt.Commentf("%s", &b.err))
+			var out []applied
+			b.Assert(json.Unmarshal(b.out.Bytes(), &out), qt.IsNil)
+			b.Assert(out[0].Revision, qt.Equals, uint64(1))
+			// The same command again, as after an unsure answer.
+			b.Assert(b.apply("-json", "-apply-id", "id-1", "-base", "0"), qt.Equals, exitOK)
+			b.Assert(json.Unmarshal(b.out.Bytes(), &out), qt.IsNil)
+			b.Assert(out[0].Revision, qt.Equals, uint64(1))
+			b.Assert(b.apply(), qt.Equals, exitOK)
+			b.Assert(b.out.String(), qt.Contains, "revision 1 already")
+			b.Assert(b.log.applies(), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against an answer that claims success or failure when nothing was
+// read back.
+func TestNoAnswerIsUnsure(t *testing.T) {
+	b := newBench(t)
+	b.log.plan = "ddddd"
+	b.log.before = func(l *lossyLog) {
+		if l.appends == len(l.plan)-1 {
+			b.timeOver()
+		}
+	}
+	b.Assert(b.apply(), qt.Equals, exitUnsure)
+	b.Assert(b.err.String(), qt.Contains, "-apply-id id-1 -base 0")
+}
+
+// Guards against a loser of a race who is not told who won.
+func TestLoserIsToldTheWinner(t *testing.T) {
+	b := newBench(t)
+	b.log.before = func(l *lossyLog) {
+		l.before = nil
+		other := &recordv1.Apply{ApplyId: "other", Team: "desk", Service: "drafts", Document: []byte(docText), Author: "ben"}
+		_ = l.Append(context.Background(), platform.ConfigStream, [][]byte{mustMarshal(b, other)})
+	}
+	b.Assert(b.apply(), qt.Equals, exitConflict)
+	b.Assert(b.err.String(), qt.Contains, "RW6001")
+	b.Assert(b.err.String(), qt.Contains, "ben made revision 1 of desk/drafts first")
+}
+
+// Guards against a wait that ends too early, or that does not name who lags.
+func TestWaitNamesWhoLags(t *testing.T) {
+	b := newBench(t)
+	b.instance.offsets = map[string]int64{"i1": -3, "i2": -5}
+	b.Assert(b.apply("-wait"), qt.Equals, exitOK, qt.Commentf("%s", &b.err))
+	b.Assert(b.out.String(), qt.Contains, "in force on all active instances")
+
+	b = newBench(t)
+	b.instance.offsets = map[string]int64{"i1": 5, "i2": -1 << 40}
+	b.Assert(b.apply("-wait"), qt.Equals, exitNotInForce)
+	b.Assert(b.err.String(), qt.Contains, "not in force on: i2")
+}
+
+// Guards against a CI step that passes a faulty document or cannot be parsed.
+func TestValidateAndPlan(t *testing.T) {
+	b := newBench(t)
+	good := b.file("good.toml", docText)
+	b.Assert(b.run("validate", b.dir), qt.Equals, exitOK)
+	b.Assert(b.run("plan", "-against", b.dir, "-exit-code", good), qt.Equals, exitOK)
+	b.Assert(b.out.String(), qt.Contains, "no change")
+	changed := filepath.Join(t.TempDir(), "new.toml")
+	b.Assert(os.WriteFile(changed, []byte(strings.Replace(docText, "8000", "4000", 1)), 0o600), qt.IsNil)
+	b.Assert(b.run("plan", "-against", b.dir, "-exit-code", changed), qt.Equals, exitFindings)
+	b.Assert(b.out.String(), qt.Contains, "falls from 8s to 4s")
+
+	b.file("bad.toml", strings.Replace(docText, "desk", "other", 1)+"speed = 3\n")
+	b.file("twin.toml", docText)
+	b.Assert(b.run("validate", "-json", b.dir), qt.Equals, exitInvalid)
+	var out struct {
+		Valid bool
+		Files []struct {
+			Problems []struct{ Key, Remedy string }
+		}
+	}
+	b.Assert(json.Unmarshal(b.out.Bytes(), &out), qt.IsNil)
+	b.Assert(out.Valid, qt.IsFalse)
+	b.Assert(out.Files, qt.HasLen, 3)
+	b.Assert(out.Files[0].Problems[0].Key, qt.Equals, "urgent.speed")
+	b.Assert(out.Files[2].Problems[0].Key, qt.Equals, "service")
+}
+
+// Guards against a setting that is taken from the wrong place, and against an
+// unknown key that is silently left out.
+func TestSettings(t *testing.T) {
+	b := newBench(t)
+	file := b.file("rwctl.conf", "operators = [\""+b.address+"\", \"127.0.0.1:1\"]\nauthor = \"ana\"\n")
+	b.Assert(b.run("status", "-config", file), qt.Equals, exitOK, qt.Commentf("%s", &b.err))
+	b.Assert(b.out.String(), qt.Contains, "127.0.0.1:1")
+	t.Setenv("REDWINGVALE_OPERATORS", b.address)
+	b.Assert(b.run("status", "-config", file), qt.Equals, exitOK)
+	b.Assert(b.out.String(), qt.Not(qt.Contains), "127.0.0.1:1")
+	b.Assert(b.run("status", "-operators", "127.0.0.1:1"), qt.Equals, exitUnreachable)
+	b.Assert(b.run("status", "-config", b.file("bad.conf", "speed = 1\n")), qt.Equals, exitUsage)
+	b.Assert(b.err.String(), qt.Contains, "unknown key speed")
+	b.Assert(b.run("status", "-bogus"), qt.Equals, exitUsage)
+	b.Assert(b.run(), qt.Equals, exitUsage)
+}
+
+// Guards against wrong exit codes and unusable output of the commands that
+// ask the instances.
+func TestInstanceCommands(t *testing.T) {
+	b := newBench(t)
+	t.Setenv("REDWINGVALE_OPERATORS", b.address)
+	t.Setenv("REDWINGVALE_AUTHOR", "ana")
+	t.Setenv("REDWINGVALE_LOG_URL", "http://log")
+	b.Assert(b.apply(), qt.Equals, exitOK)
+	for _, test := range []struct {
+		line string
+		exit int
+		want string
+	}{
+		{"status -groups", exitOK, "ready"},
+		{"explain desk/j", exitNotFound, ""},
+		{"explain desk", exitUsage, ""},
+		{"alarms", exitOK, "page no_majority voters"},
+		{"alarms -exit-code", exitFindings, "act"},
+		{"drain -reason x i1", exitOK, "draining, 2 groups"},
+		{"drain i1", exitUsage, ""},
+		{"drain -reason x i9", exitNotFound, ""},
+		{"members list", exitOK, "active"},
+		{"members remove -reason x i2", exitUsage, ""},
+		{"members remove -reason x -incarnation 4 i2", exitOK, "version 9"},
+		{"members remove -reason x -incarnation 4 i1", exitUsage, ""},
+		{"audit -since 24h", exitOK, "accepted as revision 1"},
+		{"audit -actor ben", exitOK, "note:"},
+		{"audit -since yesterday", exitUsage, ""},
+	} {
+		b.Check(b.run(strings.Fields(test.line)...), qt.Equals, test.exit, qt.Commentf("%s: %s", test.line, &b.err))
+		b.Check(b.out.String(), qt.Contains, test.want, qt.Commentf("%s", test.line))
+	}
+	for _, line := range []string{"status -json", "alarms -json", "members list -json", "audit -json", "drain -json -reason x i1"} {
+		b.Check(b.run(strings.Fields(line)...), qt.Equals, exitOK)
+		b.Check(json.Valid(b.out.Bytes()), qt.IsTrue, qt.Commentf("%s", line))
+	}
+}
--- a/cmd/rwctl/settings.go
+++ b/cmd/rwctl/settings.go
@@ -71,7 +71,7 @@
 			if c.settings.timeout <= 0 || c.settings.timeout > maxTimeout {
 				return usageError("-timeout %s: use more than 0 and at most %s", c.settings.timeout, maxTimeout)
 			}
-			bounded, cancel := context.WithTimeout(ctx, c.settings.timeout)
+			bounded, cancel := c.limit(ctx, c.settings.timeout)
 			defer cancel()
 			return exec(bounded, args)
 		},
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -119,9 +119,12 @@
 	} {
 		c.Check(read(c, sample(), test.query).Entries, qt.HasLen, test.want, qt.Commentf("%+v", test.query))
 	}
-	limited := read(c, sample(), audit.Query{Limit: 2})
-	c.Assert(limited.Entries, qt.HasLen, 2)
-	c.Assert(limited.Omitted, qt.Equals, 3)
+	for limit := 1; limit <= 5; limit++ {
+		limited := read(c, sample(), audit.Query{Limit: limit})
+		c.Assert(limited.Entries, qt.HasLen, limit)
+		c.Assert(limited.Omitted, qt.Equals, 5-limit)
+		c.Assert(limited.Entries[limit-1].Kind, qt.Equals, "apply")
+	}
 }
 
 // Guards against silence about what has expired, cannot be read or is damaged,
@@ -145,3 +148,24 @@
 	}
 	c.Assert(got, qt.DeepEquals, []audit.Standing{audit.Recorded, audit.Recorded, audit.Recorded})
 }
+
+// Guards against a snapshot of a replaced owner that makes the records of the
+// real owner look void, when the claim between them has expired.
+func TestVoidSnapshotDoesNotHideTheOwner(t *testing.T) {
+	c := qt.New(t)
+	log := &trail{streams: map[platform.Stream][]platform.LogRecord{}, first: map[platform.Stream]int64{"group/g1": 1}}
+	snapshot := func(instance string, epoch, sequence uint64) *recordv1.Envelope {
+		kind := &recordv1.GroupRecord_Snapshot{Snapshot: &recordv1.GroupSnapshot{Epoch: epoch, Owner: instance, OwnerIncarnation: 1}}
+		return group(instance, epoch, sequence, &recordv1.GroupRecord{Kind: kind})
+	}
+	log.add("group/g1", group("i2", 0, 1, claim("i2", 5)))
+	log.add("group/g1", snapshot("i1", 5, 1))
+	log.add("group/g1", group("i2", 6, 2, cancel("a")))
+	log.add("group/g1", snapshot("i2", 6, 3))
+	log.add("group/g1", group("i2", 6, 4, cancel("b")))
+	var got []audit.Standing
+	for _, e := range read(c, log, audit.Query{Streams: "group/", Kind: "job_cancelled", WithVoid: true}).Entries {
+		got = append(got, e.Standing)
+	}
+	c.Assert(got, qt.DeepEquals, []audit.Standing{audit.Recorded, audit.Valid})
+}
--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -85,3 +85,11 @@
 		return q.WithVoid || e.Standing != Void
 	}
 }
+
+// limit returns the largest number of entries.
+func (q Query) limit() int {
+	if q.Limit <= 0 {
+		return DefaultLimit
+	}
+	return min(q.Limit, MaxLimit)
+}
--- a/internal/audit/read.go
+++ b/internal/audit/read.go
@@ -57,14 +57,15 @@
 	}
 	var out Result
 	for _, stream := range streams {
-		entries, gap := readStream(ctx, log, stream, query)
+		entries, omitted, gap := readStream(ctx, log, stream, query)
 		out.Entries = append(out.Entries, entries...)
+		out.Omitted += omitted
 		if gap.Expired > 0 || gap.Unread != "" || gap.Damaged > 0 {
 			out.Gaps = append(out.Gaps, gap)
 		}
 	}
 	sort.SliceStable(out.Entries, func(i, j int) bool { return out.Entries[i].When.Before(out.Entries[j].When) })
-	out.cut(query.Limit)
+	out.cut(query.limit())
 	out.Notes = notes(out.Gaps)
 	return out, nil
 }
@@ -80,37 +81,56 @@
 	return out, nil
 }
 
-func readStream(ctx context.Context, log platform.Log, stream platform.Stream, query Query) ([]Entry, Gap) {
-	gap := Gap{Stream: string(stream)}
-	j := newJudge(stream)
-	var entries []Entry
+// reader collects the entries of one stream.
+type reader struct {
+	judge   *judge
+	stream  platform.Stream
+	query   Query
+	entries []Entry
+	// omitted counts older entries that were dropped to bound the memory.
+	omitted int
+	gap     Gap
+}
+
+func readStream(ctx context.Context, log platform.Log, stream platform.Stream, query Query) ([]Entry, int, Gap) {
+	r := &reader{judge: newJudge(stream), stream: stream, query: query, gap: Gap{Stream: string(stream)}}
 	for from, first := int64(0), true; ; first = false {
 		read, err := log.Read(ctx, stream, from, readLimit, 0)
 		if err != nil {
-			gap.Unread = err.Error()
-			return entries, gap
+			r.gap.Unread = err.Error()
+			break
 		}
 		if first {
-			gap.Expired = read.First
+			r.gap.Expired = read.First
 		}
 		for _, record := range read.Records {
-			entry, ok := toEntry(j, stream, read, record)
-			if !ok {
-				gap.Damaged++
-				continue
-			}
-			if gap.OldestKept.IsZero() {
-				gap.OldestKept = entry.When
-			}
-			if query.Matches(entry) {
-				entries = append(entries, entry)
-			}
+			r.add(read, record)
 		}
 		if read.AtTail || read.Next <= from {
-			return entries, gap
+			break
 		}
 		from = read.Next
 	}
+	return r.entries, r.omitted, r.gap
+}
+
+func (r *reader) add(read platform.ReadResult, record platform.LogRecord) {
+	entry, ok := toEntry(r.judge, r.stream, read, record)
+	if !ok {
+		r.gap.Damaged++
+		return
+	}
+	if r.gap.OldestKept.IsZero() {
+		r.gap.OldestKept = entry.When
+	}
+	if !r.query.Matches(entry) {
+		return
+	}
+	r.entries = append(r.entries, entry)
+	if keep := r.query.limit(); len(r.entries) >= 2*keep {
+		r.omitted += len(r.entries) - keep
+		r.entries = append([]Entry(nil), r.entries[len(r.entries)-keep:]...)
+	}
 }
 
 func toEntry(j *judge, stream platform.Stream, read platform.ReadResult, record platform.LogRecord) (Entry, bool) {
@@ -131,13 +151,9 @@
 
 // cut keeps the newest entries.
 func (r *Result) cut(limit int) {
-	if limit <= 0 {
-		limit = DefaultLimit
-	}
-	limit = min(limit, MaxLimit)
-	if len(r.Entries) > limit {
-		r.Omitted = len(r.Entries) - limit
-		r.Entries = r.Entries[r.Omitted:]
+	if more := len(r.Entries) - limit; more > 0 {
+		r.Omitted += more
+		r.Entries = r.Entries[more:]
 	}
 }
 
--- a/internal/audit/standing.go
+++ b/internal/audit/standing.go
@@ -7,6 +7,7 @@
 	"redwingvale/internal/fence"
 	"redwingvale/internal/journal"
 	"redwingvale/internal/platform"
+	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
@@ -20,8 +21,10 @@
 	filter *journal.Filter
 	fence  fence.Fence
 	// known states that the owner of the group is known.
-	known  bool
-	config *config.Core
+	known bool
+	// atLeast is an epoch that certainly existed.
+	atLeast spec.Epoch
+	config  *config.Core
 }
 
 func newJudge(stream platform.Stream) *judge {
@@ -76,30 +79,31 @@
 	if !j.filter.Accept(env) {
 		return Void
 	}
-	record := env.GetGroup()
-	if claim := record.GetClaim(); claim != nil {
-		return j.ofClaim(env, claim)
-	}
-	if snapshot := record.GetSnapshot(); snapshot != nil && !j.known {
-		j.fence.Restore(snapshot)
-		j.known = true
+	standing := j.byFence(env)
+	j.atLeast = max(j.atLeast, spec.Epoch(env.GetEpoch()))
+	if claim := env.GetGroup().GetClaim(); claim != nil {
+		j.atLeast = max(j.atLeast, spec.Epoch(claim.GetReplacesEpoch())+1)
 	}
-	if !j.known {
+	if j.fence.Epoch < j.atLeast {
+		// The snapshot that told the owner was itself void.
+		j.known = false
 		return Recorded
 	}
-	if j.fence.Apply(env) == fence.Void {
-		return Void
-	}
-	return Valid
+	return standing
 }
 
-// ofClaim judges a claim. While the epoch is not known, only the first claim
-// of all can be told to be valid.
-func (j *judge) ofClaim(env *recordv1.Envelope, claim *recordv1.Claim) Standing {
-	if !j.known && claim.GetReplacesEpoch() > 0 {
+func (j *judge) byFence(env *recordv1.Envelope) Standing {
+	record := env.GetGroup()
+	if claim := record.GetClaim(); claim != nil && claim.GetReplacesEpoch() == 0 {
+		j.known = true
+	}
+	if s := record.GetSnapshot(); s != nil && !j.known && spec.Epoch(s.GetEpoch()) >= j.atLeast {
+		j.fence.Restore(s)
+		j.known = true
+	}
+	if !j.known {
 		return Recorded
 	}
-	j.known = true
 	if j.fence.Apply(env) == fence.Void {
 		return Void
 	}
