--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -143,7 +143,6 @@
 
 // Step takes one event and returns what must be done.
 func (c *Core) Step(now time.Duration, event Event) []Effect {
-	c.effects = nil
 	switch e := event.(type) {
 	case ReadEvent:
 		c.read(e)
@@ -152,7 +151,9 @@
 	case TickEvent:
 	}
 	c.republish(now)
-	return c.effects
+	effects := c.effects
+	c.effects = nil
+	return effects
 }
 
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
