--- a/cmd/rwctl/inforce.go
+++ b/cmd/rwctl/inforce.go
@@ -38,10 +38,7 @@
 // instanceConfigs joins what all reachable instances say about the active
 // members. The largest offset of a member counts, because offsets only grow.
 func (c *command) instanceConfigs(ctx context.Context) (map[string]int64, error) {
-	answers, err := askAll(ctx, c, func(ctx context.Context, client client) (*operatorv1.ListServicesResponse, error) {
-		out, err := client.ListServices(ctx, connect.NewRequest(&operatorv1.ListServicesRequest{}))
-		return message(out, err)
-	})
+	answers, err := c.askServices(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -65,6 +62,13 @@
 	return newest, nil
 }
 
+func (c *command) askServices(ctx context.Context) ([]answer[operatorv1.ListServicesResponse], error) {
+	return askAll(ctx, c, func(ctx context.Context, client client) (*operatorv1.ListServicesResponse, error) {
+		out, err := client.ListServices(ctx, connect.NewRequest(&operatorv1.ListServicesRequest{}))
+		return message(out, err)
+	})
+}
+
 // behind returns the instances below an offset in ascending order.
 func behind(instances map[string]int64, offset int64) []string {
 	var out []string
--- a/cmd/rwctl/main.go
+++ b/cmd/rwctl/main.go
@@ -53,7 +53,16 @@
 
 // run carries out one command line and returns the exit code.
 func run(ctx context.Context, e *environment, args []string) int {
-	root := &ffcli.Command{
+	root := rootCommand(e)
+	if err := root.Parse(args); err != nil {
+		return report(e, asUsageError(err))
+	}
+	return report(e, root.Run(ctx))
+}
+
+// rootCommand returns the tree of all commands.
+func rootCommand(e *environment) *ffcli.Command {
+	return &ffcli.Command{
 		Name:       "rwctl",
 		ShortUsage: "rwctl <command> [flags] [arguments]",
 		ShortHelp:  "operate redwingvale",
@@ -66,10 +75,6 @@
 			auditCommand(e), alarmsCommand(e), drainCommand(e), membersCommand(e),
 		},
 	}
-	if err := root.Parse(args); err != nil {
-		return report(e, asUsageError(err))
-	}
-	return report(e, root.Run(ctx))
 }
 
 func newFlagSet(e *environment, name string) *flag.FlagSet {
--- a/cmd/rwctl/page_test.go
+++ b/cmd/rwctl/page_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -44,3 +46,27 @@
 		b.Check(page, qt.Contains, fmt.Sprintf("\n| %d | ", exit))
 	}
 }
+
+var words = regexp.MustCompile(`"[^"]*"|\S+`)
+
+// Guards against a command on the operations pages that the program does not
+// understand.
+func TestOperationsPagesUseRealCommands(t *testing.T) {
+	b := newBench(t)
+	pages, err := filepath.Glob("../../docs/operations/*.md")
+	b.Assert(err, qt.IsNil)
+	seen := 0
+	for _, path := range pages {
+		text, err := os.ReadFile(path)
+		b.Assert(err, qt.IsNil)
+		for _, line := range strings.Split(string(text), "\n") {
+			if !strings.HasPrefix(line, "rwctl ") {
+				continue
+			}
+			seen++
+			args := words.FindAllString(line, -1)[1:]
+			b.Check(rootCommand(newEnvironment(&b.out, &b.err)).Parse(args), qt.IsNil, qt.Commentf("%s: %s", path, line))
+		}
+	}
+	b.Assert(seen > 20, qt.IsTrue)
+}
--- a/cmd/rwctl/rwctl_test.go
+++ b/cmd/rwctl/rwctl_test.go
@@ -293,6 +293,7 @@
 		want string
 	}{
 		{"status -groups", exitOK, "ready"},
+		{"status -services", exitOK, "REVISION"},
 		{"explain desk/j", exitNotFound, ""},
 		{"explain desk", exitUsage, ""},
 		{"alarms", exitOK, "page no_majority voters"},
--- a/cmd/rwctl/status.go
+++ b/cmd/rwctl/status.go
@@ -15,7 +15,11 @@
 func statusCommand(e *environment) *ffcli.Command {
 	c := newCommand(e, "status")
 	groups := c.flags.Bool("groups", false, "list the worker groups too")
+	services := c.flags.Bool("services", false, "list the services and their revisions instead")
 	return c.build("", "show instances, members and worker groups", func(ctx context.Context, args []string) error {
+		if *services {
+			return c.showServices(ctx)
+		}
 		answers, err := c.askStatus(ctx)
 		if err != nil {
 			return err
