--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -23,9 +23,23 @@
 	PartBytes int
 }
 
+// Shares of the retention that bound the delays, so that with seven members
+// and a short retention the last one still republishes before half of it.
+const (
+	rankDelayShare  = 32
+	retryAfterShare = 16
+	maxRankDelay    = time.Minute
+	maxRetryAfter   = 2 * time.Minute
+)
+
 // DefaultOptions returns the settings for a log that keeps records for a time.
 func DefaultOptions(retention time.Duration) Options {
-	return Options{Retention: retention, RankDelay: time.Minute, RetryAfter: 2 * time.Minute, PartBytes: MaxPartBytes}
+	return Options{
+		Retention:  retention,
+		RankDelay:  min(retention/rankDelayShare, maxRankDelay),
+		RetryAfter: min(retention/retryAfterShare, maxRetryAfter),
+		PartBytes:  MaxPartBytes,
+	}
 }
 
 // Event is an input of Core.Step: ReadEvent, MembersEvent or TickEvent.
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -25,7 +25,11 @@
 
 // Snapshot returns the state through an offset as records of at most about
 // partBytes each. A single service larger than that has a record of its own.
+// 0 stands for MaxPartBytes.
 func (s *State) Snapshot(through int64, partBytes int) []*recordv1.ConfigRecord {
+	if partBytes <= 0 {
+		partBytes = MaxPartBytes
+	}
 	parts := []*recordv1.ConfigSnapshot{{ThroughOffset: through, Refused: s.refusedRecords()}}
 	size := 0
 	for _, revision := range s.Revisions() {
--- a/internal/document/effect.go
+++ b/internal/document/effect.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -52,10 +53,15 @@
 	for _, dc := range missingIn(new.DataCentres, old.DataCentres) {
 		e.add("data_centres", dc, "", "nothing new is placed in %s; running tasks stay there until they end or are moved", dc)
 	}
+	if len(old.DataCentres) == 0 {
+		all := strings.Join(new.DataCentres, ", ")
+		e.add("data_centres", "", all, "work may be placed in %s, the first one preferred", all)
+		return
+	}
 	for _, dc := range missingIn(old.DataCentres, new.DataCentres) {
 		e.add("data_centres", "", dc, "work may also be placed in %s", dc)
 	}
-	if len(old.DataCentres) > 0 && old.DataCentres[0] != new.DataCentres[0] {
+	if old.DataCentres[0] != new.DataCentres[0] {
 		e.add("data_centres", old.DataCentres[0], new.DataCentres[0], "%s is now the preferred data centre instead of %s", new.DataCentres[0], old.DataCentres[0])
 	}
 }
--- a/internal/document/effect_classes.go
+++ b/internal/document/effect_classes.go
@@ -10,7 +10,7 @@
 	case old == nil:
 		e.add("urgent", "", "used", "urgent requests are accepted, with a time limit of %s and at most %d waiting per instance",
 			seconds(new.TimeLimit()), new.QueueLimit)
-		return
+		old = &Urgent{TimeLimitMS: new.TimeLimitMS, QueueLimit: new.QueueLimit}
 	}
 	e.urgentTimes(old, new)
 	e.urgentQueue(old, new)
@@ -66,6 +66,7 @@
 		before, known := old.DeadlineKind(k.Kind)
 		if !known {
 			e.add(key, "", "used", "batch jobs of kind %s are accepted", k.Kind)
+			e.posting(key, Deadline{}, k)
 			continue
 		}
 		e.amount(key, before.Amount, k.Amount)
