--- a/cmd/rwctl/follow.go
+++ b/cmd/rwctl/follow.go
@@ -39,19 +39,26 @@
 	return f.core.Step(f.now(), config.ReadEvent{Result: result, Sent: sent}), result.AtTail, nil
 }
 
-// toTail reads everything that stands in the stream.
-func (f *follower) toTail(ctx context.Context) error {
+// readAll reads everything that stands in the stream.
+func (f *follower) readAll(ctx context.Context) error {
 	for {
 		_, tail, err := f.read(ctx, 0)
 		if err != nil {
 			return code.New(code.LogUnavailable, "the configuration cannot be read: %s", err.Error())
 		}
 		if tail {
-			break
+			return nil
 		}
 	}
+}
+
+// toTail reads everything and fails when the configuration is not whole.
+func (f *follower) toTail(ctx context.Context) error {
+	if err := f.readAll(ctx); err != nil {
+		return err
+	}
 	if !f.core.Whole() {
-		return code.New(code.LogUnavailable, "older changes have expired and no snapshot repeats them yet; try again in a minute")
+		return code.New(code.LogUnavailable, "older changes have expired and no snapshot repeats them; try again in a minute, then see docs/operations/log-outage.md")
 	}
 	return nil
 }
--- a/cmd/rwctl/publish.go
+++ b/cmd/rwctl/publish.go
@@ -32,7 +32,7 @@
 		return config.Verdict{}, err
 	}
 	for ctx.Err() == nil {
-		f.append(ctx, record)
+		f.appendAll(ctx, [][]byte{record})
 		if verdict, known := f.awaitVerdict(ctx, apply); known {
 			return verdict, nil
 		}
@@ -41,11 +41,11 @@
 		"no verdict was read back in time; run the same command again with -apply-id %s -base %d", apply.GetApplyId(), apply.GetBaseRevision())
 }
 
-// append leaves the result out on purpose: only reading back counts.
-func (f *follower) append(ctx context.Context, record []byte) {
+// appendAll leaves the result out on purpose: only reading back counts.
+func (f *follower) appendAll(ctx context.Context, records [][]byte) {
 	bounded, cancel := context.WithTimeout(ctx, appendTimeLimit)
 	defer cancel()
-	_ = f.log.Append(bounded, platform.ConfigStream, [][]byte{record})
+	_ = f.log.Append(bounded, platform.ConfigStream, records)
 }
 
 // awaitVerdict reads until the verdict is known or a repeat is due.
--- a/cmd/rwctl/rwctl_test.go
+++ b/cmd/rwctl/rwctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -35,6 +36,8 @@
 // says: k keeps it, l keeps it and loses the answer, d drops it.
 type lossyLog struct {
 	records []platform.LogRecord
+	// first is the oldest offset that is kept.
+	first   int64
 	plan    string
 	appends int
 	// before is called ahead of each append.
@@ -55,7 +58,9 @@
 	}
 	l.appends++
 	if fate != 'd' {
-		l.keep(records[0])
+		for _, record := range records {
+			l.keep(record)
+		}
 	}
 	if fate != 'k' {
 		return errors.New("no answer")
@@ -64,7 +69,8 @@
 }
 
 func (l *lossyLog) Read(_ context.Context, _ platform.Stream, from int64, _ int, _ time.Duration) (platform.ReadResult, error) {
-	return platform.ReadResult{Records: l.records[from:], Next: int64(len(l.records)), AtTail: true}, nil
+	from = max(from, l.first)
+	return platform.ReadResult{Records: l.records[from:], First: l.first, Next: int64(len(l.records)), AtTail: true}, nil
 }
 
 func (l *lossyLog) Streams(context.Context, string) ([]platform.Stream, error) {
@@ -124,6 +130,7 @@
 	dir      string
 	out, err bytes.Buffer
 	clock    time.Duration
+	ids      int
 	// timeOver ends the time of the command that runs.
 	timeOver context.CancelFunc
 }
@@ -147,7 +154,7 @@
 	e := newEnvironment(&b.out, &b.err)
 	e.openLog = func(string, *http.Client) (platform.Log, error) { return b.log, nil }
 	e.now = func() time.Duration { b.clock += time.Second; return b.clock }
-	e.newID = func() string { return "id-1" }
+	e.newID = func() string { b.ids++; return fmt.Sprintf("id-%d", b.ids) }
 	pauses := 0
 	e.pause = func(context.Context, time.Duration) {
 		if pauses++; pauses > maxPauses {
@@ -317,3 +324,20 @@
 		b.Check(json.Valid(b.out.Bytes()), qt.IsTrue, qt.Commentf("%s", line))
 	}
 }
+
+// Guards against a configuration that cannot be changed any more after the log
+// has lost it, and against a restore over one that is not lost.
+func TestRestore(t *testing.T) {
+	b := newBench(t)
+	b.Assert(b.apply(), qt.Equals, exitOK)
+	restore := []string{"restore", "-log-url", "http://log", "-author", "ana", "-reason", "lost", b.dir}
+	b.Assert(b.run(restore...), qt.Equals, exitConflict)
+	b.log.first = 1
+	b.Assert(b.apply(), qt.Equals, exitUnreachable)
+	b.log.plan = "kdl"
+	b.Assert(b.run(restore...), qt.Equals, exitOK, qt.Commentf("%s", &b.err))
+	b.Assert(b.log.records, qt.HasLen, 2)
+	b.file("d.toml", strings.Replace(docText, "8000", "4000", 1))
+	b.Assert(b.run("apply", "-log-url", "http://log", "-author", "ana", "-reason", "next", b.dir), qt.Equals, exitOK)
+	b.Assert(b.out.String(), qt.Contains, "falls from 8s to 4s")
+}
--- /dev/null
+++ b/internal/config/restore.go
@@ -0,0 +1,28 @@
+package config
+
+import (
+	"time"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// Restore returns the records of a snapshot that replaces a configuration
+// whose records have all expired. Only a person may append them, and only
+// when no reader is whole: readers that are whole ignore them. The revisions
+// are seconds of wall-clock time, so they are above every earlier revision,
+// which counted changes.
+func Restore(docs []*recordv1.Apply, through int64, now time.Time) []*recordv1.ConfigRecord {
+	state := NewState()
+	for _, apply := range docs {
+		doc, err := parse(apply)
+		if err != nil {
+			continue
+		}
+		made := Accepted{Revision: uint64(now.Unix()), ApplyID: apply.GetApplyId(), Author: apply.GetAuthor(), UnixMS: now.UnixMilli()}
+		state.set(&Service{
+			Key: KeyOf(apply), Accepted: made, Offset: through,
+			Text: apply.GetDocument(), Document: doc, History: []Accepted{made},
+		})
+	}
+	return state.Snapshot(through, MaxPartBytes)
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -11,8 +11,9 @@
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
-// MaxPartBytes is the usual bound of the services in one snapshot record.
-const MaxPartBytes = 256 << 10
+// MaxPartBytes is the usual bound of the services in one snapshot record. With
+// the refused changes and the envelope it fits into one append of 256 KiB.
+const MaxPartBytes = 192 << 10
 
 // Revisions returns the current revisions as records, ordered by key.
 func (s *State) Revisions() []*recordv1.ServiceRevision {
