--- a/cmd/rwctl/plan.go
+++ b/cmd/rwctl/plan.go
@@ -104,6 +104,8 @@
 		c.line("%s: %s on revision %d: only the text differs", p.Path, p.Service, p.Base)
 	case len(p.Changes) == 0:
 		c.line("%s: %s on revision %d: no change", p.Path, p.Service, p.Base)
+	case len(p.Changes) == 1:
+		c.line("%s: %s on revision %d: 1 change", p.Path, p.Service, p.Base)
 	default:
 		c.line("%s: %s on revision %d: %d changes", p.Path, p.Service, p.Base, len(p.Changes))
 	}
