--- a/cmd/rwctl/restore.go
+++ b/cmd/rwctl/restore.go
@@ -42,6 +42,9 @@
 	if f.core.Whole() {
 		return code.New(code.ConfigConflict, "the configuration is not lost: %d services are known; use rwctl apply", f.core.State().Len())
 	}
+	if err := c.checkLost(ctx, f); err != nil {
+		return err
+	}
 	id := c.newID()
 	records, err := c.restoreRecords(f, files, id, reason)
 	if err != nil {
@@ -56,6 +59,21 @@
 	return code.New(code.ConfigUnsure, "the snapshot was not read back in time; run the same command again")
 }
 
+// checkLost refuses while an instance misses nothing: it would ignore the
+// restored documents, so that the instances had different ones in force.
+func (c *command) checkLost(ctx context.Context, f *follower) error {
+	instances, err := c.instanceConfigs(ctx)
+	if err != nil {
+		return unreached(err)
+	}
+	for _, name := range sortedNames(instances) {
+		if instances[name] >= f.core.Gap()-1 {
+			return code.New(code.ConfigConflict, "instance %s has the whole configuration in force and will repeat it; wait for that", name)
+		}
+	}
+	return nil
+}
+
 // restoreRecords encodes the snapshot through the tail of the stream.
 func (c *command) restoreRecords(f *follower, files []*file, id, reason string) ([][]byte, error) {
 	applies := make([]*recordv1.Apply, 0, len(files))
--- a/cmd/rwctl/rwctl_test.go
+++ b/cmd/rwctl/rwctl_test.go
@@ -330,10 +330,14 @@
 func TestRestore(t *testing.T) {
 	b := newBench(t)
 	b.Assert(b.apply(), qt.Equals, exitOK)
-	restore := []string{"restore", "-log-url", "http://log", "-author", "ana", "-reason", "lost", b.dir}
+	restore := []string{"restore", "-log-url", "http://log", "-operators", b.address, "-author", "ana", "-reason", "lost", b.dir}
 	b.Assert(b.run(restore...), qt.Equals, exitConflict)
 	b.log.first = 1
 	b.Assert(b.apply(), qt.Equals, exitUnreachable)
+	b.instance.offsets = map[string]int64{"i1": -1, "i2": 0}
+	b.Assert(b.run(restore...), qt.Equals, exitConflict)
+	b.Assert(b.err.String(), qt.Contains, "instance i2 has the whole configuration")
+	b.instance.offsets = map[string]int64{"i1": -1}
 	b.log.plan = "kdl"
 	b.Assert(b.run(restore...), qt.Equals, exitOK, qt.Commentf("%s", &b.err))
 	b.Assert(b.log.records, qt.HasLen, 2)
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -149,6 +149,10 @@
 // Whole reports whether no record is missing from the configuration.
 func (c *Core) Whole() bool { return c.whole }
 
+// Gap returns the first offset after the newest gap. An instance that has
+// Gap - 1 or a later offset in force misses nothing.
+func (c *Core) Gap() int64 { return c.gap }
+
 // SnapshotAge returns the largest possible age of the newest snapshot that
 // was read, and false when there is none or its age is not known.
 func (c *Core) SnapshotAge(now time.Duration) (time.Duration, bool) {
