--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -23,6 +23,7 @@
 	waiters []Use
 	// movedTo is set when another instance has taken the key over.
 	movedTo spec.InstanceID
+	movedAt time.Duration
 	// started counts the uses that were told to proceed and have not ended as
 	// not run.
 	started int
@@ -81,7 +82,7 @@
 
 // first handles a key that is not known here.
 func (c *Core) first(now time.Duration, wall time.Time, u Use) []Effect {
-	if home := c.local.homeOf(now, u.Key); home != "" && home != c.settings.Self.Instance {
+	if home := c.askedBy(now, u.Key); home != "" && home != c.settings.Self.Instance {
 		return reply(u, Reply{Kind: Moved, Home: home})
 	}
 	if len(c.records) >= c.settings.MaxKeys {
@@ -137,6 +138,9 @@
 		return c.wait(r, u)
 	}
 	if r.state == InFlight {
+		if r.movedTo != "" && c.hasLeft(r.movedTo, r.movedAt) {
+			r.movedTo = ""
+		}
 		if r.movedTo != "" {
 			return reply(u, Reply{Kind: Moved, Home: r.movedTo})
 		}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -106,8 +106,7 @@
 
 // forwardError returns not_run only for a peer that could not be dialled.
 func forwardError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if neverSent(err) {
 		return code.New(code.NoCapacity, "the peer cannot be reached")
 	}
 	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
@@ -116,6 +115,12 @@
 	return code.New(code.AnswerLost, "the connection to the peer ended")
 }
 
+// neverSent reports whether a call failed before its connection was there.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // forwardReader reads the body of a forwarded answer.
 type forwardReader struct {
 	stream *connect.ServerStreamForClient[entryv1.ForwardResponse]
@@ -169,6 +174,15 @@
 	entry *Entry
 }
 
+// HandOverKeys takes keys of a stopping instance. Unused connections to it are
+// closed after its last message, so that its server need not wait for them.
+func (h *peerHandler) HandOverKeys(ctx context.Context, req *connect.Request[entryv1.HandOverKeysRequest]) (*connect.Response[entryv1.HandOverKeysResponse], error) {
+	if req.Msg.GetLast() {
+		defer h.entry.peers.close()
+	}
+	return h.Service.HandOverKeys(ctx, req)
+}
+
 // Forward carries out a request with a spare slot, or refuses it.
 func (h *peerHandler) Forward(_ context.Context, req *connect.Request[entryv1.ForwardRequest], out *connect.ServerStream[entryv1.ForwardResponse]) error {
 	e := h.entry
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -17,7 +17,7 @@
 	// renewTimeout leaves time for a second attempt before a grant ends.
 	renewTimeout = 400 * time.Millisecond
 	// minRenewPause spaces renewals under pressure.
-	minRenewPause = 20 * time.Millisecond
+	minRenewPause = 50 * time.Millisecond
 )
 
 // renewer renews the grants of one owner.
@@ -66,6 +66,19 @@
 	}
 }
 
+// followPressure renews ahead of time while requests wait for a slot.
+func (e *Entry) followPressure(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.dispatch.kick:
+			e.views.nudgeRenewers()
+			sleep(ctx, minRenewPause)
+		}
+	}
+}
+
 // nudgeRenewers asks all owners for grants now.
 func (v *viewKeeper) nudgeRenewers() {
 	v.mu.Lock()
@@ -111,7 +124,9 @@
 	}
 }
 
-// renew reports what is held and wanted, and takes the grants in.
+// renew reports what is held and wanted, and takes the grants in. The sequence
+// is taken before the holdings, and one renewer has one request open at a
+// time, so an owner that sees a larger sequence sees newer holdings.
 func (r *renewer) renew(ctx context.Context) {
 	e := r.entry
 	client := e.views.schedOf(r.owner)
@@ -124,13 +139,16 @@
 		Entry:            e.config.Instance,
 		EntryIncarnation: e.config.Incarnation,
 		Draining:         draining,
+		Sequence:         e.renewals.Add(1),
 	}
 	for _, h := range e.dispatch.holdings(r.owner, e.phase.Load() >= closing) {
 		req.Holdings = append(req.Holdings, &schedv1.Holding{
-			Worker:      string(h.Worker),
-			InUse:       uint32(h.InUse),
-			Want:        uint32(h.Want),
-			Connections: uint32(e.pool.Open(h.Worker)),
+			Worker:          string(h.Worker),
+			InUse:           uint32(h.InUse),
+			Want:            uint32(h.Want),
+			Connections:     uint32(e.pool.Open(h.Worker)),
+			HeldSlots:       uint32(h.Held),
+			HeldConnections: uint32(h.HeldConnections),
 		})
 	}
 	limited, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -187,6 +205,7 @@
 			limits.SetLimit(g.Worker, addr, d.router.Connections(now, g.Worker))
 		}
 	}
+	d.countSlots(now)
 	for _, s := range d.services {
 		d.pump(now, s)
 	}
--- a/internal/standin/truth.go
+++ b/internal/standin/truth.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 
 	"redwingvale/internal/spec"
@@ -19,7 +20,7 @@
 	Starts int `json:"starts"`
 	// Done counts tasks that finished.
 	Done int `json:"done"`
-	// Failed counts attempts that failed on their worker.
+	// Failed counts attempts that failed before any of them had run.
 	Failed int `json:"failed"`
 	// Evictions counts attempts that were stopped before they had finished.
 	Evictions int `json:"evictions"`
@@ -64,29 +65,30 @@
 	return out
 }
 
-// FinishedTasks returns how many tasks of a job finished at least once.
-func (t *Truth) FinishedTasks(job spec.JobID) int {
+// FinishedTasks returns how many tasks of a submitted job finished at least
+// once, over all of its parts.
+func (t *Truth) FinishedTasks(team spec.TeamID, job string) int {
+	return t.countTasks(team, job, func(h *taskHistory) bool { return h.finished > 0 })
+}
+
+// RunningTasks returns how many tasks of a submitted job run now.
+func (t *Truth) RunningTasks(team spec.TeamID, job string) int {
+	return t.countTasks(team, job, func(h *taskHistory) bool { return h.runningOn != "" })
+}
+
+func (t *Truth) countTasks(team spec.TeamID, job string, match func(*taskHistory) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for id, h := range t.tasks {
-		if id.Job == job && h.finished > 0 {
+		whole := id.Job.Name == job || strings.HasPrefix(id.Job.Name, job+".part-")
+		if id.Job.Team == team && whole && match(h) {
 			n++
 		}
 	}
 	return n
 }
 
-// Running returns the worker on which a task runs now, or "".
-func (t *Truth) Running(id spec.TaskID) spec.WorkerID {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if h, ok := t.tasks[id]; ok {
-		return h.runningOn
-	}
-	return ""
-}
-
 // RequestRuns returns how often a target ran the request with this id.
 func (t *Truth) RequestRuns(id string) int {
 	t.mu.Lock()
@@ -126,12 +128,18 @@
 
 const (
 	endDone taskEnd = iota
-	endFailed
 	endStopped
 	endLapsed
 	endBoot
 )
 
+// startFailed counts an attempt that failed before any of it had run.
+func (t *Truth) startFailed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters.Failed++
+}
+
 func (t *Truth) taskEnded(id spec.TaskID, how taskEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -141,8 +149,6 @@
 	case endDone:
 		h.finished++
 		t.counters.Done++
-	case endFailed:
-		t.counters.Failed++
 	case endStopped:
 		t.counters.Evictions++
 	case endLapsed:
