--- a/cmd/rwctl/main.go
+++ b/cmd/rwctl/main.go
@@ -38,6 +38,8 @@
 	wall func() time.Time
 	// pause waits for a duration or until ctx ends.
 	pause func(ctx context.Context, d time.Duration)
+	// limit returns a context that ends after a duration.
+	limit func(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc)
 	// newID returns a new apply id.
 	newID func() string
 }
@@ -51,7 +53,16 @@
 
 // run carries out one command line and returns the exit code.
 func run(ctx context.Context, e *environment, args []string) int {
-	root := &ffcli.Command{
+	root := rootCommand(e)
+	if err := root.Parse(args); err != nil {
+		return report(e, asUsageError(err))
+	}
+	return report(e, root.Run(ctx))
+}
+
+// rootCommand returns the tree of all commands.
+func rootCommand(e *environment) *ffcli.Command {
+	return &ffcli.Command{
 		Name:       "rwctl",
 		ShortUsage: "rwctl <command> [flags] [arguments]",
 		ShortHelp:  "operate redwingvale",
@@ -61,13 +72,9 @@
 		},
 		Subcommands: []*ffcli.Command{
 			validateCommand(e), planCommand(e), applyCommand(e), statusCommand(e), explainCommand(e),
-			auditCommand(e), alarmsCommand(e), drainCommand(e), membersCommand(e),
+			auditCommand(e), alarmsCommand(e), drainCommand(e), membersCommand(e), restoreCommand(e),
 		},
 	}
-	if err := root.Parse(args); err != nil {
-		return report(e, asUsageError(err))
-	}
-	return report(e, root.Run(ctx))
 }
 
 func newFlagSet(e *environment, name string) *flag.FlagSet {
--- a/internal/audit/standing.go
+++ b/internal/audit/standing.go
@@ -21,8 +21,10 @@
 	filter *journal.Filter
 	fence  fence.Fence
 	// known states that the owner of the group is known.
-	known  bool
-	config *config.Core
+	known bool
+	// atLeast is an epoch that certainly existed.
+	atLeast spec.Epoch
+	config  *config.Core
 }
 
 func newJudge(stream platform.Stream) *judge {
@@ -71,39 +73,37 @@
 	return Valid, ""
 }
 
-// ofGroup follows the ownership of the group. Before the first claim or
-// snapshot that is still kept, the owner is not known.
+// ofGroup follows the ownership of the group. When its first claim has
+// expired, the owner is not known before the first snapshot.
 func (j *judge) ofGroup(env *recordv1.Envelope) Standing {
-	record := env.GetGroup()
-	if claim := record.GetClaim(); claim != nil {
-		return j.ofClaim(env, claim)
+	if !j.filter.Accept(env) {
+		return Void
 	}
-	if snapshot := record.GetSnapshot(); snapshot != nil && !j.known {
-		j.fence.Restore(snapshot)
-		j.known = true
+	standing := j.byFence(env)
+	j.atLeast = max(j.atLeast, spec.Epoch(env.GetEpoch()))
+	if claim := env.GetGroup().GetClaim(); claim != nil {
+		j.atLeast = max(j.atLeast, spec.Epoch(claim.GetReplacesEpoch())+1)
 	}
-	if !j.known {
+	if j.fence.Epoch < j.atLeast {
+		// The snapshot that told the owner was itself void.
+		j.known = false
 		return Recorded
 	}
-	verdict := j.fence.Apply(env)
-	if verdict == fence.Void || !j.filter.Accept(env) {
-		return Void
-	}
-	return Valid
+	return standing
 }
 
-func (j *judge) ofClaim(env *recordv1.Envelope, claim *recordv1.Claim) Standing {
-	if !j.known && claim.GetReplacesEpoch() > 0 {
-		// The owner before the first kept record is unknown, so a claim may
-		// itself be void; the next one that fits settles it.
-		if spec.Epoch(claim.GetReplacesEpoch()) < j.fence.Epoch {
-			return Recorded
-		}
-		j.fence.Epoch = spec.Epoch(claim.GetReplacesEpoch())
-		j.fence.Apply(env)
+func (j *judge) byFence(env *recordv1.Envelope) Standing {
+	record := env.GetGroup()
+	if claim := record.GetClaim(); claim != nil && claim.GetReplacesEpoch() == 0 {
+		j.known = true
+	}
+	if s := record.GetSnapshot(); s != nil && !j.known && spec.Epoch(s.GetEpoch()) >= j.atLeast {
+		j.fence.Restore(s)
+		j.known = true
+	}
+	if !j.known {
 		return Recorded
 	}
-	j.known = true
 	if j.fence.Apply(env) == fence.Void {
 		return Void
 	}
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -23,9 +23,23 @@
 	PartBytes int
 }
 
+// Shares of the retention that bound the delays, so that with seven members
+// and a short retention the last one still republishes before half of it.
+const (
+	rankDelayShare  = 32
+	retryAfterShare = 16
+	maxRankDelay    = time.Minute
+	maxRetryAfter   = 2 * time.Minute
+)
+
 // DefaultOptions returns the settings for a log that keeps records for a time.
 func DefaultOptions(retention time.Duration) Options {
-	return Options{Retention: retention, RankDelay: time.Minute, RetryAfter: 2 * time.Minute, PartBytes: MaxPartBytes}
+	return Options{
+		Retention:  retention,
+		RankDelay:  min(retention/rankDelayShare, maxRankDelay),
+		RetryAfter: min(retention/retryAfterShare, maxRetryAfter),
+		PartBytes:  MaxPartBytes,
+	}
 }
 
 // Event is an input of Core.Step: ReadEvent, MembersEvent or TickEvent.
@@ -135,6 +149,10 @@
 // Whole reports whether no record is missing from the configuration.
 func (c *Core) Whole() bool { return c.whole }
 
+// Gap returns the first offset after the newest gap. An instance that has
+// Gap - 1 or a later offset in force misses nothing.
+func (c *Core) Gap() int64 { return c.gap }
+
 // SnapshotAge returns the largest possible age of the newest snapshot that
 // was read, and false when there is none or its age is not known.
 func (c *Core) SnapshotAge(now time.Duration) (time.Duration, bool) {
@@ -143,7 +161,6 @@
 
 // Step takes one event and returns what must be done.
 func (c *Core) Step(now time.Duration, event Event) []Effect {
-	c.effects = nil
 	switch e := event.(type) {
 	case ReadEvent:
 		c.read(e)
@@ -152,7 +169,9 @@
 	case TickEvent:
 	}
 	c.republish(now)
-	return c.effects
+	effects := c.effects
+	c.effects = nil
+	return effects
 }
 
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -11,8 +11,9 @@
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
-// MaxPartBytes is the usual bound of the services in one snapshot record.
-const MaxPartBytes = 256 << 10
+// MaxPartBytes is the usual bound of the services in one snapshot record. With
+// the refused changes and the envelope it fits into one append of 256 KiB.
+const MaxPartBytes = 192 << 10
 
 // Revisions returns the current revisions as records, ordered by key.
 func (s *State) Revisions() []*recordv1.ServiceRevision {
@@ -25,7 +26,11 @@
 
 // Snapshot returns the state through an offset as records of at most about
 // partBytes each. A single service larger than that has a record of its own.
+// 0 stands for MaxPartBytes.
 func (s *State) Snapshot(through int64, partBytes int) []*recordv1.ConfigRecord {
+	if partBytes <= 0 {
+		partBytes = MaxPartBytes
+	}
 	parts := []*recordv1.ConfigSnapshot{{ThroughOffset: through, Refused: s.refusedRecords()}}
 	size := 0
 	for _, revision := range s.Revisions() {
