--- a/internal/framework/randomrun_test.go
+++ b/internal/framework/randomrun_test.go
@@ -10,7 +10,7 @@
 )
 
 // Mechanisms lists what Broken can switch off.
-var Mechanisms = []string{brokenRelease, brokenRoom, brokenDetach, "quota"}
+var Mechanisms = []string{brokenLag, brokenRelease, brokenRoom, brokenDetach, "quota"}
 
 // Broken returns a configuration with one mechanism switched off.
 func Broken(cfg Config, mechanism string) Config {
--- a/internal/plugins/all/all.go
+++ b/internal/plugins/all/all.go
@@ -5,6 +5,7 @@
 	_ "redwingvale/internal/plugins/accelerators"
 	_ "redwingvale/internal/plugins/fit"
 	_ "redwingvale/internal/plugins/health"
+	_ "redwingvale/internal/plugins/interference"
 	_ "redwingvale/internal/plugins/laxity"
 	_ "redwingvale/internal/plugins/longrun"
 	_ "redwingvale/internal/plugins/quota"
--- /dev/null
+++ b/internal/plugins/interference/actions.go
@@ -0,0 +1,163 @@
+package interference
+
+import (
+	"math"
+
+	"redwingvale/internal/framework"
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// The thresholds of the actions. The gap between throttleShare and relaxShare
+// keeps a worker from being throttled and relaxed in turn.
+const (
+	// throttleShare and relaxShare are shares of the target p99.
+	throttleShare = 1.0
+	relaxShare    = 0.8
+	// reportsAbove is the number of successive reports above the target before
+	// the first action, so that a load that clears by itself causes none.
+	reportsAbove = 2
+	// reportsBelow is the same for relaxing.
+	reportsBelow = 3
+	// minThrottle is the lowest processor share in percent.
+	minThrottle = 20
+	// moveShare and evictShare are the shares of the target above which a
+	// throttled task is moved, and evicted with a tail share of 1.
+	moveShare  = 1.5
+	evictShare = 3.0
+	// safeLaxity is the slack, as a multiple of the remaining run time, that a
+	// task needs to be slowed down.
+	safeLaxity = 1.0
+)
+
+// count notes whether a report was above the target or well below it.
+func (p *Plugin) count(s *state, w *framework.Worker) {
+	m := p.modelOf(w)
+	if m == nil {
+		return
+	}
+	target := p.target(m, w)
+	switch {
+	case s.p99 > throttleShare*target:
+		s.above++
+		s.below = 0
+	case s.p99 < relaxShare*target:
+		s.below++
+		s.above = 0
+	default:
+		s.above, s.below = 0, 0
+	}
+}
+
+// Throttle slows the task that causes most of the latency, or relaxes one when
+// the prediction without its throttle stays below the target.
+func (p *Plugin) Throttle(c *framework.Cluster, w *framework.Worker, out []policy.Action) []policy.Action {
+	m, s := p.modelOf(w), p.peek(w)
+	if m == nil || s == nil {
+		return out
+	}
+	if s.above >= reportsAbove {
+		return p.slow(c, m, s, w, out)
+	}
+	if s.below >= reportsBelow {
+		return p.relax(m, s, w, out)
+	}
+	return out
+}
+
+// slow proposes the throttle that brings the predicted p99 to the target.
+func (p *Plugin) slow(c *framework.Cluster, m *model, s *state, w *framework.Worker, out []policy.Action) []policy.Action {
+	worst, added := p.worst(c, m, s, w, func(t *framework.Item) bool {
+		return t.ThrottledTo > minThrottle && canBeSlowed(c, t)
+	})
+	if worst == nil {
+		return out
+	}
+	excess := s.p99 - relaxShare*p.target(m, w)
+	left := 1 - excess/math.Max(added, 1e-9)
+	percent := int(float64(worst.ThrottledTo)*left/10) * 10
+	percent = min(max(percent, minThrottle), worst.ThrottledTo-10)
+	return append(out, policy.Action{
+		Kind: policy.ActionThrottle, Task: worst.ID, ThrottlePercent: max(percent, minThrottle),
+		Why: "the measured p99 is above the target and this task adds most to it",
+	})
+}
+
+// relax proposes to lift one throttle.
+func (p *Plugin) relax(m *model, s *state, w *framework.Worker, out []policy.Action) []policy.Action {
+	for _, t := range w.Running {
+		if t.ThrottledTo >= 100 || t.Leaving {
+			continue
+		}
+		full := m.slowdown(t.KindIndex, s.position, s.share)
+		after := math.Max(s.p99, m.base.mean(s.position, s.share)+s.sum) + full*(1-weight(t))
+		if after > stopShare*p.target(m, w) {
+			continue
+		}
+		return append(out, policy.Action{
+			Kind: policy.ActionUnthrottle, Task: t.ID, ThrottlePercent: 100,
+			Why: "the measured p99 is well below the target",
+		})
+	}
+	return out
+}
+
+// worst returns the eligible task that adds most latency, and how much.
+func (p *Plugin) worst(_ *framework.Cluster, m *model, s *state, w *framework.Worker, eligible func(*framework.Item) bool) (*framework.Item, float64) {
+	var worst *framework.Item
+	most := noticeable * p.target(m, w)
+	for _, t := range w.Running {
+		if t.Leaving || t.Class == spec.LongRunning || !eligible(t) {
+			continue
+		}
+		below, above := m.position(s.load)
+		added := weight(t) * m.kind(t.KindIndex).mean(below, above)
+		if added > most {
+			worst, most = t, added
+		}
+	}
+	return worst, most
+}
+
+// canBeSlowed reports whether a task has the laxity to run slower.
+func canBeSlowed(c *framework.Cluster, t *framework.Item) bool {
+	if t.Deadline == 0 {
+		return true
+	}
+	left := t.Remaining()
+	slack := t.Deadline - c.Now - left
+	return float64(slack) > safeLaxity*float64(left)
+}
+
+// Evict moves, and in the end evicts, a task that a throttle did not tame or
+// that has no time to be throttled.
+func (p *Plugin) Evict(c *framework.Cluster, w *framework.Worker, need spec.Resources, out []policy.Action) []policy.Action {
+	m, s := p.modelOf(w), p.peek(w)
+	if m == nil || s == nil || !need.IsZero() || s.above < reportsAbove {
+		return out
+	}
+	target := p.target(m, w)
+	share := c.Profile(w.ServiceIndex).TailShare
+	if share == 0 || s.p99 < target*moveShare/(0.5+share) {
+		return out
+	}
+	if len(p.slow(c, m, s, w, nil)) > 0 {
+		return out
+	}
+	worst, _ := p.worst(c, m, s, w, func(t *framework.Item) bool {
+		return t.ThrottledTo <= minThrottle || !canBeSlowed(c, t)
+	})
+	if worst == nil {
+		return out
+	}
+	kind := policy.ActionMove
+	if s.p99*share > target*evictShare {
+		kind = policy.ActionEvict
+	}
+	return append(out, policy.Action{
+		Kind: kind, Task: worst.ID,
+		Why: "the measured p99 stays above the target and this task adds most to it",
+	})
+}
+
+func sqrt(v float64) float64 { return math.Sqrt(v) }
--- /dev/null
+++ b/internal/plugins/interference/forecast.go
@@ -0,0 +1,63 @@
+package interference
+
+import (
+	"time"
+
+	"redwingvale/internal/spec"
+)
+
+// The smoothing of loads, as time constants.
+const (
+	// loadSmoothing is short, because it only has to remove reading noise.
+	loadSmoothing = 20 * time.Second
+	// slopeSmoothing is long: the workers of a data centre share a slope, so
+	// that many readings contribute to it.
+	slopeSmoothing = 120 * time.Second
+	// maxHorizon bounds how far a slope is extrapolated.
+	maxHorizon = 240 * time.Second
+)
+
+// trend is the common change of the load of one service in a data centre, in
+// requests per second per second and worker.
+type trend struct {
+	dataCentre spec.DataCentre
+	service    int
+	// fast and slow are averages of the load with two time constants; their
+	// difference measures the slope.
+	fast, slow float64
+	at         time.Duration
+	started    bool
+}
+
+// The time constants of the two averages of a trend.
+const (
+	fastAverage = slopeSmoothing / 2
+	slowAverage = slopeSmoothing * 3 / 2
+)
+
+// add takes the load of one worker in. readers is the number of workers that
+// contribute, so that the time constant is independent of it.
+func (t *trend) add(load float64, now time.Duration) {
+	if !t.started {
+		t.started, t.at, t.fast, t.slow = true, now, load, load
+		return
+	}
+	elapsed := (now - t.at).Seconds()
+	t.at = now
+	// Readings of many workers interleave; each moves the average by the time
+	// since the previous reading of any of them.
+	t.fast += (load - t.fast) * smooth(elapsed, fastAverage)
+	t.slow += (load - t.slow) * smooth(elapsed, slowAverage)
+}
+
+// slope returns the change per second. The two averages lag behind a steady
+// slope s by s times their time constants.
+func (t *trend) slope() float64 {
+	return (t.fast - t.slow) / (slowAverage - fastAverage).Seconds()
+}
+
+// smooth returns the weight of a new value after some seconds.
+func smooth(elapsed float64, constant time.Duration) float64 {
+	ratio := elapsed / constant.Seconds()
+	return ratio / (1 + ratio)
+}
