--- a/internal/framework/kernel.go
+++ b/internal/framework/kernel.go
@@ -126,6 +126,9 @@
 	if w == nil || w.Granted == granted {
 		return
 	}
+	for _, p := range k.plugins.grants {
+		p.Granted(&k.cluster, w, granted)
+	}
 	w.Granted = granted
 	k.refresh(w)
 	k.wakeRoom(w)
--- a/internal/framework/plugins.go
+++ b/internal/framework/plugins.go
@@ -1,6 +1,9 @@
 package framework
 
-import "redwingvale/internal/policy"
+import (
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
 
 // Configurable is implemented by plug-ins that keep state per service.
 // Configured is called after the services were replaced and must not block.
@@ -27,6 +30,7 @@
 	configured []Configurable
 	audit      []Auditor
 	explain    []Explainer
+	grants     []GrantWatcher
 }
 
 // sortPlugins distributes plug-ins over the extension points.
@@ -48,6 +52,7 @@
 		p.configured = collect(p.configured, each)
 		p.audit = collect(p.audit, each)
 		p.explain = collect(p.explain, each)
+		p.grants = collect(p.grants, each)
 	}
 	return p
 }
@@ -76,3 +81,11 @@
 	Plugin
 	Explain(c *Cluster, t *Item, out []policy.Reason) []policy.Reason
 }
+
+// GrantWatcher is implemented by plug-ins that follow what urgent requests
+// hold. Granted is called before a worker's grants change to granted and must
+// not block.
+type GrantWatcher interface {
+	Plugin
+	Granted(c *Cluster, w *Worker, granted spec.Resources)
+}
--- a/internal/framework/profile.go
+++ b/internal/framework/profile.go
@@ -30,6 +30,7 @@
 	"accelerators": {1, 1},
 	"fit":          {0.5, 0.5},
 	"sizes":        {1, 0.5},
+	"headroom":     {6, 4},
 }
 
 // newProfile returns the profile of a service for the given score plug-ins. A
--- a/internal/framework/schedule.go
+++ b/internal/framework/schedule.go
@@ -16,6 +16,11 @@
 // multiple of Config.Candidates.
 const visitsPerCandidate = 4
 
+// exhaustiveUpTo is the number of workers up to which every worker with room
+// is scored. Both sites are below it today; there, the few starts per second
+// leave time for the better choice.
+const exhaustiveUpTo = 128
+
 // candidate is a worker that passed every filter.
 type candidate struct {
 	worker *Worker
@@ -97,7 +102,7 @@
 		return refusal
 	}
 	want := k.cluster.Config.Candidates
-	if n <= want*visitsPerCandidate {
+	if n <= exhaustiveUpTo {
 		return k.collectAll(t, refusal)
 	}
 	for visits := 0; visits < want*visitsPerCandidate && len(k.candidates) < want; visits++ {
--- a/internal/plugins/all/all.go
+++ b/internal/plugins/all/all.go
@@ -4,6 +4,7 @@
 import (
 	_ "redwingvale/internal/plugins/accelerators"
 	_ "redwingvale/internal/plugins/fit"
+	_ "redwingvale/internal/plugins/headroom"
 	_ "redwingvale/internal/plugins/health"
 	_ "redwingvale/internal/plugins/interference"
 	_ "redwingvale/internal/plugins/laxity"
--- a/internal/plugins/interference/interference.go
+++ b/internal/plugins/interference/interference.go
@@ -35,7 +35,7 @@
 	// quietShare is the share of the largest load below which trying is safe.
 	quietShare = 0.2
 	// stopShare and noticeable are shares of the target p99.
-	stopShare  = 0.9
+	stopShare  = 1.2
 	noticeable = 0.05
 	// harmWeight weighs added latency, excessWeight a p99 above the target.
 	harmWeight   = 4.0
