--- a/internal/framework/cluster.go
+++ b/internal/framework/cluster.go
@@ -102,6 +102,10 @@
 	// that nothing is known.
 	Predicted time.Duration
 	Shortest  time.Duration
+	// PeakMean and PeakVariance describe the predicted peak memory, in MiB and
+	// MiB squared. They stay as they are while the task runs.
+	PeakMean     float64
+	PeakVariance float64
 	// Worker is nil while the task waits.
 	Worker *Worker
 	// StartedAt is when the task was placed; StartProgress its progress then.
--- a/internal/plugins/interference/interference.go
+++ b/internal/plugins/interference/interference.go
@@ -14,13 +14,18 @@
 // With after = the p99 predicted with the task, before = without it, T = the
 // service's target (twice the base without one) and l = load / largest load:
 //
-//	score = 1 / (1 + 4 * l * (after - before) / base + 4 * max(0, after/T - 1))
+//	extra = l * (after - before - typical) / base
+//	score = 1 / (1 + exp(4 * extra + 4 * max(0, after/T - 1)))
+//
+// where typical is what the tasks placed lately add at that load on average, so
+// that quiet tasks leave the workers on which noisy ones do little harm.
 //
 // Filter (stop placing): after > 0.9 T and after - before > 0.05 T, for tasks
 // that can still wait.
 package interference
 
 import (
+	"math"
 	"time"
 
 	"redwingvale/internal/framework"
@@ -248,13 +253,17 @@
 	base := m.base.mean(s.position, s.share)
 	added := m.slowdown(t.KindIndex, s.position, s.share)
 	load := (float64(s.position) + s.share) / (knots - 1)
+	extra := load * (added - m.typical(s.position, s.share)) / max(base, 1e-9)
 	excess := max(0, (base+s.sum+added)/p.target(m, w)-1)
-	return 1 / (1 + harmWeight*load*added/max(base, 1e-9) + excessWeight*excess)
+	return 1 / (1 + math.Exp(harmWeight*extra+excessWeight*excess))
 }
 
 // Reserve keeps the cached slowdown up to date. It always succeeds.
 func (p *Plugin) Reserve(c *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
 	p.change(c, t, w, 1)
+	if m := p.modelOf(w); m != nil {
+		m.placed(t.KindIndex)
+	}
 	return framework.Status{}
 }
 
--- a/internal/plugins/interference/model.go
+++ b/internal/plugins/interference/model.go
@@ -48,6 +48,9 @@
 	base  curve
 	// kinds is indexed by kind.
 	kinds []curve
+	// mix is the mean slowdown in milliseconds of the tasks placed lately, at
+	// each knot.
+	mix [knots]float64
 	// unit is the base latency at the first reading.
 	unit float64
 }
@@ -157,3 +160,19 @@
 		each.variance = each.variance*(1-gain*share) + drift*drift*unit*unit
 	}
 }
+
+// mixWeight is the weight of one placement in mix.
+const mixWeight = 0.02
+
+// placed moves the mix towards the kind of a placed task.
+func (m *model) placed(kind int) {
+	c := m.kind(kind)
+	for i := range m.mix {
+		m.mix[i] += mixWeight * (c[i].mean - m.mix[i])
+	}
+}
+
+// typical returns the mix at a position.
+func (m *model) typical(below int, above float64) float64 {
+	return m.mix[below]*(1-above) + m.mix[below+1]*above
+}
--- a/internal/plugins/sample/window.go
+++ b/internal/plugins/sample/window.go
@@ -11,6 +11,8 @@
 	ring   []float64
 	next   int
 	sorted []float64
+	// sum and squares are over the values kept.
+	sum, squares float64
 }
 
 // Add takes a value in and drops the oldest when the window is full.
@@ -22,6 +24,8 @@
 		w.ring[w.next] = value
 		w.next = (w.next + 1) % Size
 	}
+	w.sum += value
+	w.squares += value * value
 	at := sort.SearchFloat64s(w.sorted, value)
 	w.sorted = append(w.sorted, 0)
 	copy(w.sorted[at+1:], w.sorted[at:])
@@ -29,6 +33,8 @@
 }
 
 func (w *Window) drop(value float64) {
+	w.sum -= value
+	w.squares -= value * value
 	at := sort.SearchFloat64s(w.sorted, value)
 	w.sorted = append(w.sorted[:at], w.sorted[at+1:]...)
 }
@@ -56,3 +62,21 @@
 	}
 	return w.sorted[0]
 }
+
+// Mean returns the mean, or 0 for an empty window.
+func (w *Window) Mean() float64 {
+	if len(w.sorted) == 0 {
+		return 0
+	}
+	return w.sum / float64(len(w.sorted))
+}
+
+// Variance returns the variance of the values kept, or 0 for fewer than 2.
+func (w *Window) Variance() float64 {
+	n := float64(len(w.sorted))
+	if n < 2 {
+		return 0
+	}
+	mean := w.sum / n
+	return max(0, (w.squares-n*mean*mean)/(n-1))
+}
--- a/internal/plugins/sizes/sizes.go
+++ b/internal/plugins/sizes/sizes.go
@@ -1,23 +1,28 @@
-// Package sizes reserves what tasks of the same team and kind really used, and
-// acts when a running task grows past its reservation.
+// Package sizes plans with what tasks of the same team and kind really used,
+// and acts when running tasks grow past their reservations.
 //
 // With the ratios peak use / declared amount of the last 64 tasks, for memory
 // and processors, reservations are at least the declaration:
 //
-//	need = declared * max(1, Safe(0.95)) for memory,
-//	need = declared * min(2, max(1, Safe(0.75))) for processors,
-//	       at most the largest worker
+//	need = declared * min(2, max(1, median ratio)), at most the largest worker
 //
-// Growth, per worker, with used_i the reported memory of task i and g_i its
-// growth between the last two reports, extrapolated over two measurement lags:
+// Filter: the peaks of a worker's tasks together stay within its memory at the
+// 99% quantile, with m_i and v_i the mean and variance of task i's predicted
+// peak. A quantile for each task would add up to far more than is used:
+//
+//	sum(m_i) + 2.33 * sqrt(sum(v_i)) + granted <= capacity
+//
+// Growth, with used_i the reported memory of task i and g_i its growth between
+// the last two reports, extrapolated over two measurement lags: the task
+// furthest above its declaration moves when
 //
-//	move the task furthest above its declaration when
 //	sum(used_i + g_i) + granted > 0.92 * capacity
 //
 // Score: the share of memory that stays unused by measurement, 0 to 1.
 package sizes
 
 import (
+	"math"
 	"time"
 
 	"redwingvale/internal/framework"
@@ -30,11 +35,16 @@
 const Name = "sizes"
 
 const (
-	memoryQuantile = 0.95
-	cpuQuantile    = 0.75
-	// maxCPURatio bounds the processors reserved above the declaration,
-	// because a shortage of processors slows a task and does not kill it.
-	maxCPURatio = 2.0
+	// median is the quantile that one task reserves.
+	median = 0.5
+	// maxRatio bounds the reservation as a multiple of the declaration.
+	maxRatio = 2.0
+	// safety is the normal deviate of the 99% quantile.
+	safety = 2.33
+	// fewSamples is the history below which declarations are trusted only
+	// within unknownSpread of their amount.
+	fewSamples    = 5
+	unknownSpread = 0.3
 	// dangerShare is the share of a worker's memory above which growth is
 	// acted on.
 	dangerShare = 0.92
@@ -51,10 +61,18 @@
 	cpu    sample.Window
 }
 
-// Plugin learns sizes and implements evict and score.
-type Plugin struct{ kinds []kind }
+// demand sums up the predicted peaks of a worker's tasks.
+type demand struct{ mean, variance float64 }
+
+// Plugin learns sizes and implements filter, score, reserve and evict.
+type Plugin struct {
+	kinds   []kind
+	demands []demand
+}
 
 var (
+	_ framework.Filterer  = (*Plugin)(nil)
+	_ framework.Reserver  = (*Plugin)(nil)
 	_ framework.Learner   = (*Plugin)(nil)
 	_ framework.Estimator = (*Plugin)(nil)
 	_ framework.Evicter   = (*Plugin)(nil)
@@ -86,12 +104,50 @@
 	}
 }
 
-// Estimate raises Need to what the kind is known to use.
+// Estimate raises Need to the typical use of the kind and predicts the peak.
 func (p *Plugin) Estimate(c *framework.Cluster, t *framework.Item) {
 	k := p.of(c, t)
-	t.Need.MemoryMiB = raise(t.Resources.MemoryMiB, k.memory.Safe(memoryQuantile), c.Largest.MemoryMiB)
-	cpu := min(maxCPURatio, k.cpu.Safe(cpuQuantile))
-	t.Need.MilliCPU = raise(t.Resources.MilliCPU, cpu, c.Largest.MilliCPU)
+	t.Need.MemoryMiB = raise(t.Resources.MemoryMiB, k.memory.Safe(median), c.Largest.MemoryMiB)
+	t.Need.MilliCPU = raise(t.Resources.MilliCPU, k.cpu.Safe(median), c.Largest.MilliCPU)
+	mean, spread := k.memory.Mean(), math.Sqrt(k.memory.Variance())
+	if k.memory.Len() < fewSamples {
+		mean, spread = max(1, mean), unknownSpread
+	}
+	declared := float64(t.Resources.MemoryMiB)
+	t.PeakMean = mean * declared
+	t.PeakVariance = spread * spread * declared * declared
+}
+
+// Filter refuses a worker whose memory the tasks' peaks could exceed together.
+// An empty worker takes any task, because no other could take it better.
+func (p *Plugin) Filter(_ *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
+	if len(w.Running) == 0 || w.Index >= len(p.demands) {
+		return framework.Status{}
+	}
+	d := p.demands[w.Index]
+	peak := d.mean + t.PeakMean + safety*math.Sqrt(d.variance+t.PeakVariance)
+	if peak <= float64(w.Capacity.MemoryMiB-w.Granted.MemoryMiB) {
+		return framework.Status{}
+	}
+	return framework.Refuse(Name, "the predicted peaks exceed the memory", framework.RoomFreed|framework.WorkersChanged)
+}
+
+// Reserve counts the predicted peak. It always succeeds.
+func (p *Plugin) Reserve(c *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
+	for len(p.demands) < len(c.Workers) {
+		p.demands = append(p.demands, demand{})
+	}
+	d := &p.demands[w.Index]
+	d.mean += t.PeakMean
+	d.variance += t.PeakVariance
+	return framework.Status{}
+}
+
+// Unreserve takes the predicted peak out of the count.
+func (p *Plugin) Unreserve(_ *framework.Cluster, t *framework.Item, w *framework.Worker) {
+	d := &p.demands[w.Index]
+	d.mean = max(0, d.mean-t.PeakMean)
+	d.variance = max(0, d.variance-t.PeakVariance)
 }
 
 // Score prefers workers whose measured memory leaves most unused.
@@ -139,10 +195,10 @@
 	return int64(t.MemoryRate * lookaheadLags * c.Lag.Seconds())
 }
 
-// raise returns declared * max(1, ratio), at most the largest worker's amount
+// raise returns declared * min(2, max(1, ratio)), at most the largest worker's amount
 // unless the declaration is larger.
 func raise(declared int64, ratio float64, largest int64) int64 {
-	wanted := int64(float64(declared) * max(1, ratio))
+	wanted := int64(float64(declared) * min(maxRatio, max(1, ratio)))
 	return max(declared, min(wanted, largest))
 }
 
