--- a/internal/plugins/interference/actions.go
+++ b/internal/plugins/interference/actions.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"redwingvale/internal/framework"
 	"redwingvale/internal/policy"
@@ -12,7 +13,7 @@
 // keeps a worker from being throttled and relaxed in turn.
 const (
 	// throttleShare and relaxShare are shares of the target p99.
-	throttleShare = 1.0
+	throttleShare = 1.3
 	relaxShare    = 0.8
 	// reportsAbove is the number of successive reports above the target before
 	// the first action, so that a load that clears by itself causes none.
@@ -25,9 +26,11 @@
 	// throttled task is moved, and evicted with a tail share of 1.
 	moveShare  = 1.5
 	evictShare = 3.0
-	// safeLaxity is the slack, as a multiple of the remaining run time, that a
-	// task needs to be slowed down.
-	safeLaxity = 1.0
+	// safeLaxity and riskyLaxity are slacks as multiples of the remaining run
+	// time: a task needs the first to be slowed down, and below the second its
+	// throttle is lifted whatever the latency.
+	safeLaxity  = 1.0
+	riskyLaxity = 0.5
 )
 
 // count notes whether a report was above the target or well below it.
@@ -56,6 +59,12 @@
 	if m == nil || s == nil {
 		return out
 	}
+	if hurried := hurry(c, w); hurried != nil {
+		return append(out, policy.Action{
+			Kind: policy.ActionUnthrottle, Task: hurried.ID, ThrottlePercent: 100,
+			Why: "the task would miss its deadline at this speed",
+		})
+	}
 	if s.above >= reportsAbove {
 		return p.slow(c, m, s, w, out)
 	}
@@ -119,14 +128,28 @@
 	return worst, most
 }
 
-// canBeSlowed reports whether a task has the laxity to run slower.
-func canBeSlowed(c *framework.Cluster, t *framework.Item) bool {
+// hurry returns a throttled task that has become urgent, or nil.
+func hurry(c *framework.Cluster, w *framework.Worker) *framework.Item {
+	for _, t := range w.Running {
+		if t.ThrottledTo < 100 && !t.Leaving && laxity(c, t) < riskyLaxity {
+			return t
+		}
+	}
+	return nil
+}
+
+// laxity returns the slack of a task as a multiple of its remaining run time.
+func laxity(c *framework.Cluster, t *framework.Item) float64 {
 	if t.Deadline == 0 {
-		return true
+		return math.Inf(1)
 	}
-	left := t.Remaining()
-	slack := t.Deadline - c.Now - left
-	return float64(slack) > safeLaxity*float64(left)
+	left := max(t.Remaining(), time.Second)
+	return float64(t.Deadline-c.Now-left) / float64(left)
+}
+
+// canBeSlowed reports whether a task has the laxity to run slower.
+func canBeSlowed(c *framework.Cluster, t *framework.Item) bool {
+	return laxity(c, t) > safeLaxity
 }
 
 // Evict moves, and in the end evicts, a task that a throttle did not tame or
--- a/internal/plugins/interference/interference.go
+++ b/internal/plugins/interference/interference.go
@@ -42,6 +42,8 @@
 	// stopShare and noticeable are shares of the target p99.
 	stopShare  = 1.2
 	noticeable = 0.05
+	// minWaiting is the least time to the latest start of a task that waits.
+	minWaiting = time.Minute
 	// harmWeight weighs added latency, excessWeight a p99 above the target.
 	harmWeight   = 4.0
 	excessWeight = 4.0
@@ -231,7 +233,7 @@
 // Filter stops placing on a worker whose predicted p99 is too high.
 func (p *Plugin) Filter(c *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
 	m, s := p.modelOf(w), p.peek(w)
-	if m == nil || s == nil || t.LatestStart <= c.Now {
+	if m == nil || s == nil || !canWait(c, t) {
 		return framework.Status{}
 	}
 	added := m.slowdown(t.KindIndex, s.position, s.share)
@@ -244,6 +246,12 @@
 		framework.RoomFreed|framework.MeasurementArrived)
 }
 
+// canWait reports whether a task may be kept waiting for a better worker: its
+// latest start is further away than half its run time, and than a minute.
+func canWait(c *framework.Cluster, t *framework.Item) bool {
+	return t.LatestStart-c.Now > max(t.Remaining()/2, minWaiting)
+}
+
 // Score prefers workers on which the task adds least latency for least load.
 func (p *Plugin) Score(_ *framework.Cluster, t *framework.Item, w *framework.Worker) float64 {
 	m, s := p.modelOf(w), p.peek(w)
--- a/internal/plugins/relief/relief.go
+++ b/internal/plugins/relief/relief.go
@@ -2,7 +2,8 @@
 // its resources.
 //
 // Order of the victims: tasks on borrowed quota first; then tasks that still
-// meet their deadline when they start again; then batch before long-running
+// meet their deadline when they start again, with half their remaining run time
+// to spare; then batch before long-running
 // tasks; then the least work lost, in seconds:
 //
 //	lost = elapsed - (progress - progress at start) * predicted run time
@@ -25,6 +26,10 @@
 // Name is the name of the plug-in.
 const Name = "relief"
 
+// restartMargin multiplies the run time after a restart, for the wait in the
+// queue before it.
+const restartMargin = 1.5
+
 // acceptedLoss is the work that an eviction may lose with the tail share 1.
 const acceptedLoss = 60 * time.Second
 
@@ -88,7 +93,8 @@
 	if t.Class == spec.LongRunning {
 		r++
 	}
-	if t.Deadline != 0 && c.Now+t.Remaining()+Lost(c, t) > t.Deadline {
+	again := time.Duration(restartMargin * float64(t.Remaining()+Lost(c, t)))
+	if t.Deadline != 0 && c.Now+again > t.Deadline {
 		r += 2
 	}
 	if !t.Borrowed {
