--- a/internal/framework/cluster.go
+++ b/internal/framework/cluster.go
@@ -29,11 +29,14 @@
 	Largest spec.Resources
 	// Kinds holds every (team, kind) seen; Item.Kind is a position in it.
 	Kinds []KindKey
+	// KindNames holds every kind seen in any team.
+	KindNames []string
 
 	workerByID  map[spec.WorkerID]*Worker
 	itemByID    map[spec.TaskID]*Item
 	serviceByID map[spec.ServiceID]int
-	kindByKey   map[KindKey]int
+	kindByKey   map[KindKey]kindIndex
+	nameByKind  map[string]int
 	profiles    []Profile
 	fallback    Profile
 	queues      *queues
@@ -93,6 +96,9 @@
 	policy.Task
 	// Kind is the position of (team, kind) in Cluster.Kinds.
 	KindIndex int
+	// NameIndex is the position of the kind, whatever the team, in
+	// Cluster.KindNames.
+	NameIndex int
 	// ServiceIndex is the position of the task's service, or -1.
 	ServiceIndex int
 	// Need is what the task reserves: at least its declared resources.
@@ -182,16 +188,25 @@
 	return &c.profiles[serviceIndex]
 }
 
-// kindIndex returns the position of (team, kind), which it adds when new.
-func (c *Cluster) kindIndex(team spec.TeamID, kind string) int {
+// kindIndex holds the positions of a kind in Kinds and in KindNames.
+type kindIndex struct{ kind, name int }
+
+// indexKind returns the positions of (team, kind), which it adds when new.
+func (c *Cluster) indexKind(team spec.TeamID, kind string) kindIndex {
 	key := KindKey{Team: team, Kind: kind}
-	i, known := c.kindByKey[key]
-	if !known {
-		i = len(c.Kinds)
-		c.Kinds = append(c.Kinds, key)
-		c.kindByKey[key] = i
+	if known, ok := c.kindByKey[key]; ok {
+		return known
+	}
+	name, named := c.nameByKind[kind]
+	if !named {
+		name = len(c.KindNames)
+		c.KindNames = append(c.KindNames, kind)
+		c.nameByKind[kind] = name
 	}
-	return i
+	added := kindIndex{kind: len(c.Kinds), name: name}
+	c.Kinds = append(c.Kinds, key)
+	c.kindByKey[key] = added
+	return added
 }
 
 // EachParked calls visit with the first parked or woken task of each shape
--- a/internal/framework/enqueue.go
+++ b/internal/framework/enqueue.go
@@ -73,9 +73,11 @@
 		t = new(Item)
 	}
 	k.seq++
+	kind := k.cluster.indexKind(task.ID.Job.Team, task.Kind)
 	*t = Item{
 		Task:         task,
-		KindIndex:    k.cluster.kindIndex(task.ID.Job.Team, task.Kind),
+		KindIndex:    kind.kind,
+		NameIndex:    kind.name,
 		ServiceIndex: k.cluster.ServiceIndex(task.Service),
 		Need:         task.Resources,
 		ThrottledTo:  100,
--- a/internal/framework/kernel.go
+++ b/internal/framework/kernel.go
@@ -60,7 +60,8 @@
 		workerByID:  map[spec.WorkerID]*Worker{},
 		itemByID:    map[spec.TaskID]*Item{},
 		serviceByID: map[spec.ServiceID]int{},
-		kindByKey:   map[KindKey]int{},
+		kindByKey:   map[KindKey]kindIndex{},
+		nameByKind:  map[string]int{},
 	}
 	k.cluster.fallback = newProfile(policy.Service{}, k.plugins.score)
 	return k, nil
--- a/internal/plugins/interference/actions.go
+++ b/internal/plugins/interference/actions.go
@@ -98,7 +98,7 @@
 		if t.ThrottledTo >= 100 || t.Leaving {
 			continue
 		}
-		full := m.slowdown(t.KindIndex, s.position, s.share)
+		full := m.slowdown(t.NameIndex, s.position, s.share)
 		after := math.Max(s.p99, m.base.mean(s.position, s.share)+s.sum) + full*(1-weight(t))
 		if after > stopShare*p.target(m, w) {
 			continue
@@ -120,7 +120,7 @@
 			continue
 		}
 		below, above := m.position(s.load)
-		added := weight(t) * m.kind(t.KindIndex).mean(below, above)
+		added := weight(t) * m.kind(t.NameIndex).mean(below, above)
 		if added > most {
 			worst, most = t, added
 		}
--- a/internal/plugins/interference/interference.go
+++ b/internal/plugins/interference/interference.go
@@ -15,7 +15,7 @@
 // service's target (twice the base without one) and l = load / largest load:
 //
 //	extra = l * (after - before - typical) / base
-//	score = 1 / (1 + exp(4 * extra + 4 * max(0, after/T - 1)))
+//	score = 0.5 - extra / 8 - max(0, after/T - 1) / 8, within 0 and 1
 //
 // where typical is what the tasks placed lately add at that load on average, so
 // that quiet tasks leave the workers on which noisy ones do little harm.
@@ -25,7 +25,6 @@
 package interference
 
 import (
-	"math"
 	"time"
 
 	"redwingvale/internal/framework"
@@ -40,13 +39,13 @@
 	// quietShare is the share of the largest load below which trying is safe.
 	quietShare = 0.2
 	// stopShare and noticeable are shares of the target p99.
-	stopShare  = 1.2
+	stopShare  = 1.0
 	noticeable = 0.05
 	// minWaiting is the least time to the latest start of a task that waits.
 	minWaiting = time.Minute
 	// harmWeight weighs added latency, excessWeight a p99 above the target.
-	harmWeight   = 4.0
-	excessWeight = 4.0
+	harmWeight   = 0.125
+	excessWeight = 0.125
 )
 
 func init() { framework.Register(Name, New) }
@@ -165,7 +164,7 @@
 		if t == nil || t.Worker == nil || (t.HasAction && t.LastAction >= r.MeasuredAt) {
 			return nil, false
 		}
-		p.add(t.KindIndex, weight(t))
+		p.add(t.NameIndex, weight(t))
 	}
 	return p.tasks, true
 }
@@ -193,7 +192,7 @@
 	s.position, s.share = m.position(s.forecast(maxHorizon / 2))
 	s.sum = 0
 	for _, t := range w.Running {
-		s.sum += weight(t) * m.slowdown(t.KindIndex, s.position, s.share)
+		s.sum += weight(t) * m.slowdown(t.NameIndex, s.position, s.share)
 	}
 }
 
@@ -236,7 +235,7 @@
 	if m == nil || s == nil || !canWait(c, t) {
 		return framework.Status{}
 	}
-	added := m.slowdown(t.KindIndex, s.position, s.share)
+	added := m.slowdown(t.NameIndex, s.position, s.share)
 	after := m.base.mean(s.position, s.share) + s.sum + added
 	target := p.target(m, w)
 	if after <= stopShare*target || added <= noticeable*target {
@@ -259,18 +258,18 @@
 		return 1
 	}
 	base := m.base.mean(s.position, s.share)
-	added := m.slowdown(t.KindIndex, s.position, s.share)
+	added := m.slowdown(t.NameIndex, s.position, s.share)
 	load := (float64(s.position) + s.share) / (knots - 1)
 	extra := load * (added - m.typical(s.position, s.share)) / max(base, 1e-9)
 	excess := max(0, (base+s.sum+added)/p.target(m, w)-1)
-	return 1 / (1 + math.Exp(harmWeight*extra+excessWeight*excess))
+	return min(1, max(0, 0.5-harmWeight*extra-excessWeight*excess))
 }
 
 // Reserve keeps the cached slowdown up to date. It always succeeds.
 func (p *Plugin) Reserve(c *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
 	p.change(c, t, w, 1)
 	if m := p.modelOf(w); m != nil {
-		m.placed(t.KindIndex)
+		m.placed(t.NameIndex)
 	}
 	return framework.Status{}
 }
@@ -285,7 +284,7 @@
 	if m == nil || !s.known {
 		return
 	}
-	s.sum = max(0, s.sum+sign*weight(t)*m.slowdown(t.KindIndex, s.position, s.share))
+	s.sum = max(0, s.sum+sign*weight(t)*m.slowdown(t.NameIndex, s.position, s.share))
 }
 
 // Learn does nothing: only reports say something about interference.
