--- a/internal/framework/assert.go
+++ b/internal/framework/assert.go
@@ -67,6 +67,8 @@
 			running++
 		}
 	}
+	invariant.Check(running == k.cluster.Running, invariant.InternalConsistency,
+		"%d tasks run, %d are counted", running, k.cluster.Running)
 	invariant.Check(queued+running == len(k.cluster.Items), invariant.InternalConsistency,
 		"%d tasks queued and %d running of %d", queued, running, len(k.cluster.Items))
 }
--- a/internal/framework/cluster.go
+++ b/internal/framework/cluster.go
@@ -23,6 +23,8 @@
 	// Items holds every waiting and running task in no particular but
 	// reproducible order.
 	Items []*Item
+	// Running counts the tasks in Items that are on a worker.
+	Running int
 	// Services is in the order of the last Configure.
 	Services []policy.Service
 	// Largest is the largest capacity of a worker in each dimension.
@@ -165,6 +167,9 @@
 	return time.Duration(float64(t.Predicted) * (1 - t.Progress))
 }
 
+// Waiting returns the number of tasks that wait.
+func (c *Cluster) Waiting() int { return len(c.Items) - c.Running }
+
 // Worker returns the worker with the id, or nil.
 func (c *Cluster) Worker(id spec.WorkerID) *Worker { return c.workerByID[id] }
 
--- a/internal/framework/ended.go
+++ b/internal/framework/ended.go
@@ -48,5 +48,6 @@
 	}
 	t.Worker = nil
 	t.state = 0
+	k.cluster.Running--
 	k.refresh(w)
 }
--- a/internal/framework/schedule.go
+++ b/internal/framework/schedule.go
@@ -206,6 +206,7 @@
 	invariant.Check(t.heap == nil, invariant.OnePlaceAtATime, "task %s is queued and assumed", t.ID)
 	t.Worker = w
 	t.state = assumed
+	k.cluster.Running++
 	t.StartedAt = k.cluster.Now
 	t.StartProgress = t.Progress
 	t.runPos = len(w.Running)
--- a/internal/plugins/interference/forecast.go
+++ b/internal/plugins/interference/forecast.go
@@ -14,7 +14,7 @@
 	// that many readings contribute to it.
 	slopeSmoothing = 120 * time.Second
 	// maxHorizon bounds how far a slope is extrapolated.
-	maxHorizon = 240 * time.Second
+	maxHorizon = 480 * time.Second
 )
 
 // trend is the common change of the load of one service in a data centre, in
--- a/internal/plugins/interference/interference.go
+++ b/internal/plugins/interference/interference.go
@@ -4,8 +4,8 @@
 // For each service it learns, from lagged and noisy reports, the p99 in
 // milliseconds as base(load) + sum of slowdown(kind, load) over the tasks that
 // the report lists, with a variance for each coefficient (model.go). The load
-// of a worker is forecast over half the task's run time, at most 240 s, from
-// its smoothed load and the slope of its data centre (forecast.go).
+// of a worker is forecast over 480 s from its smoothed load and the slope of its
+// data centre (forecast.go).
 //
 // A slowdown counts as mean + 1 standard deviation where the forecast load is
 // above a fifth of the largest seen, so that what is unknown is not tried next
@@ -20,8 +20,10 @@
 // where typical is what the tasks placed lately add at that load on average, so
 // that quiet tasks leave the workers on which noisy ones do little harm.
 //
-// Filter (stop placing): after > 0.9 T and after - before > 0.05 T, for tasks
-// that can still wait.
+// Filter (stop placing), for tasks that can still wait, with q waiting tasks for
+// each worker:
+//
+//	after > (0.9 + 0.5 * min(1, q/2)) * T and after - before > 0.05 T
 package interference
 
 import (
@@ -39,8 +41,11 @@
 	// quietShare is the share of the largest load below which trying is safe.
 	quietShare = 0.2
 	// stopShare and noticeable are shares of the target p99.
-	stopShare  = 1.0
+	stopShare  = 0.9
 	noticeable = 0.05
+	// queueShare is what a queue of longQueue tasks a worker adds to stopShare.
+	queueShare = 0.5
+	longQueue  = 2.0
 	// minWaiting is the least time to the latest start of a task that waits.
 	minWaiting = time.Minute
 	// harmWeight weighs added latency, excessWeight a p99 above the target.
@@ -189,7 +194,7 @@
 	if m == nil || !s.known {
 		return
 	}
-	s.position, s.share = m.position(s.forecast(maxHorizon / 2))
+	s.position, s.share = m.position(s.forecast(maxHorizon))
 	s.sum = 0
 	for _, t := range w.Running {
 		s.sum += weight(t) * m.slowdown(t.NameIndex, s.position, s.share)
@@ -238,13 +243,21 @@
 	added := m.slowdown(t.NameIndex, s.position, s.share)
 	after := m.base.mean(s.position, s.share) + s.sum + added
 	target := p.target(m, w)
-	if after <= stopShare*target || added <= noticeable*target {
+	if after <= stopAt(c)*target || added <= noticeable*target {
 		return framework.Status{}
 	}
 	return framework.Refuse(Name, "the service's predicted p99 would be above its target",
 		framework.RoomFreed|framework.MeasurementArrived)
 }
 
+// stopAt returns the share of the target from which placing stops. It rises with
+// the length of the queue, because work that is held back now comes all at once
+// later.
+func stopAt(c *framework.Cluster) float64 {
+	queue := float64(c.Waiting()) / float64(max(1, len(c.Workers)))
+	return stopShare + queueShare*min(1, queue/longQueue)
+}
+
 // canWait reports whether a task may be kept waiting for a better worker: its
 // latest start is further away than half its run time, and than a minute.
 func canWait(c *framework.Cluster, t *framework.Item) bool {
