Predict the remaining run time from measured progress

Cause: tasks much longer than their kind's 90% quantile were throttled to 20% and found to be late only when nothing could be done.

--- a/internal/framework/cluster.go
+++ b/internal/framework/cluster.go
@@ -141,6 +141,11 @@
 	// LatestStart is the task's position in the queue.
 	LatestStart time.Duration
 
+	// workedBefore is the unthrottled run time up to speedSince, when the
+	// throttle last changed.
+	workedBefore time.Duration
+	speedSince   time.Duration
+
 	shape   *shape
 	state   itemState
 	heap    *itemHeap
--- a/internal/framework/review.go
+++ b/internal/framework/review.go
@@ -132,8 +132,7 @@
 	a.Worker = t.Worker.ID
 	switch a.Kind {
 	case policy.ActionThrottle, policy.ActionUnthrottle:
-		t.ThrottledTo = a.ThrottlePercent
-		t.Throttled = true
+		t.setThrottle(a.ThrottlePercent, now)
 	case policy.ActionMove, policy.ActionEvict:
 		t.Leaving = true
 		k.history.add(t.ID, policy.Reason{Dimension: string(a.Kind), Workers: 1, Detail: a.Why})
--- a/internal/framework/schedule.go
+++ b/internal/framework/schedule.go
@@ -208,6 +208,7 @@
 	t.state = assumed
 	k.cluster.Running++
 	t.StartedAt = k.cluster.Now
+	t.workedBefore, t.speedSince = 0, k.cluster.Now
 	t.StartProgress = t.Progress
 	t.runPos = len(w.Running)
 	w.Running = append(w.Running, t)
--- a/internal/plugins/interference/actions.go
+++ b/internal/plugins/interference/actions.go
@@ -31,6 +31,8 @@
 	// throttle is lifted whatever the latency.
 	safeLaxity  = 1.0
 	riskyLaxity = 0.5
+	// movableLaxity is what a task needs to be moved because of interference.
+	movableLaxity = 0.3
 )
 
 // count notes whether a report was above the target or well below it.
@@ -85,13 +87,22 @@
 	excess := s.p99 - relaxShare*p.target(m, w)
 	left := 1 - excess/math.Max(added, 1e-9)
 	percent := int(float64(worst.ThrottledTo)*left/10) * 10
-	percent = min(max(percent, minThrottle), worst.ThrottledTo-10)
+	percent = max(percent, slowest(c, worst))
+	if percent >= worst.ThrottledTo {
+		return out
+	}
 	return append(out, policy.Action{
-		Kind: policy.ActionThrottle, Task: worst.ID, ThrottlePercent: max(percent, minThrottle),
+		Kind: policy.ActionThrottle, Task: worst.ID, ThrottlePercent: percent,
 		Why: "the measured p99 is above the target and this task adds most to it",
 	})
 }
 
+// slowest returns the lowest processor share in percent at which a task uses no
+// more than half of its slack.
+func slowest(c *framework.Cluster, t *framework.Item) int {
+	return max(minThrottle, int(100/(1+laxity(c, t)/2)))
+}
+
 // relax proposes to lift one throttle.
 func (p *Plugin) relax(m *model, s *state, w *framework.Worker, out []policy.Action) []policy.Action {
 	for _, t := range w.Running {
@@ -168,7 +179,7 @@
 		return out
 	}
 	worst, _ := p.worst(c, m, s, w, func(t *framework.Item) bool {
-		return t.ThrottledTo <= minThrottle || !canBeSlowed(c, t)
+		return t.ThrottledTo <= slowest(c, t) || (!canBeSlowed(c, t) && laxity(c, t) > movableLaxity)
 	})
 	if worst == nil {
 		return out
