--- a/internal/framework/assert.go
+++ b/internal/framework/assert.go
@@ -22,6 +22,16 @@
 		"worker %s: capacity %+v, granted %+v, reserved %+v", w.ID, w.Capacity, w.Granted, w.Reserved)
 }
 
+// checkWaits asserts before a placement that the task is neither assumed nor
+// queued. The condition comes first, because the arguments of a check allocate.
+func (k *Kernel) checkWaits(t *Item) {
+	if t.Worker == nil && t.heap == nil {
+		return
+	}
+	invariant.Check(false, invariant.OnePlaceAtATime,
+		"task %s is placed: assumed before %t, queued %t", t.ID, t.Worker != nil, t.heap != nil)
+}
+
 // checkAction asserts that a task has had no action within the lag.
 func (k *Kernel) checkAction(t *Item) {
 	if !t.HasAction || k.cluster.Now >= t.LastAction+k.cluster.Lag {
--- a/internal/framework/randomrun_test.go
+++ b/internal/framework/randomrun_test.go
@@ -246,3 +246,12 @@
 	*list = (*list)[:last]
 	return t
 }
+
+// Running returns the tasks on a worker.
+func (k *Kernel) Running(id spec.WorkerID) []spec.TaskID {
+	var out []spec.TaskID
+	for _, t := range k.cluster.workerByID[id].Running {
+		out = append(out, t.ID)
+	}
+	return out
+}
--- a/internal/framework/schedule.go
+++ b/internal/framework/schedule.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"redwingvale/internal/invariant"
 	"redwingvale/internal/policy"
 	"redwingvale/internal/spec"
 )
@@ -202,8 +201,7 @@
 
 // assume books a task on a worker.
 func (k *Kernel) assume(t *Item, w *Worker) {
-	invariant.Check(t.Worker == nil, invariant.OnePlaceAtATime, "task %s is assumed twice", t.ID)
-	invariant.Check(t.heap == nil, invariant.OnePlaceAtATime, "task %s is queued and assumed", t.ID)
+	k.checkWaits(t)
 	t.Worker = w
 	t.state = assumed
 	k.cluster.Running++
--- a/internal/plugins/health/health.go
+++ b/internal/plugins/health/health.go
@@ -65,9 +65,11 @@
 
 // Plugin implements quarantine, filter and score.
 type Plugin struct {
-	workers  []record
-	jobs     map[spec.JobID]*job
+	workers []record
+	jobs    map[spec.JobID]*job
+	// order is a ring of the known jobs; next is the oldest once it is full.
 	order    []spec.JobID
+	next     int
 	isolated int
 }
 
@@ -239,18 +241,25 @@
 	})
 }
 
-// remember returns the record of a job, which it makes when new.
+// remember returns the record of a job. A new job takes the place of the oldest
+// one once maxJobs are known.
 func (p *Plugin) remember(id spec.JobID) *job {
 	if j := p.jobs[id]; j != nil {
 		return j
 	}
-	j := &job{}
-	p.jobs[id] = j
-	p.order = append(p.order, id)
-	if len(p.order) > maxJobs {
-		delete(p.jobs, p.order[0])
-		p.order = p.order[1:]
+	if len(p.order) < maxJobs {
+		j := &job{}
+		p.jobs[id] = j
+		p.order = append(p.order, id)
+		return j
 	}
+	oldest := p.order[p.next]
+	j := p.jobs[oldest]
+	delete(p.jobs, oldest)
+	*j = job{failedOn: j.failedOn[:0]}
+	p.jobs[id] = j
+	p.order[p.next] = id
+	p.next = (p.next + 1) % maxJobs
 	return j
 }
 
--- a/internal/plugins/interference/interference.go
+++ b/internal/plugins/interference/interference.go
@@ -7,7 +7,7 @@
 // of a worker is forecast over 480 s from its smoothed load and the slope of its
 // data centre (forecast.go).
 //
-// A slowdown counts as mean + 1 standard deviation where the forecast load is
+// The slowdown of the task to place counts as mean + 1 standard deviation where the forecast load is
 // above a fifth of the largest seen, so that what is unknown is not tried next
 // to urgent work; elsewhere it counts as its mean.
 //
@@ -23,7 +23,7 @@
 // Filter (stop placing), for tasks that can still wait, with q waiting tasks for
 // each worker:
 //
-//	after > (0.9 + 0.5 * min(1, q/2)) * T and after - before > 0.05 T
+//	after > (0.85 + 0.5 * min(1, q/2)) * T and after - before > 0.05 T
 package interference
 
 import (
@@ -41,7 +41,7 @@
 	// quietShare is the share of the largest load below which trying is safe.
 	quietShare = 0.2
 	// stopShare and noticeable are shares of the target p99.
-	stopShare  = 0.9
+	stopShare  = 0.85
 	noticeable = 0.05
 	// queueShare is what a queue of longQueue tasks a worker adds to stopShare.
 	queueShare = 0.5
@@ -197,7 +197,7 @@
 	s.position, s.share = m.position(s.forecast(maxHorizon))
 	s.sum = 0
 	for _, t := range w.Running {
-		s.sum += weight(t) * m.slowdown(t.NameIndex, s.position, s.share)
+		s.sum += weight(t) * m.kind(t.NameIndex).mean(s.position, s.share)
 	}
 }
 
@@ -297,7 +297,7 @@
 	if m == nil || !s.known {
 		return
 	}
-	s.sum = max(0, s.sum+sign*weight(t)*m.slowdown(t.NameIndex, s.position, s.share))
+	s.sum = max(0, s.sum+sign*weight(t)*m.kind(t.NameIndex).mean(s.position, s.share))
 }
 
 // Learn does nothing: only reports say something about interference.
--- a/internal/plugins/interference/model.go
+++ b/internal/plugins/interference/model.go
@@ -15,7 +15,7 @@
 	drift = 0.004
 	// priorSlowdown and priorSpread describe a kind that was never seen, as
 	// shares of the base latency.
-	priorSlowdown = 0.15
+	priorSlowdown = 0.05
 	priorSpread   = 0.4
 	// basePriorSpread describes the base latency after the first reading.
 	basePriorSpread = 0.5
--- a/internal/plugins/spread/spread.go
+++ b/internal/plugins/spread/spread.go
@@ -39,6 +39,8 @@
 // Plugin implements score and reserve.
 type Plugin struct {
 	jobs map[spec.JobID]*footprint
+	// free holds footprints for reuse.
+	free []*footprint
 	// last caches the job that Score looked up last.
 	last      spec.JobID
 	lastPrint *footprint
@@ -73,7 +75,7 @@
 func (p *Plugin) Reserve(_ *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
 	f := p.jobs[t.ID.Job]
 	if f == nil {
-		f = &footprint{}
+		f = p.newFootprint()
 		p.jobs[t.ID.Job] = f
 		p.forgetLast()
 	}
@@ -91,9 +93,22 @@
 	if f.tasks == 0 {
 		delete(p.jobs, t.ID.Job)
 		p.forgetLast()
+		p.free = append(p.free, f)
 	}
 }
 
+// newFootprint returns an empty footprint.
+func (p *Plugin) newFootprint() *footprint {
+	last := len(p.free) - 1
+	if last < 0 {
+		return &footprint{}
+	}
+	f := p.free[last]
+	p.free = p.free[:last]
+	f.places = f.places[:0]
+	return f
+}
+
 func (p *Plugin) forgetLast() { p.last, p.lastPrint = spec.JobID{}, nil }
 
 // count returns the tasks in the worker's rack and data centre.
