--- a/internal/local/faults_test.go
+++ b/internal/local/faults_test.go
@@ -23,10 +23,14 @@
 const urgentPath = "/v1/teams/kagoshima-billing/services/meter-reads/call/read"
 
 func startCluster(t *testing.T) (*qt.C, *local.Cluster, context.Context) {
+	return startClusterWith(t, local.DefaultOptions())
+}
+
+func startClusterWith(t *testing.T, options local.Options) (*qt.C, *local.Cluster, context.Context) {
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	cluster, err := local.Start(ctx, local.DefaultOptions())
+	cluster, err := local.Start(ctx, options)
 	c.Assert(err, qt.IsNil)
 	t.Cleanup(cluster.Stop)
 	c.Assert(cluster.AwaitReady(ctx), qt.IsNil)
