--- a/internal/journal/duty_test.go
+++ b/internal/journal/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"redwingvale/internal/platform"
+	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
@@ -123,3 +125,42 @@
 	c.Assert(errors.Is(<-stopped, context.Canceled), quicktest.IsTrue)
 	c.Assert(log.appended, quicktest.Equals, 1)
 }
+
+// TestAppendRate guards against a busy writer that sends more appends than
+// its share of the log allows, or that falls behind its records.
+func TestAppendRate(t *testing.T) {
+	c := quicktest.New(t)
+	const streams, perSecond, seconds = 43, 600, 30
+	w := NewWriter(DefaultSettings("i01", 1))
+	appends, written, token := 0, 0, uint64(0)
+	var onLog []RecordRead
+	offset := int64(0)
+	for now := time.Duration(0); now < seconds*time.Second; now += time.Second / perSecond {
+		token++
+		stream := platform.GroupStream(spec.GroupID(fmt.Sprint(token % streams)))
+		events := []Event{Write{Stream: stream, Envelope: &recordv1.Envelope{}, Token: token}}
+		for _, read := range onLog {
+			events = append(events, read)
+		}
+		onLog = nil
+		for _, e := range events {
+			for _, effect := range w.Step(now, e) {
+				switch f := effect.(type) {
+				case Append:
+					appends++
+					for _, data := range f.Records {
+						offset++
+						env := new(recordv1.Envelope)
+						c.Assert(proto.Unmarshal(data, env), quicktest.IsNil)
+						onLog = append(onLog, RecordRead{Stream: f.Stream, Offset: offset, Envelope: env})
+					}
+				case Written:
+					written++
+				}
+			}
+		}
+	}
+	t.Logf("%d records in %d s: %d appends, %d written", token, seconds, appends, written)
+	c.Assert(appends <= 28*seconds+28, quicktest.IsTrue)
+	c.Assert(int(token)-written < 3*perSecond, quicktest.IsTrue)
+}
--- a/internal/ownership/effects.go
+++ b/internal/ownership/effects.go
@@ -26,7 +26,7 @@
 }
 
 // WithdrawClaim asks the journal to discard a claim that was not read back,
-// because its reason has gone.
+// because its reason has gone. The claim may still take effect.
 type WithdrawClaim struct {
 	Group spec.GroupID
 }
@@ -54,7 +54,8 @@
 	Response *schedv1.HeartbeatResponse
 }
 
-// Follow asks for the group's stream to be read from its start.
+// Follow asks for the group's stream to be read from its start, with an empty
+// filter and fence. Reads of an earlier Follow must not be delivered after it.
 type Follow struct {
 	Group spec.GroupID
 }
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -15,7 +15,7 @@
 type Event interface{ isEvent() }
 
 // MembersRecord is one record of the members stream, in log order. The core
-// drops repeats itself.
+// drops repeats itself, so records must not pass a journal.Filter before.
 type MembersRecord struct {
 	Offset   int64
 	Envelope *recordv1.Envelope
@@ -31,14 +31,16 @@
 }
 
 // GroupFence is the latest valid ownership that the group's stream shows. It
-// precedes the StreamRead of the read that showed it.
+// precedes the StreamRead of the read that showed it, and follows each record
+// with the verdict fence.Claimed or fence.Released.
 type GroupFence struct {
 	Group spec.GroupID
 	Fence fence.Fence
 }
 
 // StreamRead follows each successful read of a group's stream. SentAt is the
-// monotonic time before the read was sent.
+// monotonic time before the read was sent. AtTail must stay false while records
+// have expired and no snapshot has restored the fence.
 type StreamRead struct {
 	Group  spec.GroupID
 	SentAt time.Duration
--- a/internal/ownership/measure_test.go
+++ b/internal/ownership/measure_test.go
@@ -158,6 +158,32 @@
 	c.Assert(w.vacant(), quicktest.HasLen, 0)
 }
 
+// TestForcedRemoval guards against a system that stays without owners after
+// most instances died unseen by the instance list, raises no alarm, and does
+// not go on after an operator has confirmed the deaths.
+func TestForcedRemoval(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	w := steady(1, 21)
+	var dead []spec.InstanceID
+	for range 4 {
+		n := w.pick()
+		n.alive = false
+		delete(w.live, n.id)
+		dead = append(dead, n.id)
+	}
+	w.runUntil(w.now + 60*time.Second)
+	c.Assert(len(w.vacant()) > 0, quicktest.IsTrue)
+	c.Assert(w.pick().alarmed, quicktest.IsTrue)
+	for _, id := range dead {
+		w.pick().event(ForceRemove{Instance: id})
+		w.runUntil(w.now + time.Second)
+	}
+	w.runUntil(w.now + crashBound)
+	c.Assert(w.vacant(), quicktest.HasLen, 0)
+	c.Assert(w.pick().alarmed, quicktest.IsFalse)
+}
+
 func (w *world) appendCount() int {
 	sum := 0
 	for _, count := range w.appends {
--- a/internal/ownership/node_test.go
+++ b/internal/ownership/node_test.go
@@ -27,6 +27,7 @@
 	alive       bool
 	pausedUntil time.Duration
 	leaving     bool
+	alarmed     bool
 	token       uint64
 	pending     map[uint64]AppendRejected
 	readers     map[platform.Stream]*reader
@@ -150,6 +151,8 @@
 		delete(n.readers, platform.GroupStream(e.Group))
 	case Right:
 		n.w.right(n, e.Group, e.Until)
+	case Alarm:
+		n.alarmed = e.Active
 	case LeaveDone:
 		n.crash()
 	}
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -62,6 +62,10 @@
 	return c.proven(now, id, t.readBackAt)
 }
 
+// rightStep is the least extension of a right that is worth an effect: each
+// promise of each voter extends it a little.
+const rightStep = 100 * time.Millisecond
+
 // updateRight emits the right when it was extended or lost.
 func (c *Core) updateRight(now time.Duration, g *group) {
 	until := c.rightUntil(g)
@@ -71,7 +75,7 @@
 	if until <= now {
 		until = 0
 	}
-	if until == g.until {
+	if until == g.until || (until > 0 && g.until > now && until < g.until+rightStep) {
 		return
 	}
 	epoch := g.startedEpoch
