--- a/internal/ownership/balance.go
+++ b/internal/ownership/balance.go
@@ -121,9 +121,23 @@
 	case f.Released:
 		return ""
 	}
+	if c.unaware(now, g) {
+		return "the owner " + string(f.Owner) + " does not act as the owner"
+	}
 	return c.fault(now, g.fenceAt, f.Owner, f.Incarnation)
 }
 
+// unaware reports whether the owner is heard from and has not listed the group
+// for a while: a claim that it withdrew took effect late, or its release got
+// lost.
+func (c *Core) unaware(now time.Duration, g *group) bool {
+	p := c.peers[g.fence.Owner]
+	if p == nil || g.heard == p.id || now-p.listedAt > c.settings.SuspectAfter {
+		return false
+	}
+	return now-max(g.fenceAt, g.vacantAt, p.seenAt) >= c.settings.RetryAfter
+}
+
 // fault returns why an owner cannot go on owning, or nothing. An owner that is
 // no member may have joined later than the last read of the members stream,
 // so that read must have been sent after the ownership was seen at time at.
--- a/internal/ownership/broken_test.go
+++ b/internal/ownership/broken_test.go
@@ -43,3 +43,7 @@
 
 // TestBrokenSetHistory does the same for the majority in each voter set.
 func TestBrokenSetHistory(t *testing.T) { broken(t, faults{skipSetHistory: true}) }
+
+// TestBrokenStaleness does the same for a log whose reads lag unaccounted
+// for.
+func TestBrokenStaleness(t *testing.T) { broken(t, faults{ignoreStaleness: true}) }
--- a/internal/ownership/change.go
+++ b/internal/ownership/change.go
@@ -182,7 +182,7 @@
 		if p.heard && p.version >= set.version && now >= p.versionAt+lease {
 			return true
 		}
-		return c.proven(now, id, set.knownAt)
+		return c.proven(now, id, set.knownAt+c.staleness())
 	})
 }
 
--- a/internal/ownership/chaos_test.go
+++ b/internal/ownership/chaos_test.go
@@ -122,9 +122,10 @@
 		w.spawnNew()
 	}
 	n := w.pick()
-	if w.chance(0.5) {
+	switch w.rng.IntN(5) {
+	case 0, 1:
 		w.cutLog[n.id] = true
-	} else {
+	case 2, 3:
 		w.cutGroups[n.id] = true
 	}
 	return n
@@ -159,12 +160,14 @@
 	w.endRound(w.between(8*time.Second, 12*time.Second), w.growth)
 }
 
-// part cuts all links between the instance with two others and the rest. When
-// blind is set the two others cannot read the log either.
+// part cuts the links to the instance and two others from the rest, and
+// sometimes also the links back. When blind is set the two others cannot read
+// the log either.
 func (w *world) part(n *node, blind bool) {
 	if w.calm || len(w.live) < 5 {
 		return
 	}
+	back := w.chance(0.5)
 	side := map[spec.InstanceID]bool{n.id: true}
 	for len(side) < 3 {
 		side[w.pick().id] = true
@@ -177,7 +180,7 @@
 		w.cutLog[id] = w.cutLog[id] || blind
 		for j := 1; j <= w.next; j++ {
 			if other := instanceID(j); !side[other] {
-				w.cutLink[[2]spec.InstanceID{id, other}] = true
+				w.cutLink[[2]spec.InstanceID{id, other}] = back
 				w.cutLink[[2]spec.InstanceID{other, id}] = true
 			}
 		}
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -78,6 +78,7 @@
 	skipSetHistory    bool
 	promiseRegardless bool
 	skipVersionLease  bool
+	ignoreStaleness   bool
 }
 
 // New returns the core of an instance that has just started and knows nothing.
--- a/internal/ownership/heartbeat.go
+++ b/internal/ownership/heartbeat.go
@@ -104,6 +104,7 @@
 // hear takes in what a member says about itself in a request.
 func (c *Core) hear(now time.Duration, p *peer, r *schedv1.HeartbeatRequest) {
 	p.arrived(now, r.GetVotersVersion())
+	p.listedAt = now
 	p.readable(now, r.GetLogReadable(), c.logReadable(now))
 	p.leaving = p.leaving || r.GetLeaving()
 	p.suspects = suspectSet(r.GetSuspects())
--- a/internal/ownership/node_test.go
+++ b/internal/ownership/node_test.go
@@ -55,6 +55,7 @@
 	}
 	settings := DefaultSettings(id, incarnation, dataCentre(index))
 	settings.SnapshotPeriod = 20 * time.Second
+	settings.LogStaleness = w.staleness
 	n.core = New(settings)
 	n.core.faults = w.faults
 	n.writer = journal.NewWriter(journal.DefaultSettings(id, incarnation))
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -24,6 +24,8 @@
 	heard      bool
 	heardFirst time.Duration
 	heardLast  time.Duration
+	// listedAt is when a request of the member last listed what it owns.
+	listedAt time.Duration
 	// version is the newest voter version that the member is known to know,
 	// since versionAt.
 	version   uint64
--- a/internal/ownership/run_test.go
+++ b/internal/ownership/run_test.go
@@ -33,6 +33,9 @@
 func run(seed uint64, f faults, quiet bool) (w *world, err error) {
 	w = newWorld(seed, 6)
 	w.faults = f
+	if w.chance(0.3) {
+		w.staleness = 2 * time.Second
+	}
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("seed %d: %v", seed, r)
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -21,7 +21,7 @@
 	if t.previous.Released || t.stopped || c.faults.skipWait {
 		return true
 	}
-	wait := c.settings.OwnershipLease + c.settings.LogStaleness
+	wait := c.settings.OwnershipLease + c.staleness()
 	if now < t.readBackAt+wait {
 		return false
 	}
@@ -36,7 +36,7 @@
 	if !c.hasMembersTail {
 		return false
 	}
-	if c.membersTail < t.readBackAt && !c.faults.skipSetHistory {
+	if c.membersTail < t.readBackAt+c.staleness() && !c.faults.skipSetHistory {
 		return false
 	}
 	return majority(c.members.current().voters, func(id spec.InstanceID) bool {
@@ -59,7 +59,7 @@
 	if ok && given.incarnation == p.incarnation && now >= given.at+lease {
 		return true
 	}
-	return c.proven(now, id, t.readBackAt)
+	return c.proven(now, id, t.readBackAt+c.staleness())
 }
 
 // rightStep is the least extension of a right that is worth an effect: each
@@ -110,7 +110,7 @@
 // peerLease returns until when a majority of the voters has promised that it
 // knows no newer claim, in each voter set since the last confirmation.
 func (c *Core) peerLease(g *group) time.Duration {
-	sets, ok := c.members.setsSince(g.take.confirmedAt)
+	sets, ok := c.members.setsSince(c.certainAt(g.take))
 	if c.faults.skipSetHistory {
 		sets, ok = []voterSet{c.members.current()}, true
 	}
@@ -132,6 +132,20 @@
 	return c.lastStep + c.settings.held(c.settings.OwnershipLease)
 }
 
+// staleness is how far a read that reaches the tail may lag behind.
+func (c *Core) staleness() time.Duration {
+	if c.faults.ignoreStaleness {
+		return 0
+	}
+	return c.settings.LogStaleness
+}
+
+// certainAt returns the time up to which the last confirming read has shown
+// every claim.
+func (c *Core) certainAt(t *take) time.Duration {
+	return t.confirmedAt - c.staleness()
+}
+
 // majorityPromise returns the end of the promise that the last voter needed
 // for a majority has given, the largest duration when this instance is a
 // majority by itself, or zero when there is none.
@@ -151,7 +165,7 @@
 	if p == nil || !p.heard {
 		return 0
 	}
-	if p.heardFirst > g.take.confirmedAt && !c.faults.skipHeardRule {
+	if p.heardFirst > c.certainAt(g.take) && !c.faults.skipHeardRule {
 		return 0
 	}
 	given, ok := p.promises[g.id]
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -32,7 +32,9 @@
 	logDelay time.Duration
 	logLost  float64
 	logDown  bool
-	cutLog   map[spec.InstanceID]bool
+	// staleness is how far the reads of half of the instances lag behind.
+	staleness time.Duration
+	cutLog    map[spec.InstanceID]bool
 	// cutGroups lists the instances that cannot read or write group streams.
 	cutGroups map[spec.InstanceID]bool
 	cutLink   map[[2]spec.InstanceID]bool
@@ -193,7 +195,9 @@
 // stream is one stream of the fake log.
 type stream struct {
 	records []*recordv1.Envelope
-	waiters []func()
+	// storedAt holds the true time of each append.
+	storedAt []time.Duration
+	waiters  []func()
 }
 
 func (w *world) stream(name platform.Stream) *stream {
@@ -205,6 +209,19 @@
 	return s
 }
 
+// visible returns how many records a read of the instance shows now.
+func (w *world) visible(id spec.InstanceID, s *stream) int {
+	at := w.now
+	if !w.calm && id[len(id)-1]%2 == 1 {
+		at -= w.staleness
+	}
+	count := len(s.records)
+	for count > 0 && s.storedAt[count-1] > at {
+		count--
+	}
+	return count
+}
+
 // reachable reports whether the log answers the instance now.
 func (w *world) reachable(id spec.InstanceID, name platform.Stream) bool {
 	if w.calm {
@@ -233,6 +250,9 @@
 		}
 		s := w.stream(name)
 		s.records = append(s.records, records...)
+		for range records {
+			s.storedAt = append(s.storedAt, w.now)
+		}
 		waiters := s.waiters
 		s.waiters = nil
 		for _, wake := range waiters {
@@ -254,9 +274,10 @@
 			}
 			answered = true
 			failed := !w.reachable(id, name)
-			end := min(len(w.stream(name).records), from+limit)
+			tail := max(from, w.visible(id, w.stream(name)))
+			end := min(tail, from+limit)
 			records := w.stream(name).records[from:end]
-			atTail := end == len(w.stream(name).records)
+			atTail := end == tail
 			w.after(w.logTime(), func() { done(records, atTail, failed) })
 		}
 		if !w.reachable(id, name) || from < len(w.stream(name).records) {
