Config offsets in heartbeats, single instance test, bounded idle reads

A log that answers empty reads at once is no longer read in a tight loop, and a result whose Next does not advance no longer repeats its records.

--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -48,6 +48,9 @@
 	Wait time.Duration
 	// CallLimit bounds a read beyond Wait.
 	CallLimit time.Duration
+	// IdlePause is the least time between two reads that return nothing, for a
+	// log that does not hold reads open.
+	IdlePause time.Duration
 	// RetryMin and RetryMax bound the jittered wait after a failed read.
 	RetryMin time.Duration
 	RetryMax time.Duration
@@ -59,6 +62,7 @@
 		Limit:     1000,
 		Wait:      300 * time.Millisecond,
 		CallLimit: 5 * time.Second,
+		IdlePause: 20 * time.Millisecond,
 		RetryMin:  50 * time.Millisecond,
 		RetryMax:  time.Second,
 	}
@@ -94,17 +98,25 @@
 		if err := r.deliver(ctx, batch); err != nil {
 			return err
 		}
-		if batch.Err == nil {
-			r.failures = 0
-			continue
-		}
-		r.failures++
-		if err := sleep(ctx, r.pause()); err != nil {
+		if err := sleep(ctx, r.pauseAfter(batch)); err != nil {
 			return err
 		}
 	}
 }
 
+// pauseAfter returns how long to wait before the next read.
+func (r *Reader) pauseAfter(batch Batch) time.Duration {
+	if batch.Err != nil {
+		r.failures++
+		return r.pause()
+	}
+	r.failures = 0
+	if len(batch.Records) > 0 || batch.Skipped > 0 {
+		return 0
+	}
+	return r.settings.IdlePause - (r.clock() - batch.SentAt)
+}
+
 func (r *Reader) read(ctx context.Context) Batch {
 	limited, cancel := context.WithTimeout(ctx, r.settings.Wait+r.settings.CallLimit)
 	defer cancel()
@@ -123,6 +135,7 @@
 			continue
 		}
 		batch.add(raw)
+		batch.Next = max(batch.Next, raw.Offset+1)
 	}
 	r.next = batch.Next
 	return batch
@@ -148,7 +161,11 @@
 	return wait/2 + rand.N(wait/2+1)
 }
 
+// sleep waits, or not at all when wait is not positive, until ctx ends.
 func sleep(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -52,6 +52,8 @@
 	requestedAt map[string]time.Duration
 	leaving     bool
 	left        bool
+	// configOffset is what this instance has read of the config stream.
+	configOffset int64
 
 	heartbeatAt time.Duration
 	// suspectCount is how many members were suspected at the last tick.
@@ -129,6 +131,8 @@
 		c.appendRejected(now, e)
 	case ForceRemove:
 		c.forceRemove(e)
+	case ConfigRead:
+		c.configOffset = max(c.configOffset, e.Offset)
 	case LeaveRequested:
 		c.leaving = true
 		c.heartbeatAt = now
@@ -188,6 +192,26 @@
 	return out
 }
 
+// ConfigOffset is how far a member has read the config stream.
+type ConfigOffset struct {
+	Instance spec.InstanceID
+	Offset   int64
+}
+
+// ConfigOffsets returns what the active members have reported, in the order of
+// the members stream.
+func (c *Core) ConfigOffsets() []ConfigOffset {
+	var out []ConfigOffset
+	for _, id := range c.members.current().voters {
+		offset := c.configOffset
+		if p := c.peers[id]; p != nil {
+			offset = p.configOffset
+		}
+		out = append(out, ConfigOffset{Instance: id, Offset: offset})
+	}
+	return out
+}
+
 func (c *Core) membersRecord(now time.Duration, e MembersRecord) {
 	version := c.members.version
 	if !c.members.apply(now, e) {
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -66,6 +66,12 @@
 	Entries []platform.InstanceEntry
 }
 
+// ConfigRead is the offset up to which this instance has read the config
+// stream. Heartbeats report it to the others.
+type ConfigRead struct {
+	Offset int64
+}
+
 // Group names a worker group and its data centre.
 type Group struct {
 	ID         spec.GroupID
@@ -104,6 +110,7 @@
 func (HeartbeatReceived) isEvent() {}
 func (HeartbeatAnswered) isEvent() {}
 func (InstanceList) isEvent()      {}
+func (ConfigRead) isEvent()        {}
 func (GroupsKnown) isEvent()       {}
 func (AppendRejected) isEvent()    {}
 func (ForceRemove) isEvent()       {}
--- a/internal/ownership/heartbeat.go
+++ b/internal/ownership/heartbeat.go
@@ -45,6 +45,7 @@
 		Incarnation:   uint64(c.settings.Incarnation),
 		VotersVersion: c.members.version,
 		MembersOffset: c.members.through,
+		ConfigOffset:  c.configOffset,
 		Leaving:       c.leaving,
 		Suspects:      c.suspects(now),
 		LogReadable:   c.logReadable(now),
@@ -95,6 +96,7 @@
 		Incarnation:   uint64(c.settings.Incarnation),
 		VotersVersion: c.members.version,
 		MembersOffset: c.members.through,
+		ConfigOffset:  c.configOffset,
 		LogReadable:   c.logReadable(now),
 		Leaving:       c.leaving,
 		Suspects:      c.suspects(now),
@@ -107,6 +109,7 @@
 	p.listedAt = now
 	p.readable(now, r.GetLogReadable(), c.logReadable(now))
 	p.leaving = p.leaving || r.GetLeaving()
+	p.configOffset = max(p.configOffset, r.GetConfigOffset())
 	p.suspects = suspectSet(r.GetSuspects())
 	p.ready = make(map[spec.GroupID]bool, len(r.GetReady()))
 	for _, id := range r.GetReady() {
@@ -203,6 +206,7 @@
 	p.arrived(now, r.GetVotersVersion())
 	p.readable(now, r.GetLogReadable(), c.logReadable(now))
 	p.leaving = p.leaving || r.GetLeaving()
+	p.configOffset = max(p.configOffset, r.GetConfigOffset())
 	p.suspects = suspectSet(r.GetSuspects())
 	c.adopt(now, r)
 	for _, promised := range r.GetPromised() {
--- a/internal/ownership/measure_test.go
+++ b/internal/ownership/measure_test.go
@@ -184,6 +184,20 @@
 	c.Assert(w.pick().alarmed, quicktest.IsFalse)
 }
 
+// TestSingleInstance guards against a system of one instance that never gets a
+// right, or loses it in a log outage.
+func TestSingleInstance(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	w := newWorld(1, 3)
+	w.spawnNew()
+	w.runUntil(10 * time.Second)
+	c.Assert(w.vacant(), quicktest.HasLen, 0)
+	w.calm = false
+	w.logDown = true
+	c.Assert(w.watch(20*time.Second), quicktest.Equals, time.Duration(0))
+}
+
 func (w *world) appendCount() int {
 	sum := 0
 	for _, count := range w.appends {
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -31,6 +31,8 @@
 	version   uint64
 	versionAt time.Duration
 	leaving   bool
+	// configOffset is how far the member has read the config stream.
+	configOffset int64
 	// unreadable states that the member cannot read the log while this
 	// instance can, since unreadableAt.
 	unreadable   bool
