--- a/internal/ownership/balance.go
+++ b/internal/ownership/balance.go
@@ -166,8 +166,9 @@
 }
 
 // chooseMove picks the one group that this instance prepares to take over
-// from a healthy owner. Only a member below its fair share does so, or one
-// whose peer is leaving, so that a join moves no other groups.
+// from a healthy owner. Groups move only from a member above its fair share to
+// one below it that became active lately, or from one that is leaving, so that
+// a join moves no group between older members.
 func (c *Core) chooseMove(now time.Duration, able bool) {
 	if g := c.groups[c.moving]; g != nil && able && c.stillMoving(now, g) {
 		return
@@ -177,11 +178,12 @@
 	if !able {
 		return
 	}
-	below := c.holding() < c.share()
+	below := now < c.moveUntil && c.holding() < c.share()
+	held := c.heldByPeers()
 	first := c.after(last)
 	for i := range c.sorted {
 		g := c.sorted[(first+i)%len(c.sorted)]
-		if c.movable(now, g, below) {
+		if c.movable(now, g, below, held) {
 			c.moving = g.id
 			c.movingAt = now
 			return
@@ -202,7 +204,16 @@
 	return now-c.movingAt < c.settings.RetryAfter
 }
 
-func (c *Core) movable(now time.Duration, g *group, below bool) bool {
+// heldByPeers counts the groups that each other member is known to own.
+func (c *Core) heldByPeers() map[spec.InstanceID]int {
+	held := make(map[spec.InstanceID]int, len(c.order))
+	for _, g := range c.sorted {
+		held[g.owner()]++
+	}
+	return held
+}
+
+func (c *Core) movable(now time.Duration, g *group, below bool, held map[spec.InstanceID]int) bool {
 	if g.retired || g.take != nil || c.plan.owner[g.id] != c.settings.Instance {
 		return false
 	}
@@ -210,7 +221,7 @@
 	if owner == nil || c.suspect(now, owner) {
 		return false
 	}
-	return below || owner.leaving
+	return owner.leaving || (below && held[owner.id] > c.share())
 }
 
 // releaseOne releases at most one group at a time, to a member that has
@@ -243,6 +254,9 @@
 	if c.leaving && len(c.plan.members) == 0 {
 		return "", true
 	}
+	if !c.leaving && c.holding() <= c.share() {
+		return "", false
+	}
 	for _, id := range c.plan.members {
 		p := c.peers[id]
 		if p != nil && p.ready[g.id] && (c.leaving || c.plan.owner[g.id] == id) {
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -66,8 +66,12 @@
 	// healthy owner, since movingAt.
 	moving   spec.GroupID
 	movingAt time.Duration
-	effects  []Effect
-	faults   faults
+	// active states that this instance is a voter. Until moveUntil it takes
+	// groups over from healthy owners.
+	active    bool
+	moveUntil time.Duration
+	effects   []Effect
+	faults    faults
 }
 
 // faults switches single mechanisms off, for tests that prove that the
@@ -236,6 +240,11 @@
 	if !mine {
 		c.joined = false
 	}
+	active := c.joined && self.GetActive()
+	if active && !c.active {
+		c.moveUntil = now + c.settings.MoveTime
+	}
+	c.active = active
 	c.emit(OwnersChanged{})
 }
 
--- a/internal/ownership/group.go
+++ b/internal/ownership/group.go
@@ -138,6 +138,9 @@
 		acks:       make(map[spec.InstanceID]ack),
 	}
 	c.heartbeatAt = now
+	if g.id == c.moving {
+		c.moveUntil = now + c.settings.MoveTime
+	}
 }
 
 // streamRead counts the log lease.
--- a/internal/ownership/settings.go
+++ b/internal/ownership/settings.go
@@ -45,6 +45,9 @@
 	// RetryAfter is when an unanswered request to the journal, or an attempt
 	// to move a group, is made again.
 	RetryAfter time.Duration
+	// MoveTime is how long after it became active, or after the last group
+	// that it got, a member takes groups over from healthy owners.
+	MoveTime time.Duration
 	// SnapshotPeriod is the time between two snapshots of the membership. It
 	// must be at most half of the log's retention. Zero means none.
 	SnapshotPeriod time.Duration
@@ -66,6 +69,7 @@
 		RemoveAfter:     10 * time.Second,
 		SettleTime:      time.Second,
 		RetryAfter:      5 * time.Second,
+		MoveTime:        30 * time.Second,
 		SnapshotPeriod:  time.Hour,
 	}
 }
