--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -19,6 +19,10 @@
 //     more than one change are covered because a change is proposed only after
 //     a majority has known the previous version for one lease and refuses
 //     requests of older versions.
+//   - A voter that the instance list shows as gone counts as agreeing to claims
+//     and to changes of the voter set. It does not count as promising to an
+//     owner: an owner and a claimer that both count it would share no voter
+//     that can tell them of each other.
 package ownership
 
 import (
@@ -52,6 +56,8 @@
 	requestedAt map[string]time.Duration
 	leaving     bool
 	left        bool
+	// configOffset is what this instance has read of the config stream.
+	configOffset int64
 
 	heartbeatAt time.Duration
 	// suspectCount is how many members were suspected at the last tick.
@@ -64,8 +70,12 @@
 	// healthy owner, since movingAt.
 	moving   spec.GroupID
 	movingAt time.Duration
-	effects  []Effect
-	faults   faults
+	// active states that this instance is a voter. Until moveUntil it takes
+	// groups over from healthy owners.
+	active    bool
+	moveUntil time.Duration
+	effects   []Effect
+	faults    faults
 }
 
 // faults switches single mechanisms off, for tests that prove that the
@@ -78,6 +88,7 @@
 	skipSetHistory    bool
 	promiseRegardless bool
 	skipVersionLease  bool
+	ignoreStaleness   bool
 }
 
 // New returns the core of an instance that has just started and knows nothing.
@@ -128,6 +139,8 @@
 		c.appendRejected(now, e)
 	case ForceRemove:
 		c.forceRemove(e)
+	case ConfigRead:
+		c.configOffset = max(c.configOffset, e.Offset)
 	case LeaveRequested:
 		c.leaving = true
 		c.heartbeatAt = now
@@ -187,6 +200,26 @@
 	return out
 }
 
+// ConfigOffset is how far a member has read the config stream.
+type ConfigOffset struct {
+	Instance spec.InstanceID
+	Offset   int64
+}
+
+// ConfigOffsets returns what the active members have reported, in the order of
+// the members stream.
+func (c *Core) ConfigOffsets() []ConfigOffset {
+	var out []ConfigOffset
+	for _, id := range c.members.current().voters {
+		offset := c.configOffset
+		if p := c.peers[id]; p != nil {
+			offset = p.configOffset
+		}
+		out = append(out, ConfigOffset{Instance: id, Offset: offset})
+	}
+	return out
+}
+
 func (c *Core) membersRecord(now time.Duration, e MembersRecord) {
 	version := c.members.version
 	if !c.members.apply(now, e) {
@@ -211,6 +244,11 @@
 	if !mine {
 		c.joined = false
 	}
+	active := c.joined && self.GetActive()
+	if active && !c.active {
+		c.moveUntil = now + c.settings.MoveTime
+	}
+	c.active = active
 	c.emit(OwnersChanged{})
 }
 
--- a/internal/ownership/node_test.go
+++ b/internal/ownership/node_test.go
@@ -27,6 +27,7 @@
 	alive       bool
 	pausedUntil time.Duration
 	leaving     bool
+	alarmed     bool
 	token       uint64
 	pending     map[uint64]AppendRejected
 	readers     map[platform.Stream]*reader
@@ -54,6 +55,7 @@
 	}
 	settings := DefaultSettings(id, incarnation, dataCentre(index))
 	settings.SnapshotPeriod = 20 * time.Second
+	settings.LogStaleness = w.staleness
 	n.core = New(settings)
 	n.core.faults = w.faults
 	n.writer = journal.NewWriter(journal.DefaultSettings(id, incarnation))
@@ -150,6 +152,8 @@
 		delete(n.readers, platform.GroupStream(e.Group))
 	case Right:
 		n.w.right(n, e.Group, e.Until)
+	case Alarm:
+		n.alarmed = e.Active
 	case LeaveDone:
 		n.crash()
 	}
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -24,11 +24,15 @@
 	heard      bool
 	heardFirst time.Duration
 	heardLast  time.Duration
+	// listedAt is when a request of the member last listed what it owns.
+	listedAt time.Duration
 	// version is the newest voter version that the member is known to know,
 	// since versionAt.
 	version   uint64
 	versionAt time.Duration
 	leaving   bool
+	// configOffset is how far the member has read the config stream.
+	configOffset int64
 	// unreadable states that the member cannot read the log while this
 	// instance can, since unreadableAt.
 	unreadable   bool
