Ledger: workers and entries that vanish from the lists keep their books

Cause: a worker that the lagging list left out for a moment lost its books and could be filled twice when it came back; a worker that was listed only after a takeover had nothing kept for its entries; an entry that left the active list just before a takeover was not counted.

Conclusion: a worker's books are dropped only when nothing is booked on it.

--- a/internal/grant/account.go
+++ b/internal/grant/account.go
@@ -51,8 +51,10 @@
 	worker   spec.WorkerID
 	capacity spec.Resources
 	leaving  bool
-	tasks    map[spec.TaskID]spec.Resources
-	reserved spec.Resources
+	// closedUntil is when the worker may first be used.
+	closedUntil time.Duration
+	tasks       map[spec.TaskID]spec.Resources
+	reserved    spec.Resources
 	// uses is sorted by holder.
 	uses []*use
 	// oldFree is what the tasks left free at the takeover, and heardFromOld
@@ -76,7 +78,7 @@
 	if at < len(a.uses) && a.uses[at].holder == h {
 		return a.uses[at]
 	}
-	u := &use{holder: h}
+	u := &use{holder: h, turn: turn(a.worker, h)}
 	a.uses = append(a.uses, nil)
 	copy(a.uses[at+1:], a.uses[at:])
 	a.uses[at] = u
@@ -114,6 +116,8 @@
 // use is what one holder may be using on one worker.
 type use struct {
 	holder holder
+	// turn orders the holders of the worker when slots are shared.
+	turn uint64
 	// reported is the larger of what the last report states to be in use and
 	// what its sender could still start, until reportedUntil.
 	reported      amount
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -42,11 +42,14 @@
 	}
 }
 
-// SetWorker adds a worker or changes it. A leaving worker gets no grants.
+// SetWorker adds a worker or changes it. A leaving worker gets no grants. A
+// worker that is added while things are kept for unheard entries stays
+// unused until then, since earlier reports said nothing about it.
 func (l *Ledger) SetWorker(worker spec.Worker, leaving bool) {
 	acc, ok := l.workers[worker.ID]
 	if !ok {
 		acc = newAccount(worker.ID)
+		acc.closedUntil = l.unheard.until
 		l.workers[worker.ID] = acc
 		at, _ := slices.BinarySearch(l.order, worker.ID)
 		l.order = slices.Insert(l.order, at, worker.ID)
@@ -55,6 +58,12 @@
 	acc.leaving = leaving
 }
 
+// Idle reports whether nothing is booked on a worker.
+func (l *Ledger) Idle(now time.Duration, id spec.WorkerID) bool {
+	acc, ok := l.workers[id]
+	return !ok || len(acc.tasks) == 0 && l.heldByEntries(now, acc) == (amount{})
+}
+
 // RemoveWorker forgets a worker and everything that is booked on it.
 func (l *Ledger) RemoveWorker(id spec.WorkerID) {
 	if _, ok := l.workers[id]; !ok {
@@ -73,13 +82,16 @@
 
 // TakeOver keeps grant_cap slots of each worker for each entry until it
 // reports, at most until oldRightEnd plus the urgent limit. It is called after
-// the running tasks were restored with Restore and after SetEntries, which
-// must name every entry that the old owner may have given a grant to.
-func (l *Ledger) TakeOver(oldRightEnd time.Duration) {
+// SetEntries and after the running tasks were restored with Restore. departed
+// names entries that are no longer active and may still use old grants.
+func (l *Ledger) TakeOver(oldRightEnd time.Duration, departed []spec.InstanceID) {
 	entries := make(map[spec.InstanceID]bool, len(l.entries))
 	for _, entry := range l.entries {
 		entries[entry] = true
 	}
+	for _, entry := range departed {
+		entries[entry] = true
+	}
 	if l.opts.noReserve {
 		entries = nil
 	}
@@ -152,6 +164,9 @@
 
 // free is what neither tasks nor entries hold on a worker.
 func (l *Ledger) free(now time.Duration, acc *account) spec.Resources {
+	if now < acc.closedUntil {
+		return spec.Resources{}
+	}
 	held := l.heldByEntries(now, acc)
 	return acc.capacity.Sub(acc.reserved).Sub(held.resources())
 }
--- a/internal/grant/renew.go
+++ b/internal/grant/renew.go
@@ -151,7 +151,7 @@
 
 // give grants the holder its share of a worker and books the grant.
 func (l *Ledger) give(now, valid time.Duration, acc *account, h holder) amount {
-	if acc.leaving || len(l.entries) == 0 {
+	if acc.leaving || now < acc.closedUntil || len(l.entries) == 0 {
 		return amount{}
 	}
 	u := acc.use(h)
--- a/internal/grant/share.go
+++ b/internal/grant/share.go
@@ -16,19 +16,24 @@
 func (l *Ledger) share(now time.Duration, acc *account, u *use) amount {
 	most := perEntry(acc.capacity, int64(len(l.entries)))
 	asking, pool := l.asking(now, acc, most)
-	got := make(map[holder]int64, len(asking))
+	got := make([]int64, len(asking))
+	mine := int64(0)
 	for served := true; served && pool > 0; {
 		served = false
-		for _, a := range asking {
-			if pool > 0 && got[a.holder] < min(a.want, most.slots) {
-				got[a.holder]++
-				pool--
-				served = true
+		for i, a := range asking {
+			if pool == 0 || got[i] >= min(a.want, most.slots) {
+				continue
+			}
+			got[i]++
+			pool--
+			served = true
+			if a == u {
+				mine++
 			}
 		}
 	}
 	connections := perEntry(acc.capacity.Sub(acc.reserved), int64(len(l.entries))).connections
-	return amount{slots: got[u.holder], connections: connections}
+	return amount{slots: mine, connections: connections}
 }
 
 // asking lists the holders that want slots, in the order of their turn, and
@@ -44,7 +49,7 @@
 		pool -= u.bound(now).slots
 	}
 	sort.SliceStable(out, func(i, j int) bool {
-		return turn(acc.worker, out[i].holder) < turn(acc.worker, out[j].holder)
+		return out[i].turn < out[j].turn
 	})
 	return out, pool
 }
--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -21,9 +21,11 @@
 	right   RightChanged
 
 	// What the process knows about its surroundings.
-	infos    []WorkerInfo
-	largest  spec.Resources
-	entries  []spec.InstanceID
+	infos   []WorkerInfo
+	largest spec.Resources
+	entries []spec.InstanceID
+	// departed are the entries that left the active list, and when.
+	departed map[spec.InstanceID]time.Duration
 	peers    []Peer
 	services []policy.Service
 
@@ -78,7 +80,12 @@
 
 // New returns a core that has read nothing. The decider belongs to the core.
 func New(opts Options, decider policy.Decider) *Core {
-	return &Core{opts: opts, decider: decider, follow: newFollower(opts)}
+	return &Core{
+		opts:     opts,
+		decider:  decider,
+		follow:   newFollower(opts),
+		departed: make(map[spec.InstanceID]time.Duration),
+	}
 }
 
 // Step takes one event in and returns what is to be done, in order. The
--- a/internal/group/owner.go
+++ b/internal/group/owner.go
@@ -67,7 +67,7 @@
 	c.syncWorkers()
 	c.state().eachJob(c.adoptJob)
 	if c.owner.epoch > 1 {
-		c.owner.ledger.TakeOver(c.oldRightEnd())
+		c.owner.ledger.TakeOver(c.oldRightEnd(), c.departedLately())
 	}
 	c.owner.nextSnapshot = c.firstSnapshot()
 	c.note("group_taken_over", "epoch", itoa(c.owner.epoch), "jobs", itoa(len(c.state().jobs)))
@@ -201,6 +201,9 @@
 		w.leaving = info.Leaving
 		w.listed = true
 		c.owner.ledger.SetWorker(info.Worker, info.Leaving)
+		for _, t := range w.ordered() {
+			c.owner.ledger.Restore(t.id(), t.worker, t.job.resources())
+		}
 		c.offerWorker(w)
 	}
 	for _, id := range append(c.owner.order[:0:0], c.owner.order...) {
@@ -235,10 +238,10 @@
 
 // dropWorker forgets a worker that is no longer listed and runs nothing.
 func (c *Core) dropWorker(w *contact) {
-	if len(w.tasks) > 0 {
+	id := w.worker.ID
+	if len(w.tasks) > 0 || !c.owner.ledger.Idle(c.now, id) {
 		return
 	}
-	id := w.worker.ID
 	c.owner.ledger.RemoveWorker(id)
 	delete(c.owner.workers, id)
 	at, found := slices.BinarySearch(c.owner.order, id)
@@ -247,12 +250,34 @@
 }
 
 func (c *Core) onEntries(e SetEntries) {
+	for _, entry := range c.entries {
+		c.departed[entry] = c.now
+	}
 	c.entries = append(c.entries[:0:0], e.Entries...)
+	for _, entry := range c.entries {
+		delete(c.departed, entry)
+	}
 	if c.owner != nil {
 		c.owner.ledger.SetEntries(c.entries)
 	}
 }
 
+// departedLately returns the entries that left so lately that they may still
+// use grants of an earlier owner.
+func (c *Core) departedLately() []spec.InstanceID {
+	limit := c.lengthened(c.opts.OwnershipLease + c.opts.Grants.Valid + c.opts.Grants.UrgentLimit)
+	var out []spec.InstanceID
+	for entry, left := range c.departed {
+		if c.now-left > limit {
+			delete(c.departed, entry)
+			continue
+		}
+		out = append(out, entry)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // syncGranted tells the decider what urgent work holds or wants of a worker.
 func (c *Core) syncGranted(id spec.WorkerID) {
 	w := c.owner.workers[id]
--- a/internal/group/worker_test.go
+++ b/internal/group/worker_test.go
@@ -14,6 +14,7 @@
 	sim      *sim
 	worker   spec.Worker
 	leaving  bool
+	hidden   bool
 	boots    int
 	bootAt   time.Duration
 	rate     float64
@@ -242,7 +243,9 @@
 func (s *sim) workerInfos() []WorkerInfo {
 	out := make([]WorkerInfo, 0, len(s.workers))
 	for _, w := range s.workers {
-		out = append(out, WorkerInfo{Worker: w.worker, Leaving: w.leaving})
+		if !w.hidden {
+			out = append(out, WorkerInfo{Worker: w.worker, Leaving: w.leaving})
+		}
 	}
 	return out
 }
