Moved jobs are forgotten in both groups; repeat filter stays small

Cause: the entry of a moved job was dropped after 30 days even when the job still ran, and an ended job that came from another group stayed for 30 days, because it could be handed over again.

The destination now tells the source that the job has ended (ReleaseMoved), the source forgets its entry, and only then the destination forgets the job. A claim drops all writers but the new owner from the filter: the fence voids the others' records.

--- a/internal/group/apply.go
+++ b/internal/group/apply.go
@@ -28,6 +28,9 @@
 	if verdict == fence.Void && s.opts.broken.noRecordFence && env.GetGroup().GetClaim() == nil {
 		verdict = fence.Valid
 	}
+	if verdict == fence.Claimed {
+		s.forgetWriters()
+	}
 	if verdict != fence.Valid {
 		return change{verdict: verdict}
 	}
@@ -36,6 +39,20 @@
 	return out
 }
 
+// forgetWriters drops what the filter remembers of all but the new owner. The
+// fence voids the others' records of earlier epochs, repeated or not, so the
+// filter need not grow with every process that ever owned the group.
+func (s *state) forgetWriters() {
+	var kept []*recordv1.WriterState
+	for _, w := range s.filter.State() {
+		sameOwner := spec.InstanceID(w.GetInstance()) == s.fence.Owner
+		if sameOwner && spec.Incarnation(w.GetIncarnation()) == s.fence.Incarnation {
+			kept = append(kept, w)
+		}
+	}
+	s.filter.Restore(kept)
+}
+
 func (s *state) applyBody(env *recordv1.Envelope) change {
 	switch k := env.GetGroup().GetKind().(type) {
 	case *recordv1.GroupRecord_JobSubmitted:
@@ -199,6 +216,7 @@
 	j.hop = r.GetHop()
 	j.movedTo = ""
 	j.moveDone = false
+	j.from = spec.GroupID(r.GetFromGroup())
 	j.makeTasks()
 	for _, stated := range r.GetTasks() {
 		j.restoreTask(stated)
@@ -238,7 +256,7 @@
 
 func (s *state) applyForgotten(r *recordv1.JobForgotten) change {
 	j := s.jobs[jobID(r.GetJob())]
-	if j == nil || !(j.ended || j.moveDone) {
+	if j == nil || !(j.ended || j.movedTo != "") {
 		return change{}
 	}
 	s.forget(j)
--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -119,6 +119,10 @@
 		c.onReceive(e)
 	case HandOffAnswered:
 		c.onHandOffAnswered(e)
+	case MovedEnded:
+		c.onMovedEnded(e)
+	case MovedReleased:
+		c.onMovedReleased(e)
 	case RenewGrants:
 		c.onRenew(e)
 	case WorkerAnswered:
--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -46,6 +46,14 @@
 	Job   *recordv1.JobReceived
 }
 
+// ReleaseMoved tells the owner of the group from which a job came that the job
+// has ended, as MovedEnded. It is repeated until MovedReleased.
+type ReleaseMoved struct {
+	Group spec.GroupID
+	Job   spec.JobID
+	Hop   uint32
+}
+
 // Changed states that a job's state has changed, for callers that wait.
 type Changed struct{ Job spec.JobID }
 
@@ -63,11 +71,12 @@
 	Pairs []string
 }
 
-func (Write) effect()   {}
-func (Send) effect()    {}
-func (Reply) effect()   {}
-func (HandOff) effect() {}
-func (Changed) effect() {}
-func (Abandon) effect() {}
-func (Overdue) effect() {}
-func (Note) effect()    {}
+func (Write) effect()        {}
+func (Send) effect()         {}
+func (Reply) effect()        {}
+func (HandOff) effect()      {}
+func (ReleaseMoved) effect() {}
+func (Changed) effect()      {}
+func (Abandon) effect()      {}
+func (Overdue) effect()      {}
+func (Note) effect()         {}
--- a/internal/group/events.go
+++ b/internal/group/events.go
@@ -80,6 +80,21 @@
 	Recorded bool
 }
 
+// MovedEnded states that a job has ended in the group to which it moved, or
+// further on, and may be forgotten. Reply has code OK when it is forgotten.
+type MovedEnded struct {
+	Request Request
+	Job     spec.JobID
+	Hop     uint32
+}
+
+// MovedReleased states that the group from which a job came has forgotten it,
+// so that no hand-off of it can be repeated.
+type MovedReleased struct {
+	Job spec.JobID
+	Hop uint32
+}
+
 // RenewGrants asks for slot grants. The answer is a Reply with Grants.
 type RenewGrants struct {
 	Request Request
@@ -145,6 +160,8 @@
 func (QueryJob) event()        {}
 func (ReceiveJob) event()      {}
 func (HandOffAnswered) event() {}
+func (MovedEnded) event()      {}
+func (MovedReleased) event()   {}
 func (RenewGrants) event()     {}
 func (WorkerAnswered) event()  {}
 func (WorkerFailed) event()    {}
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -1,11 +1,13 @@
 package group
 
 import (
+	"flag"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"redwingvale/internal/code"
 	"redwingvale/internal/policy/firstfit"
@@ -14,29 +16,45 @@
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
+// init fixes the seed of rapid, which otherwise takes another one each time.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // lone is a core that owns its group; each record is read back at once.
 type lone struct {
+	group    spec.GroupID
+	cores    int64
+	peers    []Peer
 	core     *Core
 	log      []*recordv1.Envelope
 	now      time.Duration
 	replies  map[Request]Reply
 	handOffs []HandOff
+	releases []ReleaseMoved
 }
 
-// newLone returns the owner of a group over an existing log or none.
+// newLone returns the owner of a group.
 func newLone(group spec.GroupID, cores int64, peers ...Peer) *lone {
-	opts := DefaultOptions()
-	opts.Group, opts.Instance, opts.Incarnation = group, "i0", 1
-	l := &lone{core: New(opts, firstfit.New()), replies: make(map[Request]Reply)}
-	worker := spec.Worker{ID: spec.WorkerID(group) + "-w", Capacity: spec.Resources{MilliCPU: cores * 1000, MemoryMiB: 1000}}
-	l.step(SetWorkers{Workers: []WorkerInfo{{Worker: worker}}})
-	l.step(SetPeers{Peers: peers})
+	l := &lone{group: group, cores: cores, peers: peers, replies: make(map[Request]Reply)}
+	l.boot()
 	l.write(&recordv1.Envelope{Body: &recordv1.Envelope_Group{Group: &recordv1.GroupRecord{
 		Kind: &recordv1.GroupRecord_Claim{Claim: &recordv1.Claim{Owner: "i0", OwnerIncarnation: 1}},
 	}}})
 	return l
 }
 
+// boot starts a core that knows only the log.
+func (l *lone) boot() {
+	opts := DefaultOptions()
+	opts.Group, opts.Instance, opts.Incarnation = l.group, "i0", 1
+	l.core = New(opts, firstfit.New())
+	capacity := spec.Resources{MilliCPU: l.cores * 1000, MemoryMiB: 1000}
+	l.step(SetWorkers{Workers: []WorkerInfo{{Worker: spec.Worker{ID: "w", Capacity: capacity}}}})
+	l.step(SetPeers{Peers: l.peers})
+	for i, env := range l.log {
+		l.step(RecordRead{Offset: int64(i), Envelope: env})
+	}
+}
+
 func (l *lone) write(env *recordv1.Envelope) {
 	l.log = append(l.log, env)
 	env.Instance, env.Incarnation, env.Sequence = "i0", 1, uint64(len(l.log))
@@ -52,6 +70,8 @@
 			l.replies[e.Request] = e
 		case HandOff:
 			l.handOffs = append(l.handOffs, e)
+		case ReleaseMoved:
+			l.releases = append(l.releases, e)
 		}
 	}
 }
@@ -81,30 +101,90 @@
 	}
 }
 
-// Guards against a job that is recorded twice by its new group, or that its
-// first group no longer finds, when the answer to a hand-off is lost; and
-// against a job that no worker can run being accepted.
+// Guards against a job that no worker can run being accepted.
+func TestNeverRunnableNamesTheDimension(t *testing.T) {
+	c := qt.New(t)
+	l := newLone("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
+	l.pass(time.Second)
+	l.step(Submit{Request: 1, Job: smallJob("huge", 1, 40)})
+	c.Assert(l.replies[1].Code, qt.Equals, code.NeverRunnable)
+	c.Assert(l.replies[1].Response.GetDetail(), qt.Contains, "milli_cpu")
+}
+
+// Guards against a job that two groups hold or none, when offers and answers
+// of a hand-off are lost, repeated or late and either owner restarts.
 func TestHandOffIsRecordedOnce(t *testing.T) {
+	id := spec.JobID{Team: "desk", Name: "large"}
+	rapid.Check(t, func(t *rapid.T) {
+		source := newLone("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
+		target := newLone("rack2", 32)
+		source.pass(time.Second)
+		target.pass(time.Second)
+		source.step(Submit{Request: 2, Job: smallJob("large", 2, 16)})
+		deliver := func(offer HandOff) bool {
+			target.replies = make(map[Request]Reply)
+			target.step(ReceiveJob{Request: 9, Job: offer.Job})
+			return target.replies[9].Code == code.OK
+		}
+		for range rapid.IntRange(0, 12).Draw(t, "steps") {
+			offer := max(len(source.handOffs)-1, 0)
+			switch rapid.SampledFrom([]string{"offer", "answer", "source", "target", "time"}).Draw(t, "step") {
+			case "offer":
+				if len(source.handOffs) > 0 {
+					deliver(source.handOffs[rapid.IntRange(0, offer).Draw(t, "offer")])
+				}
+			case "answer":
+				if len(source.handOffs) > 0 && deliver(source.handOffs[offer]) {
+					source.step(HandOffAnswered{Job: id, Hop: 1, Recorded: true})
+				}
+			case "source":
+				source.boot()
+			case "target":
+				target.boot()
+			case "time":
+				source.pass(2 * time.Second)
+				target.pass(2 * time.Second)
+			}
+		}
+		source.pass(3 * time.Second)
+		target.pass(time.Second)
+		if !deliver(source.handOffs[len(source.handOffs)-1]) {
+			t.Fatalf("the target refuses the job")
+		}
+		if n := target.count(func(r *recordv1.GroupRecord) bool { return r.GetJobReceived() != nil }); n != 1 {
+			t.Fatalf("received %d times", n)
+		}
+		if source.core.state().jobs[id].open() || !target.core.state().jobs[id].open() {
+			t.Fatalf("the job is open in the wrong group")
+		}
+	})
+}
+
+// Guards against a job that moved and ended staying in either group for good,
+// and against the new group forgetting it while it may be handed over again.
+func TestMovedJobIsForgottenInBothGroups(t *testing.T) {
 	c := qt.New(t)
+	id := spec.JobID{Team: "desk", Name: "large"}
 	source := newLone("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
 	target := newLone("rack2", 32)
 	source.pass(time.Second)
 	target.pass(time.Second)
-	source.step(Submit{Request: 1, Job: smallJob("huge", 1, 40)})
-	c.Assert(source.replies[1].Code, qt.Equals, code.NeverRunnable)
-	c.Assert(source.replies[1].Response.GetDetail(), qt.Contains, "milli_cpu")
-	source.step(Submit{Request: 2, Job: smallJob("large", 2, 16)})
-	source.pass(4 * time.Second)
-	c.Assert(len(source.handOffs) >= 2, qt.IsTrue)
-	for i, offer := range source.handOffs {
-		target.step(ReceiveJob{Request: Request(10 + i), Job: offer.Job})
-		c.Assert(target.replies[Request(10+i)].Code, qt.Equals, code.OK)
-	}
-	received := target.count(func(r *recordv1.GroupRecord) bool { return r.GetJobReceived() != nil })
-	c.Assert(received, qt.Equals, 1)
-	source.step(HandOffAnswered{Job: spec.JobID{Team: "desk", Name: "large"}, Hop: 1, Recorded: true})
-	source.step(Cancel{Request: 3, Job: spec.JobID{Team: "desk", Name: "large"}})
-	c.Assert(source.replies[3].Forward, qt.Equals, spec.GroupID("rack2"))
+	source.step(Submit{Request: 1, Job: smallJob("large", 2, 16)})
+	source.pass(2 * time.Second)
+	target.step(ReceiveJob{Request: 2, Job: source.handOffs[0].Job})
+	source.step(HandOffAnswered{Job: id, Hop: 1, Recorded: true})
+	target.step(Cancel{Request: 3, Job: id})
+	target.pass(62 * time.Minute)
+	c.Assert(len(target.releases) > 0, qt.IsTrue)
+	c.Assert(target.core.Status(target.now).Jobs, qt.Equals, 1)
+	source.step(MovedEnded{Request: 4, Job: id, Hop: target.releases[0].Hop})
+	c.Assert(source.replies[4].Code, qt.Equals, code.OwnerUnknown)
+	source.pass(2 * time.Second)
+	source.step(MovedEnded{Request: 5, Job: id, Hop: target.releases[0].Hop})
+	c.Assert(source.replies[5].Code, qt.Equals, code.OK)
+	target.step(MovedReleased{Job: id, Hop: 1})
+	target.pass(2 * time.Second)
+	c.Assert(source.core.Status(source.now).Jobs+target.core.Status(target.now).Jobs, qt.Equals, 0)
 }
 
 // Guards against a wave of cancellations whose records grow with the tasks.
--- a/internal/group/handoff.go
+++ b/internal/group/handoff.go
@@ -171,3 +171,30 @@
 		c.emit(Reply{Request: request, Code: result})
 	}
 }
+
+// onMovedEnded lets the entry of a moved job be forgotten. The hop may be
+// larger than the entry's when the job moved on.
+func (c *Core) onMovedEnded(e MovedEnded) {
+	if !c.deciding() {
+		c.emit(Reply{Request: e.Request, Code: code.NotOwner})
+		return
+	}
+	j := c.state().jobs[e.Job]
+	if j == nil || j.movedTo == "" || j.hop > e.Hop {
+		c.emit(Reply{Request: e.Request, Code: code.OK})
+		return
+	}
+	j.endedElsewhere = true
+	c.emit(Reply{Request: e.Request, Code: code.OwnerUnknown})
+}
+
+// onMovedReleased lets an ended job, or the entry of one that moved on, be
+// forgotten.
+func (c *Core) onMovedReleased(e MovedReleased) {
+	if !c.deciding() {
+		return
+	}
+	if j := c.state().jobs[e.Job]; j != nil && j.hop == e.Hop {
+		j.released = true
+	}
+}
--- a/internal/group/jobend.go
+++ b/internal/group/jobend.go
@@ -8,6 +8,9 @@
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
+// releaseEvery is the period at which ReleaseMoved is repeated.
+const releaseEvery = time.Minute
+
 // maybeEnd records the end of a job whose last task has ended.
 func (c *Core) maybeEnd(j *job) {
 	if !c.deciding() || !j.mayEnd() {
@@ -72,8 +75,7 @@
 	})
 }
 
-// forgetOld drops ended and moved jobs after their keeping time. A job that
-// came from another group is kept as long as that group may repeat it.
+// forgetOld drops ended and moved jobs after their keeping time.
 func (c *Core) forgetOld() {
 	kept := c.owner.ended[:0]
 	for _, j := range c.owner.ended {
@@ -81,22 +83,42 @@
 			continue
 		}
 		kept = append(kept, j)
-		if c.now-j.since < c.keepTime(j) || j.endPending || !(j.ended || j.moveDone) {
-			continue
+		if !j.endPending && c.mayForget(j) {
+			c.writeForgotten(j)
 		}
-		j.endPending = true
-		record := &recordv1.JobForgotten{Job: jobRef(j.id)}
-		body := &recordv1.GroupRecord{Kind: &recordv1.GroupRecord_JobForgotten{JobForgotten: record}}
-		c.write("kept long enough", "", body, func(code.Code) { j.endPending = false })
 	}
 	c.owner.ended = kept
 }
 
-func (c *Core) keepTime(j *job) time.Duration {
-	if j.movedTo != "" || j.hop > 0 {
-		return c.opts.KeepMoved
+// mayForget reports whether nobody needs the job here any more. A job that
+// came from another group is kept until that group has forgotten it, since it
+// might hand it over again; the entry of a moved job leads callers to it.
+func (c *Core) mayForget(j *job) bool {
+	kept := c.now - j.since
+	if kept >= c.opts.KeepMoved {
+		return j.ended || j.moveDone
+	}
+	if j.movedTo != "" && !j.endedElsewhere {
+		return false
+	}
+	if j.movedTo == "" && kept < c.opts.KeepEnded {
+		return false
 	}
-	return c.opts.KeepEnded
+	if j.from == "" || j.released {
+		return true
+	}
+	if c.now >= j.nextOffer {
+		j.nextOffer = c.now + releaseEvery
+		c.emit(ReleaseMoved{Group: j.from, Job: j.id, Hop: j.hop})
+	}
+	return false
+}
+
+func (c *Core) writeForgotten(j *job) {
+	j.endPending = true
+	record := &recordv1.JobForgotten{Job: jobRef(j.id)}
+	body := &recordv1.GroupRecord{Kind: &recordv1.GroupRecord_JobForgotten{JobForgotten: record}}
+	c.write("kept long enough", "", body, func(code.Code) { j.endPending = false })
 }
 
 // snapshotDue writes a snapshot when the last one has become old, one part
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -41,8 +41,9 @@
 	MaxHops      uint32
 	// HandOffRetry is the period at which a HandOff is repeated.
 	HandOffRetry time.Duration
-	// KeepEnded and KeepMoved are how long ended jobs and the entries of moved
-	// jobs are kept.
+	// KeepEnded is how long ended jobs are kept. KeepMoved bounds how long the
+	// entry of a moved job, and an ended job that came from another group, are
+	// kept when the groups cannot agree to forget it.
 	KeepEnded time.Duration
 	KeepMoved time.Duration
 	// Retention is the log's retention; a snapshot is written when
@@ -95,7 +96,7 @@
 		MaxHops:           4,
 		HandOffRetry:      time.Second,
 		KeepEnded:         time.Hour,
-		KeepMoved:         30 * 24 * time.Hour,
+		KeepMoved:         400 * 24 * time.Hour,
 		Retention:         24 * time.Hour,
 		SnapshotShare:     0.5,
 		SnapshotDelay:     30 * time.Second,
--- a/internal/group/owner.go
+++ b/internal/group/owner.go
@@ -99,6 +99,8 @@
 	j.cancelNext = 0
 	j.startHorizon = 0
 	j.nextOffer = 0
+	j.endedElsewhere = false
+	j.released = false
 	j.since = c.now
 	for i := range j.tasks {
 		c.adoptTask(&j.tasks[i])
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -101,6 +101,7 @@
 		Hop:         j.hop,
 		MovedTo:     string(j.movedTo),
 		HandOffDone: j.moveDone,
+		FromGroup:   string(j.from),
 	}
 }
 
@@ -181,6 +182,7 @@
 		j.hop = stated.GetHop()
 		j.movedTo = spec.GroupID(stated.GetMovedTo())
 		j.moveDone = stated.GetHandOffDone()
+		j.from = spec.GroupID(stated.GetFromGroup())
 		s.addJob(j)
 	}
 	for _, t := range stated.GetTasks() {
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -72,6 +72,7 @@
 	hop       uint32
 	movedTo   spec.GroupID
 	moveDone  bool
+	from      spec.GroupID
 	tasks     []task
 	// active and finished count tasks.
 	active   int
@@ -90,6 +91,10 @@
 	// since is when the owner first saw the job in its present phase: without
 	// a running task, ended or moved.
 	since time.Duration
+	// endedElsewhere states that the group to which the job moved has seen its
+	// end, and released that the group from which it came has forgotten it.
+	endedElsewhere bool
+	released       bool
 	// nextOffer is when the hand-off is sent again.
 	nextOffer time.Duration
 }
