--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -19,8 +19,8 @@
 // init fixes the seed of rapid, which otherwise takes another one each time.
 func init() { _ = flag.Set("rapid.seed", "1") }
 
-// lone is a core that owns its group; each record is read back at once.
-type lone struct {
+// singleOwner is a core that owns its group; each record is read back at once.
+type singleOwner struct {
 	group    spec.GroupID
 	cores    int64
 	peers    []Peer
@@ -32,9 +32,9 @@
 	releases []ReleaseMoved
 }
 
-// newLone returns the owner of a group.
-func newLone(group spec.GroupID, cores int64, peers ...Peer) *lone {
-	l := &lone{group: group, cores: cores, peers: peers, replies: make(map[Request]Reply)}
+// newSingleOwner returns the owner of a group.
+func newSingleOwner(group spec.GroupID, cores int64, peers ...Peer) *singleOwner {
+	l := &singleOwner{group: group, cores: cores, peers: peers, replies: make(map[Request]Reply)}
 	l.boot()
 	l.write(&recordv1.Envelope{Body: &recordv1.Envelope_Group{Group: &recordv1.GroupRecord{
 		Kind: &recordv1.GroupRecord_Claim{Claim: &recordv1.Claim{Owner: "i0", OwnerIncarnation: 1}},
@@ -43,7 +43,7 @@
 }
 
 // boot starts a core that knows only the log.
-func (l *lone) boot() {
+func (l *singleOwner) boot() {
 	opts := DefaultOptions()
 	opts.Group, opts.Instance, opts.Incarnation = l.group, "i0", 1
 	l.core = New(opts, firstfit.New())
@@ -55,13 +55,13 @@
 	}
 }
 
-func (l *lone) write(env *recordv1.Envelope) {
+func (l *singleOwner) write(env *recordv1.Envelope) {
 	l.log = append(l.log, env)
 	env.Instance, env.Incarnation, env.Sequence = "i0", 1, uint64(len(l.log))
 	l.step(RecordRead{Offset: int64(len(l.log) - 1), Envelope: env, Fresh: true})
 }
 
-func (l *lone) step(e Event) {
+func (l *singleOwner) step(e Event) {
 	for _, effect := range append([]Effect(nil), l.core.Step(l.now, e)...) {
 		switch e := effect.(type) {
 		case Write:
@@ -77,14 +77,14 @@
 }
 
 // pass lets time pass with the right to decide.
-func (l *lone) pass(d time.Duration) {
+func (l *singleOwner) pass(d time.Duration) {
 	for end := l.now + d; l.now < end; l.now += 500 * time.Millisecond {
 		l.step(RightChanged{Epoch: 1, Until: l.now + time.Second})
 		l.step(Tick{})
 	}
 }
 
-func (l *lone) count(match func(*recordv1.GroupRecord) bool) int {
+func (l *singleOwner) count(match func(*recordv1.GroupRecord) bool) int {
 	n := 0
 	for _, env := range l.log {
 		if match(env.GetGroup()) {
@@ -104,7 +104,7 @@
 // Guards against a job that no worker can run being accepted.
 func TestNeverRunnableNamesTheDimension(t *testing.T) {
 	c := qt.New(t)
-	l := newLone("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
+	l := newSingleOwner("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
 	l.pass(time.Second)
 	l.step(Submit{Request: 1, Job: smallJob("huge", 1, 40)})
 	c.Assert(l.replies[1].Code, qt.Equals, code.NeverRunnable)
@@ -116,8 +116,8 @@
 func TestHandOffIsRecordedOnce(t *testing.T) {
 	id := spec.JobID{Team: "desk", Name: "large"}
 	rapid.Check(t, func(t *rapid.T) {
-		source := newLone("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
-		target := newLone("rack2", 32)
+		source := newSingleOwner("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
+		target := newSingleOwner("rack2", 32)
 		source.pass(time.Second)
 		target.pass(time.Second)
 		source.step(Submit{Request: 2, Job: smallJob("large", 2, 16)})
@@ -165,8 +165,8 @@
 func TestMovedJobIsForgottenInBothGroups(t *testing.T) {
 	c := qt.New(t)
 	id := spec.JobID{Team: "desk", Name: "large"}
-	source := newLone("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
-	target := newLone("rack2", 32)
+	source := newSingleOwner("rack1", 4, Peer{Group: "rack2", Largest: spec.Resources{MilliCPU: 32000}})
+	target := newSingleOwner("rack2", 32)
 	source.pass(time.Second)
 	target.pass(time.Second)
 	source.step(Submit{Request: 1, Job: smallJob("large", 2, 16)})
@@ -190,7 +190,7 @@
 // Guards against a wave of cancellations whose records grow with the tasks.
 func TestCancelWritesOneRecordForAnyNumberOfTasks(t *testing.T) {
 	c := qt.New(t)
-	l := newLone("rack1", 4)
+	l := newSingleOwner("rack1", 4)
 	l.pass(time.Second)
 	l.step(Submit{Request: 1, Job: smallJob("wide", 5000, 1)})
 	before := len(l.log)
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -40,7 +40,7 @@
 	opts := n.sim.opts
 	opts.Instance = n.name
 	opts.Incarnation = n.incarnation
-	n.core = New(opts, &restless{Decider: firstfit.New(), sim: n.sim})
+	n.core = New(opts, &randomDecider{Decider: firstfit.New(), sim: n.sim})
 	n.cursor = n.sim.log.first
 	n.atTail = false
 	n.sequence = 0
@@ -50,20 +50,20 @@
 	n.step(SetWorkers{Workers: n.sim.workerInfos()})
 }
 
-// restless is a decider that also acts on running tasks at random.
-type restless struct {
+// randomDecider is a decider that also acts on running tasks at random.
+type randomDecider struct {
 	*firstfit.Decider
 	sim    *sim
 	placed []policy.Placement
 }
 
-func (r *restless) Schedule(now time.Duration, limit int) []policy.Placement {
+func (r *randomDecider) Schedule(now time.Duration, limit int) []policy.Placement {
 	out := r.Decider.Schedule(now, limit)
 	r.placed = append(r.placed[max(0, len(r.placed)-20):], out...)
 	return out
 }
 
-func (r *restless) Review(time.Duration) []policy.Action {
+func (r *randomDecider) Review(time.Duration) []policy.Action {
 	if r.sim.quiet || len(r.placed) == 0 {
 		return nil
 	}
--- a/internal/group/random_test.go
+++ b/internal/group/random_test.go
@@ -29,11 +29,11 @@
 	return n
 }
 
-// stormTime is the length of the phase with faults. The quiet phase after it
-// ends when all jobs have ended, which must be within quietTime.
+// faultPhase is the length of the phase with faults. The quiet phase after it
+// ends when all jobs have ended, which must be within quietLimit.
 const (
-	stormTime  = 150 * time.Second
-	quietTime  = 900 * time.Second
+	faultPhase = 150 * time.Second
+	quietLimit = 900 * time.Second
 	quietCheck = 10 * time.Second
 )
 
@@ -54,9 +54,9 @@
 
 func newSim(seed uint64, opts Options) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 17)), opts: opts, truth: newTruth(), faults: usualFaults}
-	sound := opts
-	sound.broken = broken{}
-	s.log.state = newState(sound)
+	intact := opts
+	intact.broken = broken{}
+	s.log.state = newState(intact)
 	for i := range 3 {
 		s.entries = append(s.entries, &fakeEntry{
 			sim: s, name: spec.InstanceID(fmt.Sprintf("e%d", i)), books: make(map[spec.WorkerID]*fakeBook),
@@ -127,10 +127,10 @@
 	switch {
 	case s.fault(s.faults.restart):
 		w.restart()
-	case s.fault(s.faults.deaf):
-		w.deafTill = s.now + s.span(10*time.Second)
+	case s.fault(s.faults.cutOff):
+		w.cutOffUntil = s.now + s.span(10*time.Second)
 	case s.fault(0.002):
-		w.deafTill = s.now + s.span(60*time.Second)
+		w.cutOffUntil = s.now + s.span(60*time.Second)
 	case s.fault(0.01):
 		w.failing = true
 	case w.failing && (s.quiet || s.chance(0.3)):
@@ -138,8 +138,8 @@
 	case s.fault(0.005) || w.leaving && s.chance(0.1):
 		w.leaving = !w.leaving
 		s.list()
-	case s.fault(0.004) || w.hidden && s.chance(0.2):
-		w.hidden = !w.hidden
+	case s.fault(0.004) || w.unlisted && s.chance(0.2):
+		w.unlisted = !w.unlisted
 		s.list()
 	}
 }
@@ -163,19 +163,19 @@
 	}
 }
 
-// runStorm runs the phase with faults only.
-func runStorm(seed uint64, opts Options, f faults) *sim {
+// runFaultPhase runs the phase with faults only.
+func runFaultPhase(seed uint64, opts Options, f faults) *sim {
 	s := newSim(seed, opts)
 	s.faults = f
-	s.run(stormTime)
+	s.run(faultPhase)
 	return s
 }
 
-// runSim runs a storm and a quiet phase and checks the end state.
+// runSim runs a phase with faults and a quiet phase and checks the end state.
 func runSim(seed uint64, opts Options, f faults) *sim {
-	s := runStorm(seed, opts, f)
+	s := runFaultPhase(seed, opts, f)
 	s.quiet = true
-	for !s.settled() && s.failure == "" && s.now < stormTime+quietTime {
+	for !s.settled() && s.failure == "" && s.now < faultPhase+quietLimit {
 		s.run(s.now + quietCheck)
 	}
 	s.run(s.now + quietCheck)
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -43,20 +43,20 @@
 type faults struct {
 	// late messages take up to 12 s.
 	late float64
-	// deaf workers answer nobody for a while, restarting ones lose all.
-	deaf    float64
+	// cutOff workers answer nobody for a while, restarting ones lose all.
+	cutOff  float64
 	restart float64
 	// claim lets another node take the group over, and atOnce states how often
 	// the old owner stops so that the new one need not wait.
 	claim  float64
 	atOnce float64
-	// straggle is how often a deaf worker still gets a batch, late.
-	straggle float64
+	// lateBatch is how often a cut-off worker still gets a batch, late.
+	lateBatch float64
 	// longer is added to each task's run time.
 	longer time.Duration
 }
 
-var usualFaults = faults{late: 0.01, deaf: 0.015, restart: 0.006, claim: 0.005, atOnce: 0.5, straggle: 0.3}
+var usualFaults = faults{late: 0.01, cutOff: 0.015, restart: 0.006, claim: 0.005, atOnce: 0.5, lateBatch: 0.3}
 
 type planned struct {
 	at    time.Duration
@@ -184,8 +184,8 @@
 	// holder had the last right.
 	holder *node
 	// claimedAt is when the last takeover was tried.
-	claimedAt time.Duration
-	starved   time.Duration
+	claimedAt     time.Duration
+	withheldUntil time.Duration
 	// abandoned is the epoch that its owner gave up.
 	abandoned spec.Epoch
 }
@@ -207,7 +207,7 @@
 func (a *arbiter) tend(s *sim) {
 	owner := s.nodeRun(s.log.state.fence.Owner, s.log.state.fence.Incarnation)
 	if s.fault(0.004) {
-		a.starved = s.now + s.span(4*time.Second)
+		a.withheldUntil = s.now + s.span(4*time.Second)
 	}
 	stuck := owner == nil || s.now < owner.pausedUntil || a.abandoned == s.log.state.fence.Epoch
 	if (stuck || s.fault(s.faults.claim)) && s.now-a.claimedAt > 1500*time.Millisecond {
@@ -215,7 +215,7 @@
 		s.claim(owner)
 		return
 	}
-	if stuck || s.now < a.starved || a.holder == nil && s.now < a.until {
+	if stuck || s.now < a.withheldUntil || a.holder == nil && s.now < a.until {
 		return
 	}
 	a.holder = owner
--- a/internal/group/worker_test.go
+++ b/internal/group/worker_test.go
@@ -11,20 +11,20 @@
 
 // fakeWorker keeps the truth about what runs on it.
 type fakeWorker struct {
-	sim      *sim
-	worker   spec.Worker
-	leaving  bool
-	hidden   bool
-	boots    int
-	bootAt   time.Duration
-	rate     float64
-	offset   time.Duration
-	epoch    spec.Epoch
-	runs     map[attemptKey]*fakeRun
-	failing  bool
-	deafTill time.Duration
-	used     spec.Resources
-	urgent   int64
+	sim         *sim
+	worker      spec.Worker
+	leaving     bool
+	unlisted    bool
+	boots       int
+	bootAt      time.Duration
+	rate        float64
+	offset      time.Duration
+	epoch       spec.Epoch
+	runs        map[attemptKey]*fakeRun
+	failing     bool
+	cutOffUntil time.Duration
+	used        spec.Resources
+	urgent      int64
 }
 
 // fakeRun is one attempt on a worker.
@@ -203,7 +203,7 @@
 		if w == nil || s.fault(0.04) {
 			continue
 		}
-		if s.now < w.deafTill {
+		if s.now < w.cutOffUntil {
 			s.late(w, e)
 			continue
 		}
@@ -213,7 +213,7 @@
 
 // late carries a batch through a broken link, mostly not, and never a report.
 func (s *sim) late(w *fakeWorker, e Send) {
-	if s.chance(s.faults.straggle) {
+	if s.chance(s.faults.lateBatch) {
 		s.after(s.span(6*time.Second), func() { w.do(e.Batch) })
 	}
 }
@@ -243,7 +243,7 @@
 func (s *sim) workerInfos() []WorkerInfo {
 	out := make([]WorkerInfo, 0, len(s.workers))
 	for _, w := range s.workers {
-		if !w.hidden {
+		if !w.unlisted {
 			out = append(out, WorkerInfo{Worker: w.worker, Leaving: w.leaving})
 		}
 	}
