--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -40,7 +40,7 @@
 	opts := n.sim.opts
 	opts.Instance = n.name
 	opts.Incarnation = n.incarnation
-	n.core = New(opts, &restless{Decider: firstfit.New(), sim: n.sim})
+	n.core = New(opts, &randomDecider{Decider: firstfit.New(), sim: n.sim})
 	n.cursor = n.sim.log.first
 	n.atTail = false
 	n.sequence = 0
@@ -50,20 +50,20 @@
 	n.step(SetWorkers{Workers: n.sim.workerInfos()})
 }
 
-// restless is a decider that also acts on running tasks at random.
-type restless struct {
+// randomDecider is a decider that also acts on running tasks at random.
+type randomDecider struct {
 	*firstfit.Decider
 	sim    *sim
 	placed []policy.Placement
 }
 
-func (r *restless) Schedule(now time.Duration, limit int) []policy.Placement {
+func (r *randomDecider) Schedule(now time.Duration, limit int) []policy.Placement {
 	out := r.Decider.Schedule(now, limit)
 	r.placed = append(r.placed[max(0, len(r.placed)-20):], out...)
 	return out
 }
 
-func (r *restless) Review(time.Duration) []policy.Action {
+func (r *randomDecider) Review(time.Duration) []policy.Action {
 	if r.sim.quiet || len(r.placed) == 0 {
 		return nil
 	}
@@ -120,6 +120,8 @@
 		s.sendBatch(n, e)
 	case Reply:
 		s.truth.reply(e)
+	case Abandon:
+		s.arbiter.abandoned = e.Epoch
 	}
 }
 
@@ -148,7 +150,7 @@
 	s := n.sim
 	if !s.fault(0.1) {
 		s.after(s.transit(), func() {
-			if !s.log.down {
+			if s.now >= s.log.downTill {
 				s.append(batch)
 			}
 		})
@@ -164,7 +166,7 @@
 // read takes records from the log.
 func (n *node) read() {
 	s := n.sim
-	if n.core == nil || s.log.down || s.now < n.pausedUntil || s.fault(0.1) {
+	if n.core == nil || s.now < s.log.downTill || s.now < n.pausedUntil || s.fault(0.1) {
 		return
 	}
 	if n.cursor < s.log.first {
