Route: ejection judges by averages that start at the usual latency

A target's average began with its first sample, and the factor was 3. Now it begins at the tier's average and the factor is 4; a request without an answer in time counts as one that took that long.

--- a/internal/route/book.go
+++ b/internal/route/book.go
@@ -210,14 +210,21 @@
 	t.refresh(now)
 }
 
-// learn updates the health of the target.
+// learn updates the health of the target. A request without an answer in time
+// counts as one that took that long.
 func (t *target) learn(now, latency time.Duration, result Result) {
 	outlier := false
 	switch result {
 	case Answered:
 		outlier = t.health.sample(latency, t.tier.baseline)
 		t.tier.learn(latency)
-	case Failed, TimedOut, NotSent:
+		if !outlier {
+			t.health.answered()
+		}
+	case TimedOut:
+		outlier = t.health.sample(latency, t.tier.baseline)
+		outlier = t.health.failed() || outlier
+	case Failed, NotSent:
 		outlier = t.health.failed()
 	}
 	if outlier {
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -8,12 +8,16 @@
 	latencyWeight = 0.2
 	// baselineWeight is the weight of a sample in the tier's average.
 	baselineWeight = 0.01
+	// probationWeight is the weight of a sample of a target on probation, which
+	// is judged by few samples.
+	probationWeight = 0.5
 	// baselineClip bounds one sample's effect on the tier's average, in
 	// multiples of the average.
-	baselineClip = 2.0
+	baselineClip = 4.0
 	// outlierFactor is the multiple of the tier's average above which a target
-	// is ejected. Exponential service times stay below it.
-	outlierFactor = 3.0
+	// is ejected. With a factor of 3 and averages that began with one sample,
+	// exponential service times alone ejected half of the targets.
+	outlierFactor = 4.0
 	// outlierMargin keeps very fast tiers from ejecting on scheduling noise.
 	outlierMargin = 5 * time.Millisecond
 	// failuresToEject is the number of failures in a row that eject a target.
@@ -38,23 +42,31 @@
 	probation bool
 }
 
-// sample takes a latency in and reports whether the target is an outlier.
+// sample takes a latency in and reports whether the target is an outlier. A
+// target without samples starts at the tier's average, so that one long
+// request does not eject it.
 func (h *health) sample(latency time.Duration, baseline float64) bool {
-	value := float64(latency)
 	if h.latency == 0 || h.probation {
-		h.latency = value
-	} else {
-		h.latency += latencyWeight * (value - h.latency)
+		h.latency = baseline
 	}
-	h.failures = 0
-	if baseline > 0 && h.latency > outlierFactor*baseline+float64(outlierMargin) {
-		return true
+	if h.latency == 0 {
+		h.latency = float64(latency)
+	}
+	weight := latencyWeight
+	if h.probation {
+		weight = probationWeight
 	}
+	h.latency += weight * (float64(latency) - h.latency)
+	return baseline > 0 && h.latency > outlierFactor*baseline+float64(outlierMargin)
+}
+
+// answered ends probation after a good sample.
+func (h *health) answered() {
+	h.failures = 0
 	if h.probation {
 		h.probation = false
 		h.ejections = 0
 	}
-	return false
 }
 
 // failed counts a failure and reports whether the target is an outlier.
