Route and admit: warm-up of the usual latency; delays in multiples of the mean

Cause: at 95% of the capacity targets were ejected 0.35 s after the start, because the tier's average began with one short request. The first samples now count equally and nothing is an outlier before 30 samples. The delays that count as overload are at least 2 and 10 times the mean time of a request.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -57,12 +57,12 @@
 
 // Settings are the constants of a core.
 type Settings struct {
-	// DelayTarget is the queueing delay that is acceptable for long.
+	// DelayTarget is the least queueing delay that counts as one.
 	DelayTarget time.Duration
 	// DelayInterval is how long the delay must stay above the target before
 	// the queue counts as overloaded.
 	DelayInterval time.Duration
-	// OverloadWait bounds the wait of a request while overloaded.
+	// OverloadWait is the least bound of a wait while overloaded.
 	OverloadWait time.Duration
 	// TotalBound is the number of waiting requests of all teams and classes.
 	TotalBound int
--- a/internal/admit/next.go
+++ b/internal/admit/next.go
@@ -12,7 +12,7 @@
 // under overload, those that have waited too long. Call it before Next and
 // about every 10 ms while requests wait.
 func (c *Core) Expire(now time.Duration) []Effect {
-	c.overload.observe(now, c.longestWait(now), c.settings)
+	c.overload.observe(now, c.longestWait(now), c.delayTarget(), c.settings)
 	var effects []Effect
 	for _, t := range append([]*team(nil), c.backlog...) {
 		for _, class := range classes {
@@ -45,12 +45,29 @@
 	if now+c.service.mean() > w.request.Deadline {
 		return code.CannotMeetTime
 	}
-	if c.overload.active && now-w.arrived > c.settings.OverloadWait {
+	if c.overload.active && now-w.arrived > c.overloadWait() {
 		return code.Overloaded
 	}
 	return code.OK
 }
 
+// delayTarget is the queueing delay above which the queue may be overloaded.
+// Slow services queue for longer at the same load.
+func (c *Core) delayTarget() time.Duration {
+	return max(c.settings.DelayTarget, delayTargetServices*c.service.mean())
+}
+
+// overloadWait is the longest wait of a request under overload.
+func (c *Core) overloadWait() time.Duration {
+	return max(c.settings.OverloadWait, overloadWaitServices*c.service.mean())
+}
+
+// The delays in multiples of the mean time of a request.
+const (
+	delayTargetServices  = 2
+	overloadWaitServices = 10
+)
+
 func (c *Core) longestWait(now time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for _, t := range c.backlog {
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -67,8 +67,8 @@
 }
 
 // observe takes the wait of the request that waited for the longest time in.
-func (o *overload) observe(now, wait time.Duration, s Settings) {
-	if wait <= s.DelayTarget {
+func (o *overload) observe(now, wait, target time.Duration, s Settings) {
+	if wait <= target {
 		o.active = false
 		o.above = false
 		return
--- a/internal/route/book.go
+++ b/internal/route/book.go
@@ -216,13 +216,13 @@
 	outlier := false
 	switch result {
 	case Answered:
-		outlier = t.health.sample(latency, t.tier.baseline)
+		outlier = t.health.sample(latency, t.tier.baseline, t.tier.samples)
 		t.tier.learn(latency)
 		if !outlier {
 			t.health.answered()
 		}
 	case TimedOut:
-		outlier = t.health.sample(latency, t.tier.baseline)
+		outlier = t.health.sample(latency, t.tier.baseline, t.tier.samples)
 		outlier = t.health.failed() || outlier
 	case Failed, NotSent:
 		outlier = t.health.failed()
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -18,6 +18,9 @@
 	// is ejected. With a factor of 3 and averages that began with one sample,
 	// exponential service times alone ejected half of the targets.
 	outlierFactor = 4.0
+	// enoughSamples is the number of samples of a tier before which no target is
+	// an outlier by latency.
+	enoughSamples = 30
 	// outlierMargin keeps very fast tiers from ejecting on scheduling noise.
 	outlierMargin = 5 * time.Millisecond
 	// failuresToEject is the number of failures in a row that eject a target.
@@ -45,7 +48,7 @@
 // sample takes a latency in and reports whether the target is an outlier. A
 // target without samples starts at the tier's average, so that one long
 // request does not eject it.
-func (h *health) sample(latency time.Duration, baseline float64) bool {
+func (h *health) sample(latency time.Duration, baseline float64, samples int) bool {
 	if h.latency == 0 || h.probation {
 		h.latency = baseline
 	}
@@ -57,7 +60,7 @@
 		weight = probationWeight
 	}
 	h.latency += weight * (float64(latency) - h.latency)
-	return baseline > 0 && h.latency > outlierFactor*baseline+float64(outlierMargin)
+	return samples >= enoughSamples && h.latency > outlierFactor*baseline+float64(outlierMargin)
 }
 
 // answered ends probation after a good sample.
@@ -75,16 +78,16 @@
 	return h.failures >= failuresToEject || h.probation
 }
 
+// learn takes a latency into the tier's average. The first samples count
+// equally, so that one short request does not set the average.
 func (r *tier) learn(latency time.Duration) {
 	value := float64(latency)
-	if r.baseline == 0 {
-		r.baseline = value
-		return
-	}
-	if value > baselineClip*r.baseline {
-		value = baselineClip * r.baseline
+	r.samples++
+	weight := max(1/float64(r.samples), baselineWeight)
+	if r.samples > enoughSamples {
+		value = min(value, baselineClip*r.baseline)
 	}
-	r.baseline += baselineWeight * (value - r.baseline)
+	r.baseline += weight * (value - r.baseline)
 }
 
 // eject takes the target out of use unless too few would be left.
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -92,6 +92,7 @@
 	listed []*target
 	// baseline is the usual latency of the tier in nanoseconds, or 0.
 	baseline float64
+	samples  int
 	ejected  []*target
 	// nextReturn is the earliest end of an ejection.
 	nextReturn time.Duration
