--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -156,9 +156,15 @@
 
 // dialCounted dials; the connection is already counted in t.open.
 func (p *Pool) dialCounted(ctx context.Context, t *target, addr string) (*connection, error) {
+	began := p.now()
 	limited, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	raw, err := p.settings.Dial(limited, addr)
 	cancel()
+	if err != nil && endedEarly(ctx, err, p.now().Sub(began) < p.settings.DialTimeout) {
+		// The request ran out of time, which says nothing about the target.
+		p.ended(t)
+		return nil, &Failure{Kind: NoConnection, Cause: err}
+	}
 	if err != nil {
 		p.dialFailed(t)
 		return nil, &Failure{Kind: DialFailed, Cause: err}
@@ -167,6 +173,17 @@
 	return p.newConnection(t, addr, raw), nil
 }
 
+// endedEarly reports whether a dial failed because its request ended and not
+// because of the dial's own time limit. A dial can return its timeout shortly
+// before the context has ended.
+func endedEarly(ctx context.Context, err error, beforeLimit bool) bool {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return beforeLimit
+	}
+	return ctx.Err() != nil && beforeLimit
+}
+
 // dialTCP dials without TCP's own keep-alive: the pool probes by HTTP.
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAlive: -1}
