Dedupe: no decision before the members are known; entry: forward without grants

Cause: a process that had joined but not yet received its first view decided on keys without knowing any member, and answered RW3007. It now refuses and the use is registered again. An entry without any granted slot of a service forwards at once to a peer instead of queueing first.

--- a/internal/dedupe/begin.go
+++ b/internal/dedupe/begin.go
@@ -11,8 +11,10 @@
 	"redwingvale/internal/spec"
 )
 
-// maxHops bounds how often a use follows a key to another home.
-const maxHops = 5
+// maxHops bounds the attempts to register a use, at the homes that it follows
+// the key to or after failures. With the pauses it covers a change of the home
+// of about one second.
+const maxHops = 10
 
 // completeFor bounds the attempts to tell a home how a use ended.
 const completeFor = 10 * time.Second
@@ -37,12 +39,8 @@
 		// failed one must not undo the next.
 		u := Use{Key: key, Hash: hash, Executor: s.newExecutor(), Limit: limit, MovedHere: moved}
 		r, ok := s.registerAt(ctx, home, u)
-		if !ok {
-			next := s.homeAfterFailure(ctx, u, home)
-			if next == home && hop > 0 {
-				break
-			}
-			home, moved = next, false
+		if !ok || (r.Kind == Refuse && r.Code == code.HomeUnreachable) {
+			home, moved = s.homeAfterFailure(ctx, u, home), false
 			continue
 		}
 		switch r.Kind {
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -76,6 +76,9 @@
 	if c.stopped {
 		return reply(u, Reply{Kind: Moved, Home: homeOf(u.Key, c.members, c.settings.Self.Instance)})
 	}
+	if !c.started {
+		return reply(u, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "the members are not known yet"})
+	}
 	r := c.records[u.Key]
 	if r == nil {
 		return c.first(now, wall, u)
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -36,6 +36,7 @@
 	retries *admit.Budget
 	hedges  *admit.Budget
 	latency quantile
+	granted int
 }
 
 // start is the end of a wait: a pick, or why the request is refused.
@@ -68,12 +69,20 @@
 			hedges:  admit.NewBudget(admit.HedgeShare),
 		}
 		d.services[id] = s
-		_, granted := d.router.Slots(d.now(), id)
-		s.core.SetGranted(granted)
+		_, s.granted = d.router.Slots(d.now(), id)
+		s.core.SetGranted(s.granted)
 	}
 	return s
 }
 
+// hasSlots reports whether any slot of the service was granted at the last
+// count.
+func (d *dispatcher) hasSlots(id spec.ServiceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state(id).granted > 0
+}
+
 // slot is a started request's hold on admission and on one target.
 type slot struct {
 	state *serviceState
@@ -299,8 +308,8 @@
 // target, so it is not done for each request.
 func (d *dispatcher) countSlots(now time.Duration) {
 	for id, s := range d.services {
-		_, granted := d.router.Slots(now, id)
-		s.core.SetGranted(granted)
+		_, s.granted = d.router.Slots(now, id)
+		s.core.SetGranted(s.granted)
 	}
 }
 
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -49,9 +49,7 @@
 	if err := e.peerServer.Shutdown(ctx); err != nil {
 		return err
 	}
-	if e.stopDuties != nil {
-		e.stopDuties()
-	}
+	e.halt()
 	e.background.Wait()
 	e.deps.Log.Info("entry drained", zap.Duration("took", time.Since(began)), zap.Int("keys_handed_over", moved))
 	return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,16 +46,18 @@
 	peers    *peerSet
 	metrics  *metrics
 
-	faults      faults
-	inFlight    atomic.Int64
-	bodyBytes   atomic.Int64
-	submits     atomic.Int64
-	background  sync.WaitGroup
-	callers     *http.Server
-	peerServer  *http.Server
-	listener    net.Listener
-	peerListen  net.Listener
-	stopDuties  context.CancelFunc
+	faults     faults
+	inFlight   atomic.Int64
+	bodyBytes  atomic.Int64
+	submits    atomic.Int64
+	background sync.WaitGroup
+	callers    *http.Server
+	peerServer *http.Server
+	listener   net.Listener
+	peerListen net.Listener
+	// halted ends when a planned stop is complete.
+	halted      context.Context
+	halt        context.CancelFunc
 	drainedOnce sync.Once
 	drained     chan struct{}
 }
@@ -74,6 +76,7 @@
 		return nil, err
 	}
 	e := &Entry{config: config, deps: deps, start: time.Now(), drained: make(chan struct{})}
+	e.halted, e.halt = context.WithCancel(context.Background())
 	e.metrics = newMetrics(deps.Scope)
 	e.peers = newPeerSet()
 	e.pool = connpool.New(e.poolSettings(), e.targetEvent)
@@ -190,7 +193,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	duties, stop := context.WithCancel(ctx)
 	defer stop()
-	e.stopDuties = stop
+	defer context.AfterFunc(e.halted, stop)()
 	group, running := errgroup.WithContext(duties)
 	group.Go(func() error { return serve(e.callers, e.listener) })
 	group.Go(func() error { return serve(e.peerServer, e.peerListen) })
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -44,6 +44,12 @@
 // and so the outcome. A request that found no usable connection waits for
 // another slot.
 func (e *Entry) carryOut(caller context.Context, u *urgentCall) (*answer, error) {
+	if !e.dispatch.hasSlots(u.service) {
+		refusal := code.New(code.NoCapacity, "no slot of service %s is granted", u.service)
+		if a, err := e.forwardInstead(u, refusal); err == nil || code.Of(err) != code.NoCapacity {
+			return a, err
+		}
+	}
 	for try := 0; ; try++ {
 		h, err := e.dispatch.acquire(caller, u.team, u.service, u.settings, u.deadline)
 		if err != nil {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -302,3 +302,10 @@
 	w.tb.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
 }
+
+// known returns the number of other entries that are known.
+func (p *peerSet) known() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.peers)
+}
