--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -36,13 +36,13 @@
 // acquire returns a usable connection to the target or a Failure. While all
 // granted connections are in use or being probed it waits for a short time.
 func (p *Pool) acquire(ctx context.Context, t *target) (*connection, error) {
+	c, freed, err := p.tryAcquire(ctx, t)
+	if freed == nil {
+		return c, err
+	}
 	timer := time.NewTimer(connectionWait)
 	defer timer.Stop()
-	for {
-		c, freed, err := p.tryAcquire(ctx, t)
-		if freed == nil {
-			return c, err
-		}
+	for freed != nil {
 		select {
 		case <-freed:
 		case <-timer.C:
@@ -50,7 +50,9 @@
 		case <-ctx.Done():
 			return nil, &Failure{Kind: NoConnection, Cause: ctx.Err()}
 		}
+		c, freed, err = p.tryAcquire(ctx, t)
 	}
+	return c, err
 }
 
 // connectionWait bounds the wait for a connection; a probe of a connection
--- a/internal/entry/compare_test.go
+++ b/internal/entry/compare_test.go
@@ -190,6 +190,8 @@
 			b.mu.Unlock()
 			b.look()
 			lost.stop()
+			time.Sleep(time.Second)
+			w.change(func() { w.members = dropMember(w.members, lost.config.Instance) })
 		}},
 	}
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -157,7 +157,7 @@
 	if o.down || o.refuse == req.Msg.GetEntry() {
 		return nil, connect.NewError(connect.CodeUnavailable, context.Canceled)
 	}
-	entries := max(len(o.world.view().GetMembers()), 1)
+	entries := o.world.activeEntries()
 	share := (o.world.slots + entries - 1) / entries
 	out := &schedv1.RenewGrantsResponse{}
 	now := time.Now()
@@ -183,6 +183,17 @@
 	return connect.NewResponse(out), nil
 }
 
+// activeEntries counts the members that are entries, at least 1.
+func (w *world) activeEntries() int {
+	n := 0
+	for _, m := range w.view().GetMembers() {
+		if m.GetActive() {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 func (g heldGrant) slotsAt(now time.Time) int {
 	if now.After(g.end) {
 		return 0
