Dedupe: an entry that has not noticed the loss of a home does not vouch for it

A home crashed and came back under its name 43 ms after its removal; the entry that it asked still had the lost incarnation as a member and answered that no earlier use could exist. The question now carries the incarnation of the asking home, and an entry that knows another one does not vouch.

--- a/internal/dedupe/asked.go
+++ b/internal/dedupe/asked.go
@@ -158,7 +158,8 @@
 
 // Ask answers another instance that is, or is becoming, the key's home. From
 // then on this instance uses it as the key's home.
-func (c *Core) Ask(now time.Duration, wall time.Time, key Key, home spec.InstanceID) (found *Record, movedTo spec.InstanceID, authoritative bool, effects []Effect) {
+func (c *Core) Ask(now time.Duration, wall time.Time, key Key, asker Member) (found *Record, movedTo spec.InstanceID, authoritative bool, effects []Effect) {
+	home := asker.Instance
 	r := c.records[key]
 	if r != nil && r.movedTo != "" && r.movedTo != home {
 		return nil, r.movedTo, false, nil
@@ -179,7 +180,7 @@
 		r.movedAt = now
 		found = best(append(compact(found), c.export(now, r)))
 	}
-	return found, "", c.wouldKnow(now, wall, key, home), effects
+	return found, "", c.wouldKnow(now, wall, key, asker), effects
 }
 
 func compact(r *Record) []Record {
@@ -189,10 +190,24 @@
 	return []Record{*r}
 }
 
+// knowsOther reports whether another incarnation of the asker is still a member
+// in this instance's view: its loss has not been noticed here yet.
+func (c *Core) knowsOther(asker Member) bool {
+	for _, m := range c.members {
+		if m.Instance == asker.Instance && m.Incarnation != asker.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // wouldKnow reports whether this instance was the key's home before asker and
 // is certain about earlier uses.
-func (c *Core) wouldKnow(now time.Duration, wall time.Time, key Key, asker spec.InstanceID) bool {
-	if homeOf(key, c.members, asker) != c.settings.Self.Instance {
+func (c *Core) wouldKnow(now time.Duration, wall time.Time, key Key, asker Member) bool {
+	if c.knowsOther(asker) {
+		return false
+	}
+	if homeOf(key, c.members, asker.Instance) != c.settings.Self.Instance {
 		return false
 	}
 	moved, ok := c.takeover(key)
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -177,7 +177,7 @@
 	}
 	for _, id := range e.Ask {
 		c.call(id, func(to *instance) {
-			found, moved, authoritative, effects := to.core.Ask(c.now, c.wall(to), e.Key, i.self.Instance)
+			found, moved, authoritative, effects := to.core.Ask(c.now, c.wall(to), e.Key, i.self)
 			c.carryOut(to, effects)
 			c.after(c.delay(10*time.Millisecond), func() {
 				findings.Records = append(findings.Records, compact(found)...)
--- a/internal/dedupe/serve.go
+++ b/internal/dedupe/serve.go
@@ -46,9 +46,12 @@
 func (s *Service) AskKey(_ context.Context, req *connect.Request[entryv1.AskKeyRequest]) (*connect.Response[entryv1.AskKeyResponse], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	home := spec.InstanceID(req.Msg.GetHome())
+	asker := Member{
+		Instance:    spec.InstanceID(req.Msg.GetHome()),
+		Incarnation: spec.Incarnation(req.Msg.GetHomeIncarnation()),
+	}
 	key := keyFromWire(req.Msg.GetKey())
-	found, movedTo, authoritative, effects := s.core.Ask(s.timing.Now(), s.timing.Wall(), key, home)
+	found, movedTo, authoritative, effects := s.core.Ask(s.timing.Now(), s.timing.Wall(), key, asker)
 	s.deliver(effects)
 	out := &entryv1.AskKeyResponse{Authoritative: authoritative, MovedTo: string(movedTo)}
 	if found != nil {
--- a/internal/dedupe/service.go
+++ b/internal/dedupe/service.go
@@ -146,7 +146,11 @@
 	if client == nil {
 		return nil
 	}
-	req := &entryv1.AskKeyRequest{Key: keyToWire(key), Home: string(s.self.Instance)}
+	req := &entryv1.AskKeyRequest{
+		Key:             keyToWire(key),
+		Home:            string(s.self.Instance),
+		HomeIncarnation: uint64(s.self.Incarnation),
+	}
 	resp, err := client.AskKey(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil
