--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,13 +51,15 @@
 	bodyBytes atomic.Int64
 	submits   atomic.Int64
 	// renewals numbers the renewals of grants.
-	renewals    atomic.Uint64
-	background  sync.WaitGroup
-	callers     *http.Server
-	peerServer  *http.Server
-	listener    net.Listener
-	peerListen  net.Listener
-	stopDuties  context.CancelFunc
+	renewals   atomic.Uint64
+	background sync.WaitGroup
+	callers    *http.Server
+	peerServer *http.Server
+	listener   net.Listener
+	peerListen net.Listener
+	// halted ends when a planned stop is complete.
+	halted      context.Context
+	halt        context.CancelFunc
 	drainedOnce sync.Once
 	drained     chan struct{}
 }
@@ -76,6 +78,7 @@
 		return nil, err
 	}
 	e := &Entry{config: config, deps: deps, start: time.Now(), drained: make(chan struct{})}
+	e.halted, e.halt = context.WithCancel(context.Background())
 	e.metrics = newMetrics(deps.Scope)
 	e.peers = newPeerSet()
 	e.pool = connpool.New(e.poolSettings(), e.targetEvent)
@@ -192,7 +195,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	duties, stop := context.WithCancel(ctx)
 	defer stop()
-	e.stopDuties = stop
+	defer context.AfterFunc(e.halted, stop)()
 	group, running := errgroup.WithContext(duties)
 	group.Go(func() error { return serve(e.callers, e.listener) })
 	group.Go(func() error { return serve(e.peerServer, e.peerListen) })
