Headroom looks back 2 to 4 minutes instead of 5 to 10

Cause: after a load had fallen, its old peak kept noisy tasks off exactly the workers on which they do least harm.

--- a/internal/plugins/headroom/headroom.go
+++ b/internal/plugins/headroom/headroom.go
@@ -21,7 +21,7 @@
 
 const (
 	// window is the length of one of the two periods that are remembered.
-	window = 5 * time.Minute
+	window = 2 * time.Minute
 	// lowest is the number of missing slots at which the score is 0.
 	lowest = -2.0
 	// step is the score of one slot.
