--- a/internal/framework/profile.go
+++ b/internal/framework/profile.go
@@ -25,7 +25,7 @@
 // scoreWeights holds the weight of each score plug-in by name in the order
 // tail share 0 and tail share 1; the weight between them is linear.
 var scoreWeights = map[string][2]float64{
-	"interference": {32, 40},
+	"interference": {24, 32},
 	"spread":       {1, 0.5},
 	"accelerators": {1, 1},
 	"fit":          {0.5, 0.5},
--- a/internal/plugins/headroom/headroom.go
+++ b/internal/plugins/headroom/headroom.go
@@ -1,8 +1,8 @@
 // Package headroom keeps slots free where urgent requests are likely to want
 // them back, so that fewer batch tasks have to leave again.
 //
-// With the slots granted to urgent requests now, their peak over the last 5 to
-// 10 minutes, and growth = the rise of their 5-minute mean, at least 0:
+// With the slots granted to urgent requests now, their peak over the last 2 to
+// 4 minutes, and growth = the rise of their 2-minute mean, at least 0:
 //
 //	wanted = max(peak - granted, growth)
 //	left   = free slots - slots of the task - wanted
