--- a/internal/plugins/sizes/sizes.go
+++ b/internal/plugins/sizes/sizes.go
@@ -1,11 +1,14 @@
 // Package sizes plans with what tasks of the same team and kind really used,
 // and acts when running tasks grow past their reservations.
 //
-// With the ratios peak use / declared amount of the last 64 tasks, for memory
-// and processors, reservations are at least the declaration:
+// With the ratios peak memory / declared memory of the last 64 tasks,
+// reservations are at least the declaration:
 //
 //	need = declared * min(2, max(1, median ratio)), at most the largest worker
 //
+// Processors are reserved as declared: a shortage slows tasks and kills none,
+// and what it does to the service is learned by the plug-in interference.
+//
 // Filter: the peaks of a worker's tasks together stay within its memory at the
 // 99% quantile, with m_i and v_i the mean and variance of task i's predicted
 // peak. A quantile for each task would add up to far more than is used:
@@ -56,10 +59,7 @@
 func init() { framework.Register(Name, New) }
 
 // kind is what is known about one team and kind.
-type kind struct {
-	memory sample.Window
-	cpu    sample.Window
-}
+type kind struct{ memory sample.Window }
 
 // demand sums up the predicted peaks of a worker's tasks.
 type demand struct{ mean, variance float64 }
@@ -99,16 +99,12 @@
 	if ratio, ok := ratio(t.Peak.MemoryMiB, t.Resources.MemoryMiB); ok && (finished || ratio > 1) {
 		k.memory.Add(ratio)
 	}
-	if ratio, ok := ratio(t.Peak.MilliCPU, t.Resources.MilliCPU); ok && (finished || ratio > 1) {
-		k.cpu.Add(ratio)
-	}
 }
 
 // Estimate raises Need to the typical use of the kind and predicts the peak.
 func (p *Plugin) Estimate(c *framework.Cluster, t *framework.Item) {
 	k := p.of(c, t)
 	t.Need.MemoryMiB = raise(t.Resources.MemoryMiB, k.memory.Safe(median), c.Largest.MemoryMiB)
-	t.Need.MilliCPU = raise(t.Resources.MilliCPU, k.cpu.Safe(median), c.Largest.MilliCPU)
 	mean, spread := k.memory.Mean(), math.Sqrt(k.memory.Variance())
 	if k.memory.Len() < fewSamples {
 		mean, spread = max(1, mean), unknownSpread
