--- a/internal/framework/assert.go
+++ b/internal/framework/assert.go
@@ -11,6 +11,7 @@
 	brokenRelease = "release"
 	brokenRoom    = "room"
 	brokenDetach  = "detach"
+	brokenMoves   = "moves"
 )
 
 // checkRoom asserts after a placement that the worker is not overcommitted.
@@ -41,6 +42,16 @@
 		"task %s has two actions within %v", t.ID, k.cluster.Lag)
 }
 
+// checkMoves asserts that a long-running task has a move left today.
+func (k *Kernel) checkMoves(t *Item) {
+	used, allowed := k.moves.count(t, k.cluster.Now), k.cluster.MovesPerDay(t)
+	if used < allowed {
+		return
+	}
+	invariant.Check(false, invariant.InternalConsistency,
+		"long-running task %s moves although %d of %d moves are used", t.ID, used, allowed)
+}
+
 // Auditor is implemented by plug-ins that can check their own accounting
 // against the cluster. Audit panics through invariant.Check.
 type Auditor interface {
--- a/internal/framework/kernel_test.go
+++ b/internal/framework/kernel_test.go
@@ -133,3 +133,31 @@
 	k.Enqueue(0, fine)
 	c.Assert(k.Overdue(0), qt.DeepEquals, []spec.TaskID{late.ID})
 }
+
+// Guards against the loss of a rack that makes the rest of the cluster evict
+// each other's tasks or isolate workers.
+func TestLossOfARackStartsNoWaveOfEvictions(t *testing.T) {
+	c := qt.New(t)
+	k := newKernel(c, 40)
+	for i := range 80 {
+		k.Enqueue(0, newTask(fmt.Sprint("j", i), slot))
+	}
+	placed := k.Schedule(0, 100)
+	c.Assert(placed, qt.HasLen, 80)
+	lost := map[spec.WorkerID]bool{}
+	for i := range 8 {
+		lost[spec.WorkerID(fmt.Sprint("w", i))] = true
+		k.RemoveWorker(time.Minute, spec.WorkerID(fmt.Sprint("w", i)))
+	}
+	for _, p := range placed {
+		if lost[p.Worker] {
+			k.Ended(time.Minute, p.Task, policy.EndLost, time.Minute)
+			k.Enqueue(time.Minute, newTask(p.Task.Job.Name, slot))
+		}
+	}
+	for now := time.Minute; now < 10*time.Minute; now += time.Second {
+		c.Assert(k.Schedule(now, 100), qt.HasLen, 0)
+		c.Assert(k.Review(now), qt.HasLen, 0)
+	}
+	k.Audit()
+}
--- a/internal/framework/randomrun_test.go
+++ b/internal/framework/randomrun_test.go
@@ -10,7 +10,7 @@
 )
 
 // Mechanisms lists what Broken can switch off.
-var Mechanisms = []string{brokenLag, brokenRelease, brokenRoom, brokenDetach, "quota"}
+var Mechanisms = []string{brokenLag, brokenRelease, brokenRoom, brokenDetach, brokenMoves, "quota"}
 
 // Broken returns a configuration with one mechanism switched off.
 func Broken(cfg Config, mechanism string) Config {
@@ -47,11 +47,12 @@
 	services := []policy.Service{}
 	for i := range randomTeams {
 		services = append(services, policy.Service{
-			Team:       spec.TeamID(fmt.Sprint("team", i)),
-			ID:         spec.ServiceID(fmt.Sprint("service", i)),
-			Quota:      spec.Resources{MilliCPU: 40000, MemoryMiB: 200000, Slots: 20},
-			TailWeight: float64(i),
-			TargetP99:  50 * time.Millisecond,
+			Team:           spec.TeamID(fmt.Sprint("team", i)),
+			ID:             spec.ServiceID(fmt.Sprint("service", i)),
+			Quota:          spec.Resources{MilliCPU: 40000, MemoryMiB: 200000, Slots: 20},
+			TailWeight:     float64(i),
+			TargetP99:      50 * time.Millisecond,
+			MaxMovesPerDay: 1,
 		})
 	}
 	k.Configure(0, services)
@@ -106,6 +107,8 @@
 		r.relieve()
 	case n < 98:
 		r.flap()
+	case n < 99:
+		r.restore()
 	default:
 		r.kernel.Overdue(r.now)
 		r.explain()
@@ -113,6 +116,23 @@
 }
 
 func (r *RandomRun) enqueue() {
+	task := r.newTask()
+	r.kernel.Enqueue(r.now, task)
+	r.waiting = append(r.waiting, task)
+}
+
+// restore adds a task that runs already, as after a takeover.
+func (r *RandomRun) restore() {
+	task := r.newTask()
+	w := r.kernel.cluster.Workers[r.random.below(randomWorkers)]
+	if !task.Resources.Fits(w.Free()) {
+		return
+	}
+	r.kernel.Restore(r.now, task, w.ID)
+	r.running = append(r.running, task)
+}
+
+func (r *RandomRun) newTask() policy.Task {
 	r.next++
 	i := r.random.below(randomTeams)
 	task := policy.Task{
@@ -132,8 +152,7 @@
 	if r.random.below(10) == 0 {
 		task.Resources.Accelerators = 1
 	}
-	r.kernel.Enqueue(r.now, task)
-	r.waiting = append(r.waiting, task)
+	return task
 }
 
 func (r *RandomRun) dequeue() {
--- a/internal/framework/review.go
+++ b/internal/framework/review.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	leaves := kind == policy.ActionMove || kind == policy.ActionEvict
-	if !leaves || t.Class != spec.LongRunning {
+	if !leaves || t.Class != spec.LongRunning || k.cluster.Config.broken == brokenMoves {
 		return true
 	}
 	return k.moves.count(t, k.cluster.Now) < k.cluster.MovesPerDay(t)
@@ -137,7 +137,7 @@
 		t.Leaving = true
 		k.history.add(t.ID, policy.Reason{Dimension: string(a.Kind), Workers: 1, Detail: a.Why})
 		if t.Class == spec.LongRunning {
-			k.moves.count(t, now)
+			k.checkMoves(t)
 			k.moves.add(t.ID, now)
 		}
 	}
--- a/internal/plugins/health/health_test.go
+++ b/internal/plugins/health/health_test.go
@@ -56,55 +56,58 @@
 	return out
 }
 
+// blameCases are sequences of ends and the workers that they isolate.
+var blameCases = []struct {
+	name string
+	run  func(b *bench)
+	want string
+}{
+	{"three jobs fail on one worker", func(b *bench) {
+		for i := range 3 {
+			b.end(0, fmt.Sprint("j", i), policy.EndFailed)
+		}
+	}, "0"},
+	{"a success in between", func(b *bench) {
+		for i := range 6 {
+			b.end(0, fmt.Sprint("j", i), policy.EndFailed)
+			if i == 1 || i == 3 {
+				b.end(0, "good", policy.EndDone)
+			}
+		}
+	}, ""},
+	{"one job fails everywhere", func(b *bench) {
+		for i := range 24 {
+			b.end(i%8, "bad", policy.EndFailed)
+		}
+	}, ""},
+	{"several jobs fail everywhere", func(b *bench) {
+		for i := range 40 {
+			b.end(i%8, fmt.Sprint("bad", i/8), policy.EndFailed)
+		}
+	}, ""},
+	{"a job that runs elsewhere", func(b *bench) {
+		b.end(1, "good", policy.EndDone)
+		for range 3 {
+			b.end(0, "good", policy.EndFailed)
+		}
+	}, "0"},
+	{"a rack is lost", func(b *bench) {
+		for i := range 40 {
+			b.end(i%8, fmt.Sprint("j", i), policy.EndLost)
+		}
+	}, ""},
+	{"everything fails", func(b *bench) {
+		for i := range 80 {
+			b.end(i/10, fmt.Sprint("j", i), policy.EndFailed)
+		}
+	}, "01"},
+}
+
 // Guards against the wrong culprit: a sick worker that goes on spoiling starts,
 // healthy workers isolated because of a faulty job or a lost rack, and a common
 // cause that takes most workers out of service.
 func TestWhoIsToBlame(t *testing.T) {
-	for _, test := range []struct {
-		name string
-		run  func(b *bench)
-		want string
-	}{
-		{"three jobs fail on one worker", func(b *bench) {
-			for i := range 3 {
-				b.end(0, fmt.Sprint("j", i), policy.EndFailed)
-			}
-		}, "0"},
-		{"a success in between", func(b *bench) {
-			for i := range 6 {
-				b.end(0, fmt.Sprint("j", i), policy.EndFailed)
-				if i == 1 || i == 3 {
-					b.end(0, "good", policy.EndDone)
-				}
-			}
-		}, ""},
-		{"one job fails everywhere", func(b *bench) {
-			for i := range 24 {
-				b.end(i%8, "bad", policy.EndFailed)
-			}
-		}, ""},
-		{"several jobs fail everywhere", func(b *bench) {
-			for i := range 40 {
-				b.end(i%8, fmt.Sprint("bad", i/8), policy.EndFailed)
-			}
-		}, ""},
-		{"a job that runs elsewhere", func(b *bench) {
-			b.end(1, "good", policy.EndDone)
-			for range 3 {
-				b.end(0, "good", policy.EndFailed)
-			}
-		}, "0"},
-		{"a rack is lost", func(b *bench) {
-			for i := range 40 {
-				b.end(i%8, fmt.Sprint("j", i), policy.EndLost)
-			}
-		}, ""},
-		{"everything fails", func(b *bench) {
-			for i := range 80 {
-				b.end(i/10, fmt.Sprint("j", i), policy.EndFailed)
-			}
-		}, "01"},
-	} {
+	for _, test := range blameCases {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench()
 			test.run(b)
--- a/internal/plugins/interference/interference_test.go
+++ b/internal/plugins/interference/interference_test.go
@@ -60,10 +60,12 @@
 	return s
 }
 
-func (s *scene) report(ms int) {
+func (s *scene) report(ms int) { s.reportAt(ms, 10) }
+
+func (s *scene) reportAt(ms int, load float64) {
 	s.cluster.Now += 5 * time.Second
 	s.w.ReportedAt = s.cluster.Now
-	r := policy.Report{MeasuredAt: s.cluster.Now - 2*time.Second, ServiceP99: time.Duration(ms) * time.Millisecond, ServiceLoad: 10}
+	r := policy.Report{MeasuredAt: s.cluster.Now - 2*time.Second, ServiceP99: time.Duration(ms) * time.Millisecond, ServiceLoad: load}
 	s.p.Observe(s.cluster, s.w, &r)
 }
 
@@ -100,3 +102,32 @@
 	c.Assert(hurried, qt.HasLen, 1)
 	c.Assert(hurried[0].Kind, qt.Equals, policy.ActionUnthrottle)
 }
+
+// Guards against trying an unknown kind next to urgent work while it could
+// wait, against never trying it at all, and against holding back a task that
+// has to start.
+func TestUnknownKindsAreTriedOnQuietWorkersOnly(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		load   float64
+		latest time.Duration
+		placed bool
+	}{
+		{"busy worker", 10, time.Hour, false},
+		{"quiet worker", 1, time.Hour, true},
+		{"busy worker, must start", 10, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newScene()
+			s.w.Running = nil
+			m := &s.p.models[0]
+			m.start(10, 60)
+			for range 20 {
+				s.reportAt(60, test.load)
+			}
+			unknown := &framework.Item{NameIndex: 3, LatestStart: test.latest}
+			c.Assert(s.p.Filter(s.cluster, unknown, s.w).OK(), qt.Equals, test.placed)
+		})
+	}
+}
