--- a/cmd/rwctl/status.go
+++ b/cmd/rwctl/status.go
@@ -73,7 +73,7 @@
 	for _, a := range answers {
 		rows = append(rows, statusRow(a))
 	}
-	header := []string{"ADDRESS", "INSTANCE", "STATE", "UPTIME", "MAJORITY", "LOG", "CONFIG", "GROUPS", "ALARMS"}
+	header := []string{"ADDRESS", "INSTANCE", "STATE", "UPTIME", "MAJORITY", "LOG", "SNAPSHOT", "CONFIG", "GROUPS", "ALARMS"}
 	if err := c.table(header, rows); err != nil {
 		return err
 	}
@@ -91,13 +91,17 @@
 
 func statusRow(a answer[operatorv1.StatusResponse]) []string {
 	if a.err != nil {
-		return []string{a.address, "-", "no answer: " + a.err.Error(), "-", "-", "-", "-", "-", "-"}
+		return []string{a.address, "-", "no answer: " + a.err.Error(), "-", "-", "-", "-", "-", "-", "-"}
 	}
 	s := a.value
 	log := "readable"
 	if !s.GetLog().GetReadable() {
 		log = "down for " + millis(s.GetLog().GetSinceTailMs())
 	}
+	snapshot := "-"
+	if age := s.GetLog().GetOldestSnapshotMs(); age >= 0 {
+		snapshot = millis(age)
+	}
 	owned := 0
 	for _, g := range s.GetGroups() {
 		if g.GetOwner() == s.GetInstance() {
@@ -105,7 +109,7 @@
 		}
 	}
 	return []string{
-		a.address, s.GetInstance(), s.GetState(), millis(s.GetUptimeMs()), yesNo(s.GetMajority()), log,
+		a.address, s.GetInstance(), s.GetState(), millis(s.GetUptimeMs()), yesNo(s.GetMajority()), log, snapshot,
 		strconv.FormatInt(s.GetConfigOffset(), 10), strconv.Itoa(owned), strconv.FormatUint(uint64(s.GetAlarms()), 10),
 	}
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -76,6 +76,7 @@
 func settingsOf(doc *document.Document) entry.ServiceSettings {
 	out := entry.ServiceSettings{QuotaSlots: int(doc.Quota.Slots)}
 	if doc.Urgent == nil {
+		out.NoUrgent = true
 		return out
 	}
 	out.Idempotent = doc.Urgent.IdempotentByDefault
--- a/internal/document/policy.go
+++ b/internal/document/policy.go
@@ -9,6 +9,8 @@
 		Team:           d.TeamID(),
 		ID:             d.ServiceID(),
 		Quota:          d.Quota.Resources(),
+		Ceiling:        d.Quota.Ceiling(),
+		DataCentres:    policy.NewDataCentres(d.DataCentres),
 		TailWeight:     d.Weights.Tail,
 		EvictionWeight: d.Weights.Evictions,
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -69,6 +69,9 @@
 	if u.settings, err = e.deps.Services.Service(u.team, u.service); err != nil {
 		return nil, nil, err
 	}
+	if u.settings.NoUrgent {
+		return nil, nil, code.New(code.UnknownService, "service %s of team %s answers no urgent requests", u.service, u.team)
+	}
 	if err = u.readHeaders(r, e.config); err != nil {
 		return nil, nil, err
 	}
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -16,6 +16,8 @@
 type ServiceSettings struct {
 	// Idempotent states that a repeated request does no harm.
 	Idempotent bool
+	// NoUrgent states that the service answers no urgent requests.
+	NoUrgent bool
 	// UrgentLimit bounds a request from its arrival to its answer; zero uses
 	// the entry's default.
 	UrgentLimit time.Duration
--- a/internal/entry/jobbody.go
+++ b/internal/entry/jobbody.go
@@ -19,7 +19,8 @@
 	restartNever   = "never"
 )
 
-// jobBody is the JSON body of a submission.
+// jobBody is the JSON body of a submission. rwsched fills per_task, run_time_s,
+// deadline and restart in from the service's document when they are absent.
 type jobBody struct {
 	Service string        `json:"service"`
 	Class   string        `json:"class"`
@@ -69,7 +70,7 @@
 	if b.Restart != "" && b.Restart != restartAllowed && b.Restart != restartNever {
 		return nil, code.New(code.BadRequest, "restart must be %s or %s", restartNever, restartAllowed)
 	}
-	runTime, err := b.runTime(class)
+	runTime, err := b.runTime()
 	if err != nil {
 		return nil, err
 	}
@@ -87,6 +88,7 @@
 		RunTimeMs:        runTime.Milliseconds(),
 		DeadlineUnixMs:   deadline,
 		RestartFromStart: b.Restart == restartAllowed,
+		Restart:          b.Restart,
 		Payload:          b.Payload,
 	}, nil
 }
@@ -101,30 +103,23 @@
 	}
 }
 
-// check refuses negative or huge amounts and a task that reserves nothing.
+// check refuses negative or huge amounts. All zero stands for the document's
+// amounts.
 func (r resourcesBody) check() error {
 	amounts := []int64{r.MilliCPU, r.MemoryMiB, r.Accelerators, r.Slots, r.Connections}
-	sum := int64(0)
 	for _, a := range amounts {
 		if a < 0 || a > maxAmount {
 			return code.New(code.BadResources, "each amount in per_task must be 0 to %d", maxAmount)
 		}
-		sum += a
-	}
-	if sum == 0 {
-		return code.New(code.BadResources, "per_task must reserve something")
 	}
 	return nil
 }
 
-// runTime checks the declared run time; a deadline job must declare one.
-func (b jobBody) runTime(class spec.Class) (time.Duration, error) {
+// runTime checks the declared run time; zero stands for the document's.
+func (b jobBody) runTime() (time.Duration, error) {
 	if !(b.RunTimeS >= 0 && b.RunTimeS <= maxRunTime.Seconds()) {
 		return 0, code.New(code.BadRequest, "run_time_s must be 0 to %.0f", maxRunTime.Seconds())
 	}
-	if class == spec.Deadline && b.RunTimeS == 0 {
-		return 0, code.New(code.BadRequest, "a deadline job must declare run_time_s")
-	}
 	return time.Duration(b.RunTimeS * float64(time.Second)), nil
 }
 
--- a/internal/gen/redwingvale/sched/v1/schedv1connect/sched.connect.go
+++ b/internal/gen/redwingvale/sched/v1/schedv1connect/sched.connect.go
@@ -56,6 +56,9 @@
 	PeerServiceHeartbeatProcedure = "/redwingvale.sched.v1.PeerService/Heartbeat"
 	// PeerServiceReceiveJobProcedure is the fully-qualified name of the PeerService's ReceiveJob RPC.
 	PeerServiceReceiveJobProcedure = "/redwingvale.sched.v1.PeerService/ReceiveJob"
+	// PeerServiceExplainWorkerProcedure is the fully-qualified name of the PeerService's ExplainWorker
+	// RPC.
+	PeerServiceExplainWorkerProcedure = "/redwingvale.sched.v1.PeerService/ExplainWorker"
 )
 
 // SchedServiceClient is a client for the redwingvale.sched.v1.SchedService service.
@@ -277,6 +280,8 @@
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// ReceiveJob hands a job over to a group that this instance owns.
 	ReceiveJob(context.Context, *connect.Request[v1.ReceiveJobRequest]) (*connect.Response[v1.ReceiveJobResponse], error)
+	// ExplainWorker states what the owner of a worker's group has booked on it.
+	ExplainWorker(context.Context, *connect.Request[v1.ExplainWorkerRequest]) (*connect.Response[v1.ExplainWorkerResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the redwingvale.sched.v1.PeerService service. By
@@ -302,13 +307,20 @@
 			connect.WithSchema(peerServiceMethods.ByName("ReceiveJob")),
 			connect.WithClientOptions(opts...),
 		),
+		explainWorker: connect.NewClient[v1.ExplainWorkerRequest, v1.ExplainWorkerResponse](
+			httpClient,
+			baseURL+PeerServiceExplainWorkerProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ExplainWorker")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	heartbeat  *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
-	receiveJob *connect.Client[v1.ReceiveJobRequest, v1.ReceiveJobResponse]
+	heartbeat     *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
+	receiveJob    *connect.Client[v1.ReceiveJobRequest, v1.ReceiveJobResponse]
+	explainWorker *connect.Client[v1.ExplainWorkerRequest, v1.ExplainWorkerResponse]
 }
 
 // Heartbeat calls redwingvale.sched.v1.PeerService.Heartbeat.
@@ -321,11 +333,18 @@
 	return c.receiveJob.CallUnary(ctx, req)
 }
 
+// ExplainWorker calls redwingvale.sched.v1.PeerService.ExplainWorker.
+func (c *peerServiceClient) ExplainWorker(ctx context.Context, req *connect.Request[v1.ExplainWorkerRequest]) (*connect.Response[v1.ExplainWorkerResponse], error) {
+	return c.explainWorker.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the redwingvale.sched.v1.PeerService service.
 type PeerServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// ReceiveJob hands a job over to a group that this instance owns.
 	ReceiveJob(context.Context, *connect.Request[v1.ReceiveJobRequest]) (*connect.Response[v1.ReceiveJobResponse], error)
+	// ExplainWorker states what the owner of a worker's group has booked on it.
+	ExplainWorker(context.Context, *connect.Request[v1.ExplainWorkerRequest]) (*connect.Response[v1.ExplainWorkerResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -347,12 +366,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("ReceiveJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceExplainWorkerHandler := connect.NewUnaryHandler(
+		PeerServiceExplainWorkerProcedure,
+		svc.ExplainWorker,
+		connect.WithSchema(peerServiceMethods.ByName("ExplainWorker")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/redwingvale.sched.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
 			peerServiceHeartbeatHandler.ServeHTTP(w, r)
 		case PeerServiceReceiveJobProcedure:
 			peerServiceReceiveJobHandler.ServeHTTP(w, r)
+		case PeerServiceExplainWorkerProcedure:
+			peerServiceExplainWorkerHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -369,3 +396,7 @@
 func (UnimplementedPeerServiceHandler) ReceiveJob(context.Context, *connect.Request[v1.ReceiveJobRequest]) (*connect.Response[v1.ReceiveJobResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.sched.v1.PeerService.ReceiveJob is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ExplainWorker(context.Context, *connect.Request[v1.ExplainWorkerRequest]) (*connect.Response[v1.ExplainWorkerResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.sched.v1.PeerService.ExplainWorker is not implemented"))
+}
--- /dev/null
+++ b/internal/group/allowed.go
@@ -0,0 +1,135 @@
+package group
+
+import (
+	"math"
+	"slices"
+
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// serviceKey names a service.
+type serviceKey struct {
+	team    spec.TeamID
+	service spec.ServiceID
+}
+
+func (c *Core) onServices(e SetServices) {
+	c.services = make(map[serviceKey]*policy.Service, len(e.Services))
+	for i := range e.Services {
+		s := &e.Services[i]
+		c.services[serviceKey{s.Team, s.ID}] = s
+	}
+	c.decider.Configure(c.now, e.Services)
+}
+
+// accepted returns the job that a submission records, or why it is refused.
+func (c *Core) accepted(e Submit) (*recordv1.JobSpec, error) {
+	if e.Refusal != nil {
+		return nil, e.Refusal
+	}
+	job := e.Filled
+	if job == nil {
+		job = e.Job
+	}
+	return job, c.checkJob(job)
+}
+
+// serviceOf returns the service of a job, or nil when it has no document.
+func (c *Core) serviceOf(job *recordv1.JobSpec) *policy.Service {
+	return c.services[serviceKey{spec.TeamID(job.GetId().GetTeam()), spec.ServiceID(job.GetService())}]
+}
+
+// allows reports whether tasks of a job may be placed in a data centre.
+func (c *Core) allows(job *recordv1.JobSpec, dc spec.DataCentre) bool {
+	service := c.serviceOf(job)
+	return service == nil || service.DataCentres.Allows(dc)
+}
+
+// anyAllowed reports whether a known worker or group lies in a data centre in
+// which the job may run. It is true while no worker is known.
+func (c *Core) anyAllowed(job *recordv1.JobSpec) bool {
+	for _, info := range c.infos {
+		if c.allows(job, info.Worker.DataCentre) {
+			return true
+		}
+	}
+	for _, p := range c.peers {
+		if c.allows(job, p.DataCentre) {
+			return true
+		}
+	}
+	return len(c.infos)+len(c.peers) == 0
+}
+
+// preferred returns the other groups in the order in which a job is offered to
+// them: the data centres that the document prefers first.
+func (c *Core) preferred(job *recordv1.JobSpec) []Peer {
+	service := c.serviceOf(job)
+	if service == nil {
+		return c.peers
+	}
+	out := slices.Clone(c.peers)
+	slices.SortStableFunc(out, func(a, b Peer) int {
+		return service.DataCentres.Rank(a.DataCentre) - service.DataCentres.Rank(b.DataCentre)
+	})
+	return out
+}
+
+// neverRunnable returns the dimension for which no worker and no quota can
+// ever hold one task of a job, or nothing.
+func (c *Core) neverRunnable(job *recordv1.JobSpec) string {
+	if !c.anyAllowed(job) {
+		return "datacentre"
+	}
+	need := resourcesOf(job.GetPerTask())
+	if largest := c.largestAllowed(job); !largest.IsZero() {
+		if dimension := need.FirstExceeded(largest); dimension != "" {
+			return string(dimension)
+		}
+	}
+	if service := c.serviceOf(job); service != nil {
+		return string(need.FirstExceeded(unlimited(service.Ceiling)))
+	}
+	return ""
+}
+
+// largestAllowed is the largest capacity of the workers that a job may use; it
+// is zero when none is known.
+func (c *Core) largestAllowed(job *recordv1.JobSpec) spec.Resources {
+	service := c.serviceOf(job)
+	if service == nil || service.DataCentres == (policy.DataCentres{}) {
+		return c.largestKnown()
+	}
+	var out spec.Resources
+	for _, info := range c.infos {
+		if service.DataCentres.Allows(info.Worker.DataCentre) {
+			out = larger(out, info.Worker.Capacity)
+		}
+	}
+	for _, p := range c.peers {
+		if service.DataCentres.Allows(p.DataCentre) {
+			out = larger(out, p.Largest)
+		}
+	}
+	return out
+}
+
+// unlimited replaces the zeros of a limit, which mean no limit.
+func unlimited(limit spec.Resources) spec.Resources {
+	free := func(n int64) int64 {
+		if n == 0 {
+			return math.MaxInt64
+		}
+		return n
+	}
+	return spec.Resources{
+		MilliCPU:     free(limit.MilliCPU),
+		MemoryMiB:    free(limit.MemoryMiB),
+		Accelerators: free(limit.Accelerators),
+		Slots:        free(limit.Slots),
+		Connections:  free(limit.Connections),
+	}
+}
--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -25,7 +25,7 @@
 	largest  spec.Resources
 	entries  []spec.InstanceID
 	peers    []Peer
-	services []policy.Service
+	services map[serviceKey]*policy.Service
 
 	// owner is set while this instance owns the group and has had a right.
 	owner *owner
@@ -124,8 +124,7 @@
 	case SetWorkers:
 		c.onWorkers(e)
 	case SetServices:
-		c.services = e.Services
-		c.decider.Configure(c.now, e.Services)
+		c.onServices(e)
 	case SetEntries:
 		c.onEntries(e)
 	case SetPeers:
--- /dev/null
+++ b/internal/group/documents_test.go
@@ -0,0 +1,95 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+)
+
+// allow sets the data centres and the ceiling of the service "s" of the desk.
+func (l *lone) allow(ceiling spec.Resources, names ...string) {
+	l.step(SetServices{Services: []policy.Service{
+		{Team: "desk", ID: "s", Ceiling: ceiling, DataCentres: policy.NewDataCentres(names)},
+	}})
+}
+
+func serviceJob(name string, cores int64) *recordv1.JobSpec {
+	job := smallJob(name, 1, cores)
+	job.Service = "s"
+	return job
+}
+
+// Guards against a repeated submission that is taken for another job, is
+// refused, or changes the recorded job because the document has changed since.
+func TestRepeatMatchesAfterTheDocumentChanged(t *testing.T) {
+	c := qt.New(t)
+	l := newLone("rack1", 8)
+	l.pass(time.Second)
+	sent := smallJob("j", 1, 0)
+	l.step(Submit{Request: 1, Job: sent, Filled: smallJob("j", 1, 2)})
+	l.step(Submit{Request: 2, Job: sent, Filled: smallJob("j", 1, 4)})
+	l.step(Submit{Request: 3, Job: sent, Refusal: code.New(code.BadRequest, "the kind is gone")})
+	for request := Request(1); request <= 3; request++ {
+		c.Assert(l.replies[request].Code, qt.Equals, code.OK)
+		c.Assert(l.replies[request].Response.GetJob().GetPerTask().GetMilliCpu(), qt.Equals, int64(2000))
+	}
+	other := proto.CloneOf(sent)
+	other.Payload = []byte("x")
+	l.step(Submit{Request: 4, Job: other, Filled: smallJob("j", 1, 2)})
+	c.Assert(l.replies[4].Code, qt.Equals, code.JobConflict)
+	l.step(Submit{Request: 5, Job: smallJob("new", 1, 0), Refusal: code.New(code.BadRequest, "the kind is gone")})
+	c.Assert(l.replies[5].Code, qt.Equals, code.BadRequest)
+}
+
+// Guards against a job that waits in a group outside its data centres, that is
+// handed to a group outside of them, or that no group may ever run.
+func TestHandOffFollowsTheDataCentres(t *testing.T) {
+	c := qt.New(t)
+	large := spec.Resources{MilliCPU: 32000, MemoryMiB: 1000}
+	l := newLone("rack1", 8, Peer{Group: "rack2", Largest: large, DataCentre: "dc2"},
+		Peer{Group: "rack3", Largest: large, DataCentre: "dc3"}, Peer{Group: "rack4", Largest: large, DataCentre: "dc4"})
+	l.step(SetWorkers{Workers: []WorkerInfo{{Worker: spec.Worker{ID: "w", DataCentre: "dc1", Capacity: large}}}})
+	l.allow(spec.Resources{}, "dc4", "dc3")
+	l.pass(time.Second)
+	l.step(Submit{Request: 1, Job: serviceJob("j", 1)})
+	c.Assert(l.replies[1].Code, qt.Equals, code.OK)
+	l.pass(3 * time.Second)
+	c.Assert(len(l.handOffs) > 0, qt.IsTrue)
+	c.Assert(l.handOffs[0].Group, qt.Equals, spec.GroupID("rack4"))
+	l.allow(spec.Resources{}, "dc9")
+	l.step(Submit{Request: 2, Job: serviceJob("k", 1)})
+	c.Assert(l.replies[2].Code, qt.Equals, code.NeverRunnable)
+	c.Assert(l.replies[2].Response.GetDetail(), qt.Contains, "datacentre")
+}
+
+// Guards against accepted jobs whose trouble is not reported: the quota sinks
+// below one task, the decider calls a task overdue, or the outcome of a task is
+// unknown.
+func TestTroubles(t *testing.T) {
+	c := qt.New(t)
+	l := newLone("rack1", 8)
+	l.pass(time.Second)
+	job := serviceJob("j", 4)
+	job.Kind = "night"
+	l.step(Submit{Request: 1, Job: job})
+	l.pass(5 * time.Second)
+	c.Assert(l.core.Troubles(), qt.HasLen, 0)
+	want := Trouble{Job: spec.JobID{Team: "desk", Name: "j"}, Service: "s", Kind: "night"}
+	l.allow(spec.Resources{MilliCPU: 1000})
+	want.NeverRunnable = "milli_cpu"
+	c.Assert(l.core.Troubles(), qt.DeepEquals, []Trouble{want})
+	l.core.owner.overdue = map[spec.TaskID]bool{{Job: want.Job}: true}
+	want.Late = true
+	c.Assert(l.core.Troubles(), qt.DeepEquals, []Trouble{want})
+	t1 := &l.core.state().jobs[want.Job].tasks[0]
+	t1.finish(code.JobOutcomeUnknown)
+	c.Assert(l.core.Troubles()[0].UnknownOutcome, qt.IsTrue)
+}
--- a/internal/group/events.go
+++ b/internal/group/events.go
@@ -47,10 +47,14 @@
 	Code  code.Code
 }
 
-// Submit asks to accept a job.
+// Submit asks to accept a job. Job is what the caller sent; a repeat must send
+// the same. Filled is what is recorded, or nil for Job itself. Refusal, if
+// set, refuses the job unless it is known already.
 type Submit struct {
 	Request Request
 	Job     *recordv1.JobSpec
+	Filled  *recordv1.JobSpec
+	Refusal error
 	Actor   string
 }
 
@@ -124,9 +128,11 @@
 type SetEntries struct{ Entries []spec.InstanceID }
 
 // Peer is another group. Largest holds its largest worker in each dimension.
+// An empty DataCentre is unknown and counts as allowed.
 type Peer struct {
-	Group   spec.GroupID
-	Largest spec.Resources
+	Group      spec.GroupID
+	Largest    spec.Resources
+	DataCentre spec.DataCentre
 }
 
 // SetPeers replaces the groups to which a job can be handed off, in the order
--- a/internal/group/handoff.go
+++ b/internal/group/handoff.go
@@ -35,10 +35,11 @@
 	c.write("cannot be placed here", "", body, func(code.Code) { j.movePending = false })
 }
 
-// fitsHere reports whether an empty worker of the group could run a task.
+// fitsHere reports whether an empty worker of the group could run a task and
+// lies where the job may run.
 func (c *Core) fitsHere(j *job) bool {
 	for _, info := range c.infos {
-		if !info.Leaving && j.resources().Fits(info.Worker.Capacity) {
+		if !info.Leaving && j.resources().Fits(info.Worker.Capacity) && c.allows(j.spec, info.Worker.DataCentre) {
 			return true
 		}
 	}
@@ -46,11 +47,11 @@
 }
 
 // peerFor chooses the group that gets a job: the next one in order, by hop, of
-// those with a worker that is large enough.
+// those in an allowed data centre with a worker that is large enough.
 func (c *Core) peerFor(j *job) spec.GroupID {
 	var fitting []spec.GroupID
-	for _, p := range c.peers {
-		if p.Group != c.opts.Group && j.resources().Fits(p.Largest) {
+	for _, p := range c.preferred(j.spec) {
+		if p.Group != c.opts.Group && j.resources().Fits(p.Largest) && c.allows(j.spec, p.DataCentre) {
 			fitting = append(fitting, p.Group)
 		}
 	}
--- a/internal/group/jobs.go
+++ b/internal/group/jobs.go
@@ -54,12 +54,13 @@
 		pending.requests = append(pending.requests, e.Request)
 		return
 	}
-	if err := c.checkJob(e.Job); err != nil {
+	job, err := c.accepted(e)
+	if err != nil {
 		c.refuse(e.Request, err)
 		return
 	}
 	c.owner.submits[id] = &pendingSubmit{hash: hash, requests: []Request{e.Request}}
-	record := &recordv1.JobSubmitted{Job: e.Job, ContentHash: hash}
+	record := &recordv1.JobSubmitted{Job: job, ContentHash: hash}
 	body := &recordv1.GroupRecord{Kind: &recordv1.GroupRecord_JobSubmitted{JobSubmitted: record}}
 	c.write("submitted", e.Actor, body, func(reason code.Code) {
 		c.endSubmit(id, code.New(reason, "job %s", id))
@@ -129,9 +130,8 @@
 	case deadline != 0 && deadline <= c.opts.UnixMSAtZero+c.now.Milliseconds():
 		return code.New(code.DeadlinePast, "job %s", jobID(job.GetId()))
 	}
-	largest := c.largestKnown()
-	if dimension := need.FirstExceeded(largest); dimension != "" && !largest.IsZero() {
-		return code.New(code.NeverRunnable, "%s: a task needs more than the largest worker has", dimension)
+	if dimension := c.neverRunnable(job); dimension != "" {
+		return code.New(code.NeverRunnable, "%s: a task needs more than any worker and quota that it may use has", dimension)
 	}
 	return nil
 }
--- a/internal/group/view.go
+++ b/internal/group/view.go
@@ -75,6 +75,9 @@
 	}
 	for _, r := range c.decider.Explain(t.id()) {
 		out.Reasons = append(out.Reasons, fmt.Sprintf("%s: %s (%d workers)", r.Dimension, r.Detail, r.Workers))
+		out.Explanations = append(out.Explanations, &schedv1.TaskReason{
+			Dimension: r.Dimension, Workers: uint32(r.Workers), Detail: r.Detail,
+		})
 	}
 	return out
 }
--- a/internal/plugins/all/all.go
+++ b/internal/plugins/all/all.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "redwingvale/internal/plugins/accelerators"
+	_ "redwingvale/internal/plugins/datacentre"
 	_ "redwingvale/internal/plugins/fit"
 	_ "redwingvale/internal/plugins/headroom"
 	_ "redwingvale/internal/plugins/health"
--- /dev/null
+++ b/internal/plugins/datacentre/datacentre.go
@@ -0,0 +1,57 @@
+// Package datacentre keeps new tasks of a service out of the data centres that
+// its document does not list. Running tasks stay where they are.
+package datacentre
+
+import (
+	"redwingvale/internal/framework"
+	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
+)
+
+// Name is the name of the plug-in.
+const Name = "datacentre"
+
+func init() { framework.Register(Name, New) }
+
+// serviceKey names a service. Two teams may use the same service name.
+type serviceKey struct {
+	team    spec.TeamID
+	service spec.ServiceID
+}
+
+// Plugin implements filter.
+type Plugin struct {
+	allowed map[serviceKey]*policy.DataCentres
+}
+
+var (
+	_ framework.Filterer     = (*Plugin)(nil)
+	_ framework.Configurable = (*Plugin)(nil)
+)
+
+// New returns the plug-in.
+func New(framework.Config) framework.Plugin {
+	return &Plugin{allowed: map[serviceKey]*policy.DataCentres{}}
+}
+
+// Name implements framework.Plugin.
+func (*Plugin) Name() string { return Name }
+
+// Configured takes the data centres of all services in.
+func (p *Plugin) Configured(c *framework.Cluster) {
+	p.allowed = make(map[serviceKey]*policy.DataCentres, len(c.Services))
+	for i := range c.Services {
+		s := &c.Services[i]
+		p.allowed[serviceKey{s.Team, s.ID}] = &s.DataCentres
+	}
+}
+
+// Filter refuses a worker in a data centre that the document does not list. A
+// service without a document may run everywhere.
+func (p *Plugin) Filter(_ *framework.Cluster, t *framework.Item, w *framework.Worker) framework.Status {
+	allowed := p.allowed[serviceKey{t.ID.Job.Team, t.Service}]
+	if allowed == nil || allowed.Allows(w.DataCentre) {
+		return framework.Status{}
+	}
+	return framework.RefuseForGood(Name, "the service's document does not allow the worker's data centre")
+}
--- a/internal/plugins/quota/quota.go
+++ b/internal/plugins/quota/quota.go
@@ -6,9 +6,12 @@
 //
 //	use_d + declared_d <= quota_d for each dimension d with a quota
 //
-// is admitted. Any other task borrows. It is admitted while no task within
-// quota waits for a dimension that the borrower would use, and after it has
-// waited 5 minutes in any case.
+// is admitted. Any other task borrows, at most up to the team's ceiling:
+//
+//	use_d + declared_d <= ceiling_d for each dimension d with a ceiling
+//
+// It is admitted while no task within quota waits for a dimension that the
+// borrower would use, and after it has waited 5 minutes in any case.
 //
 // Give-back: when a task within quota has waited 10 s for room, borrowed tasks
 // are moved from the worker where this loses the least work.
@@ -44,7 +47,9 @@
 // account is the quota and the use of one team.
 type account struct {
 	quota spec.Resources
-	used  spec.Resources
+	// ceiling is the quota with the largest borrowed amount.
+	ceiling spec.Resources
+	used    spec.Resources
 }
 
 // Plugin implements admit, order and reserve, and takes back at reviews.
@@ -80,10 +85,12 @@
 func (p *Plugin) Configured(c *framework.Cluster) {
 	for _, a := range p.teams {
 		a.quota = spec.Resources{}
+		a.ceiling = spec.Resources{}
 	}
 	for _, s := range c.Services {
 		a := p.of(s.Team)
 		a.quota = larger(a.quota, s.Quota)
+		a.ceiling = larger(a.ceiling, s.Ceiling)
 	}
 }
 
@@ -92,6 +99,9 @@
 	if p.within(t) {
 		return framework.Status{}
 	}
+	if !within(p.of(t.ID.Job.Team).used.Add(t.Resources), p.of(t.ID.Job.Team).ceiling) {
+		return framework.Refuse(Name, "the team uses its quota and all that it may borrow", framework.QuotaFreed|framework.Reconfigured)
+	}
 	t.Borrowed = true
 	if c.Now-t.Submitted >= BorrowWait || !overlaps(t.Need, p.waitingFor(c)) {
 		return framework.Status{}
@@ -184,12 +194,16 @@
 
 // covers reports whether the quota covers the use and more.
 func (a *account) covers(more spec.Resources) bool {
-	after := a.used.Add(more)
-	return inDimension(after.MilliCPU, a.quota.MilliCPU) &&
-		inDimension(after.MemoryMiB, a.quota.MemoryMiB) &&
-		inDimension(after.Accelerators, a.quota.Accelerators) &&
-		inDimension(after.Slots, a.quota.Slots) &&
-		inDimension(after.Connections, a.quota.Connections)
+	return within(a.used.Add(more), a.quota)
+}
+
+// within reports whether a use is within a limit in each dimension.
+func within(use, limit spec.Resources) bool {
+	return inDimension(use.MilliCPU, limit.MilliCPU) &&
+		inDimension(use.MemoryMiB, limit.MemoryMiB) &&
+		inDimension(use.Accelerators, limit.Accelerators) &&
+		inDimension(use.Slots, limit.Slots) &&
+		inDimension(use.Connections, limit.Connections)
 }
 
 // inDimension reports whether used is within a quota; 0 means no limit.
--- a/internal/plugins/quota/quota_test.go
+++ b/internal/plugins/quota/quota_test.go
@@ -103,3 +103,20 @@
 	c.Assert(started > 0, qt.IsTrue)
 	c.Assert(started <= quota.BorrowWait+time.Minute, qt.IsTrue)
 }
+
+// Guards against a team that borrows beyond its ceiling, however long its task
+// has waited, and against one that stays parked when its ceiling rises.
+func TestNobodyBorrowsBeyondTheCeiling(t *testing.T) {
+	c := qt.New(t)
+	k := newKernel(c)
+	services := func(ceiling int64) []policy.Service {
+		return []policy.Service{{Team: "a", ID: "a", Quota: one.Scale(4), Ceiling: one.Scale(ceiling)}}
+	}
+	k.Configure(0, services(6))
+	enqueue(k, 0, "a", 0, 8)
+	c.Assert(k.Schedule(0, 10), qt.HasLen, 6)
+	now := quota.BorrowWait + time.Minute
+	c.Assert(k.Schedule(now, 10), qt.HasLen, 0)
+	k.Configure(now, services(7))
+	c.Assert(k.Schedule(now, 10), qt.HasLen, 1)
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -106,6 +106,10 @@
 	ID   spec.ServiceID
 	// Quota is what the team may use without borrowing; zero means no limit.
 	Quota spec.Resources
+	// Ceiling is what the team may use with borrowing; zero means no limit.
+	Ceiling spec.Resources
+	// DataCentres are where new tasks may be placed; none means everywhere.
+	DataCentres DataCentres
 	// TailWeight and EvictionWeight weigh tail latency against evictions.
 	TailWeight     float64
 	EvictionWeight float64
--- a/internal/sched/alarms.go
+++ b/internal/sched/alarms.go
@@ -6,7 +6,6 @@
 	"go.uber.org/zap"
 
 	"redwingvale/internal/alarm"
-	"redwingvale/internal/ownership"
 )
 
 // alarmPeriod is the time between two readings for the alarm rules.
@@ -55,19 +54,16 @@
 			ClockRatePPM: clockRatePPM,
 		},
 	}
-	if age, known := d.config.SnapshotAge(now); known {
-		out.Log.SnapshotAge = age
-	}
+	out.Log.SnapshotAge, _ = d.oldestSnapshot(now)
+	out.Jobs = d.jobReadings()
+	out.Clocks = d.clocks.readings(now)
+	out.Config = d.configReadings(now)
 	for _, owner := range d.ownership.Owners() {
 		out.Groups = append(out.Groups, d.groupReading(owner))
 	}
 	return out
 }
 
-func (d *decision) groupReading(owner ownership.Owner) alarm.GroupReading {
-	return alarm.GroupReading{ID: string(owner.Group), Owned: owner.Owner != ""}
-}
-
 // votersReading counts the voters that answered a heartbeat lately.
 func (d *decision) votersReading(now time.Duration) alarm.VotersReading {
 	var out alarm.VotersReading
--- a/internal/sched/configuration.go
+++ b/internal/sched/configuration.go
@@ -47,6 +47,9 @@
 }
 
 func (d *decision) onConfigChanged(now time.Duration) {
+	if d.configRead {
+		d.publishDocuments()
+	}
 	services := d.policyServices()
 	for _, g := range d.sortedGroups() {
 		d.stepGroup(now, g, group.SetServices{Services: services})
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -39,6 +39,15 @@
 	// offsets holds the configuration that each member reported.
 	offsets map[string]heardOffset
 
+	// lags, clocks, knownMembers and removals serve alarms and operators.
+	lags         *lagBook
+	clocks       *clockBook
+	knownMembers map[string]uint64
+	removals     map[spec.InstanceID]operatorWord
+
+	// configRead states that a read has reached the tail of the config stream.
+	configRead bool
+
 	lastLogTail   time.Duration
 	lastAlarmStep time.Duration
 	journalFull   bool
@@ -71,6 +80,11 @@
 		tokens:     make(map[uint64]pendingWrite),
 		heartbeats: make(map[uint64]chan<- *schedv1.HeartbeatResponse),
 		offsets:    make(map[string]heardOffset),
+
+		lags:         newLagBook(),
+		clocks:       newClockBook(),
+		knownMembers: make(map[string]uint64),
+		removals:     make(map[spec.InstanceID]operatorWord),
 	}
 }
 
@@ -159,6 +173,8 @@
 		d.stepGroup(now, g, failed)
 		return
 	}
+	sample := clockSample{reading: e.report.Clock, from: e.sentAt, to: e.receivedAt}
+	d.clocks.note(e.report.Worker, e.report.Boot, sample)
 	d.stepGroup(now, g, group.WorkerAnswered{
 		Serial:     e.call.send.Serial,
 		Report:     &e.report,
--- /dev/null
+++ b/internal/sched/explain_worker.go
@@ -0,0 +1,167 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/group"
+	"redwingvale/internal/spec"
+
+	operatorv1 "redwingvale/internal/gen/redwingvale/operator/v1"
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
+	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+)
+
+// explainWorker states what the instance list and the owner know of a worker.
+func (s *Sched) explainWorker(ctx context.Context, id string) (*operatorv1.ExplainResponse, error) {
+	for _, listed := range s.view.current.Load().GetWorkers() {
+		if listed.GetId() != id {
+			continue
+		}
+		detail, err := s.askWorker(ctx, spec.GroupID(listed.GetGroup()), id)
+		out := workerExplanation(listed, detail, err)
+		out.Owner = s.ownerName(spec.GroupID(listed.GetGroup()))
+		return out, nil
+	}
+	return nil, code.New(code.UnknownResource, "the instance list has no worker %s", id)
+}
+
+// askWorker asks the owner of the worker's group, which may be this instance.
+func (s *Sched) askWorker(ctx context.Context, id spec.GroupID, worker string) (*schedv1.ExplainWorkerResponse, error) {
+	request := connect.NewRequest(&schedv1.ExplainWorkerRequest{Worker: worker})
+	addr, own := s.ownerOf(id)
+	var answer *connect.Response[schedv1.ExplainWorkerResponse]
+	var err error
+	switch {
+	case own:
+		answer, err = s.ExplainWorker(ctx, request)
+	case addr == "":
+		return nil, code.New(code.OwnerUnknown, "group %s has no owner", id)
+	default:
+		answer, err = s.clients.Peer(addr).ExplainWorker(ctx, request)
+	}
+	if err != nil {
+		return nil, code.New(code.OwnerUnknown, "the owner does not answer")
+	}
+	if !answer.Msg.GetOwned() {
+		return nil, code.New(code.NotOwner, "the owner does not decide at the moment")
+	}
+	return answer.Msg, nil
+}
+
+// ExplainWorker implements the PeerService.
+func (s *Sched) ExplainWorker(ctx context.Context, call *connect.Request[schedv1.ExplainWorkerRequest]) (*connect.Response[schedv1.ExplainWorkerResponse], error) {
+	out := &schedv1.ExplainWorkerResponse{}
+	id := spec.WorkerID(call.Msg.GetWorker())
+	err := s.inDecision(ctx, func(d *decision) {
+		for _, g := range d.sortedGroups() {
+			if detail, ok := g.core.Worker(id); ok {
+				out = workerRecord(detail)
+				out.QuarantineReason = g.verdicts[id]
+			}
+		}
+	})
+	return connect.NewResponse(out), err
+}
+
+func workerRecord(detail group.WorkerDetail) *schedv1.ExplainWorkerResponse {
+	out := &schedv1.ExplainWorkerResponse{
+		Owned:       true,
+		Quarantined: detail.Quarantined,
+		Answering:   detail.Answering,
+		Capacity:    resourcesRecord(detail.Capacity),
+		Reserved:    resourcesRecord(detail.Reserved),
+		Granted:     resourcesRecord(detail.Granted),
+	}
+	for _, task := range detail.Tasks {
+		out.Tasks = append(out.Tasks, &schedv1.WorkerTask{
+			Job:             &recordv1.JobRef{Team: string(task.Task.Job.Team), Name: task.Task.Job.Name},
+			Index:           task.Task.Index,
+			State:           task.State,
+			Attempt:         uint32(task.Attempt),
+			Moves:           task.Moves,
+			Reserved:        resourcesRecord(task.Reserved),
+			ThrottlePercent: uint32(task.ThrottlePercent),
+		})
+	}
+	return out
+}
+
+// workerExplanation joins what the list and the owner say. problem states why
+// the owner said nothing.
+func workerExplanation(listed *schedv1.WorkerView, detail *schedv1.ExplainWorkerResponse, problem error) *operatorv1.ExplainResponse {
+	out := &operatorv1.ExplainResponse{
+		Subject: listed.GetId(),
+		Group:   listed.GetGroup(),
+		State:   workerState(listed, detail),
+	}
+	if problem != nil {
+		out.Detail = fmt.Sprintf("capacity %s; reservations are not known: %s", amounts(listed.GetCapacity()), detailOf(problem))
+		return out
+	}
+	out.Detail = fmt.Sprintf("capacity %s; reserved %s; granted %s",
+		amounts(detail.GetCapacity()), amounts(detail.GetReserved()), amounts(detail.GetGranted()))
+	if detail.GetQuarantineReason() != "" {
+		out.Detail += "; in quarantine because " + detail.GetQuarantineReason()
+	}
+	for _, task := range detail.GetTasks() {
+		out.Items = append(out.Items, explainWorkerTask(listed.GetId(), task))
+	}
+	return out
+}
+
+func workerState(listed *schedv1.WorkerView, detail *schedv1.ExplainWorkerResponse) string {
+	switch {
+	case listed.GetLeaving():
+		return "leaving"
+	case detail.GetQuarantined():
+		return "quarantined"
+	case detail != nil && !detail.GetAnswering():
+		return "silent"
+	default:
+		return "live"
+	}
+}
+
+func explainWorkerTask(worker string, task *schedv1.WorkerTask) *operatorv1.Explanation {
+	out := &operatorv1.Explanation{
+		Subject: spec.TaskID{Job: jobID(task.GetJob()), Index: task.GetIndex()}.String(),
+		State:   task.GetState(),
+		Worker:  worker,
+		Attempt: task.GetAttempt(),
+		Moves:   task.GetMoves(),
+		Reasons: []*operatorv1.ExplainReason{{Dimension: "reserved", Detail: amounts(task.GetReserved())}},
+	}
+	if percent := task.GetThrottlePercent(); percent > 0 && percent < 100 {
+		detail := fmt.Sprintf("to %d%% of the processors", percent)
+		out.Reasons = append(out.Reasons, &operatorv1.ExplainReason{Dimension: "throttled", Detail: detail})
+	}
+	return out
+}
+
+// amounts lists the dimensions that are not zero.
+func amounts(r *recordv1.Resources) string {
+	var parts []string
+	for _, each := range []struct {
+		dimension spec.Dimension
+		amount    int64
+	}{
+		{spec.MilliCPU, r.GetMilliCpu()},
+		{spec.MemoryMiB, r.GetMemoryMib()},
+		{spec.Accelerators, r.GetAccelerators()},
+		{spec.Slots, r.GetSlots()},
+		{spec.Connections, r.GetConnections()},
+	} {
+		if each.amount != 0 {
+			parts = append(parts, fmt.Sprintf("%s=%d", each.dimension, each.amount))
+		}
+	}
+	if len(parts) == 0 {
+		return "nothing"
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/sched/groups.go
+++ b/internal/sched/groups.go
@@ -13,6 +13,8 @@
 	"redwingvale/internal/ownership"
 	"redwingvale/internal/platform"
 	"redwingvale/internal/spec"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
 // followedGroup is a group whose stream this instance reads, as owner or as
@@ -23,12 +25,25 @@
 	right  ownership.Right
 	atTail bool
 	stop   context.CancelFunc
+	// verdicts holds why workers are in quarantine, as the log states it.
+	verdicts map[spec.WorkerID]string
+}
+
+// noteVerdict keeps the reason of a verdict on a worker.
+func (g *followedGroup) noteVerdict(envelope *recordv1.Envelope) {
+	verdict := envelope.GetGroup().GetWorkerVerdict()
+	id := spec.WorkerID(verdict.GetWorker())
+	if verdict.GetQuarantined() {
+		g.verdicts[id] = envelope.GetWhy()
+	} else {
+		delete(g.verdicts, id)
+	}
 }
 
 // follow starts to read a group's stream from its first record that is kept.
 func (d *decision) follow(now time.Duration, id spec.GroupID) {
 	ctx, stop := context.WithCancel(d.ctx)
-	g := &followedGroup{id: id, core: d.newGroupCore(id), stop: stop}
+	g := &followedGroup{id: id, core: d.newGroupCore(id), stop: stop, verdicts: make(map[spec.WorkerID]string)}
 	d.groups[id] = g
 	d.sched.startReader(ctx, platform.GroupStream(id))
 	d.stepGroup(now, g, group.SetServices{Services: d.policyServices()})
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -74,9 +74,9 @@
 
 // submitOne submits a job that is kept as one part. It first looks for it in
 // every group that may have been its home, so that a repeat cannot start it
-// twice.
-func (s *Sched) submitOne(ctx context.Context, job *recordv1.JobSpec) (*schedv1.JobResponse, error) {
-	request := &schedv1.SubmitJobRequest{Job: job}
+// twice. filled is what is recorded, or nil for the owner to fill in.
+func (s *Sched) submitOne(ctx context.Context, job, filled *recordv1.JobSpec) (*schedv1.JobResponse, error) {
+	request := &schedv1.SubmitJobRequest{Job: job, Filled: filled}
 	homes := s.homes(jobID(job.GetId()))
 	if len(homes) == 0 {
 		return nil, code.New(code.OwnerUnknown, "no worker group is known yet")
@@ -109,15 +109,28 @@
 	case addr == "":
 		return nil, code.New(code.OwnerUnknown, "group %s", id)
 	}
-	forwarded := &schedv1.SubmitJobRequest{Job: request.GetJob(), Forwarded: true, Group: string(id)}
+	forwarded := &schedv1.SubmitJobRequest{
+		Job:       request.GetJob(),
+		Filled:    request.GetFilled(),
+		Forwarded: true,
+		Group:     string(id),
+	}
 	answer, err := s.clients.Sched(addr).SubmitJob(ctx, connect.NewRequest(forwarded))
 	return s.forwarded(answer, err, code.AcceptanceUnsure)
 }
 
 func (s *Sched) submitHere(ctx context.Context, id spec.GroupID, request *schedv1.SubmitJobRequest) (*schedv1.JobResponse, error) {
-	actor := request.GetJob().GetId().GetTeam()
+	submit := group.Submit{
+		Job:    request.GetJob(),
+		Filled: request.GetFilled(),
+		Actor:  request.GetJob().GetId().GetTeam(),
+	}
+	if submit.Filled == nil {
+		submit.Filled, submit.Refusal = s.complete(submit.Job)
+	}
 	reply, err := s.ask(ctx, code.AcceptanceUnsure, func(r group.Request) event {
-		return groupEvent{group: id, request: r, event: group.Submit{Request: r, Job: request.GetJob(), Actor: actor}}
+		submit.Request = r
+		return groupEvent{group: id, request: r, event: submit}
 	})
 	return reply.Response, replyError(reply, err)
 }
--- a/internal/sched/operate.go
+++ b/internal/sched/operate.go
@@ -40,6 +40,9 @@
 	return out, err
 }
 
+// unknownAgeMS stands for an age that is not known.
+const unknownAgeMS = -1
+
 func (d *decision) status(now time.Duration) *operatorv1.StatusResponse {
 	s := d.sched
 	out := &operatorv1.StatusResponse{
@@ -60,6 +63,10 @@
 	voters := d.votersReading(now)
 	out.Majority = voters.Reachable*2 > voters.Voters
 	out.Members = d.memberStatuses(now)
+	out.Log.OldestSnapshotMs = unknownAgeMS
+	if age, known := d.oldestSnapshot(now); known {
+		out.Log.OldestSnapshotMs = age.Milliseconds()
+	}
 	for _, owner := range d.ownership.Owners() {
 		out.Groups = append(out.Groups, d.groupStatus(now, owner))
 	}
@@ -128,10 +135,12 @@
 		Epoch:   uint64(owner.Epoch),
 		Workers: uint32(len(d.workers.inGroup(owner.Group))),
 	}
-	g, followed := d.groups[owner.Group]
-	if !followed || string(owner.Owner) != d.sched.config.Instance {
+	g := d.ownGroup(owner)
+	if g == nil {
 		return out
 	}
+	_, quarantined := g.core.Health()
+	out.Quarantined = uint32(quarantined)
 	summary := g.core.Summary()
 	out.Deciding = g.right.Until > now
 	out.WaitingTasks = uint32(summary.Waiting)
@@ -197,6 +206,7 @@
 // is done.
 func (s *Sched) Drain(_ context.Context, actor, reason string) (*operatorv1.DrainResponse, error) {
 	s.log.Info("drain_requested", zap.String("actor", actor), zap.String("reason", reason))
+	s.drainWord.CompareAndSwap(nil, &operatorWord{actor: actor, reason: reason})
 	if s.draining.CompareAndSwap(false, true) {
 		s.drainOnce.Do(func() { close(s.drainWanted) })
 	}
@@ -227,44 +237,6 @@
 	return connect.NewResponse(&schedv1.StopInstanceResponse{}), nil
 }
 
-// removePollPeriod is how often a removal is looked for in the membership.
-const removePollPeriod = 100 * time.Millisecond
-
-// RemoveMember implements operator.Source.
-func (s *Sched) RemoveMember(ctx context.Context, req *operatorv1.RemoveMemberRequest) (*operatorv1.RemoveMemberResponse, error) {
-	s.log.Info("remove_member_requested", zap.String("instance", req.GetInstance()), zap.String("actor", req.GetActor()), zap.String("reason", req.GetReason()))
-	for ctx.Err() == nil {
-		version, present := uint64(0), false
-		err := s.inDecision(ctx, func(d *decision) {
-			version = d.ownership.VotersVersion()
-			present = d.hasMember(req)
-			if present && req.GetForced() {
-				d.stepOwnership(s.now(), ownership.ForceRemove{Instance: spec.InstanceID(req.GetInstance())})
-			}
-		})
-		if err != nil {
-			return nil, err
-		}
-		if !present {
-			return &operatorv1.RemoveMemberResponse{VotersVersion: version}, nil
-		}
-		if !req.GetForced() {
-			return nil, code.New(code.BadRequest, "%s is still a member; a dead member is removed by itself, or with -forced when no majority is left", req.GetInstance())
-		}
-		pause(ctx, removePollPeriod)
-	}
-	return nil, code.New(code.AcceptanceUnsure, "the removal was not read back in time")
-}
-
-func (d *decision) hasMember(req *operatorv1.RemoveMemberRequest) bool {
-	for _, member := range d.ownership.Members() {
-		if member.GetInstance() == req.GetInstance() && member.GetIncarnation() == req.GetIncarnation() {
-			return true
-		}
-	}
-	return false
-}
-
 // Services implements operator.Source.
 func (s *Sched) Services(ctx context.Context, team string, withDocuments bool) (*operatorv1.ListServicesResponse, error) {
 	out := &operatorv1.ListServicesResponse{}
--- a/internal/sched/owning.go
+++ b/internal/sched/owning.go
@@ -56,6 +56,7 @@
 		Why:  out.Why,
 		Body: &recordv1.Envelope_Members{Members: out.Record},
 	}
+	d.signMembers(out, envelope)
 	d.write(now, envelope, pendingWrite{stream: platform.MembersStream}, true)
 }
 
@@ -115,6 +116,7 @@
 
 // onOwnersChanged refreshes what depends on members and owners.
 func (d *decision) onOwnersChanged(now time.Duration) {
+	d.noteMembers()
 	entries := d.activeEntries()
 	for _, g := range d.sortedGroups() {
 		d.stepGroup(now, g, group.SetEntries{Entries: entries})
--- a/internal/sched/parts.go
+++ b/internal/sched/parts.go
@@ -68,16 +68,23 @@
 	}
 	parts := divide(job)
 	responses := make([]*schedv1.JobResponse, len(parts))
-	first, err := s.submitOne(ctx, parts[0])
+	first, err := s.submitOne(ctx, parts[0], nil)
 	if err != nil {
 		return nil, err
 	}
 	responses[0] = first
+	if len(parts) == 1 {
+		return first, nil
+	}
+	recorded, err := s.recordedOf(ctx, first, parts[0])
+	if err != nil {
+		return nil, code.New(code.AcceptanceUnsure, "accepted in part, repeat with the same id: %s", detailOf(err))
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(partCalls)
 	for i := 1; i < len(parts); i++ {
 		group.Go(func() error {
-			response, err := s.submitOne(ctx, parts[i])
+			response, err := s.submitOne(ctx, parts[i], fillFrom(recorded, parts[i]))
 			responses[i] = response
 			return err
 		})
@@ -88,6 +95,16 @@
 	return join(responses), nil
 }
 
+// recordedOf returns the recorded job of an accepted first part. A group that
+// has handed the part off may no longer have it; the next group is asked then.
+func (s *Sched) recordedOf(ctx context.Context, first *schedv1.JobResponse, part *recordv1.JobSpec) (*recordv1.JobSpec, error) {
+	if first.GetJob().GetTasks() > 0 {
+		return first.GetJob(), nil
+	}
+	found, err := s.find(ctx, part.GetId())
+	return found.GetJob(), err
+}
+
 // findWhole returns the state of a job over all of its parts.
 func (s *Sched) findWhole(ctx context.Context, ref *recordv1.JobRef) (*schedv1.JobResponse, error) {
 	first, err := s.find(ctx, ref)
--- /dev/null
+++ b/internal/sched/readings_test.go
@@ -0,0 +1,127 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/alarm"
+	"redwingvale/internal/config"
+	"redwingvale/internal/group"
+	"redwingvale/internal/spec"
+)
+
+// raisedOver steps the alarm core with one reading a second and returns when
+// the cause was raised first, or -1.
+func raisedOver(length time.Duration, cause alarm.Cause, read func(now time.Duration) alarm.Reading) (time.Duration, alarm.Alarm) {
+	core := alarm.NewCore()
+	for now := time.Duration(0); now <= length; now += time.Second {
+		reading := read(now)
+		reading.Log.Reachable = true
+		reading.Settings = alarm.Settings{Retention: time.Hour, ClockRatePPM: clockRatePPM}
+		for _, effect := range core.Step(now, reading) {
+			if raised, ok := effect.(alarm.Raised); ok && raised.Alarm.Cause == cause {
+				return now, raised.Alarm
+			}
+		}
+	}
+	return -1, alarm.Alarm{}
+}
+
+// clockReadings measures a clock of a given rate over calls of random delay.
+func clockReadings(rate float64) func(now time.Duration) alarm.Reading {
+	book := newClockBook()
+	random := rand.New(rand.NewPCG(1, 2))
+	return func(now time.Duration) alarm.Reading {
+		before := time.Duration(random.Int64N(int64(30 * time.Millisecond)))
+		after := time.Duration(random.Int64N(int64(30 * time.Millisecond)))
+		taken := now + before
+		reading := time.Hour + time.Duration(float64(taken)*rate)
+		book.note("w", "boot", clockSample{reading: reading, from: now, to: taken + after})
+		return alarm.Reading{Clocks: book.readings(now)}
+	}
+}
+
+// Guards against a clock outside the bound that is not noticed, in either
+// direction, and against delays on the way that count as a rate.
+func TestClockRateRaisesItsAlarm(t *testing.T) {
+	c := qt.New(t)
+	for _, rate := range []float64{1.003, 0.997} {
+		at, raised := raisedOver(10*time.Minute, alarm.ClockRate, clockReadings(rate))
+		c.Check(at >= 3*time.Minute && at <= 4*time.Minute, qt.IsTrue, qt.Commentf("raised at %s", at))
+		c.Check(raised.Subject, qt.Equals, "w")
+	}
+	at, _ := raisedOver(30*time.Minute, alarm.ClockRate, clockReadings(1.0009))
+	c.Check(at, qt.Equals, time.Duration(-1))
+}
+
+// Guards against a clock that is judged after its worker has restarted with a
+// new one, or has gone.
+func TestClockOfAnotherBootIsAnother(t *testing.T) {
+	c := qt.New(t)
+	book := newClockBook()
+	second := func(n int) clockSample {
+		at := time.Duration(n) * time.Second
+		return clockSample{reading: at, from: at, to: at}
+	}
+	book.note("w", "a", second(0))
+	late := second(70)
+	late.reading = 0
+	book.note("w", "b", late)
+	c.Assert(book.readings(late.to), qt.DeepEquals, []alarm.ClockReading{{ID: "w"}})
+	c.Assert(book.readings(late.to+clockGone+1), qt.HasLen, 0)
+}
+
+// Guards against a member that lags unnoticed, and against an alarm about a
+// member that follows frequent changes a few seconds behind.
+func TestLagRaisesItsAlarm(t *testing.T) {
+	c := qt.New(t)
+	lagging := func(delay time.Duration) func(time.Duration) alarm.Reading {
+		book := newLagBook()
+		return func(now time.Duration) alarm.Reading {
+			ours, theirs := int64(now/time.Second), int64((now-delay)/time.Second)
+			behind := book.behind(now, "e2", theirs, ours)
+			return alarm.Reading{Config: []alarm.ConfigReading{{Instance: "e2", Behind: behind, Heard: true}}}
+		}
+	}
+	at, _ := raisedOver(30*time.Minute, alarm.ConfigLagging, lagging(5*time.Second))
+	c.Assert(at, qt.Equals, time.Duration(-1))
+	at, raised := raisedOver(30*time.Minute, alarm.ConfigLagging, lagging(time.Hour))
+	c.Assert(at >= 71*time.Second && at <= 75*time.Second, qt.IsTrue, qt.Commentf("raised at %s", at))
+	c.Assert(raised.Subject, qt.Equals, "e2")
+}
+
+// Guards against a job in trouble that raises nothing, the wrong alarm, one
+// alarm for each of its parts, or a ticket where its document asks for a page.
+func TestJobsRaiseTheirAlarms(t *testing.T) {
+	c := qt.New(t)
+	documents := documentIndex{config.Key{Team: "desk", Service: "drafts"}: nightDoc(c)}
+	job := func(kind string) group.Trouble {
+		id := spec.JobID{Team: "desk", Name: "j.part-3"}
+		return group.Trouble{Job: id, Service: "drafts", Kind: kind}
+	}
+	late, stuck, lost, watcher := job("revision"), job("revision"), job("revision"), job("watcher")
+	late.Late = true
+	stuck.NeverRunnable = "slots"
+	lost.UnknownOutcome, watcher.UnknownOutcome = true, true
+	for _, test := range []struct {
+		trouble  group.Trouble
+		cause    alarm.Cause
+		due      time.Duration
+		severity alarm.Severity
+	}{
+		{late, alarm.DeadlineMissed, 5 * time.Minute, alarm.Page},
+		{stuck, alarm.NeverRunnable, time.Minute, alarm.Ticket},
+		{lost, alarm.OutcomeUnknown, 0, alarm.Page},
+		{watcher, alarm.OutcomeUnknown, 0, alarm.Ticket},
+	} {
+		at, raised := raisedOver(10*time.Minute, test.cause, func(time.Duration) alarm.Reading {
+			return alarm.Reading{Jobs: []alarm.JobReading{jobReading(&documents, test.trouble)}}
+		})
+		c.Check(at, qt.Equals, test.due)
+		c.Check(raised.Subject, qt.Equals, "desk/j")
+		c.Check(raised.Severity, qt.Equals, test.severity)
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -60,6 +60,7 @@
 	jobChanges *jobChanges
 	view       *sharedView
 	clients    *Clients
+	documents  atomic.Pointer[documentIndex]
 	appender   *journal.Appender
 	calls      *workerCalls
 	heartbeats *heartbeats
@@ -74,6 +75,8 @@
 	// drainWanted is closed when an operator asks for a planned stop.
 	drainWanted chan struct{}
 	drainOnce   sync.Once
+	// drainWord is the operator behind a planned stop, or nil.
+	drainWord atomic.Pointer[operatorWord]
 }
 
 // New returns an rwsched that does not run yet.
--- a/internal/sched/streams.go
+++ b/internal/sched/streams.go
@@ -65,6 +65,9 @@
 	for _, record := range batch.Records {
 		d.stepGroup(now, g, group.RecordRead{Offset: record.Offset, Envelope: record.Envelope, Fresh: g.atTail})
 		void := g.core.LastVerdict() == fence.Void
+		if !void && record.Envelope.GetGroup().GetWorkerVerdict() != nil {
+			g.noteVerdict(record.Envelope)
+		}
 		d.stepWriter(now, journal.RecordRead{
 			Stream:   batch.Stream,
 			Offset:   record.Offset,
@@ -110,6 +113,10 @@
 			Envelope: envelope,
 		})
 	}
+	if e.result.AtTail && !d.configRead {
+		d.configRead = true
+		d.publishDocuments()
+	}
 }
 
 // pause waits for d or until ctx ends.
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -124,7 +124,7 @@
 	}
 	var near, far []group.Peer
 	for _, g := range groups {
-		peer := group.Peer{Group: g.ID, Largest: largestOf(d.workers.inGroup(g.ID))}
+		peer := group.Peer{Group: g.ID, Largest: largestOf(d.workers.inGroup(g.ID)), DataCentre: g.DataCentre}
 		switch {
 		case g.ID == id:
 		case g.DataCentre == own:
