--- a/internal/sched/alarms.go
+++ b/internal/sched/alarms.go
@@ -47,7 +47,7 @@
 func (d *decision) reading(now time.Duration) alarm.Reading {
 	out := alarm.Reading{
 		Log:     alarm.LogReading{Reachable: now-d.lastLogTail <= logReachableFor},
-		Journal: alarm.JournalReading{Full: d.journalFull},
+		Journal: d.journalReading(),
 		Voters:  d.votersReading(now),
 		Settings: alarm.Settings{
 			Retention:    milliseconds(d.sched.config.LogRetentionS * 1000),
--- a/internal/sched/readings.go
+++ b/internal/sched/readings.go
@@ -17,6 +17,17 @@
 	return d.groups[owner.Group]
 }
 
+// ownGroups returns the groups that this instance owns, by id.
+func (d *decision) ownGroups() []*followedGroup {
+	var out []*followedGroup
+	for _, owner := range d.ownership.Owners() {
+		if g := d.ownGroup(owner); g != nil {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 func (d *decision) groupReading(owner ownership.Owner) alarm.GroupReading {
 	out := alarm.GroupReading{ID: string(owner.Group), Owned: owner.Owner != ""}
 	if g := d.ownGroup(owner); g != nil {
@@ -28,11 +39,7 @@
 // jobReadings lists the jobs of the own groups that are in trouble.
 func (d *decision) jobReadings() []alarm.JobReading {
 	var out []alarm.JobReading
-	for _, owner := range d.ownership.Owners() {
-		g := d.ownGroup(owner)
-		if g == nil {
-			continue
-		}
+	for _, g := range d.ownGroups() {
 		for _, trouble := range g.core.Troubles() {
 			out = append(out, jobReading(d.sched.documents.Load(), trouble))
 		}
@@ -63,15 +70,15 @@
 // oldestSnapshot returns the age of the oldest of the newest snapshots that
 // this instance must repeat, and whether one has a known age.
 func (d *decision) oldestSnapshot(now time.Duration) (time.Duration, bool) {
-	oldest, known := d.config.SnapshotAge(now)
-	if !known {
-		oldest = 0
+	oldest, known := oldestOf(now, d.ownGroups())
+	if age, dated := d.config.SnapshotAge(now); dated {
+		return max(oldest, age), true
 	}
-	for _, owner := range d.ownership.Owners() {
-		g := d.ownGroup(owner)
-		if g == nil {
-			continue
-		}
+	return oldest, known
+}
+
+func oldestOf(now time.Duration, groups []*followedGroup) (oldest time.Duration, known bool) {
+	for _, g := range groups {
 		if age, dated := g.core.SnapshotAge(now); dated {
 			oldest = max(oldest, age)
 			known = true
@@ -79,3 +86,7 @@
 	}
 	return oldest, known
 }
+
+func (d *decision) journalReading() alarm.JournalReading {
+	return alarm.JournalReading{Full: d.journalFull}
+}
