--- a/internal/group/documents_test.go
+++ b/internal/group/documents_test.go
@@ -64,10 +64,16 @@
 	l.pass(3 * time.Second)
 	c.Assert(len(l.handOffs) > 0, qt.IsTrue)
 	c.Assert(l.handOffs[0].Group, qt.Equals, spec.GroupID("rack4"))
-	l.allow(spec.Resources{}, "dc9")
+	l.allow(spec.Resources{})
 	l.step(Submit{Request: 2, Job: serviceJob("k", 1)})
-	c.Assert(l.replies[2].Code, qt.Equals, code.NeverRunnable)
-	c.Assert(l.replies[2].Response.GetDetail(), qt.Contains, "datacentre")
+	l.allow(spec.Resources{}, "dc9")
+	l.pass(3 * time.Second)
+	for _, offer := range l.handOffs {
+		c.Assert(offer.Job.GetJob().GetId().GetName(), qt.Equals, "j")
+	}
+	l.step(Submit{Request: 3, Job: serviceJob("m", 1)})
+	c.Assert(l.replies[3].Code, qt.Equals, code.NeverRunnable)
+	c.Assert(l.replies[3].Response.GetDetail(), qt.Contains, "datacentre")
 }
 
 // Guards against accepted jobs whose trouble is not reported: the quota sinks
