--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -27,7 +27,7 @@
 	// departed are the entries that left the active list, and when.
 	departed map[spec.InstanceID]time.Duration
 	peers    []Peer
-	services []policy.Service
+	services map[serviceKey]*policy.Service
 
 	// owner is set while this instance owns the group and has had a right.
 	owner *owner
@@ -135,8 +135,7 @@
 	case SetWorkers:
 		c.onWorkers(e)
 	case SetServices:
-		c.services = e.Services
-		c.decider.Configure(c.now, e.Services)
+		c.onServices(e)
 	case SetEntries:
 		c.onEntries(e)
 	case SetPeers:
