Entry states its age and epochs; moved jobs are forgotten; lost groups are given up

Cause: the ledger needs the age of the entry process and the epochs that it has seen, or it gives nothing for 11 s after a takeover; three effects of the group core had no carrier.

Conclusion: renewals carry running_ms and epoch, ForgetMovedJob reaches the source of a moved job, and an abandoned epoch ends the right.

--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -140,6 +140,7 @@
 		EntryIncarnation: e.config.Incarnation,
 		Draining:         draining,
 		Sequence:         e.renewals.Add(1),
+		RunningMs:        uint64(sent.Milliseconds()),
 	}
 	for _, h := range e.dispatch.holdings(r.owner, e.phase.Load() >= closing) {
 		req.Holdings = append(req.Holdings, &schedv1.Holding{
@@ -149,6 +150,7 @@
 			Connections:     uint32(e.pool.Open(h.Worker)),
 			HeldSlots:       uint32(h.Held),
 			HeldConnections: uint32(h.HeldConnections),
+			Epoch:           uint64(h.Epoch),
 		})
 	}
 	limited, cancel := context.WithTimeout(ctx, renewTimeout)
--- a/internal/gen/redwingvale/sched/v1/schedv1connect/sched.connect.go
+++ b/internal/gen/redwingvale/sched/v1/schedv1connect/sched.connect.go
@@ -59,6 +59,9 @@
 	// PeerServiceExplainWorkerProcedure is the fully-qualified name of the PeerService's ExplainWorker
 	// RPC.
 	PeerServiceExplainWorkerProcedure = "/redwingvale.sched.v1.PeerService/ExplainWorker"
+	// PeerServiceForgetMovedJobProcedure is the fully-qualified name of the PeerService's
+	// ForgetMovedJob RPC.
+	PeerServiceForgetMovedJobProcedure = "/redwingvale.sched.v1.PeerService/ForgetMovedJob"
 )
 
 // SchedServiceClient is a client for the redwingvale.sched.v1.SchedService service.
@@ -282,6 +285,9 @@
 	ReceiveJob(context.Context, *connect.Request[v1.ReceiveJobRequest]) (*connect.Response[v1.ReceiveJobResponse], error)
 	// ExplainWorker states what the owner of a worker's group has booked on it.
 	ExplainWorker(context.Context, *connect.Request[v1.ExplainWorkerRequest]) (*connect.Response[v1.ExplainWorkerResponse], error)
+	// ForgetMovedJob tells the group from which a job came that the job has
+	// ended and may be forgotten.
+	ForgetMovedJob(context.Context, *connect.Request[v1.ForgetMovedJobRequest]) (*connect.Response[v1.ForgetMovedJobResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the redwingvale.sched.v1.PeerService service. By
@@ -313,14 +319,21 @@
 			connect.WithSchema(peerServiceMethods.ByName("ExplainWorker")),
 			connect.WithClientOptions(opts...),
 		),
+		forgetMovedJob: connect.NewClient[v1.ForgetMovedJobRequest, v1.ForgetMovedJobResponse](
+			httpClient,
+			baseURL+PeerServiceForgetMovedJobProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ForgetMovedJob")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	heartbeat     *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
-	receiveJob    *connect.Client[v1.ReceiveJobRequest, v1.ReceiveJobResponse]
-	explainWorker *connect.Client[v1.ExplainWorkerRequest, v1.ExplainWorkerResponse]
+	heartbeat      *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
+	receiveJob     *connect.Client[v1.ReceiveJobRequest, v1.ReceiveJobResponse]
+	explainWorker  *connect.Client[v1.ExplainWorkerRequest, v1.ExplainWorkerResponse]
+	forgetMovedJob *connect.Client[v1.ForgetMovedJobRequest, v1.ForgetMovedJobResponse]
 }
 
 // Heartbeat calls redwingvale.sched.v1.PeerService.Heartbeat.
@@ -338,6 +351,11 @@
 	return c.explainWorker.CallUnary(ctx, req)
 }
 
+// ForgetMovedJob calls redwingvale.sched.v1.PeerService.ForgetMovedJob.
+func (c *peerServiceClient) ForgetMovedJob(ctx context.Context, req *connect.Request[v1.ForgetMovedJobRequest]) (*connect.Response[v1.ForgetMovedJobResponse], error) {
+	return c.forgetMovedJob.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the redwingvale.sched.v1.PeerService service.
 type PeerServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
@@ -345,6 +363,9 @@
 	ReceiveJob(context.Context, *connect.Request[v1.ReceiveJobRequest]) (*connect.Response[v1.ReceiveJobResponse], error)
 	// ExplainWorker states what the owner of a worker's group has booked on it.
 	ExplainWorker(context.Context, *connect.Request[v1.ExplainWorkerRequest]) (*connect.Response[v1.ExplainWorkerResponse], error)
+	// ForgetMovedJob tells the group from which a job came that the job has
+	// ended and may be forgotten.
+	ForgetMovedJob(context.Context, *connect.Request[v1.ForgetMovedJobRequest]) (*connect.Response[v1.ForgetMovedJobResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -372,6 +393,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ExplainWorker")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceForgetMovedJobHandler := connect.NewUnaryHandler(
+		PeerServiceForgetMovedJobProcedure,
+		svc.ForgetMovedJob,
+		connect.WithSchema(peerServiceMethods.ByName("ForgetMovedJob")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/redwingvale.sched.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -380,6 +407,8 @@
 			peerServiceReceiveJobHandler.ServeHTTP(w, r)
 		case PeerServiceExplainWorkerProcedure:
 			peerServiceExplainWorkerHandler.ServeHTTP(w, r)
+		case PeerServiceForgetMovedJobProcedure:
+			peerServiceForgetMovedJobHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -400,3 +429,7 @@
 func (UnimplementedPeerServiceHandler) ExplainWorker(context.Context, *connect.Request[v1.ExplainWorkerRequest]) (*connect.Response[v1.ExplainWorkerResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.sched.v1.PeerService.ExplainWorker is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ForgetMovedJob(context.Context, *connect.Request[v1.ForgetMovedJobRequest]) (*connect.Response[v1.ForgetMovedJobResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.sched.v1.PeerService.ForgetMovedJob is not implemented"))
+}
--- a/internal/group/documents_test.go
+++ b/internal/group/documents_test.go
@@ -15,7 +15,7 @@
 )
 
 // allow sets the data centres and the ceiling of the service "s" of the desk.
-func (l *lone) allow(ceiling spec.Resources, names ...string) {
+func (l *singleOwner) allow(ceiling spec.Resources, names ...string) {
 	l.step(SetServices{Services: []policy.Service{
 		{Team: "desk", ID: "s", Ceiling: ceiling, DataCentres: policy.NewDataCentres(names)},
 	}})
@@ -31,7 +31,7 @@
 // refused, or changes the recorded job because the document has changed since.
 func TestRepeatMatchesAfterTheDocumentChanged(t *testing.T) {
 	c := qt.New(t)
-	l := newLone("rack1", 8)
+	l := newSingleOwner("rack1", 8)
 	l.pass(time.Second)
 	sent := smallJob("j", 1, 0)
 	l.step(Submit{Request: 1, Job: sent, Filled: smallJob("j", 1, 2)})
@@ -54,7 +54,7 @@
 func TestHandOffFollowsTheDataCentres(t *testing.T) {
 	c := qt.New(t)
 	large := spec.Resources{MilliCPU: 32000, MemoryMiB: 1000}
-	l := newLone("rack1", 8, Peer{Group: "rack2", Largest: large, DataCentre: "dc2"},
+	l := newSingleOwner("rack1", 8, Peer{Group: "rack2", Largest: large, DataCentre: "dc2"},
 		Peer{Group: "rack3", Largest: large, DataCentre: "dc3"}, Peer{Group: "rack4", Largest: large, DataCentre: "dc4"})
 	l.step(SetWorkers{Workers: []WorkerInfo{{Worker: spec.Worker{ID: "w", DataCentre: "dc1", Capacity: large}}}})
 	l.allow(spec.Resources{}, "dc4", "dc3")
@@ -81,7 +81,7 @@
 // unknown.
 func TestTroubles(t *testing.T) {
 	c := qt.New(t)
-	l := newLone("rack1", 8)
+	l := newSingleOwner("rack1", 8)
 	l.pass(time.Second)
 	job := serviceJob("j", 4)
 	job.Kind = "night"
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -137,6 +137,8 @@
 		c.groupsKnown(now, e)
 	case AppendRejected:
 		c.appendRejected(now, e)
+	case GroupAbandoned:
+		c.groupAbandoned(now, e)
 	case ForceRemove:
 		c.forceRemove(e)
 	case ConfigRead:
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -92,6 +92,14 @@
 	Epoch   spec.Epoch
 }
 
+// GroupAbandoned states that the group's core has lost records of the epoch
+// that this instance owns and decides nothing more in it. The right ends, and
+// the group is claimed anew because its owner does not act as owner.
+type GroupAbandoned struct {
+	Group spec.GroupID
+	Epoch spec.Epoch
+}
+
 // ForceRemove is an operator's confirmation that an instance is dead.
 type ForceRemove struct {
 	Instance spec.InstanceID
@@ -113,6 +121,7 @@
 func (ConfigRead) isEvent()        {}
 func (GroupsKnown) isEvent()       {}
 func (AppendRejected) isEvent()    {}
+func (GroupAbandoned) isEvent()    {}
 func (ForceRemove) isEvent()       {}
 func (LeaveRequested) isEvent()    {}
 func (Tick) isEvent()              {}
--- a/internal/ownership/group.go
+++ b/internal/ownership/group.go
@@ -58,6 +58,8 @@
 	stopped bool
 	// started states that no earlier ownership has a right any more.
 	started bool
+	// abandoned states that the group's core decides nothing more in the epoch.
+	abandoned bool
 	// releasing states that a release to next was asked for at releasedAt.
 	releasing  bool
 	releasedAt time.Duration
@@ -79,7 +81,7 @@
 
 // deciding reports whether this instance may have a right to the group.
 func (g *group) deciding() bool {
-	return g.take != nil && g.take.started && !g.take.releasing && !g.superseded()
+	return g.take != nil && g.take.started && !g.take.releasing && !g.take.abandoned && !g.superseded()
 }
 
 // owner returns the owner as far as it is known.
@@ -176,3 +178,13 @@
 	g.caughtUp = false
 	c.emit(Unfollow{Group: g.id})
 }
+
+// groupAbandoned ends the right to a group whose core has lost records.
+func (c *Core) groupAbandoned(now time.Duration, e GroupAbandoned) {
+	g := c.groups[e.Group]
+	if g == nil || g.take == nil || g.take.epoch != e.Epoch {
+		return
+	}
+	g.take.abandoned = true
+	c.advance(now, g)
+}
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -88,6 +88,8 @@
 	// used when the holdings were taken; 0 after its end.
 	Held            int
 	HeldConnections int
+	// Epoch is the largest epoch of a grant that was received for the worker.
+	Epoch spec.Epoch
 }
 
 // Router chooses targets within the grants. Implementations are not safe for
--- a/internal/route/want.go
+++ b/internal/route/want.go
@@ -116,7 +116,7 @@
 
 // holding states what the target uses and what its grant still allows.
 func (t *target) holding(now time.Duration, want int) Holding {
-	out := Holding{Worker: t.worker.ID, InUse: t.inUse, Want: want}
+	out := Holding{Worker: t.worker.ID, InUse: t.inUse, Want: want, Epoch: t.epoch}
 	if t.live(now) {
 		out.Held = t.slots
 		out.HeldConnections = t.connections
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -59,8 +59,11 @@
 	stream platform.Stream
 	group  spec.GroupID
 	token  group.Token
-	// claim states that the ownership core asked for the record.
-	claim bool
+	// claim states that the ownership core asked for the record; release that
+	// it is a release of the epoch.
+	claim   bool
+	release bool
+	epoch   spec.Epoch
 }
 
 func newDecision(ctx context.Context, s *Sched) *decision {
--- a/internal/sched/groups.go
+++ b/internal/sched/groups.go
@@ -118,6 +118,12 @@
 		d.sched.requests.answer(out)
 	case group.HandOff:
 		d.sched.handOff(d.ctx, g.id, out, d.addressOfOwner(out.Group))
+	case group.ReleaseMoved:
+		d.sched.releaseMoved(d.ctx, g.id, out, d.addressOfOwner(out.Group))
+	case group.Overdue:
+		d.log("deadline_at_risk", zap.String("group", string(g.id)), zap.String("task", out.Task.String()))
+	case group.Abandon:
+		d.abandon(now, g, out)
 	case group.Changed:
 		d.sched.jobChanges.notify(out.Job)
 	case group.Note:
@@ -125,6 +131,13 @@
 	}
 }
 
+// abandon gives a group up whose records expired before they were read. The
+// stream is read anew, and the group is claimed again by whoever should own it.
+func (d *decision) abandon(now time.Duration, g *followedGroup, out group.Abandon) {
+	d.log("group_abandoned", zap.String("group", string(g.id)), zap.Uint64("epoch", uint64(out.Epoch)))
+	d.stepOwnership(now, ownership.GroupAbandoned{Group: g.id, Epoch: out.Epoch})
+}
+
 func (d *decision) send(now time.Duration, g *followedGroup, out group.Send) {
 	call := workerCall{group: g.id, send: out}
 	if !d.sched.calls.waiting.Offer(call) {
--- a/internal/sched/handoff.go
+++ b/internal/sched/handoff.go
@@ -10,6 +10,7 @@
 	"redwingvale/internal/group"
 	"redwingvale/internal/spec"
 
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
 )
 
@@ -49,3 +50,40 @@
 	recorded := err == nil && reply.Code == code.OK && reply.Forward == ""
 	return connect.NewResponse(&schedv1.ReceiveJobResponse{Recorded: recorded}), nil
 }
+
+// releaseMoved tells the group from which a job came that the job has ended.
+// The core repeats it until the other group has forgotten the job.
+func (s *Sched) releaseMoved(ctx context.Context, from spec.GroupID, out group.ReleaseMoved, addr string) {
+	if addr == "" {
+		return
+	}
+	s.duties.Add(1)
+	go func() {
+		defer s.duties.Done()
+		limited, cancel := context.WithTimeout(ctx, handOffTimeout)
+		defer cancel()
+		request := &schedv1.ForgetMovedJobRequest{
+			Group: string(out.Group),
+			Job:   &recordv1.JobRef{Team: string(out.Job.Team), Name: out.Job.Name},
+			Hop:   out.Hop,
+		}
+		answer, err := s.clients.Peer(addr).ForgetMovedJob(limited, connect.NewRequest(request))
+		if err != nil || !answer.Msg.GetForgotten() {
+			return
+		}
+		s.deliver(ctx, groupEvent{group: from, event: group.MovedReleased{Job: out.Job, Hop: out.Hop}})
+	}()
+}
+
+// ForgetMovedJob implements the PeerService.
+func (s *Sched) ForgetMovedJob(ctx context.Context, call *connect.Request[schedv1.ForgetMovedJobRequest]) (*connect.Response[schedv1.ForgetMovedJobResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, handOffTimeout)
+	defer cancel()
+	id := spec.GroupID(call.Msg.GetGroup())
+	reply, err := s.ask(ctx, code.AcceptanceUnsure, func(r group.Request) event {
+		ended := group.MovedEnded{Request: r, Job: jobID(call.Msg.GetJob()), Hop: call.Msg.GetHop()}
+		return groupEvent{group: id, request: r, event: ended}
+	})
+	forgotten := err == nil && reply.Code == code.OK
+	return connect.NewResponse(&schedv1.ForgetMovedJobResponse{Forgotten: forgotten}), nil
+}
--- a/internal/sched/owning.go
+++ b/internal/sched/owning.go
@@ -83,7 +83,13 @@
 		Why:   why,
 		Body:  &recordv1.Envelope_Group{Group: record},
 	}
-	d.write(now, envelope, pendingWrite{stream: platform.GroupStream(id), group: id, claim: true}, true)
+	d.write(now, envelope, pendingWrite{
+		stream:  platform.GroupStream(id),
+		group:   id,
+		claim:   true,
+		release: record.GetRelease() != nil,
+		epoch:   epoch,
+	}, true)
 	d.log("ownership_record", zap.String("group", string(id)), zap.Uint64("epoch", uint64(epoch)), zap.String("why", why))
 }
 
--- a/internal/sched/writes.go
+++ b/internal/sched/writes.go
@@ -54,7 +54,7 @@
 	d.journalFull = e.Code == code.JournalFull
 	d.log("record_rejected", zap.String("stream", string(pending.stream)), zap.String("code", e.Code.String()))
 	if pending.claim {
-		d.stepOwnership(now, ownership.AppendRejected{Group: pending.group})
+		d.stepOwnership(now, ownership.AppendRejected{Group: pending.group, Release: pending.release, Epoch: pending.epoch})
 		return
 	}
 	if g, ok := d.groups[pending.group]; ok {
