Heartbeats to several peers no longer share a request that is written to

Cause: the offset was stamped into one request that all peers share while an earlier send was encoding it. The race detector reported it in the cluster tests, also in ones that were there before (TestAnyInstanceCanDie). After: the two cluster tests of documents and operators run without a report.

--- a/internal/sched/config_offsets.go
+++ b/internal/sched/config_offsets.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"redwingvale/internal/ownership"
 
 	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
@@ -20,9 +22,13 @@
 	d.offsets[instance] = heardOffset{offset: offset, at: now}
 }
 
-// stampHeartbeat adds this instance's configuration offset to a heartbeat.
-func (d *decision) stampHeartbeat(out ownership.SendHeartbeat) {
+// stampHeartbeat adds this instance's configuration offset to a heartbeat. The
+// request is copied, because all peers share one and an earlier one may be on
+// its way.
+func (d *decision) stampHeartbeat(out ownership.SendHeartbeat) ownership.SendHeartbeat {
+	out.Request = proto.CloneOf(out.Request)
 	out.Request.ConfigOffset = d.config.InForceOffset()
+	return out
 }
 
 func (d *decision) stampResponse(out *schedv1.HeartbeatResponse) {
--- a/internal/sched/owning.go
+++ b/internal/sched/owning.go
@@ -31,8 +31,7 @@
 	case ownership.AppendRelease:
 		d.writeRelease(now, out)
 	case ownership.SendHeartbeat:
-		d.stampHeartbeat(out)
-		d.sched.heartbeats.send(d.ctx, out)
+		d.sched.heartbeats.send(d.ctx, d.stampHeartbeat(out))
 	case ownership.Respond:
 		d.respond(out)
 	case ownership.Follow:
