--- a/internal/local/instance.go
+++ b/internal/local/instance.go
@@ -35,6 +35,10 @@
 // groups of the local cluster are small, so waiting longer helps little.
 const handOffAfterMS = 1000
 
+// urgentLimitMS is the longest time of an urgent request. A new owner keeps
+// slots back for that long, so the sample day uses the limit of its document.
+const urgentLimitMS = 4000
+
 // idleSlots is the number of slots that an idle entry keeps. The local cluster
 // has 96 slots, so the default of a real deployment would leave too few for
 // batch tasks.
@@ -99,6 +103,7 @@
 	config.PeerListen = c.address(index, entryPeerPort)
 	config.BalancerWaitMS = c.options.BalancerWaitMS
 	config.KeyClockGuardMS = sameClockGuardMS
+	config.UrgentLimitMS = urgentLimitMS
 	config.IdleSlots = idleSlots
 	config.Incarnation = uint64(sched.NextIncarnation(c.ctx, c.Platform.Log.For(i.Name), spec.InstanceID(i.Name)))
 	e, err := entry.New(config, entry.Deps{
@@ -122,6 +127,7 @@
 	config.EntryPeerAddr = i.Entry.PeerAddr()
 	config.LogRetentionS = int64(c.options.Platform.RetentionS)
 	config.HandOffAfterMS = handOffAfterMS
+	config.UrgentLimitMS = urgentLimitMS
 	log := c.Platform.Log.For(i.Name)
 	i.Sched = sched.New(config, sockets, sched.Deps{
 		Log:         log,
