Ownership records are urgent; an unsure claim is left to the stream

Cause: the ownership core wants claims and releases sent ahead of other records, and must not be told that a record failed which may stand in the log.

Conclusion: all tests pass (go test ./..., 27 s).

--- a/internal/sched/writes.go
+++ b/internal/sched/writes.go
@@ -27,6 +27,7 @@
 		Envelope: envelope,
 		Token:    d.lastToken,
 		Priority: priority,
+		Urgent:   pending.claim,
 	})
 }
 
@@ -54,6 +55,10 @@
 	d.journalFull = e.Code == code.JournalFull
 	d.log("record_rejected", zap.String("stream", string(pending.stream)), zap.String("code", e.Code.String()))
 	if pending.claim {
+		if e.Code == code.AcceptanceUnsure {
+			// The record may stand in the log; the stream will tell.
+			return
+		}
 		d.stepOwnership(now, ownership.AppendRejected{Group: pending.group, Release: pending.release, Epoch: pending.epoch})
 		return
 	}
