--- a/internal/dedupe/asked.go
+++ b/internal/dedupe/asked.go
@@ -67,7 +67,7 @@
 
 // askTries is the number of further questions while the live entries' views of
 // the members may differ, as during a hand-over.
-const askTries = 3
+const askTries = 10
 
 func (c *Core) askAgain(r *record) []Effect {
 	r.tries++
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -89,7 +89,7 @@
 		SubmitsInFlight:     128,
 		SchedTimeoutMS:      3_000,
 		KeyRetentionMS:      300_000,
-		KeyClockGuardMS:     5_000,
+		KeyClockGuardMS:     1_500,
 		KeyTakeoverMS:       60_000,
 		MaxKeys:             200_000,
 		MaxKeyBytes:         64 << 20,
--- a/internal/local/cluster.go
+++ b/internal/local/cluster.go
@@ -148,8 +148,8 @@
 	c.running.Wait()
 }
 
-// listen opens a listener on a port counted from the cluster's first port, or
-// on a free one.
+// address returns the host:port of one interface of an instance, counted from
+// the cluster's first port. Port 0 lets the system pick a free one.
 func (c *Cluster) address(index, offset int) string {
 	port := 0
 	if c.options.FirstPort > 0 {
--- a/internal/sched/metrics.go
+++ b/internal/sched/metrics.go
@@ -8,7 +8,7 @@
 	groupsOwned    tally.Gauge
 	journalBytes   tally.Gauge
 	eventsWaiting  tally.Gauge
-	openRequests   tally.Gauge
+	recordsWaiting tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -17,7 +17,7 @@
 		groupsOwned:    scope.Gauge("groups_owned"),
 		journalBytes:   scope.Gauge("journal_bytes"),
 		eventsWaiting:  scope.Gauge("events_waiting"),
-		openRequests:   scope.Gauge("records_waiting"),
+		recordsWaiting: scope.Gauge("records_waiting"),
 	}
 }
 
@@ -32,5 +32,5 @@
 	m.groupsOwned.Update(float64(owned))
 	m.journalBytes.Update(float64(d.writer.Buffered()))
 	m.eventsWaiting.Update(float64(d.sched.events.Len()))
-	m.openRequests.Update(float64(len(d.tokens)))
+	m.recordsWaiting.Update(float64(len(d.tokens)))
 }
