--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -27,11 +27,11 @@
 const (
 	team          = "kagoshima-billing"
 	startTimeout  = 15 * time.Second
-	dayLength     = 12 * time.Second
-	endTimeout    = 6 * time.Second
+	dayLength     = 10 * time.Second
+	endTimeout    = 7 * time.Second
 	steadyLoad    = 200
 	surgeLoad     = 2000
-	surgeLength   = 2 * time.Second
+	surgeLength   = 1500 * time.Millisecond
 	serviceTimeMS = 15
 	lateTasks     = 40
 	outageLength  = 2 * time.Second
@@ -166,10 +166,10 @@
 // programme returns the day's incidents, each with the pause before it.
 func (d *day) programme() []step {
 	return []step{
-		{2 * time.Second, d.killInstance},
-		{3 * time.Second, d.startOutage},
+		{time.Second, d.killInstance},
+		{2500 * time.Millisecond, d.startOutage},
 		{outageLength, d.endOutage},
-		{500 * time.Millisecond, d.submitLateRun},
+		{200 * time.Millisecond, d.submitLateRun},
 		{700 * time.Millisecond, d.surge},
 	}
 }
