--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,12 +64,21 @@
 	baseURL string
 	name    string
 	http    *http.Client
+	list    *listCache
+}
+
+// listCache holds the last instance list with its entity tag, so that an
+// unchanged list is neither sent nor decoded again.
+type listCache struct {
+	mu      sync.Mutex
+	tag     string
+	entries []platform.InstanceEntry
 }
 
 // NewClient returns a client for the platform at baseURL, such as
 // http://127.0.0.1:7400. The name tells the platform who calls.
 func NewClient(baseURL, name string, client *http.Client) *Client {
-	return &Client{baseURL: baseURL, name: name, http: client}
+	return &Client{baseURL: baseURL, name: name, http: client, list: &listCache{}}
 }
 
 // NewLog returns the log service at baseURL.
@@ -96,11 +106,33 @@
 	return response.Streams, err
 }
 
-// List implements platform.InstanceList.
+// List implements platform.InstanceList. It asks with the entity tag of the
+// last list (RFC 9110, If-None-Match).
 func (c *Client) List(ctx context.Context) ([]platform.InstanceEntry, error) {
+	c.list.mu.Lock()
+	defer c.list.mu.Unlock()
+	call, err := c.request(ctx, http.MethodGet, InstancesPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	if c.list.tag != "" {
+		call.Header.Set("If-None-Match", c.list.tag)
+	}
+	answer, err := c.http.Do(call)
+	if err != nil {
+		return nil, errors.Wrapf(err, "call %s", InstancesPath)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode == http.StatusNotModified {
+		return c.list.entries, nil
+	}
 	var entries []platform.InstanceEntry
-	err := c.call(ctx, http.MethodGet, InstancesPath, nil, &entries)
-	return entries, err
+	if err := decode(answer, InstancesPath, &entries); err != nil {
+		return nil, err
+	}
+	c.list.tag = answer.Header.Get("ETag")
+	c.list.entries = entries
+	return entries, nil
 }
 
 // Do implements platform.Workers. The call goes to the worker's own control
@@ -114,16 +146,10 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, request, response any) error {
-	body, err := json.Marshal(request)
-	if err != nil {
-		return errors.Wrapf(err, "encode request to %s", path)
-	}
-	call, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, bytes.NewReader(body))
+	call, err := c.request(ctx, method, path, request)
 	if err != nil {
-		return errors.Wrapf(err, "build request to %s", path)
+		return err
 	}
-	call.Header.Set("Content-Type", "application/json")
-	call.Header.Set(ClientHeader, c.name)
 	answer, err := c.http.Do(call)
 	if err != nil {
 		return errors.Wrapf(err, "call %s", path)
@@ -132,6 +158,21 @@
 	return decode(answer, path, response)
 }
 
+// request builds a call with a JSON body.
+func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode request to %s", path)
+	}
+	call, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, errors.Wrapf(err, "build request to %s", path)
+	}
+	call.Header.Set("Content-Type", "application/json")
+	call.Header.Set(ClientHeader, c.name)
+	return call, nil
+}
+
 func decode(answer *http.Response, path string, response any) error {
 	limited := io.LimitReader(answer.Body, maxResponseBytes)
 	if answer.StatusCode >= http.StatusMultipleChoices {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -75,9 +76,24 @@
 	if err != nil {
 		return unavailable(err)
 	}
+	tag := listTag(entries)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	c.Response().Header().Set("ETag", tag)
 	return c.JSON(http.StatusOK, entries)
 }
 
+// listTag is an entity tag that changes with each change of the list: stamps
+// are never used twice.
+func listTag(entries []platform.InstanceEntry) string {
+	newest := uint64(0)
+	for _, entry := range entries {
+		newest = max(newest, entry.Stamp)
+	}
+	return fmt.Sprintf("%q", fmt.Sprintf("%d-%d", len(entries), newest))
+}
+
 func (p *Platform) handleWorker(c echo.Context) error {
 	var batch platform.CommandBatch
 	if err := c.Bind(&batch); err != nil {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,7 +11,10 @@
 dir=$(mktemp -d)
 pids=()
 stop() {
-  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    kill -9 "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
   pids=()
 }
 trap 'stop; rm -rf "$dir"' EXIT
