--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -25,7 +25,7 @@
 
 // Sizes of the duties' rings and periods.
 const (
-	tickPeriod     = 20 * time.Millisecond
+	tickPeriod     = 50 * time.Millisecond
 	eventRingSize  = 8192
 	appendCallers  = 8
 	appendRingSize = 256
