--- a/internal/sched/configuration.go
+++ b/internal/sched/configuration.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"redwingvale/internal/group"
 	"redwingvale/internal/platform"
 	"redwingvale/internal/policy"
+	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
@@ -71,16 +73,7 @@
 // tellConfigRank tells the configuration core this instance's place among the
 // active members, which decides who republishes first.
 func (d *decision) tellConfigRank(now time.Duration) {
-	rank := -1
-	position := 0
-	for _, member := range d.ownership.Members() {
-		if !member.GetActive() {
-			continue
-		}
-		if member.GetInstance() == d.sched.config.Instance {
-			rank = position
-		}
-		position++
-	}
+	self := spec.InstanceID(d.sched.config.Instance)
+	rank := slices.Index(d.activeMembers(), self)
 	d.stepConfig(now, config.MembersEvent{Rank: rank})
 }
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -51,7 +51,6 @@
 	lastLogTail   time.Duration
 	lastAlarmStep time.Duration
 	journalFull   bool
-	left          bool
 }
 
 // pendingWrite is a record on its way through the journal.
--- a/internal/sched/groups.go
+++ b/internal/sched/groups.go
@@ -47,7 +47,7 @@
 	d.groups[id] = g
 	d.sched.startReader(ctx, platform.GroupStream(id))
 	d.stepGroup(now, g, group.SetServices{Services: d.policyServices()})
-	d.stepGroup(now, g, group.SetEntries{Entries: d.activeEntries()})
+	d.stepGroup(now, g, group.SetEntries{Entries: d.activeMembers()})
 	d.tellWorkers(now, g)
 }
 
--- a/internal/sched/handoff.go
+++ b/internal/sched/handoff.go
@@ -23,11 +23,7 @@
 	if addr == "" {
 		return
 	}
-	s.duties.Add(1)
-	go func() {
-		defer s.duties.Done()
-		limited, cancel := context.WithTimeout(ctx, handOffTimeout)
-		defer cancel()
+	s.background(ctx, handOffTimeout, func(limited context.Context) {
 		request := &schedv1.ReceiveJobRequest{Group: string(out.Group), Job: out.Job}
 		answer, err := s.clients.Peer(addr).ReceiveJob(limited, connect.NewRequest(request))
 		recorded := err == nil && answer.Msg.GetRecorded()
@@ -36,7 +32,7 @@
 			Hop:      out.Job.GetHop(),
 			Recorded: recorded,
 		}})
-	}()
+	})
 }
 
 // ReceiveJob implements the PeerService.
@@ -57,11 +53,7 @@
 	if addr == "" {
 		return
 	}
-	s.duties.Add(1)
-	go func() {
-		defer s.duties.Done()
-		limited, cancel := context.WithTimeout(ctx, handOffTimeout)
-		defer cancel()
+	s.background(ctx, handOffTimeout, func(limited context.Context) {
 		request := &schedv1.ForgetMovedJobRequest{
 			Group: string(out.Group),
 			Job:   &recordv1.JobRef{Team: string(out.Job.Team), Name: out.Job.Name},
@@ -72,7 +64,7 @@
 			return
 		}
 		s.deliver(ctx, groupEvent{group: from, event: group.MovedReleased{Job: out.Job, Hop: out.Hop}})
-	}()
+	})
 }
 
 // ForgetMovedJob implements the PeerService.
--- a/internal/sched/owning.go
+++ b/internal/sched/owning.go
@@ -43,7 +43,6 @@
 	case ownership.OwnersChanged:
 		d.onOwnersChanged(now)
 	case ownership.LeaveDone:
-		d.left = true
 		d.sched.leaveDone()
 	case ownership.Alarm:
 		d.log("ownership_condition", zap.String("kind", string(out.Kind)), zap.Bool("active", out.Active), zap.String("detail", out.Detail))
@@ -122,14 +121,16 @@
 // onOwnersChanged refreshes what depends on members and owners.
 func (d *decision) onOwnersChanged(now time.Duration) {
 	d.noteMembers()
-	entries := d.activeEntries()
+	entries := d.activeMembers()
 	for _, g := range d.sortedGroups() {
 		d.stepGroup(now, g, group.SetEntries{Entries: entries})
 	}
 	d.publishView()
 }
 
-func (d *decision) activeEntries() []spec.InstanceID {
+// activeMembers returns the voters in the order of the members stream. Each of
+// them runs an entry process.
+func (d *decision) activeMembers() []spec.InstanceID {
 	var entries []spec.InstanceID
 	for _, member := range d.ownership.Members() {
 		if member.GetActive() {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -139,6 +139,18 @@
 	return err
 }
 
+// background runs a call outside the decision duty, bounded in time. Run waits
+// for it.
+func (s *Sched) background(ctx context.Context, limit time.Duration, call func(context.Context)) {
+	s.duties.Add(1)
+	go func() {
+		defer s.duties.Done()
+		limited, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		call(limited)
+	}()
+}
+
 func ignoreCancelled(err error) error {
 	if errors.Is(err, context.Canceled) {
 		return nil
