--- a/internal/group/allowed.go
+++ b/internal/group/allowed.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"redwingvale/internal/policy"
+	"redwingvale/internal/record"
 	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
@@ -84,7 +85,7 @@
 	if !c.anyAllowed(job) {
 		return "datacentre"
 	}
-	need := resourcesOf(job.GetPerTask())
+	need := record.ToResources(job.GetPerTask())
 	if largest := c.largestAllowed(job); !largest.IsZero() {
 		if dimension := need.FirstExceeded(largest); dimension != "" {
 			return string(dimension)
--- a/internal/group/jobs.go
+++ b/internal/group/jobs.go
@@ -5,6 +5,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"redwingvale/internal/code"
+	"redwingvale/internal/record"
 	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
@@ -113,7 +114,7 @@
 
 // checkJob refuses a job that is malformed or can never run.
 func (c *Core) checkJob(job *recordv1.JobSpec) error {
-	need := resourcesOf(job.GetPerTask())
+	need := record.ToResources(job.GetPerTask())
 	class := spec.Class(job.GetClass())
 	deadline := job.GetDeadlineUnixMs()
 	switch {
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -5,6 +5,7 @@
 
 	"redwingvale/internal/fence"
 	"redwingvale/internal/journal"
+	"redwingvale/internal/record"
 	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
@@ -99,7 +100,7 @@
 	nextOffer time.Duration
 }
 
-func (j *job) resources() spec.Resources { return resourcesOf(j.spec.GetPerTask()) }
+func (j *job) resources() spec.Resources { return record.ToResources(j.spec.GetPerTask()) }
 
 // open reports whether tasks of the job can run in this group.
 func (j *job) open() bool { return !j.ended && !j.cancelled && j.movedTo == "" }
@@ -189,13 +190,3 @@
 func jobRef(id spec.JobID) *recordv1.JobRef {
 	return &recordv1.JobRef{Team: string(id.Team), Name: id.Name}
 }
-
-func resourcesOf(r *recordv1.Resources) spec.Resources {
-	return spec.Resources{
-		MilliCPU:     r.GetMilliCpu(),
-		MemoryMiB:    r.GetMemoryMib(),
-		Accelerators: r.GetAccelerators(),
-		Slots:        r.GetSlots(),
-		Connections:  r.GetConnections(),
-	}
-}
--- a/internal/sched/complete.go
+++ b/internal/sched/complete.go
@@ -8,6 +8,7 @@
 	"redwingvale/internal/code"
 	"redwingvale/internal/config"
 	"redwingvale/internal/document"
+	"redwingvale/internal/record"
 	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
@@ -56,8 +57,8 @@
 			sent.GetKind(), doc.Team, doc.Service)
 	}
 	job := proto.CloneOf(sent)
-	if specResources(job.GetPerTask()).IsZero() {
-		job.PerTask = resourcesRecord(kind.PerTask)
+	if record.ToResources(job.GetPerTask()).IsZero() {
+		job.PerTask = record.FromResources(kind.PerTask)
 	}
 	if job.GetRunTimeMs() == 0 {
 		job.RunTimeMs = kind.RunTime.Milliseconds()
@@ -74,7 +75,7 @@
 // checkBounds refuses a job that exceeds what its document allows.
 func checkBounds(doc *document.Document, job *recordv1.JobSpec) error {
 	limit := doc.Quota.Ceiling()
-	if dimension := exceeded(specResources(job.GetPerTask()), limit); dimension != "" {
+	if dimension := exceeded(record.ToResources(job.GetPerTask()), limit); dimension != "" {
 		return code.New(code.NeverRunnable, "%s: a task needs more than the quota of team %s with borrowing", dimension, doc.Team)
 	}
 	if job.GetRunTimeMs() > maxRunTimeMS {
@@ -101,16 +102,6 @@
 	})
 }
 
-func specResources(r *recordv1.Resources) spec.Resources {
-	return spec.Resources{
-		MilliCPU:     r.GetMilliCpu(),
-		MemoryMiB:    r.GetMemoryMib(),
-		Accelerators: r.GetAccelerators(),
-		Slots:        r.GetSlots(),
-		Connections:  r.GetConnections(),
-	}
-}
-
 // fillFrom returns a later part of a job with the values that its first part
 // was recorded with, so that all parts are alike whatever document is in
 // force when a part is repeated.
--- a/internal/sched/complete_test.go
+++ b/internal/sched/complete_test.go
@@ -8,6 +8,7 @@
 
 	"redwingvale/internal/code"
 	"redwingvale/internal/document"
+	"redwingvale/internal/record"
 	"redwingvale/internal/spec"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
@@ -53,7 +54,7 @@
 	now := time.Date(2026, 3, 1, 7, 0, 0, 0, time.UTC)
 	job, err := completeJob(doc, sentJob(spec.Deadline, "revision"), now.UnixMilli())
 	c.Assert(err, qt.IsNil)
-	c.Assert(specResources(job.GetPerTask()), qt.Equals, spec.Resources{MilliCPU: 1000, Slots: 2})
+	c.Assert(record.ToResources(job.GetPerTask()), qt.Equals, spec.Resources{MilliCPU: 1000, Slots: 2})
 	c.Assert(job.GetRunTimeMs(), qt.Equals, int64(60_000))
 	c.Assert(job.GetRestartFromStart(), qt.IsTrue)
 	c.Assert(job.GetDeadlineUnixMs(), qt.Equals, now.Add(23*time.Hour).UnixMilli())
--- a/internal/sched/explain_worker.go
+++ b/internal/sched/explain_worker.go
@@ -9,6 +9,7 @@
 
 	"redwingvale/internal/code"
 	"redwingvale/internal/group"
+	"redwingvale/internal/record"
 	"redwingvale/internal/spec"
 
 	operatorv1 "redwingvale/internal/gen/redwingvale/operator/v1"
@@ -73,9 +74,9 @@
 		Owned:       true,
 		Quarantined: detail.Quarantined,
 		Answering:   detail.Answering,
-		Capacity:    resourcesRecord(detail.Capacity),
-		Reserved:    resourcesRecord(detail.Reserved),
-		Granted:     resourcesRecord(detail.Granted),
+		Capacity:    record.FromResources(detail.Capacity),
+		Reserved:    record.FromResources(detail.Reserved),
+		Granted:     record.FromResources(detail.Granted),
 	}
 	for _, task := range detail.Tasks {
 		out.Tasks = append(out.Tasks, &schedv1.WorkerTask{
@@ -84,7 +85,7 @@
 			State:           task.State,
 			Attempt:         uint32(task.Attempt),
 			Moves:           task.Moves,
-			Reserved:        resourcesRecord(task.Reserved),
+			Reserved:        record.FromResources(task.Reserved),
 			ThrottlePercent: uint32(task.ThrottlePercent),
 		})
 	}
--- a/internal/sched/view.go
+++ b/internal/sched/view.go
@@ -7,9 +7,9 @@
 
 	"connectrpc.com/connect"
 
+	"redwingvale/internal/record"
 	"redwingvale/internal/spec"
 
-	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
 )
 
@@ -72,17 +72,7 @@
 		Service:    string(known.worker.Service),
 		Leaving:    known.leaving,
 		ListStamp:  known.stamp,
-		Capacity:   resourcesRecord(known.worker.Capacity),
-	}
-}
-
-func resourcesRecord(r spec.Resources) *recordv1.Resources {
-	return &recordv1.Resources{
-		MilliCpu:     r.MilliCPU,
-		MemoryMib:    r.MemoryMiB,
-		Accelerators: r.Accelerators,
-		Slots:        r.Slots,
-		Connections:  r.Connections,
+		Capacity:   record.FromResources(known.worker.Capacity),
 	}
 }
 
