An entry is ready only while its instance is an active member

Cause: rwctl drain of an instance ended its rwsched, but its rwentry stayed ready; owners grant slots to active members only, so it could only pass requests on or refuse them.

Ruled out: giving grants to entries that are no members; a new owner could not account for them.

Conclusion: readiness follows the membership in the entry's last view.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -187,8 +187,9 @@
 // PeerAddr returns the host:port for other entries.
 func (e *Entry) PeerAddr() string { return e.peerListen.Addr().String() }
 
-// Ready reports whether the balancer may send callers here.
-func (e *Entry) Ready() bool { return e.phase.Load() == serving && e.views.known() }
+// Ready reports whether the balancer may send callers here. It is false while
+// the instance is no active member, for example after its rwsched has left.
+func (e *Entry) Ready() bool { return e.phase.Load() == serving && e.views.active() }
 
 // Run serves until ctx ends or Drain has returned. At the end of ctx it stops
 // at once; a planned stop calls Drain first.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -37,6 +37,8 @@
 	renewers map[spec.InstanceID]*renewer
 	version  uint64
 	has      bool
+	// member states that the last view lists this instance as active.
+	member bool
 	// source is the rwsched that the version comes from: "" is the own one.
 	source string
 }
@@ -57,6 +59,14 @@
 	return v.has
 }
 
+// active reports whether the instance is an active member. Owners grant slots
+// to active members only, so callers are better served elsewhere otherwise.
+func (v *viewKeeper) active() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.has && v.member
+}
+
 // run follows the view of the own rwsched, or of another member's while the
 // own one does not answer.
 func (v *viewKeeper) run(ctx context.Context) {
@@ -188,6 +198,7 @@
 	entries := make(map[spec.InstanceID]string)
 	var active []dedupe.Member
 	v.mu.Lock()
+	v.member = false
 	for _, m := range view.GetMembers() {
 		id := spec.InstanceID(m.GetInstance())
 		v.scheds[id] = m.GetSchedAddr()
@@ -195,7 +206,9 @@
 			continue
 		}
 		member := dedupe.Member{Instance: id, Incarnation: spec.Incarnation(m.GetIncarnation())}
-		if m.GetInstance() != v.entry.config.Instance {
+		if m.GetInstance() == v.entry.config.Instance {
+			v.member = true
+		} else {
 			entries[id] = m.GetEntryAddr()
 		}
 		active = append(active, member)
