--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -52,13 +52,6 @@
 	}
 }
 
-// known reports whether a view has arrived.
-func (v *viewKeeper) known() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.has
-}
-
 // active reports whether the instance is an active member. Owners grant slots
 // to active members only, so callers are better served elsewhere otherwise.
 func (v *viewKeeper) active() bool {
