One place each for waits, configuration offsets and the entry's bounds

Cause: the last read of the change found a wait that a context can end five times; the members' configuration offsets kept by rwsched although the ownership core keeps them, with a copy of each heartbeat to write them in; and the entry's positive settings listed in Validate and again in Check. The core also took an instance that had read nothing for one that had read offset 0.

Conclusion: internal/delay has the wait, ownership.PeerStatus the offset, and one table the settings. No bound, check or assertion has changed.

--- a/cmd/rwctl/environment.go
+++ b/cmd/rwctl/environment.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"redwingvale/internal/delay"
 )
 
 // connectTimeLimit bounds one call to an instance, above the time limit that
@@ -22,17 +24,8 @@
 		openLog: openLog,
 		now:     func() time.Duration { return time.Since(start) },
 		wall:    time.Now,
-		pause:   pause,
+		pause:   func(ctx context.Context, d time.Duration) { _ = delay.Wait(ctx, d) },
 		limit:   context.WithTimeout,
 		newID:   func() string { return uuid.Must(uuid.NewV7()).String() },
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -105,27 +105,9 @@
 	if c.Listen == "" || c.PeerListen == "" {
 		return code.New(code.BadSettings, "listen and peer_listen must be set")
 	}
-	positive := []struct {
-		name  string
-		value int64
-	}{
-		{"max_body_bytes", c.MaxBodyBytes},
-		{"max_header_bytes", int64(c.MaxHeaderBytes)},
-		{"max_in_flight", int64(c.MaxInFlight)},
-		{"urgent_limit_ms", int64(c.UrgentLimitMS)},
-		{"renew_interval_ms", int64(c.RenewIntervalMS)},
-		{"dial_timeout_ms", int64(c.DialTimeoutMS)},
-		{"probe_interval_ms", int64(c.ProbeIntervalMS)},
-		{"probe_timeout_ms", int64(c.ProbeTimeoutMS)},
-		{"queue_bound", int64(c.QueueBound)},
-		{"submits_in_flight", int64(c.SubmitsInFlight)},
-		{"sched_timeout_ms", int64(c.SchedTimeoutMS)},
-		{"key_retention_ms", int64(c.KeyRetentionMS)},
-		{"max_keys", int64(c.MaxKeys)},
-	}
-	for _, p := range positive {
-		if p.value <= 0 {
-			return code.New(code.BadSettings, "%s must be above 0", p.name)
+	for _, setting := range c.positive() {
+		if setting.value <= 0 {
+			return code.New(code.BadSettings, "%s must be above 0", setting.key)
 		}
 	}
 	return nil
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 
 	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
+
+	"redwingvale/internal/delay"
 )
 
 // drainPoll is the period at which a stopping entry looks for work in flight.
@@ -37,7 +39,7 @@
 	began := time.Now()
 	e.phase.Store(draining)
 	e.views.nudgeRenewers()
-	sleep(ctx, ms(e.config.BalancerWaitMS))
+	_ = delay.Wait(ctx, ms(e.config.BalancerWaitMS))
 	e.phase.Store(closing)
 	e.views.nudgeRenewers()
 	if err := e.awaitIdle(ctx); err != nil {
@@ -76,7 +78,7 @@
 		e.deps.Log.Warn("own rwsched did not leave", zap.String("error", err.Error()))
 		return
 	}
-	sleep(ctx, ms(e.config.ViewSpreadMS))
+	_ = delay.Wait(ctx, ms(e.config.ViewSpreadMS))
 }
 
 // awaitIdle returns when no request is in flight.
@@ -85,7 +87,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		sleep(ctx, drainPoll)
+		_ = delay.Wait(ctx, drainPoll)
 	}
 	return nil
 }
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"redwingvale/internal/delay"
 	schedv1 "redwingvale/internal/gen/redwingvale/sched/v1"
 	"redwingvale/internal/gen/redwingvale/sched/v1/schedv1connect"
 	"redwingvale/internal/route"
@@ -74,7 +75,7 @@
 			return
 		case <-e.dispatch.kick:
 			e.views.nudgeRenewers()
-			sleep(ctx, minRenewPause)
+			_ = delay.Wait(ctx, minRenewPause)
 		}
 	}
 }
@@ -104,7 +105,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		r.renew(ctx)
-		sleep(ctx, min(minRenewPause, interval)-time.Since(began))
+		_ = delay.Wait(ctx, min(minRenewPause, interval)-time.Since(began))
 		timer.Reset(max(interval-time.Since(began), 0))
 		select {
 		case <-ctx.Done():
@@ -114,16 +115,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // renew reports what is held and wanted, and takes the grants in. The sequence
 // is taken before the holdings, and one renewer has one request open at a
 // time, so an owner that sees a larger sequence sees newer holdings.
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"redwingvale/internal/delay"
 	"redwingvale/internal/platform"
 
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
@@ -98,7 +99,7 @@
 		if err := r.deliver(ctx, batch); err != nil {
 			return err
 		}
-		if err := sleep(ctx, r.pauseAfter(batch)); err != nil {
+		if err := delay.Wait(ctx, r.pauseAfter(batch)); err != nil {
 			return err
 		}
 	}
@@ -160,18 +161,3 @@
 	wait = min(wait, r.settings.RetryMax)
 	return wait/2 + rand.N(wait/2+1)
 }
-
-// sleep waits, or not at all when wait is not positive, until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -94,13 +94,14 @@
 // New returns the core of an instance that has just started and knows nothing.
 func New(settings Settings) *Core {
 	return &Core{
-		settings:    settings,
-		members:     newMembership(),
-		peers:       make(map[spec.InstanceID]*peer),
-		list:        make(map[spec.InstanceID]listed),
-		groups:      make(map[spec.GroupID]*group),
-		requestedAt: make(map[string]time.Duration),
-		alarms:      make(map[AlarmKind]bool),
+		configOffset: nothingRead,
+		settings:     settings,
+		members:      newMembership(),
+		peers:        make(map[spec.InstanceID]*peer),
+		list:         make(map[spec.InstanceID]listed),
+		groups:       make(map[spec.GroupID]*group),
+		requestedAt:  make(map[string]time.Duration),
+		alarms:       make(map[AlarmKind]bool),
 	}
 }
 
@@ -202,6 +203,10 @@
 	return out
 }
 
+// nothingRead is the offset of a reader that has read no record. Offsets of the
+// log start at 0.
+const nothingRead int64 = -1
+
 // ConfigOffset is how far a member has read the config stream.
 type ConfigOffset struct {
 	Instance spec.InstanceID
--- a/internal/ownership/inspect.go
+++ b/internal/ownership/inspect.go
@@ -14,6 +14,8 @@
 	Heard     time.Duration
 	Suspected bool
 	Leaving   bool
+	// ConfigOffset is how far the member has the configuration in force, or -1.
+	ConfigOffset int64
 }
 
 // Peers returns the members in the order of the members stream.
@@ -22,17 +24,18 @@
 	for _, id := range c.members.current().voters {
 		voters[id] = true
 	}
-	out := []PeerStatus{{Instance: c.settings.Instance, Voter: voters[c.settings.Instance], Leaving: c.leaving}}
+	out := []PeerStatus{{Instance: c.settings.Instance, Voter: voters[c.settings.Instance], Leaving: c.leaving, ConfigOffset: c.configOffset}}
 	for _, p := range c.order {
 		if p.id == c.settings.Instance {
 			continue
 		}
 		out = append(out, PeerStatus{
-			Instance:  p.id,
-			Voter:     voters[p.id],
-			Heard:     now - p.heardLast,
-			Suspected: c.suspected(now, p.id),
-			Leaving:   p.leaving,
+			Instance:     p.id,
+			Voter:        voters[p.id],
+			Heard:        now - p.heardLast,
+			Suspected:    c.suspected(now, p.id),
+			Leaving:      p.leaving,
+			ConfigOffset: p.configOffset,
 		})
 	}
 	return out
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -48,11 +48,12 @@
 
 func newPeer(id spec.InstanceID, incarnation spec.Incarnation, now time.Duration) *peer {
 	return &peer{
-		id:          id,
-		incarnation: incarnation,
-		seenAt:      now,
-		heardLast:   now,
-		promises:    make(map[spec.GroupID]promise),
+		configOffset: nothingRead,
+		id:           id,
+		incarnation:  incarnation,
+		seenAt:       now,
+		heardLast:    now,
+		promises:     make(map[spec.GroupID]promise),
 	}
 }
 
--- a/internal/sched/configuration.go
+++ b/internal/sched/configuration.go
@@ -8,6 +8,7 @@
 
 	"redwingvale/internal/config"
 	"redwingvale/internal/group"
+	"redwingvale/internal/ownership"
 	"redwingvale/internal/platform"
 	"redwingvale/internal/policy"
 	"redwingvale/internal/spec"
@@ -17,6 +18,7 @@
 
 // stepConfig runs the configuration core and carries out its effects.
 func (d *decision) stepConfig(now time.Duration, e config.Event) {
+	before := d.config.InForceOffset()
 	changed := false
 	for _, effect := range d.config.Step(now, e) {
 		switch out := effect.(type) {
@@ -33,6 +35,9 @@
 			d.log("config_unreadable", zap.Int64("offset", out.Offset), zap.String("error", out.Err.Error()))
 		}
 	}
+	if offset := d.config.InForceOffset(); offset != before {
+		d.stepOwnership(now, ownership.ConfigRead{Offset: offset})
+	}
 	if changed {
 		d.onConfigChanged(now)
 	}
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -36,9 +36,6 @@
 	heartbeats map[uint64]chan<- *schedv1.HeartbeatResponse
 	lastCall   uint64
 
-	// offsets holds the configuration that each member reported.
-	offsets map[string]heardOffset
-
 	// lags, clocks, knownMembers and removals serve alarms and operators.
 	lags         *lagBook
 	clocks       *clockBook
@@ -81,7 +78,6 @@
 		workers:    newWorkerCatalogue(),
 		tokens:     make(map[uint64]pendingWrite),
 		heartbeats: make(map[uint64]chan<- *schedv1.HeartbeatResponse),
-		offsets:    make(map[string]heardOffset),
 
 		lags:         newLagBook(),
 		clocks:       newClockBook(),
@@ -129,7 +125,6 @@
 	case heartbeatReceived:
 		d.onHeartbeat(now, e)
 	case heartbeatAnswered:
-		d.noteOffset(now, string(e.to), e.response.GetConfigOffset())
 		d.stepOwnership(now, ownership.HeartbeatAnswered{To: e.to, SentAt: e.sentAt, Response: e.response})
 	case workerCalled:
 		d.onWorkerCalled(now, e)
@@ -158,7 +153,6 @@
 }
 
 func (d *decision) onHeartbeat(now time.Duration, e heartbeatReceived) {
-	d.noteOffset(now, e.request.GetInstance(), e.request.GetConfigOffset())
 	d.lastCall++
 	d.heartbeats[d.lastCall] = e.response
 	d.stepOwnership(now, ownership.HeartbeatReceived{Call: d.lastCall, Request: e.request})
--- a/internal/sched/groups.go
+++ b/internal/sched/groups.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// abandon gives a group up whose records expired before they were read. The
-// stream is read anew, and the group is claimed again by whoever should own it.
+// abandon ends the right to a group whose records expired before they were
+// read. A member claims the group anew, because its owner does not act as one.
 func (d *decision) abandon(now time.Duration, g *followedGroup, out group.Abandon) {
 	d.log("group_abandoned", zap.String("group", string(g.id)), zap.Uint64("epoch", uint64(out.Epoch)))
 	d.stepOwnership(now, ownership.GroupAbandoned{Group: g.id, Epoch: out.Epoch})
--- a/internal/sched/lag.go
+++ b/internal/sched/lag.go
@@ -59,7 +59,7 @@
 		listed[instance] = true
 		out = append(out, alarm.ConfigReading{
 			Instance: instance,
-			Behind:   d.lags.behind(now, instance, d.offsetOf(instance), ours),
+			Behind:   d.lags.behind(now, instance, peer.ConfigOffset, ours),
 			Heard:    peer.Heard <= logReachableFor,
 		})
 	}
--- a/internal/sched/operate.go
+++ b/internal/sched/operate.go
@@ -98,7 +98,7 @@
 			DataCentre:   member.GetDataCentre(),
 			State:        memberState(peer),
 			HeardMs:      peer.Heard.Milliseconds(),
-			ConfigOffset: d.offsetOf(string(peer.Instance)),
+			ConfigOffset: peer.ConfigOffset,
 		})
 	}
 	return out
@@ -117,17 +117,6 @@
 	}
 }
 
-func (d *decision) offsetOf(instance string) int64 {
-	if instance == d.sched.config.Instance {
-		return d.config.InForceOffset()
-	}
-	heard, ok := d.offsets[instance]
-	if !ok {
-		return -1
-	}
-	return heard.offset
-}
-
 func (d *decision) groupStatus(now time.Duration, owner ownership.Owner) *operatorv1.GroupStatus {
 	out := &operatorv1.GroupStatus{
 		Group:   string(owner.Group),
@@ -250,7 +239,7 @@
 			if peer.Voter {
 				out.Instances = append(out.Instances, &operatorv1.InstanceConfig{
 					Instance:     string(peer.Instance),
-					ConfigOffset: d.offsetOf(string(peer.Instance)),
+					ConfigOffset: peer.ConfigOffset,
 					HeardMs:      peer.Heard.Milliseconds(),
 				})
 			}
--- a/internal/sched/owning.go
+++ b/internal/sched/owning.go
@@ -31,7 +31,7 @@
 	case ownership.AppendRelease:
 		d.writeRelease(now, out)
 	case ownership.SendHeartbeat:
-		d.sched.heartbeats.send(d.ctx, d.stampHeartbeat(out))
+		d.sched.heartbeats.send(d.ctx, out)
 	case ownership.Respond:
 		d.respond(out)
 	case ownership.Follow:
@@ -96,7 +96,6 @@
 	if !ok {
 		return
 	}
-	d.stampResponse(out.Response)
 	waiting <- out.Response
 }
 
--- a/internal/sched/remove.go
+++ b/internal/sched/remove.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"redwingvale/internal/code"
+	"redwingvale/internal/delay"
 	"redwingvale/internal/ownership"
 	"redwingvale/internal/spec"
 
@@ -53,7 +54,7 @@
 		case gone:
 			return &operatorv1.RemoveMemberResponse{VotersVersion: version}, nil
 		}
-		pause(ctx, removePollPeriod)
+		_ = delay.Wait(ctx, removePollPeriod)
 	}
 	return nil, code.New(code.AcceptanceUnsure, "the removal was not read back in time")
 }
--- a/internal/sched/streams.go
+++ b/internal/sched/streams.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"redwingvale/internal/config"
+	"redwingvale/internal/delay"
 	"redwingvale/internal/fence"
 	"redwingvale/internal/group"
 	"redwingvale/internal/journal"
@@ -91,7 +92,7 @@
 		result, err := s.deps.Log.Read(call, platform.ConfigStream, next, configReadLimit, configReadWait)
 		cancel()
 		if err != nil {
-			pause(ctx, configRetryWait)
+			_ = delay.Wait(ctx, configRetryWait)
 			continue
 		}
 		next = result.Next
@@ -118,13 +119,3 @@
 		d.publishDocuments()
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"redwingvale/internal/delay"
 	"redwingvale/internal/platform"
 )
 
@@ -115,7 +116,7 @@
 	lostAnswer = c.log.random.IntN(100) < faults.LostAnswerPercent
 	c.log.mu.Unlock()
 	if faults.DelayMS > 0 {
-		if err := sleep(ctx, time.Duration(faults.DelayMS)*time.Millisecond); err != nil {
+		if err := delay.Wait(ctx, time.Duration(faults.DelayMS)*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
@@ -220,14 +221,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"redwingvale/internal/delay"
 	"redwingvale/internal/platform"
 )
 
@@ -56,7 +57,7 @@
 	defer func() { t.Worker.endRequest(time.Since(begun)) }()
 	id := in.Header.Get(RequestIDHeader)
 	t.Worker.truth.requestRan(id, in.Header.Get(IdempotentHeader) == "true")
-	if err := sleep(in.Context(), time.Duration(float64(t.ServiceTime)*stretch)); err != nil {
+	if err := delay.Wait(in.Context(), time.Duration(float64(t.ServiceTime)*stretch)); err != nil {
 		return
 	}
 	answer := append([]byte(id+"\n"), body...)
