The name of a group's stream is taken apart in one place

Cause: rwsched built the name of each followed group's stream to find the group of a read, and the audit trail had the prefix a second time.

Conclusion: platform.GroupOf is the inverse of GroupStream; a read finds its group by one map look-up. Behaviour unchanged.

--- a/internal/audit/standing.go
+++ b/internal/audit/standing.go
@@ -1,8 +1,6 @@
 package audit
 
 import (
-	"strings"
-
 	"redwingvale/internal/config"
 	"redwingvale/internal/fence"
 	"redwingvale/internal/journal"
@@ -12,8 +10,6 @@
 	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
-const groupPrefix = "group/"
-
 // judge states whether the records of one stream had an effect. It is fed in
 // log order.
 type judge struct {
@@ -37,10 +33,11 @@
 
 // judge returns the standing of a record and what it adds to the entry.
 func (j *judge) judge(offset int64, env *recordv1.Envelope, read platform.ReadResult, record platform.LogRecord) (Standing, string) {
+	_, ofGroup := platform.GroupOf(j.stream)
 	switch {
 	case j.stream == platform.ConfigStream:
 		return j.ofConfig(offset, read, record)
-	case strings.HasPrefix(string(j.stream), groupPrefix):
+	case ofGroup:
 		return j.ofGroup(env), ""
 	case !j.filter.Accept(env):
 		return Void, "a repeat"
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"redwingvale/internal/spec"
@@ -19,8 +20,17 @@
 	ConfigStream  Stream = "config"
 )
 
+// groupPrefix stands before the group's id in the name of its stream.
+const groupPrefix = "group/"
+
 // GroupStream returns the stream of a worker group.
-func GroupStream(id spec.GroupID) Stream { return Stream("group/" + string(id)) }
+func GroupStream(id spec.GroupID) Stream { return Stream(groupPrefix + string(id)) }
+
+// GroupOf returns the worker group of a stream, and false for other streams.
+func GroupOf(stream Stream) (spec.GroupID, bool) {
+	id, found := strings.CutPrefix(string(stream), groupPrefix)
+	return spec.GroupID(id), found
+}
 
 // LogRecord is one record as the log returns it.
 type LogRecord struct {
--- a/internal/sched/groups.go
+++ b/internal/sched/groups.go
@@ -164,12 +164,8 @@
 }
 
 func (d *decision) groupOfStream(stream platform.Stream) *followedGroup {
-	for id, g := range d.groups {
-		if platform.GroupStream(id) == stream {
-			return g
-		}
-	}
-	return nil
+	id, _ := platform.GroupOf(stream)
+	return d.groups[id]
 }
 
 // notOwner is the reply to a request for a group that this instance does not
