--- /dev/null
+++ b/cmd/rwnode/main.go
@@ -0,0 +1,54 @@
+// Command rwnode is redwingvale on the users' platform: one daemon on each
+// instance that takes in jobs, and plans them while it leads.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"redwingvale/internal/cli"
+	"redwingvale/internal/node"
+	"redwingvale/internal/telemetry"
+	"redwingvale/platform"
+)
+
+func main() {
+	daemon := cli.Daemon[node.Config]{
+		Name:     "rwnode",
+		Help:     "rwnode takes in jobs and schedules them on the platform's workers.",
+		Defaults: node.DefaultConfig,
+		Run:      run,
+	}
+	os.Exit(daemon.Main())
+}
+
+func run(ctx context.Context, config node.Config) error {
+	out := telemetry.NewBuffer(os.Stdout)
+	defer out.Close()
+	tele := telemetry.New("rwnode", config.Instance, out)
+	defer tele.Close()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		// The settings name addresses and bounds, which are fixed for the life
+		// of a process; what operators change comes through the manifest.
+		for range reload {
+			tele.Log.Info("reload_ignored")
+		}
+	}()
+	store := platform.NewStore(config.StoreAddr)
+	workers := platform.NewWorkers(config.AdviceAddr)
+	n := node.New(config, node.Deps{
+		Log:       platform.JobLog{Store: store},
+		Operators: platform.Operators{Store: store},
+		Directory: platform.NewDirectory(store),
+		Workers:   workers,
+		Adviser:   workers,
+	}, tele)
+	return n.Serve(ctx, node.Handlers{
+		Callers:   platform.NewIngress(n, n.Draining),
+		Readiness: platform.NewReadiness(n.Ready, tele.Handler(n.Ready)),
+	})
+}
--- /dev/null
+++ b/internal/jobs/progress.go
@@ -0,0 +1,114 @@
+package jobs
+
+import (
+	"maps"
+	"math/bits"
+	"slices"
+)
+
+// State is what a caller is told about a job.
+type State string
+
+// The states of a job. The last three are final.
+const (
+	Queued    State = "queued"
+	Active    State = "active"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether a job in this state never changes again.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Progress is what is recorded of a job's execution. Everything that a new
+// leader needs and cannot read from the workers stands here.
+type Progress struct {
+	State State `json:"s"`
+	// Done holds a bit for each finished task: one row for each step of each
+	// occurrence, in order.
+	Done [][]byte `json:"d,omitempty"`
+	// Failures lists the failed runs of a task, so that an end that is seen
+	// twice counts once.
+	Failures map[string][]int `json:"f,omitempty"`
+	// Checkpoints holds the newest checkpoint of an unfinished task.
+	Checkpoints map[string]string `json:"c,omitempty"`
+	// LastRun is a run number that no task of the job has exceeded.
+	LastRun int `json:"r,omitempty"`
+	// EndedMS is when the job became final, in Unix milliseconds.
+	EndedMS int64 `json:"e,omitempty"`
+}
+
+// NewProgress returns the progress of a job of which nothing has run.
+func NewProgress(job *Job) *Progress {
+	p := &Progress{State: Queued}
+	for range job.Occurrences() {
+		for i := range job.Steps {
+			p.Done = append(p.Done, make([]byte, (job.Steps[i].Count+7)/8))
+		}
+	}
+	return p
+}
+
+// Clone returns a deep copy.
+func (p *Progress) Clone() *Progress {
+	out := *p
+	out.Done = make([][]byte, len(p.Done))
+	for i, row := range p.Done {
+		out.Done[i] = append([]byte(nil), row...)
+	}
+	out.Failures = make(map[string][]int, len(p.Failures))
+	for name, runs := range p.Failures {
+		out.Failures[name] = slices.Clone(runs)
+	}
+	out.Checkpoints = maps.Clone(p.Checkpoints)
+	return &out
+}
+
+func row(job *Job, t Task) int { return t.Occurrence*len(job.Steps) + t.Step }
+
+// IsDone reports whether the task has finished.
+func (p *Progress) IsDone(job *Job, t Task) bool {
+	r := row(job, t)
+	return r < len(p.Done) && t.Index/8 < len(p.Done[r]) && p.Done[r][t.Index/8]&(1<<(t.Index%8)) != 0
+}
+
+// SetDone records that the task has finished.
+func (p *Progress) SetDone(job *Job, t Task) {
+	p.Done[row(job, t)][t.Index/8] |= 1 << (t.Index % 8)
+	delete(p.Checkpoints, t.local())
+}
+
+// DoneCount returns the number of finished tasks of a step.
+func (p *Progress) DoneCount(job *Job, occurrence, step int) int {
+	n := 0
+	for _, b := range p.Done[occurrence*len(job.Steps)+step] {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
+
+// FailuresOf returns the number of failed runs of a task.
+func (p *Progress) FailuresOf(t Task) int { return len(p.Failures[t.local()]) }
+
+// AddFailure counts a failed run of a task, once for each run.
+func (p *Progress) AddFailure(t Task, run int) {
+	if p.Failures == nil {
+		p.Failures = map[string][]int{}
+	}
+	name := t.local()
+	if !slices.Contains(p.Failures[name], run) {
+		p.Failures[name] = append(p.Failures[name], run)
+	}
+}
+
+// CheckpointOf returns the newest recorded checkpoint of a task, or "".
+func (p *Progress) CheckpointOf(t Task) string { return p.Checkpoints[t.local()] }
+
+// SetCheckpoint records a checkpoint of a task.
+func (p *Progress) SetCheckpoint(t Task, checkpoint string) {
+	if p.Checkpoints == nil {
+		p.Checkpoints = map[string]string{}
+	}
+	p.Checkpoints[t.local()] = checkpoint
+}
--- /dev/null
+++ b/internal/node/clock.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"redwingvale/internal/planner"
+)
+
+// now reads both clocks. The steady one also counts time in which the
+// instance was suspended, unlike the one of package time.
+func (n *Node) now() planner.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The clock exists on every supported kernel.
+		panic("read CLOCK_BOOTTIME: " + err.Error())
+	}
+	return planner.Time{MS: ts.Nano() / int64(time.Millisecond), UnixMS: time.Now().UnixMilli()}
+}
+
+func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"math"
+	"time"
+
+	"redwingvale/internal/planner"
+	"redwingvale/internal/settings"
+)
+
+// Config holds the settings of rwnode. On a platform that fills in a template
+// the file is deploy/node.toml.tmpl.
+type Config struct {
+	// Instance is this instance's name.
+	Instance   string `toml:"instance"`
+	DataCentre string `toml:"data_centre"`
+	// FirstStart is set when the deployment starts for the first time.
+	FirstStart bool `toml:"first_start"`
+	// Addresses to listen on.
+	CallersAddr   string `toml:"callers_addr"`
+	ReadinessAddr string `toml:"readiness_addr"`
+	PeerAddr      string `toml:"peer_addr"`
+	MetricsAddr   string `toml:"metrics_addr"`
+	// Addresses of the platform.
+	StoreAddr  string `toml:"store_addr"`
+	AdviceAddr string `toml:"advice_addr"`
+	Bounds     Bounds `toml:"bounds"`
+	// LeaseMS is how long a worker keeps its runs without a renewal.
+	LeaseMS int64 `toml:"lease_ms"`
+	// OptimisticStart starts tasks while their submission is being recorded.
+	OptimisticStart bool `toml:"optimistic_start"`
+}
+
+// Bounds are the platform's bounds.
+type Bounds struct {
+	// MaxLeaseMS is the longest lease that a worker grants.
+	MaxLeaseMS      float64 `toml:"max_lease_ms"`
+	GangTimeoutMS   float64 `toml:"gang_timeout_ms"`
+	InterferenceMS  float64 `toml:"interference_ms"`
+	StatusS         float64 `toml:"status_s"`
+	GraceS          float64 `toml:"grace_s"`
+	ConfigInForceMS float64 `toml:"config_in_force_ms"`
+}
+
+// DefaultConfig returns the settings before the file is read.
+func DefaultConfig() Config {
+	return Config{
+		LeaseMS:         4000,
+		OptimisticStart: true,
+		Bounds: Bounds{
+			MaxLeaseMS: 6000, GangTimeoutMS: 3000, InterferenceMS: 4000,
+			StatusS: 120, GraceS: 6, ConfigInForceMS: 2000,
+		},
+	}
+}
+
+// Check implements settings.Checker.
+func (c *Config) Check(problems *settings.Problems) {
+	problems.Required("instance", c.Instance)
+	problems.Address("callers_addr", c.CallersAddr)
+	problems.Address("readiness_addr", c.ReadinessAddr)
+	problems.Address("peer_addr", c.PeerAddr)
+	problems.Address("store_addr", c.StoreAddr)
+	if c.MetricsAddr != "" {
+		problems.Address("metrics_addr", c.MetricsAddr)
+	}
+	problems.Range("lease_ms", c.LeaseMS, 500, math.MaxInt32)
+	problems.Range("bounds.max_lease_ms", int64(c.Bounds.MaxLeaseMS), 500, math.MaxInt32)
+	problems.Range("bounds.grace_s", int64(c.Bounds.GraceS), 1, 3600)
+}
+
+func (c *Config) planner(firstTerm bool) planner.Config {
+	return planner.Config{
+		LeaseMS:         min(c.LeaseMS, int64(c.Bounds.MaxLeaseMS)),
+		MaxLeaseMS:      int64(c.Bounds.MaxLeaseMS),
+		GangTimeoutMS:   int64(c.Bounds.GangTimeoutMS),
+		InterferenceMS:  int64(c.Bounds.InterferenceMS),
+		StatusMS:        int64(c.Bounds.StatusS * 1000),
+		OptimisticStart: c.OptimisticStart,
+		FirstTerm:       firstTerm,
+	}
+}
+
+// Times of the duties. Those of the election add up to the time from a
+// leader's death to the next start of its work: at most electAfter, one round
+// for the check, one for the claim and one to the workers.
+const (
+	// tickInterval is the planner's clock.
+	tickInterval = 20 * time.Millisecond
+	// heartbeatInterval and heartbeatTimeout: three lost heartbeats in a row
+	// start an election.
+	heartbeatInterval = 200 * time.Millisecond
+	heartbeatTimeout  = 400 * time.Millisecond
+	electAfter        = 700 * time.Millisecond
+	// electStagger separates the claims of two members.
+	electStagger = 120 * time.Millisecond
+	// checkTimeout bounds the question whether others hear the leader.
+	checkTimeout = 200 * time.Millisecond
+	// logSilence is how long the leader's append may stay unanswered before
+	// others may take over, if the log serves them.
+	logSilence = 600 * time.Millisecond
+	// followInterval is the pause between a follower's reads of the log.
+	followInterval = time.Second
+	// leaderReadInterval is the pause between the leader's reads, which find
+	// jobs that other instances have recorded themselves.
+	leaderReadInterval = 500 * time.Millisecond
+	// directoryInterval is the pause between reads of the workers' entries.
+	directoryInterval = 400 * time.Millisecond
+	// manifestWait is how long a read of the manifest waits for a change: well
+	// within the time in which a change has to be in force.
+	manifestWait = time.Second
+	// retryPause is the pause after a failed call to the log.
+	retryPause = 100 * time.Millisecond
+	// peerTimeout bounds a call to the leader before the instance helps itself.
+	peerTimeout = 800 * time.Millisecond
+	// handOverTime is how long a stopping leader leads on while a successor
+	// takes over.
+	handOverTime = 1500 * time.Millisecond
+	// drainTime lets the balancer notice that the instance is not ready: two
+	// missed probes, one a second.
+	drainTime = 2500 * time.Millisecond
+	// graceMargin is left of the grace time when the last requests are cut.
+	graceMargin = 500 * time.Millisecond
+	// ringSize bounds the events that wait for the loop.
+	ringSize = 4096
+)
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"redwingvale/internal/jobs"
+	"redwingvale/internal/planner"
+	"redwingvale/internal/ring"
+	"redwingvale/internal/telemetry"
+)
+
+// Node is one instance. The loop goroutine owns everything below it; other
+// goroutines reach it through the ring.
+type Node struct {
+	config Config
+	deps   Deps
+	tele   *telemetry.Telemetry
+	stats  stats
+	ring   *ring.Ring[func()]
+	peers  *http.Client
+
+	// view is what the request path reads without the loop.
+	view atomic.Pointer[view]
+	// leader is where the current leader is.
+	leader   atomic.Pointer[leaderInfo]
+	stopping atomic.Bool
+	caughtUp atomic.Bool
+	// logReadMS is when the log was last read, on the node's clock.
+	logReadMS atomic.Int64
+
+	// Owned by the loop.
+	book      *jobs.Book
+	end       int64
+	members   map[string]member
+	claim     claim
+	term      *term
+	manifest  *Manifest
+	nextReply uint64
+	replies   map[uint64]chan planner.Reply
+	heard     heard
+}
+
+// term is the time in which this instance leads.
+type term struct {
+	epoch    uint64
+	core     *planner.Core
+	ctx      context.Context
+	stop     context.CancelFunc
+	writes   *ring.Ring[planner.Write]
+	lastOKMS atomic.Int64
+	// pendingMS is when the outstanding write was sent, or 0.
+	pendingMS atomic.Int64
+	handOver  atomic.Bool
+}
+
+// heard is the newest sign of life of a leader.
+type heard struct {
+	epoch        uint64
+	atMS         int64
+	logAvailable bool
+	stopping     bool
+}
+
+// New returns an instance.
+func New(config Config, deps Deps, tele *telemetry.Telemetry) *Node {
+	return &Node{
+		config:  config,
+		deps:    deps,
+		tele:    tele,
+		stats:   newStats(tele.Scope),
+		ring:    ring.New[func()](ringSize),
+		peers:   newPeerClient(),
+		book:    jobs.NewBook(),
+		members: map[string]member{},
+		replies: map[uint64]chan planner.Reply{},
+	}
+}
+
+// Run works until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	n.heard.atMS = n.now().MS
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { n.loop(ctx); return nil })
+	group.Go(func() error { n.followManifest(ctx); return nil })
+	group.Go(func() error { n.followLog(ctx); return nil })
+	group.Go(func() error { n.stand(ctx); return nil })
+	return group.Wait()
+}
+
+// loop carries out one event after the other.
+func (n *Node) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.resign("stopped")
+			return
+		case event := <-n.ring.Out():
+			event()
+		case <-ticker.C:
+			n.step(planner.Tick{})
+		}
+	}
+}
+
+// post hands an event to the loop.
+func (n *Node) post(ctx context.Context, event func()) bool {
+	return n.ring.Put(ctx, event) == nil
+}
+
+// ask runs a question in the loop and waits for its answer.
+func ask[T any](ctx context.Context, n *Node, question func() T) (T, error) {
+	answer := make(chan T, 1)
+	var none T
+	if !n.post(ctx, func() { answer <- question() }) {
+		return none, errors.Wrap(ctx.Err(), "ask the loop")
+	}
+	select {
+	case got := <-answer:
+		return got, nil
+	case <-ctx.Done():
+		return none, errors.Wrap(ctx.Err(), "wait for the loop")
+	}
+}
+
+// step gives an event to the planner and carries out what it wants. It runs
+// in the loop.
+func (n *Node) step(e planner.Event) {
+	if n.term == nil {
+		return
+	}
+	t := n.term
+	for _, effect := range t.core.Step(n.now(), e) {
+		n.carryOut(t, effect)
+	}
+}
+
+// event posts a planner event of a term; it is dropped once the term is over.
+func (n *Node) event(t *term, e planner.Event) {
+	n.post(t.ctx, func() {
+		if n.term == t {
+			n.step(e)
+		}
+	})
+}
+
+// Ready reports whether the instance takes requests.
+func (n *Node) Ready() bool {
+	return n.view.Load() != nil && n.caughtUp.Load() && n.leader.Load() != nil && !n.stopping.Load()
+}
+
+func (n *Node) log(event string, fields ...zap.Field) { n.tele.Log.Info(event, fields...) }
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"redwingvale/internal/telemetry"
+)
+
+// headerTimeout bounds the time for a request's header.
+const headerTimeout = 3 * time.Second
+
+// Handlers are what the instance serves.
+type Handlers struct {
+	Callers   http.Handler
+	Readiness http.Handler
+}
+
+// Serve listens, works until ctx ends, and then drains: it hands its term
+// over, goes on answering on open connections until the balancer has noticed,
+// and ends when the last request is answered.
+func (n *Node) Serve(ctx context.Context, handlers Handlers) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	var servers []*http.Server
+	serve := func(address string, handler http.Handler) error {
+		socket, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", address)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		servers = append(servers, server)
+		group.Go(func() error {
+			if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		return nil
+	}
+	if err := serve(n.config.CallersAddr, handlers.Callers); err != nil {
+		return err
+	}
+	if err := serve(n.config.ReadinessAddr, handlers.Readiness); err != nil {
+		return err
+	}
+	if err := serve(n.config.PeerAddr, n.PeerHandler()); err != nil {
+		return err
+	}
+	if n.config.MetricsAddr != "" {
+		if err := serve(n.config.MetricsAddr, n.tele.Handler(n.Ready)); err != nil {
+			return err
+		}
+	}
+	group.Go(func() error { return n.Run(running) })
+	n.log("started")
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		return group.Wait()
+	}
+	n.drain(servers)
+	stop()
+	err := group.Wait()
+	n.log("stopped")
+	return err
+}
+
+// Draining reports whether the instance is stopping.
+func (n *Node) Draining() bool { return n.stopping.Load() }
+
+func (n *Node) drain(servers []*http.Server) {
+	begun := time.Now()
+	n.stopping.Store(true)
+	n.log("draining")
+	for n.leading() && time.Since(begun) < handOverTime {
+		time.Sleep(tickInterval)
+	}
+	time.Sleep(drainTime - min(time.Since(begun), drainTime))
+	grace := time.Duration(n.config.Bounds.GraceS*float64(time.Second)) - graceMargin
+	ctx, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(begun), graceMargin))
+	defer cancel()
+	// The callers' server comes first in the list; the others are closed after
+	// its last request.
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			n.tele.Log.Warn("shutdown_incomplete", telemetry.ErrorFields(err)...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,29 @@
+package node
+
+import "strings"
+
+// view is the manifest as the request path reads it.
+type view struct {
+	version int64
+	hosts   map[string][]QueueRoute
+}
+
+func newView(m *Manifest) *view {
+	v := &view{version: m.Version, hosts: map[string][]QueueRoute{}}
+	for _, q := range m.Queues {
+		v.hosts[q.Host] = append(v.hosts[q.Host], q)
+	}
+	return v
+}
+
+// route returns the queue with the longest prefix of the path, and the rest.
+func (v *view) route(host, path string) (queue, rest string, ok bool) {
+	longest := -1
+	for _, q := range v.hosts[host] {
+		if len(q.Prefix) > longest && strings.HasPrefix(path, q.Prefix) {
+			longest = len(q.Prefix)
+			queue, rest, ok = q.Name, path[len(q.Prefix):], true
+		}
+	}
+	return queue, rest, ok
+}
--- /dev/null
+++ b/internal/node/write.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"redwingvale/internal/planner"
+	"redwingvale/internal/telemetry"
+)
+
+// write is the leader's journal duty: one append after the other, each
+// repeated under its sequence number until its outcome is known.
+func (n *Node) write(t *term) {
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case w := <-t.writes.Out():
+			t.pendingMS.Store(n.now().MS)
+			if !n.writeOne(t, w) {
+				return
+			}
+			t.pendingMS.Store(0)
+			t.lastOKMS.Store(n.now().MS)
+		}
+	}
+}
+
+// writeOne records one write; false means that the term is over.
+func (n *Node) writeOne(t *term, w planner.Write) bool {
+	for t.ctx.Err() == nil {
+		begun := time.Now()
+		offset, err := n.deps.Log.Append(t.ctx, Append{
+			Records: w.Records, Writer: &Writer{Epoch: t.epoch, Sequence: w.Seq}, At: -1,
+		})
+		switch {
+		case err == nil:
+			n.stats.append.RecordDuration(time.Since(begun))
+			n.stats.writes.Inc(1)
+			n.stats.records.Inc(int64(len(w.Records)))
+			return n.recorded(t, w, offset)
+		case errors.Is(err, ErrFenced):
+			n.log("fenced_by_log", zap.Uint64("epoch", t.epoch), zap.String("error", err.Error()))
+			n.post(t.ctx, func() {
+				if n.term == t {
+					n.resign("fenced by the log")
+				}
+			})
+			return false
+		}
+		n.stats.logErrors.Inc(1)
+		n.tele.Log.Warn("append_failed", append(telemetry.ErrorFields(err), zap.Uint64("seq", w.Seq))...)
+		pause(t.ctx, retryPause)
+	}
+	return false
+}
+
+// recorded takes a confirmed write into the book. Records that others wrote
+// before it are read first, so that the book follows the order of the log.
+func (n *Node) recorded(t *term, w planner.Write, offset int64) bool {
+	for t.ctx.Err() == nil {
+		done, err := ask(t.ctx, n, func() bool {
+			if n.end < offset {
+				return false
+			}
+			n.apply(Batch{From: offset, Records: w.Records})
+			if n.term == t {
+				n.step(planner.WriteDone{Seq: w.Seq})
+			}
+			return true
+		})
+		if err != nil {
+			return false
+		}
+		if done {
+			return true
+		}
+		if _, err := n.catchUp(t.ctx); err != nil {
+			n.tele.Log.Warn("catch_up_failed", telemetry.ErrorFields(err)...)
+			if errors.Is(err, ErrExpired) {
+				if err := n.loadLog(t.ctx); err != nil {
+					n.tele.Log.Warn("load_failed", telemetry.ErrorFields(err)...)
+				}
+			}
+			pause(t.ctx, retryPause)
+		}
+	}
+	return false
+}
+
+// logAvailable reports whether the leader's writes get through.
+func (n *Node) logAvailable(t *term) bool {
+	pending := t.pendingMS.Load()
+	return pending == 0 || n.now().MS-pending < milliseconds(logSilence)
+}
+
--- /dev/null
+++ b/internal/planner/core.go
@@ -0,0 +1,174 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"redwingvale/internal/jobs"
+)
+
+// Core is the state of one leader's term. It is owned by one goroutine.
+type Core struct {
+	config Config
+	book   *jobs.Book
+	epoch  uint64
+	now    Time
+	// termMS is when the term began.
+	termMS int64
+	// settled is set once every worker has answered, or has had its chance to.
+	settled bool
+
+	queues  map[string]*Queue
+	workers map[WorkerID]*worker
+	// order holds the workers sorted by id.
+	order []*worker
+	jobs  map[jobs.ID]*job
+	// ready holds the steps with tasks that wait for a worker.
+	ready []*step
+	// scheduled holds the occurrences that are not due yet.
+	scheduled []*step
+	// wake is set when a waiting task may fit now.
+	wake    bool
+	learned durations
+	journal journal
+	effects []Effect
+}
+
+// New returns the core for the term of the given epoch. The book must hold
+// every record up to the claim of the term.
+func New(config Config, book *jobs.Book, epoch uint64, now Time) *Core {
+	c := &Core{
+		config:  config,
+		book:    book,
+		epoch:   epoch,
+		now:     now,
+		termMS:  now.MS,
+		settled: config.FirstTerm,
+		queues:  map[string]*Queue{},
+		workers: map[WorkerID]*worker{},
+		jobs:    map[jobs.ID]*job{},
+		learned: durations{byQueue: map[string]*estimate{}},
+	}
+	ids := make([]jobs.ID, 0, len(book.Jobs))
+	for id := range book.Jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		c.adoptJob(id, !config.FirstTerm)
+		c.noteFinal(id)
+	}
+	slices.SortStableFunc(c.journal.final, func(a, b finalJob) int { return cmp.Compare(a.atMS, b.atMS) })
+	return c
+}
+
+// noteFinal plans the removal of a job that was final before the term.
+func (c *Core) noteFinal(id jobs.ID) {
+	entry := c.book.Jobs[id]
+	if c.jobs[id] != nil || entry.Progress == nil {
+		return
+	}
+	age := max(0, c.now.UnixMS-entry.Progress.EndedMS)
+	c.journal.final = append(c.journal.final, finalJob{id, c.now.MS - age})
+}
+
+// Step takes an event and returns what is to be done. The effects are valid
+// until the next call.
+func (c *Core) Step(now Time, e Event) []Effect {
+	c.effects = c.effects[:0]
+	c.now = now
+	switch e := e.(type) {
+	case Tick:
+		c.tick()
+	case QueuesChanged:
+		c.setQueues(e.Queues)
+	case WorkersChanged:
+		c.setWorkers(e.Workers)
+	case SubmitRequested:
+		c.submit(e)
+	case CancelRequested:
+		c.cancel(e)
+	case RecordsRead:
+		for _, id := range e.Jobs {
+			c.observe(id)
+		}
+	case WriteDone:
+		c.writeDone(e.Seq)
+	case HoldDone:
+		c.holdDone(e)
+	case StartDone:
+		c.startDone(e)
+	case StopDone:
+		c.stopDone(e)
+	case PaceDone:
+		c.paceDone(e)
+	case AdviceDone:
+		c.adviceDone(e)
+	}
+	c.schedule()
+	c.flush()
+	return c.effects
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) tick() {
+	c.settle()
+	c.releaseDue()
+	for _, w := range c.order {
+		c.tickWorker(w)
+	}
+	c.dropGone()
+	c.purge()
+}
+
+// setQueues replaces the queues' policies; a queue that is gone keeps its
+// last policy for the jobs that it still has.
+func (c *Core) setQueues(queues []Queue) {
+	for i := range queues {
+		q := queues[i]
+		c.queues[q.Name] = &q
+	}
+	for _, j := range c.jobs {
+		j.queue = c.queueOf(j.spec.Queue)
+	}
+	c.wake = true
+}
+
+// queueOf returns the policy of a queue; an unknown queue has no workers.
+func (c *Core) queueOf(name string) *Queue {
+	if q := c.queues[name]; q != nil {
+		return q
+	}
+	return &Queue{Name: name, MaxAttempts: 1}
+}
+
+// Waiting returns the number of a queue's accepted jobs of which no task has
+// started.
+func (c *Core) Waiting(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.spec.Queue == queue && !j.started && !j.state.Final() && j.recorded && j.spec.Repeat == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// State returns what a caller is told of a job; ok is false for a job that
+// the book does not know.
+func (c *Core) State(id jobs.ID) (state jobs.State, ok bool) {
+	entry := c.book.Known(id)
+	if entry == nil {
+		return "", false
+	}
+	state = entry.State()
+	if j := c.jobs[id]; j != nil && state == jobs.Queued && j.started {
+		state = jobs.Active
+	}
+	return state, true
+}
+
+func sortWorkers(workers []*worker) {
+	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+}
--- /dev/null
+++ b/internal/planner/gang.go
@@ -0,0 +1,129 @@
+package planner
+
+import "slices"
+
+// gangState is the current run of a gang: all members carry one run number.
+type gangState struct {
+	number    int
+	startedMS int64
+}
+
+// placeGang starts all members at once, or none. A member whose start was
+// rejected is placed again with the gang's run number while the others wait.
+func (c *Core) placeGang(s *step) {
+	active := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.unaccounted || c.now.MS < t.notBeforeMS {
+			return
+		}
+		active += len(t.runs)
+	}
+	if active > 0 {
+		c.completeGang(s)
+		return
+	}
+	places := c.gangPlaces(s)
+	if places == nil {
+		return
+	}
+	number := 0
+	for i := range s.tasks {
+		number = max(number, s.tasks[i].lastRun)
+	}
+	s.gang = gangState{number: number + 1, startedMS: c.now.MS}
+	for i := range s.tasks {
+		c.start(&s.tasks[i], places[i], s.gang.number, "gang placed")
+	}
+}
+
+// completeGang places the members that a running gang lacks, or stops the
+// gang when they cannot join in time.
+func (c *Core) completeGang(s *step) {
+	late := c.now.MS-s.gang.startedMS > c.config.GangTimeoutMS/2
+	for i := range s.tasks {
+		for _, r := range s.tasks[i].runs {
+			if r.number != s.gang.number || r.phase == stopping {
+				late = true
+			}
+		}
+	}
+	if late {
+		for i := range s.tasks {
+			for _, r := range slices.Clone(s.tasks[i].runs) {
+				c.stopRun(r, "gang incomplete")
+			}
+		}
+		return
+	}
+	for _, t := range slices.Clone(s.pending) {
+		if w := c.pick(t, nil); w != nil && t.lastRun <= s.gang.number {
+			c.start(t, w, s.gang.number, "gang member placed again")
+		}
+	}
+}
+
+// gangPlaces returns a worker for each member, or nil when they do not all
+// fit. With SameRack the members are kept in one rack where one has room.
+func (c *Core) gangPlaces(s *step) []*worker {
+	if s.spec.SameRack {
+		for _, rack := range c.racks() {
+			if places := c.fitAll(s, rack); places != nil {
+				return places
+			}
+		}
+	}
+	return c.fitAll(s, "")
+}
+
+// racks returns the labels of the workers, sorted.
+func (c *Core) racks() []string {
+	var labels []string
+	for _, w := range c.order {
+		for _, label := range w.info.Labels {
+			if !slices.Contains(labels, label) {
+				labels = append(labels, label)
+			}
+		}
+	}
+	slices.Sort(labels)
+	return labels
+}
+
+func (c *Core) fitAll(s *step, rack string) []*worker {
+	places := make([]*worker, 0, len(s.tasks))
+	taken := map[*worker]int{}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		var best *worker
+		for _, w := range c.order {
+			if rack != "" && !slices.Contains(w.info.Labels, rack) {
+				continue
+			}
+			if !c.feasible(t, w) || !c.fitsTimes(s, w, taken[w]+1) {
+				continue
+			}
+			if best == nil || c.score(t, w) > c.score(t, best) {
+				best = w
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		taken[best]++
+		places = append(places, best)
+	}
+	return places
+}
+
+// fitsTimes reports whether so many more of the step's tasks fit.
+func (c *Core) fitsTimes(s *step, w *worker, times int) bool {
+	need := Room{}
+	for range times {
+		need = need.plus(s.room())
+	}
+	if s.spec.MaxPerWorker > 0 && s.perWorker[w]+times > s.spec.MaxPerWorker {
+		return false
+	}
+	return need.fits(w.info.Capacity.minus(w.used))
+}
--- /dev/null
+++ b/internal/planner/health.go
@@ -0,0 +1,131 @@
+package planner
+
+import "redwingvale/internal/jobs"
+
+// health tells a sick worker from sick jobs by what has ended there.
+type health struct {
+	// failed lists the jobs of the failures since the last success.
+	failed []jobs.ID
+	// suspectUntilMS keeps work away; after it the worker runs one task at a
+	// time until one succeeds.
+	suspectUntilMS int64
+	suspect        bool
+	// relative is the smoothed speed against what was expected; 1 is normal.
+	relative float64
+}
+
+const (
+	// failuresToSuspect is how many failures in a row, of two jobs or more,
+	// make a worker suspect.
+	failuresToSuspect = 3
+	// suspectMS is how long a suspect worker gets nothing.
+	suspectMS = 1500
+	// speedWeight is the weight of the newest run in the smoothed speed.
+	speedWeight = 0.3
+	// slowSpeed is the speed below which a worker gets no new work for a while.
+	slowSpeed = 0.4
+)
+
+func (h *health) reset() { *h = health{relative: 1} }
+
+func (h *health) speed() float64 { return h.relative }
+
+// admits reports whether the worker may get another task.
+func (h *health) admits(nowMS int64, runs int) bool {
+	if !h.suspect {
+		return true
+	}
+	return nowMS >= h.suspectUntilMS && runs == 0
+}
+
+func (h *health) suspectNow(nowMS int64) {
+	h.suspect = true
+	h.suspectUntilMS = nowMS + suspectMS
+}
+
+func (h *health) refused(nowMS int64) { h.suspectNow(nowMS) }
+
+func (h *health) success() {
+	h.failed = h.failed[:0]
+	h.suspect = false
+}
+
+func (h *health) failure(id jobs.ID, nowMS int64) bool {
+	h.failed = append(h.failed, id)
+	if len(h.failed) < failuresToSuspect {
+		return false
+	}
+	for _, other := range h.failed {
+		if other != id {
+			h.suspectNow(nowMS)
+			h.failed = h.failed[len(h.failed)-failuresToSuspect:]
+			return true
+		}
+	}
+	return false
+}
+
+// observeEnd learns from the end of a run.
+func (c *Core) observeEnd(w *worker, r *run, kind EndKind) {
+	s := r.task.step
+	switch kind {
+	case EndDone:
+		w.health.success()
+		took := float64(c.now.MS - r.confirmedMS)
+		if r.confirmedMS == 0 || r.task.checkpoint != "" || s.spec.LongRunning {
+			return
+		}
+		if expected := c.expected(s); expected > 0 && !s.spec.Fills && took > 0 {
+			w.health.observeSpeed(expected / took)
+		}
+		s.finished.add(took)
+		c.learned.add(s, took)
+	case EndFailed:
+		if w.health.failure(s.job.id, c.now.MS) {
+			c.emit(Decision{Event: "worker_suspect", Worker: w.info.ID, Reason: "failures in a row of several jobs"})
+		}
+	}
+}
+
+func (h *health) observeSpeed(speed float64) {
+	h.relative += speedWeight * (min(speed, 1.5) - h.relative)
+}
+
+// estimate is a running mean.
+type estimate struct {
+	n    int
+	mean float64
+}
+
+func (e *estimate) add(v float64) {
+	e.n++
+	e.mean += (v - e.mean) / float64(min(e.n, 50))
+}
+
+// durations learns how the tasks' real times relate to their estimates.
+type durations struct{ byQueue map[string]*estimate }
+
+func (d *durations) add(s *step, took float64) {
+	if s.spec.EstimateMS <= 0 {
+		return
+	}
+	e := d.byQueue[s.job.spec.Queue]
+	if e == nil {
+		e = &estimate{}
+		d.byQueue[s.job.spec.Queue] = e
+	}
+	e.add(took / float64(s.spec.EstimateMS))
+}
+
+// expected is how long a task of the step takes on a sound worker, in
+// milliseconds: the mean of those that are done, or the corrected estimate.
+func (c *Core) expected(s *step) float64 {
+	if s.finished.n >= 2 {
+		return s.finished.mean
+	}
+	ratio := 1.0
+	if e := c.learned.byQueue[s.job.spec.Queue]; e != nil && e.n >= 5 {
+		ratio = e.mean
+	}
+	return ratio * float64(s.spec.EstimateMS)
+}
--- /dev/null
+++ b/internal/planner/job.go
@@ -0,0 +1,337 @@
+package planner
+
+import (
+	"redwingvale/internal/jobs"
+)
+
+// job is a job that is not final, or whose final state is not recorded yet.
+type job struct {
+	id       jobs.ID
+	spec     *jobs.Job
+	progress *jobs.Progress
+	queue    *Queue
+	steps    []*step
+	state    jobs.State
+	// recorded is set once the submission is in the log.
+	recorded bool
+	// started is set once a task has been sent to a worker.
+	started bool
+	dirty   bool
+	// submitters and cancellers wait for the next write.
+	submitters []uint64
+	cancellers []uint64
+	encoded    []byte
+	// inherited is set for a job that a predecessor may have started.
+	inherited bool
+	arrivedMS int64
+}
+
+// step is one step of one occurrence.
+type step struct {
+	job        *job
+	occurrence int
+	index      int
+	spec       *jobs.Step
+	tasks      []task
+	done       int
+	// pending are the tasks that wait for a worker.
+	pending []*task
+	queued  bool
+	// perWorker counts active runs on each worker, for MaxPerWorker.
+	perWorker map[*worker]int
+	gang      gangState
+	advice    adviceState
+	// deadlineMS orders the steps of one priority.
+	deadlineMS int64
+	// durations of the step's finished tasks.
+	finished estimate
+}
+
+// task is one task of a step.
+type task struct {
+	step  *step
+	index int
+	runs  []*run
+	done  bool
+	// lastRun is a number that no run of the task has exceeded.
+	lastRun    int
+	checkpoint string
+	waiting    bool
+	// unaccounted is set while a run of a predecessor may exist somewhere.
+	unaccounted bool
+	// avoid are the workers on which a run has failed or stood still.
+	avoid []*worker
+	// notBeforeMS delays the next start.
+	notBeforeMS int64
+}
+
+func (s *step) id() StepID { return StepID{s.job.id, s.occurrence, s.index} }
+
+func (t *task) ref() jobs.Task {
+	return jobs.Task{Job: t.step.job.id, Occurrence: t.step.occurrence, Step: t.step.index, Index: t.index}
+}
+
+func (s *step) room() Room {
+	r := Room{CPUMilli: s.spec.CPUMilli, MemoryMB: s.spec.MemoryMB, GPU: s.spec.GPU}
+	if s.spec.Fills {
+		r.CPUMilli = 0
+	}
+	return r
+}
+
+// submit takes a submission in: it is recorded with the next write and
+// answered when it is in the log.
+func (c *Core) submit(e SubmitRequested) {
+	if c.book.Known(e.ID) != nil {
+		c.emit(Reply{Ticket: e.Ticket, Accepted: true, Known: true})
+		return
+	}
+	if j := c.jobs[e.ID]; j != nil {
+		j.submitters = append(j.submitters, e.Ticket)
+		return
+	}
+	spec, err := jobs.DecodeJob(e.Encoded)
+	if err != nil {
+		c.emit(Reply{Ticket: e.Ticket})
+		return
+	}
+	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), false)
+	j.submitters = []uint64{e.Ticket}
+	j.encoded = e.Encoded
+	c.journal.submissions = append(c.journal.submissions, j)
+	if c.config.OptimisticStart {
+		c.openSteps(j)
+	}
+}
+
+// cancel stops a job and records that it is cancelled.
+func (c *Core) cancel(e CancelRequested) {
+	j := c.jobs[e.ID]
+	if j == nil {
+		c.emit(Reply{Ticket: e.Ticket, Accepted: true, Known: c.book.Known(e.ID) != nil})
+		return
+	}
+	if !j.state.Final() {
+		c.end(j, jobs.Cancelled, "cancelled by the caller")
+	}
+	j.cancellers = append(j.cancellers, e.Ticket)
+}
+
+// observe follows a record that another instance wrote.
+func (c *Core) observe(id jobs.ID) {
+	entry := c.book.Known(id)
+	j := c.jobs[id]
+	switch {
+	case entry == nil:
+	case j == nil:
+		c.adoptJob(id, false)
+	case entry.Cancelled && !j.state.Final():
+		c.end(j, jobs.Cancelled, "cancelled through another instance")
+	}
+}
+
+// adoptJob starts to look after a job of the book.
+func (c *Core) adoptJob(id jobs.ID, inherited bool) {
+	entry := c.book.Jobs[id]
+	if entry == nil || entry.Job == nil || entry.State().Final() {
+		if entry != nil && entry.Job != nil && entry.Cancelled && (entry.Progress == nil || !entry.Progress.State.Final()) {
+			// The cancellation came by another instance; record the final state.
+			j := c.newJob(id, entry.Job, progressOf(entry), inherited)
+			j.recorded = true
+			c.end(j, jobs.Cancelled, "cancelled through another instance")
+		}
+		return
+	}
+	j := c.newJob(id, entry.Job, progressOf(entry), inherited)
+	j.recorded = true
+	j.state = entry.State()
+	j.started = j.state == jobs.Active
+	c.openSteps(j)
+}
+
+func progressOf(entry *jobs.Entry) *jobs.Progress {
+	if entry.Progress != nil {
+		return entry.Progress.Clone()
+	}
+	return jobs.NewProgress(entry.Job)
+}
+
+func (c *Core) newJob(id jobs.ID, spec *jobs.Job, progress *jobs.Progress, inherited bool) *job {
+	j := &job{
+		id: id, spec: spec, progress: progress, queue: c.queueOf(spec.Queue),
+		state: jobs.Queued, inherited: inherited, arrivedMS: c.now.MS,
+	}
+	if spec.SubmittedMS > 0 {
+		// The age of a job survives its leader.
+		j.arrivedMS -= max(0, c.now.UnixMS-spec.SubmittedMS)
+	}
+	base := progress.LastRun
+	if inherited {
+		base = max(base, int(c.epoch-1)*runsPerTerm)
+	}
+	for occurrence := range spec.Occurrences() {
+		for index := range spec.Steps {
+			s := &step{job: j, occurrence: occurrence, index: index, spec: &spec.Steps[index]}
+			s.tasks = make([]task, s.spec.Count)
+			for i := range s.tasks {
+				t := &s.tasks[i]
+				t.step, t.index, t.lastRun = s, i, base
+				ref := t.ref()
+				t.done = progress.IsDone(spec, ref)
+				t.checkpoint = progress.CheckpointOf(ref)
+				t.unaccounted = inherited && !t.done
+				if t.done {
+					s.done++
+				}
+			}
+			j.steps = append(j.steps, s)
+		}
+	}
+	c.jobs[id] = j
+	return j
+}
+
+// openSteps queues each step whose predecessors are done.
+func (c *Core) openSteps(j *job) {
+	for _, s := range j.steps {
+		c.openStep(s)
+	}
+}
+
+func (c *Core) openStep(s *step) {
+	if s.queued || s.done == len(s.tasks) || !s.predecessorsDone() {
+		return
+	}
+	s.queued = true
+	if due := s.job.spec.DueMS(s.occurrence); due > c.now.UnixMS {
+		c.scheduled = append(c.scheduled, s)
+		return
+	}
+	c.queueTasks(s)
+}
+
+func (s *step) predecessorsDone() bool {
+	for _, before := range s.spec.After {
+		b := s.job.steps[s.occurrence*len(s.job.spec.Steps)+before]
+		if b.done < len(b.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// releaseDue queues the scheduled steps whose time has come.
+func (c *Core) releaseDue() {
+	kept := c.scheduled[:0]
+	for _, s := range c.scheduled {
+		switch {
+		case s.job.state.Final():
+		case s.job.spec.DueMS(s.occurrence) > c.now.UnixMS:
+			kept = append(kept, s)
+		default:
+			c.queueTasks(s)
+		}
+	}
+	c.scheduled = kept
+}
+
+func (c *Core) queueTasks(s *step) {
+	s.deadlineMS = c.deadline(s.job)
+	for i := range s.tasks {
+		if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
+			c.requeue(t)
+		}
+	}
+}
+
+// deadline is when the job's objective ends: stretch times the longest chain
+// of estimated work, and the queue's latency target.
+func (c *Core) deadline(j *job) int64 {
+	chain := make([]int64, len(j.spec.Steps))
+	longest := int64(0)
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		for _, before := range s.After {
+			chain[i] = max(chain[i], chain[before])
+		}
+		chain[i] += int64(s.EstimateMS)
+		longest = max(longest, chain[i])
+	}
+	return j.arrivedMS + int64(j.queue.Stretch*float64(longest)) + j.queue.TargetLatencyMS
+}
+
+// requeue lets a task wait for a worker.
+func (c *Core) requeue(t *task) {
+	s := t.step
+	if t.waiting || t.done || s.job.state.Final() || !s.queued {
+		return
+	}
+	t.waiting = true
+	if len(s.pending) == 0 {
+		c.ready = append(c.ready, s)
+	}
+	s.pending = append(s.pending, t)
+	c.wake = true
+}
+
+// finishTask marks a task as done and opens what waited for it.
+func (c *Core) finishTask(t *task) {
+	if t.done {
+		return
+	}
+	s, j := t.step, t.step.job
+	t.done = true
+	s.done++
+	j.progress.SetDone(j.spec, t.ref())
+	j.dirty = true
+	c.unqueue(t)
+	if s.done < len(s.tasks) {
+		return
+	}
+	for _, next := range j.steps {
+		if next.occurrence == s.occurrence {
+			c.openStep(next)
+		}
+	}
+	for _, other := range j.steps {
+		if other.done < len(other.tasks) {
+			return
+		}
+	}
+	c.end(j, jobs.Completed, "all tasks are done")
+}
+
+// end makes a job final: nothing of it starts any more, and what runs is
+// stopped.
+func (c *Core) end(j *job, state jobs.State, reason string) {
+	j.state = state
+	j.progress.State = state
+	j.progress.EndedMS = c.now.UnixMS
+	j.dirty = true
+	c.markDirty(j)
+	c.emit(Decision{Event: "job_ended", Job: j.id, Reason: reason, AgeMS: c.now.MS - j.arrivedMS})
+	for _, s := range j.steps {
+		s.pending = nil
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			t.waiting = false
+			for _, r := range t.runs {
+				c.stopRun(r, "job ended")
+			}
+		}
+	}
+}
+
+func (c *Core) unqueue(t *task) {
+	if !t.waiting {
+		return
+	}
+	t.waiting = false
+	s := t.step
+	for i, other := range s.pending {
+		if other == t {
+			s.pending = append(s.pending[:i], s.pending[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/journal.go
@@ -0,0 +1,185 @@
+package planner
+
+import (
+	"redwingvale/internal/jobs"
+)
+
+// journal groups what has to be recorded into few writes, of which one is
+// outstanding at a time.
+type journal struct {
+	seq         uint64
+	outstanding bool
+	lastMS      int64
+	submissions []*job
+	dirty       []*job
+	// The content of the outstanding write.
+	written []*job
+	acks    []ackMark
+	drops   []jobs.ID
+	// final holds the jobs whose state is to be dropped after StatusMS, in the
+	// order of their ends.
+	final []finalJob
+}
+
+// ackMark is an end that may be acknowledged once the write is recorded.
+type ackMark struct {
+	worker *worker
+	bornMS int64
+	number int64
+}
+
+type finalJob struct {
+	id   jobs.ID
+	atMS int64
+}
+
+// purgeMarginMS keeps the state of a final job beyond the promised time, so
+// that callers whose clocks differ still find it.
+const purgeMarginMS = 60_000
+
+func (c *Core) markDirty(j *job) {
+	j.dirty = true
+	for _, other := range c.journal.dirty {
+		if other == j {
+			return
+		}
+	}
+	c.journal.dirty = append(c.journal.dirty, j)
+}
+
+// flush starts the next write when there is something to record, the last
+// write is confirmed and the gap between writes has passed.
+func (c *Core) flush() {
+	n := &c.journal
+	if n.outstanding || c.now.MS-n.lastMS < writeGapMS {
+		return
+	}
+	if len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.drops) == 0 {
+		c.ackUnrecorded()
+		return
+	}
+	var records []jobs.Record
+	for _, j := range n.submissions {
+		records = append(records, jobs.SubmissionRecord(j.id, j.encoded))
+		n.written = append(n.written, j)
+	}
+	n.submissions = nil
+	for len(n.dirty) > 0 && len(records) < maxRecordsPerWrite {
+		j := n.dirty[0]
+		n.dirty = n.dirty[1:]
+		j.dirty = false
+		record, ok := c.progressRecord(j)
+		if !ok {
+			continue
+		}
+		records = append(records, record)
+		n.written = append(n.written, j)
+	}
+	for _, id := range n.drops {
+		records = append(records, jobs.DropRecords(id)...)
+	}
+	n.drops = nil
+	if len(n.dirty) == 0 {
+		c.collectAcks()
+	}
+	n.seq++
+	n.outstanding = true
+	n.lastMS = c.now.MS
+	c.emit(Write{Seq: n.seq, Records: records})
+}
+
+func (c *Core) progressRecord(j *job) (jobs.Record, bool) {
+	if j.state == jobs.Queued && j.started {
+		j.state = jobs.Active
+	}
+	j.progress.State = j.state
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			j.progress.LastRun = max(j.progress.LastRun, s.tasks[i].lastRun)
+		}
+	}
+	record, err := jobs.ProgressRecord(j.id, j.progress)
+	if err != nil {
+		c.emit(Decision{Event: "progress_not_encoded", Job: j.id, Reason: err.Error()})
+		return record, false
+	}
+	return record, true
+}
+
+// collectAcks notes which ends the outstanding write covers.
+func (c *Core) collectAcks() {
+	for _, w := range c.order {
+		if w.seen > w.acked {
+			c.journal.acks = append(c.journal.acks, ackMark{w, w.bornMS, w.seen})
+		}
+	}
+}
+
+// ackUnrecorded acknowledges ends that change nothing, such as those of jobs
+// that are final already.
+func (c *Core) ackUnrecorded() {
+	for _, w := range c.order {
+		if w.seen > w.acked {
+			c.ack(ackMark{w, w.bornMS, w.seen})
+		}
+	}
+}
+
+func (c *Core) ack(m ackMark) {
+	w := m.worker
+	if w.bornMS != m.bornMS || m.number <= w.acked {
+		return
+	}
+	w.acked = m.number
+	c.holdSoon(w)
+}
+
+// writeDone releases what waited for the write.
+func (c *Core) writeDone(seq uint64) {
+	n := &c.journal
+	if !n.outstanding || seq != n.seq {
+		return
+	}
+	n.outstanding = false
+	for _, j := range n.written {
+		c.jobRecorded(j)
+	}
+	n.written = n.written[:0]
+	for _, m := range n.acks {
+		c.ack(m)
+	}
+	n.acks = n.acks[:0]
+}
+
+func (c *Core) jobRecorded(j *job) {
+	if !j.recorded {
+		j.recorded = true
+		j.encoded = nil
+		for _, ticket := range j.submitters {
+			c.emit(Reply{Ticket: ticket, Accepted: true, Known: true})
+		}
+		j.submitters = nil
+		if !c.config.OptimisticStart && !j.state.Final() {
+			c.openSteps(j)
+		}
+	}
+	entry := c.book.Known(j.id)
+	if entry == nil || !entry.State().Final() || j.dirty {
+		return
+	}
+	for _, ticket := range j.cancellers {
+		c.emit(Reply{Ticket: ticket, Accepted: true, Known: true})
+	}
+	j.cancellers = nil
+	delete(c.jobs, j.id)
+	c.journal.final = append(c.journal.final, finalJob{j.id, c.now.MS})
+}
+
+// purge drops the records of jobs that have been final for long enough.
+func (c *Core) purge() {
+	n := &c.journal
+	for len(n.final) > 0 && c.now.MS-n.final[0].atMS > c.config.StatusMS+purgeMarginMS && len(n.drops) < maxRecordsPerWrite/4 {
+		n.drops = append(n.drops, n.final[0].id)
+		n.final = n.final[1:]
+	}
+}
--- /dev/null
+++ b/internal/planner/place.go
@@ -0,0 +1,155 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+)
+
+// The weights of placement, in shares of a core.
+const (
+	// servingLoad is the share of its reservation that a serving task uses on
+	// average; what is left over goes to filling tasks.
+	servingLoad = 0.5
+	// avoidedPenalty ranks workers on which the task has failed behind all
+	// others without excluding them.
+	avoidedPenalty = 1000.0
+	// remotePenalty ranks workers outside the rack that holds the data.
+	remotePenalty = 100.0
+)
+
+// schedule starts the waiting tasks that fit, by priority and deadline.
+func (c *Core) schedule() {
+	if !c.wake || len(c.ready) == 0 {
+		return
+	}
+	c.wake = false
+	slices.SortStableFunc(c.ready, func(a, b *step) int {
+		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.deadlineMS, b.deadlineMS)
+	})
+	kept := c.ready[:0]
+	for _, s := range c.ready {
+		if !s.job.state.Final() && len(s.pending) > 0 {
+			c.placeStep(s)
+		}
+		if !s.job.state.Final() && len(s.pending) > 0 {
+			kept = append(kept, s)
+		}
+	}
+	clear(c.ready[len(kept):])
+	c.ready = kept
+}
+
+// placeStep starts as many of the step's waiting tasks as fit.
+func (c *Core) placeStep(s *step) {
+	if s.job.queue.Advised && !c.advised(s) {
+		return
+	}
+	if s.spec.Gang {
+		c.placeGang(s)
+		return
+	}
+	for _, t := range slices.Clone(s.pending) {
+		if !c.mayStart(t) {
+			continue
+		}
+		w := c.pick(t, nil)
+		if w == nil {
+			// The step's tasks are alike: what does not fit one fits none, but
+			// for the workers that a task avoids, which pick only ranks last.
+			return
+		}
+		c.start(t, w, t.lastRun+1, "placed")
+	}
+}
+
+func (c *Core) mayStart(t *task) bool {
+	if t.unaccounted || len(t.runs) > 0 {
+		return false
+	}
+	return c.now.MS >= t.notBeforeMS
+}
+
+// pick returns the best worker for a task, or nil.
+func (c *Core) pick(t *task, exclude *worker) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range c.order {
+		if w == exclude || !c.feasible(t, w) {
+			continue
+		}
+		score := c.score(t, w)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// feasible reports whether the worker may run the task now.
+func (c *Core) feasible(t *task, w *worker) bool {
+	s := t.step
+	switch {
+	case w.info.Service != s.job.queue.Service,
+		!w.usable(c.now.MS),
+		!s.room().fits(w.info.Capacity.minus(w.used)),
+		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
+		s.spec.MaxPerWorker > 0 && s.perWorker[w] >= s.spec.MaxPerWorker,
+		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS),
+		s.spec.Fills && !w.interference.admits():
+		return false
+	}
+	return w.health.admits(c.now.MS, len(w.runs))
+}
+
+// usable reports whether new work may go to the worker at all.
+func (w *worker) usable(nowMS int64) bool {
+	return w.listed && !w.dead && w.answered && !w.info.Draining && w.confirmed > 0 &&
+		nowMS-w.answeredMS <= silentMS && nowMS >= w.noRoomUntilMS
+}
+
+// score ranks a feasible worker; more is better.
+func (c *Core) score(t *task, w *worker) float64 {
+	s := t.step
+	free := w.info.Capacity.minus(w.used)
+	var score float64
+	switch {
+	case s.spec.Fills:
+		score = 10*c.fillShare(w, s.spec.CPUMilli) - w.interference.worst
+	case s.spec.LongRunning:
+		// Best fit keeps whole workers free for wide tasks.
+		score = -float64(free.CPUMilli) / 32_000
+	default:
+		score = float64(free.CPUMilli)/32_000 - 2*w.interference.pressure()
+	}
+	if slices.Contains(t.avoid, w) {
+		score -= avoidedPenalty
+	}
+	if s.spec.Rack != "" && !slices.Contains(w.info.Labels, s.spec.Rack) {
+		score -= remotePenalty
+	}
+	return score + 4*min(w.health.speed(), 1)
+}
+
+// fillShare is the share of its wish that another filling task would get.
+func (c *Core) fillShare(w *worker, cpuMilli int) float64 {
+	unused := float64(w.info.Capacity.CPUMilli)
+	wanted := float64(cpuMilli)
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		switch {
+		case spec.Fills:
+			wanted += float64(spec.CPUMilli)
+		case spec.LongRunning:
+			unused -= servingLoad * float64(spec.CPUMilli)
+		default:
+			unused -= float64(spec.CPUMilli)
+		}
+	}
+	if wanted <= 0 {
+		return 1
+	}
+	return min(max(unused, 0)/wanted, 1)
+}
--- /dev/null
+++ b/internal/planner/runs.go
@@ -0,0 +1,220 @@
+package planner
+
+import (
+	"slices"
+
+	"redwingvale/internal/jobs"
+)
+
+// start sends a task to a worker.
+func (c *Core) start(t *task, w *worker, number int, reason string) *run {
+	r := &run{task: t, worker: w, number: number, phase: starting, token: w.token, sentMS: c.now.MS, pace: 100}
+	t.lastRun = max(t.lastRun, number)
+	j := t.step.job
+	c.attach(r)
+	if !j.started {
+		j.started = true
+		if j.recorded {
+			c.markDirty(j)
+		}
+	}
+	c.emit(Start{
+		Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: t.ref(), Run: number,
+		Payload: j.spec.Payload, LeaseEndMS: c.lease(w), Checkpoint: t.checkpoint,
+		Ticket: t.step.advice.tickets[w.info.ID],
+	})
+	d := c.decision("start_sent", r, reason)
+	d.AgeMS = c.now.MS - w.answeredMS
+	c.emit(d)
+	return r
+}
+
+func (c *Core) startDone(e StartDone) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	r := w.find(e.Task, e.Run)
+	if r == nil || (r.phase != starting && r.phase != stopping) || r.confirmedMS > 0 {
+		return
+	}
+	if e.Outcome == Done {
+		r.confirmedMS, r.progressMS = c.now.MS, c.now.MS
+		if r.phase == starting {
+			r.phase = running
+		}
+		return
+	}
+	d := c.decision("start_failed", r, e.Outcome.String())
+	d.AgeMS = c.now.MS - r.sentMS
+	c.emit(d)
+	switch e.Outcome {
+	case Unsure:
+		if r.phase == starting {
+			r.phase = unsure
+		}
+		c.raiseToken(w, r.token)
+		return
+	case OtherWorker:
+		c.died(w, "other_worker")
+		return
+	case Fenced:
+		if e.Token >= w.token {
+			c.emit(Deposed{Worker: w.info.ID})
+		}
+	case NoRoom:
+		w.noRoomUntilMS = c.now.MS + noRoomPauseMS
+	case NoTicket:
+		r.task.step.advice.expire()
+	case Refused, Unreached:
+		w.health.refused(c.now.MS)
+	case Invalid:
+		r.task.notBeforeMS = c.now.MS + holdRetryMS
+	}
+	c.lost(r)
+}
+
+// raiseToken fences off every call that was sent with an older token. The
+// next report says what has been carried out.
+func (c *Core) raiseToken(w *worker, usedToken uint64) {
+	if w.token <= usedToken {
+		w.token = usedToken + 1
+	}
+	if w.confirmed < w.token {
+		c.sendHold(w)
+	}
+}
+
+// ended takes in the end of a run.
+func (c *Core) ended(w *worker, end *EndedTask) {
+	r := w.find(end.Task, end.Run)
+	t := c.taskOf(end.Task)
+	if r != nil {
+		t = r.task
+	}
+	if t == nil {
+		return
+	}
+	t.lastRun = max(t.lastRun, end.Run)
+	j := t.step.job
+	d := Decision{Event: "run_ended", Job: j.id, Task: end.Task.String(), Run: end.Run, Worker: w.info.ID, Reason: string(end.Kind)}
+	if r != nil {
+		d.AgeMS = c.now.MS - r.sentMS
+		c.observeEnd(w, r, end.Kind)
+		c.detach(r)
+	}
+	c.emit(d)
+	if j.state.Final() {
+		return
+	}
+	c.markDirty(j)
+	if end.Checkpoint != "" && !t.done {
+		c.keepCheckpoint(t, end.Checkpoint)
+	}
+	switch end.Kind {
+	case EndDone:
+		if !t.step.spec.LongRunning {
+			c.taskDone(t)
+		}
+	case EndFailed:
+		c.taskFailed(t, w, end.Run)
+	}
+	if !t.done && !j.state.Final() {
+		c.afterRun(t)
+	}
+}
+
+// taskDone finishes a task, or a whole gang, of which one end stands for all.
+func (c *Core) taskDone(t *task) {
+	s := t.step
+	if s.spec.Gang {
+		for i := range s.tasks {
+			c.finishTask(&s.tasks[i])
+		}
+		return
+	}
+	c.finishTask(t)
+	for _, r := range slices.Clone(t.runs) {
+		c.stopRun(r, "another copy is done")
+	}
+}
+
+// taskFailed counts a failure and gives the job up when the queue's attempts
+// are used up. A gang's failures count together.
+func (c *Core) taskFailed(t *task, w *worker, number int) {
+	j := t.step.job
+	counted := t
+	if t.step.spec.Gang {
+		counted = &t.step.tasks[0]
+	}
+	j.progress.AddFailure(counted.ref(), number)
+	if !slices.Contains(t.avoid, w) {
+		t.avoid = append(t.avoid, w)
+	}
+	if t.step.spec.LongRunning {
+		return
+	}
+	if j.progress.FailuresOf(counted.ref()) >= j.queue.MaxAttempts {
+		c.end(j, jobs.Failed, "a task has used up its attempts")
+	}
+}
+
+// keepCheckpoint remembers where a task resumes. A checkpoint of any member
+// stands for its gang.
+func (c *Core) keepCheckpoint(t *task, checkpoint string) {
+	if !t.step.spec.Checkpointing {
+		return
+	}
+	j := t.step.job
+	tasks := []*task{t}
+	if t.step.spec.Gang {
+		tasks = tasks[:0]
+		for i := range t.step.tasks {
+			tasks = append(tasks, &t.step.tasks[i])
+		}
+	}
+	for _, other := range tasks {
+		other.checkpoint = checkpoint
+		j.progress.SetCheckpoint(other.ref(), checkpoint)
+	}
+	if !j.state.Final() {
+		c.markDirty(j)
+	}
+}
+
+// stopRun asks the worker to stop a run. The run keeps its room until the
+// worker lists its end.
+func (c *Core) stopRun(r *run, reason string) {
+	if r.phase == stopping {
+		return
+	}
+	r.phase, r.stopReason = stopping, reason
+	c.emit(c.decision("stop_sent", r, reason))
+	c.sendStop(r)
+}
+
+func (c *Core) sendStop(r *run) {
+	r.stopSentMS = c.now.MS
+	c.emit(Stop{Worker: r.worker.info.ID, Address: r.worker.info.Address, Token: r.worker.token, Task: r.task.ref(), Run: r.number})
+}
+
+func (c *Core) stopDone(e StopDone) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	r := w.find(e.Task, e.Run)
+	if r == nil || r.phase != stopping {
+		return
+	}
+	switch e.Outcome {
+	case Done:
+		// A run that had not arrived is rejected from now on; it is never
+		// listed, so the next report settles it.
+		if r.confirmedMS == 0 {
+			c.raiseToken(w, r.token)
+		}
+	case OtherWorker:
+		c.died(w, "other_worker")
+	}
+}
--- /dev/null
+++ b/internal/telemetry/buffer_test.go
@@ -0,0 +1,51 @@
+package telemetry
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// blockedOutput is an output that takes nothing until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (o *blockedOutput) Write(p []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.got.Write(p)
+}
+
+// TestBufferNeverBlocks guards against a log output that stands still and
+// holds up decisions: writes return, surplus lines are dropped and counted.
+func TestBufferNeverBlocks(t *testing.T) {
+	c := qt.New(t)
+	out := &blockedOutput{release: make(chan struct{})}
+	b := NewBuffer(out)
+	line := bytes.Repeat([]byte("x"), 1<<10)
+	begun := make(chan struct{})
+	go func() {
+		for range 2000 {
+			_, _ = b.Write(line)
+		}
+		close(begun)
+	}()
+	select {
+	case <-begun:
+	case <-time.After(10 * time.Second):
+		c.Fatal("a write waits for the output")
+	}
+	c.Assert(b.Dropped() > 0, qt.IsTrue)
+	close(out.release)
+	b.Close()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	c.Assert(int64(out.got.Len()/len(line))+b.Dropped(), qt.Equals, int64(2000))
+}
