Learn disturbance by pair of images and set paces from the margins

Cause: filling tasks raise the tail of the serving tasks beside them by amounts that differ by pair of images (some 10 to 140 ms for all processors of a worker, target 18 ms).

--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -269,7 +269,6 @@
 	return jobs.State(answer.Msg.GetState()), code.Code(answer.Msg.GetCode())
 }
 
-
 func (n *Node) stateHere(ctx context.Context, id jobs.ID) (jobs.State, code.Code) {
 	for attempt := range 2 {
 		type found struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,6 @@
 	lastOKMS atomic.Int64
 	// pendingMS is when the outstanding write was sent, or 0.
 	pendingMS atomic.Int64
-	handOver  atomic.Bool
 }
 
 // heard is the newest sign of life of a leader.
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -151,4 +151,3 @@
 	waiting, got := s.n.waitingHere(ctx, r.Msg.GetQueue())
 	return connect.NewResponse(&nodev1.CountWaitingResponse{Code: uint32(got), Waiting: uint32(waiting)}), nil
 }
-
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -95,4 +95,3 @@
 	pending := t.pendingMS.Load()
 	return pending == 0 || n.now().MS-pending < milliseconds(logSilence)
 }
-
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -34,16 +34,11 @@
 	// writeGapMS is the least time between two writes of job ends: it groups
 	// them into some 40 appends a second.
 	writeGapMS = 25
-	// lazyWriteMS is how long an end that nobody waits for may stay unrecorded.
-	lazyWriteMS = 100
 	// clockSlack is the share by which a worker's clock may be slow (2%), with
 	// as much again for rounding.
 	clockSlack = 1.03
 	// leaseMarginMS is added to the computed end of a lease.
 	leaseMarginMS = 60
-	// settleMS is how long a new leader waits for the first answers of the
-	// workers before it takes the silent ones as unreachable.
-	settleMS = 700
 	// runsPerTerm separates the run numbers of two leaders: a new leader does
 	// not know which numbers its predecessor used last.
 	runsPerTerm = 1000
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -30,6 +30,7 @@
 	// wake is set when a waiting task may fit now.
 	wake    bool
 	learned durations
+	disturb *disturbance
 	journal journal
 	effects []Effect
 }
@@ -48,6 +49,7 @@
 		workers: map[WorkerID]*worker{},
 		jobs:    map[jobs.ID]*job{},
 		learned: durations{byQueue: map[string]*estimate{}},
+		disturb: newDisturbance(),
 	}
 	ids := make([]jobs.ID, 0, len(book.Jobs))
 	for id := range book.Jobs {
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -22,8 +22,6 @@
 	suspectMS = 1500
 	// speedWeight is the weight of the newest run in the smoothed speed.
 	speedWeight = 0.3
-	// slowSpeed is the speed below which a worker gets no new work for a while.
-	slowSpeed = 0.4
 )
 
 func (h *health) reset() { *h = health{relative: 1} }
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -1,89 +1,231 @@
 package planner
 
-// interference is what a worker's serving tasks suffer and how far the tasks
-// that fill beside them are slowed down.
+import (
+	"cmp"
+	"slices"
+)
+
+// interference is what a worker's serving tasks suffer from the tasks that
+// fill beside them.
 type interference struct {
 	// worst is the largest tail of a serving task against its target.
-	worst float64
-	// percent is the pace of the filling tasks.
-	percent   int
-	set       bool
+	worst     float64
 	changedMS int64
-	overSince int64
+	movedMS   int64
 }
 
-// The controller lowers the pace of filling tasks well before the target is
-// reached: the figure it reads is half a second old.
+// Bounds on the tail of serving tasks, in shares of their target.
 const (
-	tailHigh      = 0.85
-	tailLow       = 0.6
-	paceStepDown  = 0.5
-	paceStepUp    = 20
-	paceFloor     = 10
-	paceIntervalM = 500
-	// admitPace is the pace below which a worker gets no more filling tasks.
-	admitPace = 70
+	// tailAim is what the paces of a worker's filling tasks aim at, tailPlace
+	// what a new one may raise the tail to.
+	tailAim   = 0.85
+	tailPlace = 0.75
+	// residualFloor is the least tail that a serving task is taken to have
+	// without disturbance.
+	residualFloor = 0.2
+	// tailWeight and usageWeight smooth the readings, which vary by a third.
+	tailWeight  = 0.5
+	usageWeight = 0.5
+	// paceIntervalMS lets a change show in the figures before the next one.
+	paceIntervalMS = 400
+	// paceStepMin is the least change that is worth a call, in percent.
+	paceStepMin = 8
+	// moveBelow is the pace below which a filling task is moved if another
+	// worker can take it, at most one in moveIntervalMS from a worker.
+	moveBelow      = 40
+	moveIntervalMS = 300
+	// moveAfterMS is the least age of a run that is moved.
+	moveAfterMS = 900
 )
 
-func (i *interference) pace() int {
-	if !i.set {
-		return 100
-	}
-	return i.percent
-}
-
-func (i *interference) admits() bool { return i.pace() >= admitPace && i.worst < tailHigh }
-
 // pressure is 0 where the serving tasks are well, 1 where one is at its target.
 func (i *interference) pressure() float64 { return min(i.worst, 1) }
 
-// balanceFill sets the pace of the filling tasks from the serving tasks' tails.
+// serves reports whether the run is a serving task at work with a fresh figure.
+func (r *run) serves() bool {
+	return r.task.step.spec.TailTargetMS > 0 && r.phase == running && r.usageMS > 0 && r.usage > 0
+}
+
+func (r *run) tailRatio() float64 {
+	return float64(r.usage) / float64(r.task.step.spec.TailTargetMS)
+}
+
+// balanceFill learns from a report and sets the pace of the filling tasks.
 func (c *Core) balanceFill(w *worker) {
 	in := &w.interference
 	in.worst = 0
-	serving := false
+	u := c.disturb.usedOn(w)
 	for _, r := range w.runs {
-		target := r.task.step.spec.TailTargetMS
-		if target <= 0 || r.phase != running || r.usageMS != c.now.MS {
+		if r.serves() {
+			ratio := min(r.tailRatio(), maxRatio)
+			if r.tail == 0 {
+				r.tail = ratio
+			}
+			r.tail += tailWeight * (ratio - r.tail)
+			in.worst = max(in.worst, r.tail)
+			c.disturb.observe(r.task.step.spec.Image, u, ratio)
+		}
+	}
+	if c.now.MS-in.changedMS < paceIntervalMS {
+		return
+	}
+	c.setPaces(w)
+	c.moveFill(w)
+}
+
+func (c *Core) sendPace(r *run) {
+	r.pacing = true
+	w := r.worker
+	c.emit(Pace{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: r.task.ref(), Run: r.number, Percent: r.wantPace})
+}
+
+// margin is how much the tail of a serving task may still rise.
+type margin struct {
+	image string
+	left  float64
+}
+
+// margins returns what is left of the aim for each serving task when nothing
+// fills beside it: the tail that was seen less what the model ascribes to the
+// filling tasks.
+func (c *Core) margins(w *worker, aim float64) []margin {
+	var out []margin
+	u := c.disturb.usedOn(w)
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		if spec.TailTargetMS <= 0 || r.phase == stopping {
 			continue
 		}
-		serving = true
-		in.worst = max(in.worst, float64(r.usage)/float64(target))
+		own := c.disturb.base(spec.Image)
+		if r.tail > 0 {
+			own = max(r.tail-c.disturb.caused(spec.Image, u), residualFloor)
+		}
+		out = append(out, margin{spec.Image, aim - own})
 	}
-	if c.now.MS-in.changedMS >= paceIntervalM {
-		c.adjustPace(in, serving)
+	return out
+}
+
+// setPaces gives each filling task the highest pace that the serving tasks
+// bear, the least disturbing ones first.
+func (c *Core) setPaces(w *worker) {
+	var fills []*run
+	for _, r := range w.runs {
+		if r.task.step.spec.Fills && r.phase == running {
+			fills = append(fills, r)
+		}
 	}
+	if len(fills) == 0 {
+		return
+	}
+	margins := c.margins(w, tailAim)
+	slices.SortStableFunc(fills, func(a, b *run) int {
+		return cmp.Compare(c.worstCoefficient(w, a.task.step), c.worstCoefficient(w, b.task.step))
+	})
+	for _, r := range fills {
+		share := 1.0
+		image := r.task.step.spec.Image
+		use := c.fullUse(w, r)
+		for _, m := range margins {
+			if cost := c.disturb.coefficient(m.image, image) * use; cost > 0 {
+				share = min(share, max(m.left, 0)/cost)
+			}
+		}
+		for i := range margins {
+			margins[i].left -= c.disturb.coefficient(margins[i].image, image) * use * share
+		}
+		r.wantPace = int(100 * share)
+		if change := r.wantPace - r.pace; !r.pacing && (change <= -paceStepMin || change >= paceStepMin || change != 0 && r.wantPace == 100) {
+			w.interference.changedMS = c.now.MS
+			c.sendPace(r)
+		}
+	}
+}
+
+// fullUse is the share of the worker's processors that the run would use at
+// full pace.
+func (c *Core) fullUse(w *worker, r *run) float64 {
+	return fillLoad * float64(r.task.step.spec.CPUMilli) / float64(max(w.info.Capacity.CPUMilli, 1))
+}
+
+// worstCoefficient is the largest effect of the step's image on a serving
+// task of the worker.
+func (c *Core) worstCoefficient(w *worker, s *step) float64 {
+	worst := 0.0
 	for _, r := range w.runs {
-		if r.task.step.spec.Fills && r.phase == running && !r.pacing && r.pace != in.pace() {
-			r.pacing = true
-			c.emit(Pace{
-				Worker: w.info.ID, Address: w.info.Address, Token: w.token,
-				Task: r.task.ref(), Run: r.number, Percent: in.pace(),
-			})
+		if spec := r.task.step.spec; spec.TailTargetMS > 0 {
+			worst = max(worst, c.disturb.coefficient(spec.Image, s.spec.Image))
+		}
+	}
+	return worst
+}
+
+// slowFor lowers paces until the serving task's tail should be at tailAim.
+func (c *Core) slowFor(w *worker, s *run, fills []*run, out map[*run]int) {
+	image := s.task.step.spec.Image
+	excess := min(s.tailRatio(), maxRatio) - tailAim
+	order := slices.Clone(fills)
+	slices.SortStableFunc(order, func(a, b *run) int {
+		return cmp.Compare(c.disturb.coefficient(image, b.task.step.spec.Image), c.disturb.coefficient(image, a.task.step.spec.Image))
+	})
+	for _, r := range order {
+		if excess <= 0 {
+			return
 		}
+		use := float64(max(r.usage, r.task.step.spec.CPUMilli*r.pace/200)) / float64(max(w.info.Capacity.CPUMilli, 1))
+		part := c.disturb.coefficient(image, r.task.step.spec.Image) * use
+		if part <= 0 {
+			continue
+		}
+		keep := max(1-excess/part, 0)
+		pace := int(float64(r.pace) * keep)
+		if old, ok := out[r]; ok {
+			pace = min(pace, old)
+		}
+		out[r] = pace
+		excess -= part * (1 - keep)
 	}
 }
 
-func (c *Core) adjustPace(in *interference, serving bool) {
-	next := in.pace()
-	switch {
-	case !serving:
-		next = 100
-	case in.worst >= 1:
-		next = int(float64(next) * paceStepDown)
-		if next < paceFloor {
-			next = 0
+// fillPrediction is the worst tail of the worker's serving tasks, against
+// their targets, if another task of the step ran there at full pace beside
+// the present ones at theirs.
+func (c *Core) fillPrediction(w *worker, s *step) float64 {
+	more := fillLoad * float64(s.spec.CPUMilli) / float64(max(w.info.Capacity.CPUMilli, 1))
+	worst := 0.0
+	for _, m := range c.margins(w, 1) {
+		tail := 1 - m.left + c.disturb.coefficient(m.image, s.spec.Image)*more
+		for _, r := range w.runs {
+			if spec := r.task.step.spec; spec.Fills && r.phase != stopping {
+				tail += c.disturb.coefficient(m.image, spec.Image) * c.fullUse(w, r)
+			}
 		}
-	case in.worst >= tailHigh:
-		next = max(int(float64(next)*0.75), paceFloor)
-	case in.worst < tailLow:
-		next = min(next+paceStepUp, 100)
+		worst = max(worst, tail)
+	}
+	return worst
+}
+
+// moveFill stops a slowed filling task that another worker can take at full
+// pace; it resumes there from its checkpoint.
+func (c *Core) moveFill(w *worker) {
+	if c.now.MS-w.interference.movedMS < moveIntervalMS {
+		return
 	}
-	if next == in.pace() {
+	for _, r := range w.runs {
+		s := r.task.step
+		if !s.spec.Fills || !s.spec.Checkpointing || s.spec.Gang || r.phase != running || r.pace >= moveBelow ||
+			c.now.MS-r.confirmedMS < moveAfterMS || r.percent > 85 {
+			continue
+		}
+		if c.pick(r.task, w) == nil {
+			continue
+		}
+		w.interference.movedMS = c.now.MS
+		if !slices.Contains(r.task.avoid, w) {
+			r.task.avoid = append(r.task.avoid, w)
+		}
+		c.stopRun(r, "disturbs serving tasks")
 		return
 	}
-	in.percent, in.set, in.changedMS = next, true, c.now.MS
-	c.wake = true
 }
 
 func (c *Core) paceDone(e PaceDone) {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -9,7 +9,10 @@
 const (
 	// servingLoad is the share of its reservation that a serving task uses on
 	// average; what is left over goes to filling tasks.
-	servingLoad = 0.5
+	servingLoad = 0.45
+	// fillLoad is the share of its declared processors that a filling task
+	// uses at full speed.
+	fillLoad = 0.85
 	// avoidedPenalty ranks workers on which the task has failed behind all
 	// others without excluding them.
 	avoidedPenalty = 1000.0
@@ -98,7 +101,7 @@
 		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
 		s.spec.MaxPerWorker > 0 && s.perWorker[w] >= s.spec.MaxPerWorker,
 		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS),
-		s.spec.Fills && !w.interference.admits():
+		s.spec.Fills && c.fillPrediction(w, s) > tailPlace:
 		return false
 	}
 	return w.health.admits(c.now.MS, len(w.runs))
@@ -117,10 +120,13 @@
 	var score float64
 	switch {
 	case s.spec.Fills:
-		score = 10*c.fillShare(w, s.spec.CPUMilli) - w.interference.worst
+		score = 10*c.fillShare(w, s.spec.CPUMilli) - 3*c.fillPrediction(w, s)
 	case s.spec.LongRunning:
-		// Best fit keeps whole workers free for wide tasks.
-		score = -float64(free.CPUMilli) / 32_000
+		// Serving tasks of one image share workers, so that what fills beside
+		// them has to suit one image only. Best fit keeps whole workers free.
+		same, other := w.servingImages(s.spec.Image)
+		capacity := float64(max(w.info.Capacity.CPUMilli, 1))
+		score = (4*float64(same) - 4*float64(other) - float64(free.CPUMilli)) / capacity
 	default:
 		score = float64(free.CPUMilli)/32_000 - 2*w.interference.pressure()
 	}
@@ -133,15 +139,31 @@
 	return score + 4*min(w.health.speed(), 1)
 }
 
+// servingImages returns the processors reserved by long-running tasks of an
+// image and of all others, in thousandths of a core.
+func (w *worker) servingImages(image string) (same, other int) {
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		switch {
+		case !spec.LongRunning:
+		case spec.Image == image:
+			same += spec.CPUMilli
+		default:
+			other += spec.CPUMilli
+		}
+	}
+	return same, other
+}
+
 // fillShare is the share of its wish that another filling task would get.
 func (c *Core) fillShare(w *worker, cpuMilli int) float64 {
 	unused := float64(w.info.Capacity.CPUMilli)
-	wanted := float64(cpuMilli)
+	wanted := fillLoad * float64(cpuMilli)
 	for _, r := range w.runs {
 		spec := r.task.step.spec
 		switch {
 		case spec.Fills:
-			wanted += float64(spec.CPUMilli)
+			wanted += fillLoad * float64(spec.CPUMilli*r.pace) / 100
 		case spec.LongRunning:
 			unused -= servingLoad * float64(spec.CPUMilli)
 		default:
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -62,7 +62,12 @@
 	checkpoint string
 	usage      int
 	usageMS    int64
+	// use and tail are the smoothed usage of a filling task, in thousandths of
+	// a core, and tail of a serving task, against its target.
+	use        float64
+	tail       float64
 	pace       int
+	wantPace   int
 	pacing     bool
 	stopSentMS int64
 	stopReason string
@@ -312,6 +317,10 @@
 		r.percent, r.progressMS = rt.Percent, c.now.MS
 	}
 	r.usage, r.usageMS = rt.Usage, c.now.MS
+	if r.use == 0 {
+		r.use = float64(rt.Usage)
+	}
+	r.use += usageWeight * (float64(rt.Usage) - r.use)
 	if r.phase == stopping && sentMS-r.stopSentMS > holdRetryMS {
 		c.sendStop(r)
 	}
