--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -95,7 +95,8 @@
 		c.emit(Reply{Ticket: e.Ticket})
 		return
 	}
-	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), false)
+	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), !c.settled)
+	c.adoptOrphans(e.ID)
 	j.submitters = []uint64{e.Ticket}
 	j.encoded = e.Encoded
 	c.journal.submissions = append(c.journal.submissions, j)
@@ -124,7 +125,7 @@
 	switch {
 	case entry == nil:
 	case j == nil:
-		c.adoptJob(id, false)
+		c.adoptJob(id, !c.settled)
 	case entry.Cancelled && !j.state.Final():
 		c.end(j, jobs.Cancelled, "cancelled through another instance")
 	}
@@ -146,6 +147,7 @@
 	j.recorded = true
 	j.state = entry.State()
 	j.started = j.state == jobs.Active
+	c.adoptOrphans(id)
 	c.openSteps(j)
 }
 
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -109,8 +109,8 @@
 // collectAcks notes which ends the outstanding write covers.
 func (c *Core) collectAcks() {
 	for _, w := range c.order {
-		if w.seen > w.acked {
-			c.journal.acks = append(c.journal.acks, ackMark{w, w.bornMS, w.seen})
+		if n := w.ackable(); n > w.acked {
+			c.journal.acks = append(c.journal.acks, ackMark{w, w.bornMS, n})
 		}
 	}
 }
@@ -119,8 +119,8 @@
 // that are final already.
 func (c *Core) ackUnrecorded() {
 	for _, w := range c.order {
-		if w.seen > w.acked {
-			c.ack(ackMark{w, w.bornMS, w.seen})
+		if n := w.ackable(); n > w.acked {
+			c.ack(ackMark{w, w.bornMS, n})
 		}
 	}
 }
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -159,33 +159,6 @@
 	return worst
 }
 
-// slowFor lowers paces until the serving task's tail should be at tailAim.
-func (c *Core) slowFor(w *worker, s *run, fills []*run, out map[*run]int) {
-	image := s.task.step.spec.Image
-	excess := min(s.tailRatio(), maxRatio) - tailAim
-	order := slices.Clone(fills)
-	slices.SortStableFunc(order, func(a, b *run) int {
-		return cmp.Compare(c.disturb.coefficient(image, b.task.step.spec.Image), c.disturb.coefficient(image, a.task.step.spec.Image))
-	})
-	for _, r := range order {
-		if excess <= 0 {
-			return
-		}
-		use := float64(max(r.usage, r.task.step.spec.CPUMilli*r.pace/200)) / float64(max(w.info.Capacity.CPUMilli, 1))
-		part := c.disturb.coefficient(image, r.task.step.spec.Image) * use
-		if part <= 0 {
-			continue
-		}
-		keep := max(1-excess/part, 0)
-		pace := int(float64(r.pace) * keep)
-		if old, ok := out[r]; ok {
-			pace = min(pace, old)
-		}
-		out[r] = pace
-		excess -= part * (1 - keep)
-	}
-}
-
 // fillPrediction is the worst tail of the worker's serving tasks, against
 // their targets, if another task of the step ran there at full pace beside
 // the present ones at theirs.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -36,9 +36,14 @@
 	clockReadMS int64
 	// leaseEndMS is the latest lease end sent, on the worker's clock.
 	leaseEndMS int64
-
-	runs []*run
-	used Room
+	// inheritedEndMS is when a lease of a predecessor ends at the latest.
+	inheritedEndMS int64
+
+	runs    []*run
+	orphans []orphan
+	// heldEnds are ends of jobs that the log does not hold, in order.
+	heldEnds []heldEnd
+	used    Room
 	// noRoomUntilMS pauses placement after a refusal for want of room.
 	noRoomUntilMS int64
 	health        health
@@ -150,6 +155,7 @@
 	if len(w.runs) > 0 && c.leaseOver(w) {
 		c.loseRuns(w, "lease_over")
 	}
+	w.dropHeldEnds(c.now.MS)
 	c.watchRuns(w)
 }
 
@@ -192,7 +198,7 @@
 // leaseOver reports whether everything on the worker must have ended, even if
 // its clock is slow.
 func (c *Core) leaseOver(w *worker) bool {
-	left := float64(w.leaseEndMS-w.clockMS) * clockSlack
+	left := float64(max(w.leaseEndMS, w.inheritedEndMS)-w.clockMS) * clockSlack
 	return c.now.MS > w.clockReadMS+int64(left)+leaseMarginMS
 }
 
@@ -248,17 +254,27 @@
 	if e.Report.ClockMS >= w.clockMS {
 		w.clockMS, w.clockReadMS = e.Report.ClockMS, c.now.MS
 	}
+	if w.inheritedEndMS == 0 {
+		w.inheritedEndMS = w.clockMS + c.config.MaxLeaseMS
+	}
 	if !w.answered || c.now.MS-w.answeredMS > silentMS {
 		c.wake = true
 	}
 	w.answered, w.answeredMS = true, c.now.MS
 	w.confirmed = max(w.confirmed, e.Token)
 	for i := range e.Report.Ended {
-		if end := &e.Report.Ended[i]; end.Number > w.seen {
-			w.seen = end.Number
-			c.ended(w, end)
+		end := &e.Report.Ended[i]
+		if end.Number <= w.seen {
+			continue
+		}
+		w.seen = end.Number
+		if end.Kind == EndDone && c.jobs[end.Task.Job] == nil && c.book.Known(end.Task.Job) == nil {
+			w.heldEnds = append(w.heldEnds, heldEnd{end: *end, sinceMS: c.now.MS})
+			continue
 		}
+		c.ended(w, end)
 	}
+	w.dropOrphans(e.Report.Running)
 	listed := make(map[*run]bool, len(e.Report.Running))
 	for i := range e.Report.Running {
 		if r := c.listed(w, &e.Report.Running[i], e.SentMS); r != nil {
@@ -298,6 +314,9 @@
 	if r == nil {
 		r = c.adoptRun(w, rt)
 	}
+	if r == nil && c.jobs[rt.Task.Job] == nil && c.book.Known(rt.Task.Job) == nil && w.keepOrphan(rt, c.now.MS) {
+		return nil
+	}
 	if r == nil {
 		c.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: rt.Task, Run: rt.Run})
 		c.emit(Decision{Event: "stop_sent", Job: rt.Task.Job, Task: rt.Task.String(), Run: rt.Run, Worker: w.info.ID, Reason: "not wanted here"})
@@ -329,9 +348,12 @@
 
 // adoptRun takes over a run that a predecessor has started, if the task still
 // needs one.
+//
+// The step may not be open yet: the predecessor may have seen ends that are
+// not recorded and that this leader has yet to see.
 func (c *Core) adoptRun(w *worker, rt *RunningTask) *run {
 	t := c.taskOf(rt.Task)
-	if t == nil || t.done || t.step.job.state.Final() || !t.step.predecessorsDone() {
+	if t == nil || t.done || t.step.job.state.Final() {
 		return nil
 	}
 	if len(t.runs) > 0 {
@@ -345,6 +367,90 @@
 	return r
 }
 
+// orphan is a run of a job that the log does not hold. A predecessor may have
+// started it while the submission was being recorded; the caller's next
+// attempt brings the job back.
+type orphan struct {
+	task    RunningTask
+	sinceMS int64
+}
+
+// orphanMS is how long such a run is left alone: callers repeat a submission
+// that was not answered within their time limit of some seconds.
+const orphanMS = 1500
+
+// keepOrphan reports whether a run of an unknown job may go on for now.
+func (w *worker) keepOrphan(rt *RunningTask, nowMS int64) bool {
+	for i := range w.orphans {
+		if o := &w.orphans[i]; o.task.Task == rt.Task && o.task.Run == rt.Run {
+			o.task = *rt
+			return nowMS-o.sinceMS < orphanMS
+		}
+	}
+	w.orphans = append(w.orphans, orphan{task: *rt, sinceMS: nowMS})
+	return true
+}
+
+// dropOrphans forgets the orphans that the worker does not list any more.
+func (w *worker) dropOrphans(running []RunningTask) {
+	w.orphans = slices.DeleteFunc(w.orphans, func(o orphan) bool {
+		return !slices.ContainsFunc(running, func(rt RunningTask) bool { return rt.Task == o.task.Task && rt.Run == o.task.Run })
+	})
+}
+
+// adoptOrphans takes over the runs of a job that has just become known.
+func (c *Core) adoptOrphans(id jobs.ID) {
+	for _, w := range c.order {
+		kept := w.orphans[:0]
+		for i := range w.orphans {
+			o := w.orphans[i]
+			if o.task.Task.Job != id {
+				kept = append(kept, o)
+				continue
+			}
+			if r := c.adoptRun(w, &o.task); r != nil {
+				r.confirmedMS, r.progressMS = c.now.MS, c.now.MS
+			}
+		}
+		w.orphans = kept
+		held := w.heldEnds
+		w.heldEnds = nil
+		for i := range held {
+			if held[i].end.Task.Job == id {
+				c.ended(w, &held[i].end)
+			} else {
+				w.heldEnds = append(w.heldEnds, held[i])
+			}
+		}
+	}
+}
+
+// heldEnd is the end of a task whose job the log does not hold. It is not
+// acknowledged while the caller may still bring the job back: a task that is
+// done must not start again.
+type heldEnd struct {
+	end     EndedTask
+	sinceMS int64
+}
+
+// heldEndMS is longer than callers repeat a submission.
+const heldEndMS = 15_000
+
+// ackable returns the number of the last end that may be acknowledged once
+// what was processed is recorded.
+func (w *worker) ackable() int64 {
+	if len(w.heldEnds) > 0 {
+		return min(w.seen, w.heldEnds[0].end.Number-1)
+	}
+	return w.seen
+}
+
+func (w *worker) dropHeldEnds(nowMS int64) {
+	for len(w.heldEnds) > 0 && nowMS-w.heldEnds[0].sinceMS > heldEndMS {
+		w.heldEnds = w.heldEnds[1:]
+	}
+}
+
 func (c *Core) taskOf(ref jobs.Task) *task {
 	j := c.jobs[ref.Job]
 	if j == nil {
@@ -437,8 +543,9 @@
 func (c *Core) reborn(w *worker, bornMS int64) {
 	c.emit(Decision{Event: "worker_reborn", Worker: w.info.ID})
 	c.loseRuns(w, "worker restarted")
-	w.bornMS, w.seen, w.acked, w.clockMS, w.leaseEndMS, w.confirmed = bornMS, 0, 0, 0, 0, 0
+	w.bornMS, w.seen, w.acked, w.clockMS, w.leaseEndMS, w.inheritedEndMS, w.confirmed = bornMS, 0, 0, 0, 0, 0, 0
 	w.answered, w.dead = false, false
+	w.orphans, w.heldEnds = nil, nil
 	w.health.reset()
 	w.nextHoldMS = c.now.MS
 }
--- a/internal/telemetry/buffer.go
+++ b/internal/telemetry/buffer.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,9 @@
 const (
 	// bufferBytes bounds the lines that wait for the output.
 	bufferBytes = 256 << 10
+	// chunkBytes is what a pipe takes whole, so that lines of two processes do
+	// not mix.
+	chunkBytes = 4096
 	// flushInterval is how long a line waits at most.
 	flushInterval = 100 * time.Millisecond
 )
@@ -81,12 +85,27 @@
 	}
 }
 
+// chunk returns the size of the whole lines that one write may carry.
+func chunk(lines []byte) int {
+	if len(lines) <= chunkBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:chunkBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	return chunkBytes
+}
+
 func (b *Buffer) flush() {
 	b.mu.Lock()
 	lines := b.pending
 	b.pending = b.spare[:0]
 	b.spare = lines
 	b.mu.Unlock()
-	// A log output that fails leaves nowhere to report it.
-	_, _ = b.out.Write(lines)
+	for len(lines) > 0 {
+		size := chunk(lines)
+		// A log output that fails leaves nowhere to report it.
+		_, _ = b.out.Write(lines[:size])
+		lines = lines[size:]
+	}
 }
