Keep planned tails until a report changes them; a slow log starts no election

Members also claimed the term while the log was slow for all. Predictions are kept, passes are 8 ms apart, and a member claims only if the log answers it fast.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -102,6 +102,9 @@
 	// logSilence is how long the leader's append may stay unanswered before
 	// others may take over, if the log serves them.
 	logSilence = 600 * time.Millisecond
+	// logFast bounds the time of a read of a log that serves well; an ordinary
+	// one takes some 10 ms.
+	logFast = 120 * time.Millisecond
 	// followInterval is the pause between a follower's reads of the log.
 	followInterval = time.Second
 	// leaderReadInterval is the pause between the leader's reads, which find
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -184,10 +184,12 @@
 		if err != nil {
 			return 0, err
 		}
+		begun := n.now().MS
 		batch, err := n.deps.Log.Read(ctx, from)
 		if err != nil {
 			return 0, err
 		}
+		n.logTookMS.Store(n.now().MS - begun)
 		end, err := ask(ctx, n, func() int64 {
 			if changed := n.apply(batch); len(changed) > 0 {
 				n.step(planner.RecordsRead{Jobs: changed})
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -80,13 +80,20 @@
 		out.now, out.reason = true, "leader silent"
 	case n.heard.epoch == n.claim.Epoch && n.heard.stopping && silent > stagger/2:
 		out.now, out.check, out.reason = true, false, "leader stopping"
-	case n.heard.epoch == n.claim.Epoch && !n.heard.logAvailable && n.logReadMS.Load() > n.heard.atMS-milliseconds(followInterval) && n.logReadMS.Load() > 0:
+	case n.heard.epoch == n.claim.Epoch && !n.heard.logAvailable && n.logServes():
 		// The log serves this instance but not the leader.
 		out.now, out.check, out.reason = true, false, "leader cut off from the log"
 	}
 	return out
 }
 
+// logServes reports whether the log has answered this instance lately, and
+// fast: while it is slow for everybody, a new leader would fare no better.
+func (n *Node) logServes() bool {
+	read := n.logReadMS.Load()
+	return read > 0 && n.now().MS-read < milliseconds(2*followInterval) && n.logTookMS.Load() < milliseconds(logFast)
+}
+
 // othersHearLeader asks the members whether the leader is alive: an instance
 // that alone has lost it must not claim.
 func (n *Node) othersHearLeader(ctx context.Context, e election) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,8 @@
 	caughtUp atomic.Bool
 	// logReadMS is when the log was last read, on the node's clock.
 	logReadMS atomic.Int64
+	// logTookMS is how long that read took.
+	logTookMS atomic.Int64
 
 	// Owned by the loop.
 	book      *jobs.Book
--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,81 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"redwingvale/internal/jobs"
+)
+
+// newSite returns a world of the size of the users' sites: workers of 32 and
+// 48 cores that are mostly reserved by serving tasks, and batch jobs that fill.
+func newSite(seed uint64, workers int) *world {
+	w := newWorld(seed, faultRates{})
+	w.workers = nil
+	for i := range workers {
+		cores := 32_000
+		if i%3 == 0 {
+			cores = 48_000
+		}
+		w.workers = append(w.workers, &fakeWorker{
+			world: w, rate: 1, clock0: w.now - 5000, bornAt: w.now - 5000,
+			runs: map[jobs.Task]*fakeRun{}, top: map[jobs.Task]int{},
+			info: WorkerInfo{
+				ID: WorkerID(fmt.Sprintf("w%03d", i)), Address: fmt.Sprint(i), Service: "s",
+				Capacity: Room{CPUMilli: cores, MemoryMB: 125_000}, Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
+				BornMS: w.now - 5000,
+			},
+		})
+	}
+	w.step(w.leader, WorkersChanged{Workers: w.directory()})
+	for i := range workers * 3 / 4 {
+		w.add(fmt.Sprintf("watch%011d", i), &jobs.Job{Queue: "watch", Steps: []jobs.Step{{
+			Count: 6, CPUMilli: 6400, MemoryMB: 13_000, EstimateMS: 300, LongRunning: true,
+			Image: fmt.Sprint("serve", i%5), TailTargetMS: 18_000,
+		}}})
+	}
+	w.run(w.now + 3000)
+	return w
+}
+
+func (w *world) add(id string, job *jobs.Job) {
+	job.Payload = id
+	w.jobs[jobs.ID(id)] = &submitted{job: job}
+	w.ids = append(w.ids, jobs.ID(id))
+	w.submit(jobs.ID(id))
+}
+
+// load submits batch jobs at a rate a second for some seconds.
+func (w *world) load(perSecond float64, seconds int) {
+	for i := range int(perSecond * float64(seconds)) {
+		w.at(int64(float64(i)*1000/perSecond), func() {
+			job := &jobs.Job{Queue: "batch"}
+			for s := range 2 {
+				step := jobs.Step{Count: 8, CPUMilli: 3500, MemoryMB: 6400, EstimateMS: 2200, Checkpointing: true, Fills: true, Image: fmt.Sprint("fill", i%9)}
+				if s > 0 {
+					step.After = []int{s - 1}
+				}
+				job.Steps = append(job.Steps, step)
+			}
+			w.add(fmt.Sprintf("batch%011d", i), job)
+		})
+	}
+}
+
+// BenchmarkSite plays ten seconds of a site's load; the time of an operation
+// is that of the planner and of the fakes together.
+func BenchmarkSite(b *testing.B) {
+	for _, workers := range []int{48, 490} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				w := newSite(1, workers)
+				w.load(6*float64(workers)/48, 10)
+				w.run(w.now + 10_000)
+				if len(w.broken) > 0 {
+					b.Fatal(w.broken)
+				}
+				b.ReportMetric(float64(w.starts), "starts")
+			}
+		})
+	}
+}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -32,11 +32,12 @@
 	// deposed is set once a worker has refused an order for a newer token.
 	deposed bool
 	// wake is set when a waiting task may fit now.
-	wake    bool
-	learned durations
-	disturb *disturbance
-	journal journal
-	effects []Effect
+	wake        bool
+	scheduledMS int64
+	learned     durations
+	disturb     *disturbance
+	journal     journal
+	effects     []Effect
 }
 
 // New returns the core for the term of the given epoch. The book must hold
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -29,11 +29,19 @@
 func (h *health) speed() float64 { return h.relative }
 
 // admits reports whether the worker may get another task.
-func (h *health) admits(nowMS int64, runs int) bool {
+func (h *health) admits(nowMS int64, runs []*run) bool {
 	if !h.suspect {
 		return true
 	}
-	return nowMS >= h.suspectUntilMS && runs == 0
+	if nowMS < h.suspectUntilMS {
+		return false
+	}
+	for _, r := range runs {
+		if r.sentMS >= h.suspectUntilMS {
+			return false
+		}
+	}
+	return true
 }
 
 func (h *health) suspectNow(nowMS int64) {
@@ -50,6 +58,10 @@
 
 func (h *health) failure(id jobs.ID, nowMS int64) bool {
 	h.failed = append(h.failed, id)
+	if h.suspect {
+		h.suspectUntilMS = nowMS + suspectMS
+		return false
+	}
 	if len(h.failed) < failuresToSuspect {
 		return false
 	}
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -54,6 +54,7 @@
 func (c *Core) balanceFill(w *worker) {
 	in := &w.interference
 	in.worst = 0
+	w.plannedValid = false
 	u := c.disturb.usedOn(w)
 	for _, r := range w.runs {
 		if r.serves() {
@@ -165,16 +166,44 @@
 func (c *Core) fillPrediction(w *worker, s *step) float64 {
 	more := fillLoad * float64(s.spec.CPUMilli) / float64(max(w.info.Capacity.CPUMilli, 1))
 	worst := 0.0
+	for _, t := range c.plannedTails(w) {
+		worst = max(worst, t.tail+c.disturb.coefficient(t.image, s.spec.Image)*more)
+	}
+	return worst
+}
+
+// plannedTail is the tail that the serving tasks of one image would have with
+// all filling tasks at full pace.
+type plannedTail struct {
+	image string
+	tail  float64
+}
+
+// plannedTails returns the worst planned tail of each serving image. It is
+// kept until a report or a start changes it.
+func (c *Core) plannedTails(w *worker) []plannedTail {
+	if w.plannedValid {
+		return w.planned
+	}
+	w.plannedValid = true
+	w.planned = w.planned[:0]
 	for _, m := range c.margins(w, 1) {
-		tail := 1 - m.left + c.disturb.coefficient(m.image, s.spec.Image)*more
+		tail := 1 - m.left
+		i := slices.IndexFunc(w.planned, func(t plannedTail) bool { return t.image == m.image })
+		if i < 0 {
+			w.planned = append(w.planned, plannedTail{m.image, tail})
+		} else {
+			w.planned[i].tail = max(w.planned[i].tail, tail)
+		}
+	}
+	for i := range w.planned {
 		for _, r := range w.runs {
 			if spec := r.task.step.spec; spec.Fills && r.phase != stopping {
-				tail += c.disturb.coefficient(m.image, spec.Image) * c.fullUse(w, r)
+				w.planned[i].tail += c.disturb.coefficient(w.planned[i].image, spec.Image) * c.fullUse(w, r)
 			}
 		}
-		worst = max(worst, tail)
 	}
-	return worst
+	return w.planned
 }
 
 // moveFill stops a slowed filling task that another worker can take at full
@@ -213,5 +242,6 @@
 	r.pacing = false
 	if e.Outcome == Done {
 		r.pace = e.Percent
+		w.fillValid = false
 	}
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -13,6 +13,9 @@
 	// fillLoad is the share of its declared processors that a filling task
 	// uses at full speed.
 	fillLoad = 0.85
+	// scheduleGapMS is the least time between two passes over the waiting
+	// tasks: it bounds what a burst of ends costs.
+	scheduleGapMS = 8
 	// avoidedPenalty ranks workers on which the task has failed behind all
 	// others without excluding them.
 	avoidedPenalty = 1000.0
@@ -22,10 +25,10 @@
 
 // schedule starts the waiting tasks that fit, by priority and deadline.
 func (c *Core) schedule() {
-	if c.suspended || !c.wake || len(c.ready) == 0 {
+	if c.suspended || !c.wake || len(c.ready) == 0 || c.now.MS-c.scheduledMS < scheduleGapMS {
 		return
 	}
-	c.wake = false
+	c.wake, c.scheduledMS = false, c.now.MS
 	slices.SortStableFunc(c.ready, func(a, b *step) int {
 		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
 			return d
@@ -104,7 +107,7 @@
 		s.spec.Fills && c.fillPrediction(w, s) > tailPlace:
 		return false
 	}
-	return w.health.admits(c.now.MS, len(w.runs))
+	return w.health.admits(c.now.MS, w.runs)
 }
 
 // usable reports whether new work may go to the worker at all.
@@ -157,8 +160,21 @@
 
 // fillShare is the share of its wish that another filling task would get.
 func (c *Core) fillShare(w *worker, cpuMilli int) float64 {
-	unused := float64(w.info.Capacity.CPUMilli)
-	wanted := fillLoad * float64(cpuMilli)
+	if !w.fillValid {
+		w.fillUnused, w.fillWanted = w.fillDemand()
+		w.fillValid = true
+	}
+	wanted := w.fillWanted + fillLoad*float64(cpuMilli)
+	if wanted <= 0 {
+		return 1
+	}
+	return min(max(w.fillUnused, 0)/wanted, 1)
+}
+
+// fillDemand returns what the other tasks leave unused and what the filling
+// tasks would use at their paces, in thousandths of a core.
+func (w *worker) fillDemand() (unused, wanted float64) {
+	unused = float64(w.info.Capacity.CPUMilli)
 	for _, r := range w.runs {
 		spec := r.task.step.spec
 		switch {
@@ -170,8 +186,5 @@
 			unused -= float64(spec.CPUMilli)
 		}
 	}
-	if wanted <= 0 {
-		return 1
-	}
-	return min(max(unused, 0)/wanted, 1)
+	return unused, wanted
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -50,6 +50,11 @@
 	noRoomUntilMS int64
 	health        health
 	interference  interference
+	planned       []plannedTail
+	plannedValid  bool
+	fillWanted    float64
+	fillUnused    float64
+	fillValid     bool
 	drain         drainState
 }
 
@@ -477,6 +482,7 @@
 func (c *Core) attach(r *run) {
 	s := r.task.step
 	r.worker.runs = append(r.worker.runs, r)
+	r.worker.plannedValid, r.worker.fillValid = false, false
 	r.worker.used = r.worker.used.plus(s.room())
 	r.task.runs = append(r.task.runs, r)
 	r.task.unaccounted = false
@@ -495,6 +501,7 @@
 		return
 	}
 	r.worker.runs = slices.Delete(r.worker.runs, i, i+1)
+	r.worker.plannedValid, r.worker.fillValid = false, false
 	r.worker.used = r.worker.used.minus(s.room())
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -447,6 +448,9 @@
 	for t := range runs {
 		out = append(out, t)
 	}
-	slices.SortFunc(out, func(a, b jobs.Task) int { return strings.Compare(a.String(), b.String()) })
+	slices.SortFunc(out, func(a, b jobs.Task) int {
+		return cmp.Or(strings.Compare(string(a.Job), string(b.Job)), cmp.Compare(a.Occurrence, b.Occurrence),
+			cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
 	return out
 }
