Slow only what disturbs, and leave tolerant workers to disturbing images

Cause, from learned coefficients: two or three of nine filling images disturb a serving image (2 to 8 times its target for all processors), the others hardly at all (under 0.3); yet all were slowed when a tail was high for its own load, and harmless images took the workers that bear the disturbing ones.

--- a/internal/planner/disturb.go
+++ b/internal/planner/disturb.go
@@ -141,6 +141,19 @@
 	return m.mean[i] + caution*math.Sqrt(max(m.cov[i][i], 0))
 }
 
+// meanCoefficient is the mean effect of all filling images on a serving image.
+func (d *disturbance) meanCoefficient(serving string) float64 {
+	m := d.model(serving)
+	if len(m.mean) < 2 {
+		return 0
+	}
+	sum := 0.0
+	for _, v := range m.mean[1:] {
+		sum += v
+	}
+	return sum / float64(len(m.mean)-1)
+}
+
 // base is the tail that the model expects without disturbance.
 func (d *disturbance) base(serving string) float64 { return d.model(serving).mean[0] }
 
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -20,6 +20,9 @@
 	// what a new one may raise the tail to.
 	tailAim   = 0.85
 	tailPlace = 0.75
+	// lightCoefficient is the effect below which slowing a filling task helps
+	// nobody: a tenth of the processors would move a tail by a few percent.
+	lightCoefficient = 0.4
 	// residualFloor is the least tail that a serving task is taken to have
 	// without disturbance.
 	residualFloor = 0.2
@@ -127,8 +130,9 @@
 		image := r.task.step.spec.Image
 		use := c.fullUse(w, r)
 		for _, m := range margins {
-			if cost := c.disturb.coefficient(m.image, image) * use; cost > 0 {
-				share = min(share, max(m.left, 0)/cost)
+			coefficient := c.disturb.coefficient(m.image, image)
+			if coefficient > lightCoefficient {
+				share = min(share, max(m.left, 0)/(coefficient*use))
 			}
 		}
 		for i := range margins {
@@ -206,6 +210,18 @@
 	return w.planned
 }
 
+// advantage is by how much less the step's image disturbs the worker's serving
+// tasks than the other filling images do on average. Images that disturb
+// little anywhere thus leave the workers that bear the others to these.
+func (c *Core) advantage(w *worker, s *step) float64 {
+	mean, own := 0.0, 0.0
+	for _, t := range c.plannedTails(w) {
+		mean = max(mean, c.disturb.meanCoefficient(t.image))
+		own = max(own, c.disturb.coefficient(t.image, s.spec.Image))
+	}
+	return mean - own
+}
+
 // moveFill stops a slowed filling task that another worker can take at full
 // pace; it resumes there from its checkpoint.
 func (c *Core) moveFill(w *worker) {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -123,7 +123,7 @@
 	var score float64
 	switch {
 	case s.spec.Fills:
-		score = 10*c.fillShare(w, s.spec.CPUMilli) - 3*c.fillPrediction(w, s)
+		score = 10*c.fillShare(w, s.spec.CPUMilli) - 3*c.fillPrediction(w, s) + 0.5*c.advantage(w, s)
 	case s.spec.LongRunning:
 		// Serving tasks of one image share workers, so that what fills beside
 		// them has to suit one image only. Best fit keeps whole workers free.
