Replace runs that a new start would overtake; record what was learned

Cause: tasks on slow workers ran to their end there (6 s for 1 s of work); the next leader began without coefficients, so filling work was slowed or harmed for seconds after each takeover; adopted filling tasks kept an unknown pace, down to 0, and were later stopped as standing still.

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -14,6 +14,10 @@
 	cancellationPrefix = "c/"
 )
 
+// LearnedKey holds what the leader has learned of the jobs' behaviour. It may
+// be lost without harm.
+const LearnedKey = "learned"
+
 // Record is one keyed record of the log. A record without a value drops its key.
 type Record struct {
 	Key   string
@@ -46,6 +50,8 @@
 // in the order of the log. It is not safe for concurrent use.
 type Book struct {
 	Jobs map[ID]*Entry
+	// Learned is the newest record of what a leader has learned.
+	Learned []byte
 }
 
 // NewBook returns an empty book.
@@ -63,6 +69,10 @@
 // Apply applies a record and returns the job it is about, or "" for a record
 // that is not about a job.
 func (b *Book) Apply(r Record) (ID, error) {
+	if r.Key == LearnedKey {
+		b.Learned = r.Value
+		return "", nil
+	}
 	if len(r.Key) < 3 {
 		return "", nil
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -38,6 +38,8 @@
 	GangTimeoutMS   float64 `toml:"gang_timeout_ms"`
 	InterferenceMS  float64 `toml:"interference_ms"`
 	StatusS         float64 `toml:"status_s"`
+	StopTimeoutMS   float64 `toml:"stop_timeout_ms"`
+	RestoreMS       float64 `toml:"restore_ms"`
 	GraceS          float64 `toml:"grace_s"`
 	ConfigInForceMS float64 `toml:"config_in_force_ms"`
 }
@@ -49,7 +51,7 @@
 		OptimisticStart: true,
 		Bounds: Bounds{
 			MaxLeaseMS: 6000, GangTimeoutMS: 3000, InterferenceMS: 4000,
-			StatusS: 120, GraceS: 6, ConfigInForceMS: 2000,
+			StopTimeoutMS: 500, RestoreMS: 500, StatusS: 120, GraceS: 6, ConfigInForceMS: 2000,
 		},
 	}
 }
@@ -75,6 +77,8 @@
 		MaxLeaseMS:      int64(c.Bounds.MaxLeaseMS),
 		GangTimeoutMS:   int64(c.Bounds.GangTimeoutMS),
 		InterferenceMS:  int64(c.Bounds.InterferenceMS),
+		StopTimeoutMS:   int64(c.Bounds.StopTimeoutMS),
+		RestoreMS:       int64(c.Bounds.RestoreMS),
 		StatusMS:        int64(c.Bounds.StatusS * 1000),
 		OptimisticStart: c.OptimisticStart,
 		FirstTerm:       firstTerm,
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -33,6 +33,8 @@
 type member struct {
 	Peer       string `json:"peer"`
 	DataCentre string `json:"data_centre"`
+	// StartedMS is the Unix time of the instance's start.
+	StartedMS int64 `json:"started"`
 }
 
 // apply takes a batch of records into the book. Records before the end are
@@ -204,7 +206,7 @@
 
 // register writes the instance's own record if the log does not hold it.
 func (n *Node) register(ctx context.Context) error {
-	want := member{Peer: n.config.PeerAddr, DataCentre: n.config.DataCentre}
+	want := member{Peer: n.config.PeerAddr, DataCentre: n.config.DataCentre, StartedMS: n.startedMS}
 	missing, err := ask(ctx, n, func() bool { return n.members[n.config.Instance] != want })
 	if err != nil || !missing || n.stopping.Load() {
 		return err
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -62,11 +62,16 @@
 	for name := range n.members {
 		names = append(names, name)
 	}
-	sort.Strings(names)
+	// The instance that started last goes first: in a rolling restart it is the
+	// one whose turn is farthest away.
+	sort.Slice(names, func(i, j int) bool {
+		a, b := n.members[names[i]], n.members[names[j]]
+		return a.StartedMS > b.StartedMS || a.StartedMS == b.StartedMS && names[i] < names[j]
+	})
 	rank := 0
 	for i, name := range names {
 		if name == n.config.Instance {
-			rank = (i + int(n.claim.Epoch)) % len(names)
+			rank = i
 		} else if name != n.claim.Instance {
 			out.others = append(out.others, n.members[name].Peer)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 	// logTookMS is how long that read took.
 	logTookMS atomic.Int64
 
+	startedMS int64
+
 	// Owned by the loop.
 	book      *jobs.Book
 	end       int64
@@ -83,6 +85,8 @@
 		book:    jobs.NewBook(),
 		members: map[string]member{},
 		replies: map[uint64]chan planner.Reply{},
+
+		startedMS: time.Now().UnixMilli(),
 	}
 }
 
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -11,6 +11,9 @@
 	GangTimeoutMS int64
 	// InterferenceMS is how long a serving task may be over its target.
 	InterferenceMS int64
+	// StopTimeoutMS is how long a stop takes at most, RestoreMS how long a task
+	// takes to resume from a checkpoint.
+	StopTimeoutMS, RestoreMS int64
 	// StatusMS is how long the state of a final job is kept.
 	StatusMS int64
 	// OptimisticStart starts tasks before the submission is recorded.
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -65,6 +65,11 @@
 		c.adoptJob(id, !config.FirstTerm)
 		c.noteFinal(id)
 	}
+	if len(book.Learned) > 0 {
+		if err := c.disturb.restore(book.Learned); err != nil {
+			c.emit(Decision{Event: "learned_invalid", Reason: err.Error()})
+		}
+	}
 	slices.SortStableFunc(c.journal.final, func(a, b finalJob) int { return cmp.Compare(a.atMS, b.atMS) })
 	return c
 }
--- a/internal/planner/disturb.go
+++ b/internal/planner/disturb.go
@@ -1,6 +1,11 @@
 package planner
 
-import "math"
+import (
+	"encoding/json"
+	"math"
+
+	"github.com/cockroachdb/errors"
+)
 
 // disturbance learns how much each image of filling tasks raises the tail of
 // each image of serving tasks. For one serving image s it models
@@ -167,3 +172,52 @@
 	}
 	return sum
 }
+
+// learned is the record of what has been learned, for the next leader.
+type learned struct {
+	Fills   []string             `json:"f"`
+	Serving map[string][]float64 `json:"s"`
+}
+
+// inheritedVar is the variance of a coefficient taken over from a record: the
+// coefficients change within seconds.
+const inheritedVar = 0.3
+
+// record encodes the coefficients.
+func (d *disturbance) record() ([]byte, error) {
+	out := learned{Fills: make([]string, len(d.fills)), Serving: map[string][]float64{}}
+	for image, i := range d.fills {
+		if i <= len(out.Fills) {
+			out.Fills[i-1] = image
+		}
+	}
+	for image, m := range d.serving {
+		rounded := make([]float64, len(m.mean))
+		for i, v := range m.mean {
+			rounded[i] = math.Round(v*100) / 100
+		}
+		out.Serving[image] = rounded
+	}
+	return json.Marshal(out)
+}
+
+// restore takes over the coefficients of a record.
+func (d *disturbance) restore(value []byte) error {
+	var in learned
+	if err := json.Unmarshal(value, &in); err != nil {
+		return errors.Wrap(err, "decode what was learned")
+	}
+	for _, image := range in.Fills {
+		if len(d.fills) < maxFillImages {
+			d.column(image)
+		}
+	}
+	for image, mean := range in.Serving {
+		m := d.model(image)
+		for i := range min(len(mean), len(m.mean)) {
+			m.mean[i] = max(mean[i], 0)
+			m.cov[i][i] = min(m.cov[i][i], inheritedVar)
+		}
+	}
+	return nil
+}
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -11,7 +11,8 @@
 	suspectUntilMS int64
 	suspect        bool
 	// relative is the smoothed speed against what was expected; 1 is normal.
-	relative float64
+	relative   float64
+	relativeMS int64
 }
 
 const (
@@ -20,14 +21,14 @@
 	failuresToSuspect = 3
 	// suspectMS is how long a suspect worker gets nothing.
 	suspectMS = 1500
+	// speedMemoryMS is how long a worker without runs counts as slow.
+	speedMemoryMS = 8000
 	// speedWeight is the weight of the newest run in the smoothed speed.
 	speedWeight = 0.3
 )
 
 func (h *health) reset() { *h = health{relative: 1} }
 
-func (h *health) speed() float64 { return h.relative }
-
 // admits reports whether the worker may get another task.
 func (h *health) admits(nowMS int64, runs []*run) bool {
 	if !h.suspect {
@@ -85,9 +86,6 @@
 		if r.confirmedMS == 0 || r.task.checkpoint != "" || s.spec.LongRunning {
 			return
 		}
-		if expected := c.expected(s); expected > 0 && !s.spec.Fills && took > 0 {
-			w.health.observeSpeed(expected / took)
-		}
 		s.finished.add(took)
 		c.learned.add(s, took)
 	case EndFailed:
@@ -97,8 +95,16 @@
 	}
 }
 
-func (h *health) observeSpeed(speed float64) {
+func (h *health) observeSpeed(speed float64, nowMS int64) {
 	h.relative += speedWeight * (min(speed, 1.5) - h.relative)
+	h.relativeMS = nowMS
+}
+
+// speed is the relative speed; without new runs it returns to normal, so that
+// a worker that was slow is tried again.
+func (h *health) speed(nowMS int64) float64 {
+	forgotten := min(float64(nowMS-h.relativeMS)/speedMemoryMS, 1)
+	return h.relative + (1-h.relative)*forgotten
 }
 
 // estimate is a running mean.
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -10,6 +10,7 @@
 	seq         uint64
 	outstanding bool
 	lastMS      int64
+	learnedMS   int64
 	submissions []*job
 	dirty       []*job
 	// The content of the outstanding write.
@@ -79,6 +80,7 @@
 		records = append(records, jobs.DropRecords(id)...)
 	}
 	n.drops = nil
+	records = c.appendLearned(records)
 	if len(n.dirty) == 0 {
 		c.collectAcks()
 	}
@@ -88,6 +90,23 @@
 	c.emit(Write{Seq: n.seq, Records: records})
 }
 
+// learnedIntervalMS is the least time between two records of what was learned.
+const learnedIntervalMS = 3000
+
+// appendLearned adds what was learned to a write now and then.
+func (c *Core) appendLearned(records []jobs.Record) []jobs.Record {
+	if c.now.MS-c.journal.learnedMS < learnedIntervalMS || len(c.disturb.serving) == 0 {
+		return records
+	}
+	c.journal.learnedMS = c.now.MS
+	value, err := c.disturb.record()
+	if err != nil {
+		c.emit(Decision{Event: "learned_not_encoded", Reason: err.Error()})
+		return records
+	}
+	return append(records, jobs.Record{Key: jobs.LearnedKey, Value: value})
+}
+
 func (c *Core) progressRecord(j *job) (jobs.Record, bool) {
 	if j.state == jobs.Queued && j.started {
 		j.state = jobs.Active
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -37,6 +37,8 @@
 	// worker can take it, at most one in moveIntervalMS from a worker.
 	moveBelow      = 40
 	moveIntervalMS = 300
+	// moveGainMS is what a move has to win beyond its own cost.
+	moveGainMS = 1000
 	// moveAfterMS is the least age of a run that is moved.
 	moveAfterMS = 900
 )
@@ -231,10 +233,12 @@
 	for _, r := range w.runs {
 		s := r.task.step
 		if !s.spec.Fills || !s.spec.Checkpointing || s.spec.Gang || r.phase != running || r.pace >= moveBelow ||
-			c.now.MS-r.confirmedMS < moveAfterMS || r.percent > 85 {
+			c.now.MS-r.confirmedMS < moveAfterMS {
 			continue
 		}
-		if c.pick(r.task, w) == nil {
+		left := c.expected(s) * float64(100-r.percent) / 100
+		gain := left*100/float64(max(r.pace, 1)) - left
+		if gain < float64(c.config.StopTimeoutMS+c.config.RestoreMS)+moveGainMS || c.pick(r.task, w) == nil {
 			continue
 		}
 		w.interference.movedMS = c.now.MS
@@ -258,6 +262,7 @@
 	r.pacing = false
 	if e.Outcome == Done {
 		r.pace = e.Percent
+		r.progressMS, r.firstMS = c.now.MS, 0
 		w.fillValid = false
 	}
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -139,7 +139,7 @@
 	if s.spec.Rack != "" && !slices.Contains(w.info.Labels, s.spec.Rack) {
 		score -= remotePenalty
 	}
-	return score + 4*min(w.health.speed(), 1)
+	return score + 4*min(w.health.speed(c.now.MS), 1)
 }
 
 // servingImages returns the processors reserved by long-running tasks of an
--- a/internal/planner/watch.go
+++ b/internal/planner/watch.go
@@ -39,6 +39,8 @@
 				c.emit(Decision{Event: "worker_suspect", Worker: w.info.ID, Reason: "work stands still"})
 			}
 			c.stopRun(r, "no progress")
+		default:
+			c.watchSpeed(w, r)
 		}
 	}
 }
@@ -88,3 +90,51 @@
 	}
 	return false
 }
+
+const (
+	// speedAfterMS is the least time over which a run's speed is judged.
+	speedAfterMS = 500
+	// slowFactor is by how much a run's remaining time must exceed that of a
+	// new start elsewhere before it is replaced.
+	slowFactor = 1.7
+	// restartFactor is the same for a run whose work so far would be lost.
+	restartFactor = 2.5
+	// replaceMarginMS is added to the time of a new start: the call, the
+	// report and the error of the estimate.
+	replaceMarginMS = 500
+)
+
+// watchSpeed judges a run by its progress: it marks slow workers and replaces
+// runs that a new start elsewhere would overtake.
+func (c *Core) watchSpeed(w *worker, r *run) {
+	s := r.task.step
+	if s.spec.LongRunning || s.spec.Gang || r.firstMS == 0 || r.usageMS-r.firstMS < speedAfterMS || len(r.task.runs) > 1 {
+		return
+	}
+	if s.spec.Fills && (r.pace < 100 || c.fillShare(w, 0) < 0.9) {
+		return
+	}
+	gained := r.percent - r.firstPercent
+	rate := max(float64(gained), 0.5) / float64(r.usageMS-r.firstMS)
+	expected := c.expected(s)
+	if r.usageMS != r.judgedMS && expected > 0 {
+		r.judgedMS = r.usageMS
+		w.health.observeSpeed(expected*rate/100, c.now.MS)
+	}
+	remaining := float64(100-r.percent) / rate
+	fresh := expected + replaceMarginMS
+	if s.spec.Checkpointing {
+		fresh = expected*float64(100-r.percent)/100 + float64(c.config.StopTimeoutMS+c.config.RestoreMS) + replaceMarginMS
+	}
+	switch {
+	case s.spec.Speculative && remaining > slowFactor*fresh:
+		if other := c.pick(r.task, w); other != nil {
+			c.start(r.task, other, r.task.lastRun+1, "second copy")
+		}
+	case s.spec.Checkpointing && remaining > slowFactor*fresh, remaining > restartFactor*fresh+float64(c.config.StopTimeoutMS):
+		if c.pick(r.task, w) != nil {
+			r.task.avoid = append(r.task.avoid, w)
+			c.stopRun(r, "slow")
+		}
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -69,8 +69,14 @@
 	// confirmedMS is when the run was known to exist.
 	confirmedMS int64
 	percent     int
-	// progressMS is when percent last rose, progressPercent its value before.
+	// progressMS is when percent last rose.
 	progressMS int64
+	// firstMS and firstPercent are the first report of the run: a run may
+	// resume from a checkpoint.
+	firstMS      int64
+	firstPercent int
+	// judgedMS is the report by which the run's speed was last judged.
+	judgedMS   int64
 	checkpoint string
 	usage      int
 	usageMS    int64
@@ -347,6 +353,9 @@
 	if rt.Checkpoint != "" {
 		r.checkpoint = rt.Checkpoint
 	}
+	if r.firstMS == 0 {
+		r.firstMS, r.firstPercent = c.now.MS, rt.Percent
+	}
 	if rt.Percent > r.percent {
 		r.percent, r.progressMS = rt.Percent, c.now.MS
 	}
@@ -375,6 +384,10 @@
 		return nil
 	}
 	r := &run{task: t, worker: w, number: rt.Run, phase: running, token: w.token, sentMS: c.now.MS, pace: 100}
+	if t.step.spec.Fills {
+		// The predecessor's pace is not known, so it is set anew.
+		r.pace = 0
+	}
 	t.lastRun = max(t.lastRun, rt.Run)
 	c.attach(r)
 	t.step.job.started = true
