--- a/internal/planner/disturb.go
+++ b/internal/planner/disturb.go
@@ -33,12 +33,12 @@
 	// noiseVar is the variance of one reading, driftVar what a second-old
 	// coefficient gains per reading at some 100 readings a second.
 	noiseVar = 0.15
-	driftVar = 0.0004
+	driftVar = 0.0002
 	// maxRatio cuts single readings off.
 	maxRatio = 3.0
 	// caution adds a share of the standard deviation to a coefficient, so that
 	// pairs that have not been tried are tried rarely.
-	caution = 0.3
+	caution = 1.3
 )
 
 // tailModel is the filter of one serving image.
