--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -34,9 +34,11 @@
 	// wake is set when a waiting task may fit now.
 	wake        bool
 	scheduledMS int64
-	learned     durations
-	disturb     *disturbance
-	journal     journal
+	// reserved are the workers that keep room for a step of this pass.
+	reserved map[*worker]*step
+	learned  durations
+	disturb  *disturbance
+	journal  journal
 	// off switches single safeguards off; only tests set it.
 	off     safeguards
 	effects []Effect
@@ -78,6 +80,8 @@
 		jobs:    map[jobs.ID]*job{},
 		learned: durations{byQueue: map[string]*estimate{}},
 		disturb: newDisturbance(),
+
+		reserved: map[*worker]*step{},
 	}
 	ids := make([]jobs.ID, 0, len(book.Jobs))
 	for id := range book.Jobs {
--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -222,3 +222,38 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(start.Task.Job, qt.Equals, jobs.ID("new"))
 }
+
+// TestWideTaskGetsRoom answers the stream of small tasks: room that becomes
+// free is kept for a wide task that waits and comes first.
+func TestWideTaskGetsRoom(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.step(QueuesChanged{Queues: []Queue{
+		{Name: "q", Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 9, TargetLatencyMS: 1000},
+		{Name: "batch", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 9, TargetLatencyMS: 1000},
+	}})
+	small := testWorker
+	small.Capacity = Room{CPUMilli: 10_000, MemoryMB: 64_000}
+	d.join(small)
+	batch := func(id jobs.ID) {
+		encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "batch", Steps: []jobs.Step{{Count: 1, CPUMilli: 5000, EstimateMS: 1000}}})
+		c.Assert(err, qt.IsNil)
+		d.step(SubmitRequested{ID: id, Encoded: encoded})
+		d.wait(40)
+	}
+	batch("b1")
+	batch("b2")
+	c.Assert(d.core.workers["w"].runs, qt.HasLen, 2)
+	d.submit(t, "wide", jobs.Step{Count: 1, CPUMilli: 8000, EstimateMS: 1000})
+	d.wait(40)
+	batch("b3")
+	end := func(number int64, id jobs.ID) {
+		d.report(small, Report{BornMS: 7, ClockMS: 1000 + number, Ended: []EndedTask{{Number: number, Task: jobs.Task{Job: id}, Run: 1, Kind: EndDone}}})
+		d.wait(40)
+	}
+	end(1, "b1")
+	c.Assert(d.core.jobs["b3"].started, qt.IsFalse)
+	end(2, "b2")
+	c.Assert(d.core.jobs["wide"].started, qt.IsTrue)
+	c.Assert(d.core.jobs["b3"].started, qt.IsFalse)
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -19,6 +19,8 @@
 	// scheduleEveryMS tries waiting tasks again when nothing else has woken
 	// them: pauses and limits change with time.
 	scheduleEveryMS = 250
+	// maxReserved bounds the workers that one waiting step reserves.
+	maxReserved = 4
 	// avoidedPenalty ranks workers on which the task has failed behind all
 	// others without excluding them.
 	avoidedPenalty = 1000.0
@@ -32,6 +34,7 @@
 		return
 	}
 	c.wake, c.scheduledMS = false, c.now.MS
+	clear(c.reserved)
 	slices.SortStableFunc(c.ready, func(a, b *step) int {
 		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
 			return d
@@ -109,12 +112,50 @@
 		if w == nil {
 			// The step's tasks are alike: what does not fit one fits none, but
 			// for the workers that a task avoids, which pick only ranks last.
+			c.reserve(s)
 			return
 		}
 		c.start(t, w, t.lastRun+1, "placed")
 	}
 }
 
+// reserve keeps room that becomes free for the waiting tasks of a step, which
+// come before all that follow in this pass. Smaller tasks would else take the
+// room as it comes, and a wide task would never start.
+func (c *Core) reserve(s *step) {
+	if s.spec.Fills {
+		return
+	}
+	for range min(len(s.pending), maxReserved) {
+		var best *worker
+		for _, w := range c.order {
+			if c.reserved[w] != nil || w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
+				!s.room().fits(w.info.Capacity.minus(w.lasting())) ||
+				s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) {
+				continue
+			}
+			if best == nil || w.used.CPUMilli-w.info.Capacity.CPUMilli < best.used.CPUMilli-best.info.Capacity.CPUMilli {
+				best = w
+			}
+		}
+		if best == nil {
+			return
+		}
+		c.reserved[best] = s
+	}
+}
+
+// lasting is the room of the worker's long-running tasks.
+func (w *worker) lasting() Room {
+	var out Room
+	for _, r := range w.runs {
+		if r.task.step.spec.LongRunning {
+			out = out.plus(r.task.step.room())
+		}
+	}
+	return out
+}
+
 func (c *Core) mayStart(t *task) bool {
 	if t.unaccounted || len(t.runs) > 0 {
 		return false
@@ -141,6 +182,9 @@
 // feasible reports whether the worker may run the task now.
 func (c *Core) feasible(t *task, w *worker) bool {
 	s := t.step
+	if holder := c.reserved[w]; holder != nil && holder != s && s.room().CPUMilli > 0 {
+		return false
+	}
 	switch {
 	case w.info.Service != s.job.queue.Service,
 		!w.usable(c.now.MS),
