--- a/internal/group/broken_test.go
+++ b/internal/group/broken_test.go
@@ -24,6 +24,7 @@
 	late := faults{late: 0.08, cutOff: 0.015, claim: 0.005, atOnce: 0.5}
 	restarts := faults{late: 0.01, cutOff: 0.015, restart: 0.05, claim: 0.005, atOnce: 0.5}
 	handOvers := faults{late: 0.08, cutOff: 0.015, claim: 0.05, atOnce: 1}
+	cutOffs := faults{late: 0.01, cutOff: 0.04, claim: 0.02}
 	lateBatches := faults{cutOff: 0.03, claim: 0.005, lateBatch: 0.9, longer: 20 * time.Second}
 	for _, mechanism := range []struct {
 		name   string
@@ -39,6 +40,8 @@
 		{"RecordFence", broken{noRecordFence: true}, usualFaults},
 		{"CancelHorizon", broken{noCancelHorizon: true}, usualFaults},
 		{"Boot", broken{noBoot: true}, restarts},
+		{"AdoptedLease", broken{noAdoptedLease: true}, cutOffs},
+		{"TakeOverReserve", broken{noTakeOverReserve: true}, handOvers},
 	} {
 		t.Run(mechanism.name, func(t *testing.T) { requireViolation(t, mechanism.off, mechanism.faults) })
 	}
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -78,6 +78,8 @@
 	noRecordFence       bool
 	noCancelHorizon     bool
 	noBoot              bool
+	noAdoptedLease      bool
+	noTakeOverReserve   bool
 }
 
 // DefaultOptions returns the options of the design page without identity.
--- a/internal/group/owner.go
+++ b/internal/group/owner.go
@@ -66,7 +66,7 @@
 	c.owner.ledger.SetEntries(c.entries)
 	c.syncWorkers()
 	c.state().eachJob(c.adoptJob)
-	if c.owner.epoch > 1 {
+	if c.owner.epoch > 1 && !c.opts.broken.noTakeOverReserve {
 		c.owner.ledger.TakeOver(c.oldRightEnd(), c.departedLately())
 	}
 	c.owner.nextSnapshot = c.firstSnapshot()
@@ -121,6 +121,9 @@
 		t.live.adopted = true
 		t.live.throttled = throttleUnknown
 		t.live.leaseUntil = c.oldRightEnd() + c.lengthened(c.opts.TaskLease)
+		if c.opts.broken.noAdoptedLease {
+			t.live.leaseUntil = c.now
+		}
 		t.live.checkpoint = t.checkpoint
 		t.live.progress = t.progress
 		c.owner.ledger.Restore(t.id(), t.worker, t.job.resources())
