Sequence numbers of two epochs never meet; claims beside a busy log

Sequence numbers now start at the epoch times 2^32, and an answer with an offset before the term's own end ends the term.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -82,7 +82,7 @@
 	if c.Epoch <= n.claim.Epoch {
 		return
 	}
-	n.claim = c
+	n.claim, n.claimedAt = c, n.end
 	n.log("leader_changed", zap.Uint64("epoch", c.Epoch), zap.String("leader", c.Instance))
 	n.leader.Store(&leaderInfo{epoch: c.Epoch, peer: c.Peer, self: c.Instance == n.config.Instance && n.term != nil && n.term.epoch == c.Epoch})
 	if n.term != nil && n.term.epoch < c.Epoch {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -120,11 +120,12 @@
 	return false
 }
 
-// claimTerm claims the next epoch. The claim is written only at the end of the
-// log that this instance has read, and fences the predecessor's writes.
+// claimTerm claims the next epoch. The claim fences the predecessor's writes,
+// so that what this instance reads afterwards is all that the predecessor has
+// recorded. Of two claims of one epoch the log takes the first: the second is
+// a repeat of the same sequence number and gets the first one's answer.
 func (n *Node) claimTerm(ctx context.Context, e election) error {
-	end, err := n.catchUp(ctx)
-	if err != nil {
+	if _, err := n.catchUp(ctx); err != nil {
 		return err
 	}
 	c := claim{Epoch: e.epoch + 1, Instance: n.config.Instance, Peer: n.config.PeerAddr, Nonce: uuid.NewString()}
@@ -132,12 +133,12 @@
 	if err != nil {
 		return err
 	}
-	n.log("claim_sent", zap.Uint64("epoch", c.Epoch), zap.String("reason", e.reason), zap.Int64("at", end))
+	n.log("claim_sent", zap.Uint64("epoch", c.Epoch), zap.String("reason", e.reason))
 	_, err = n.deps.Log.Append(ctx, Append{
 		Records: []jobs.Record{{Key: claimKey, Value: value}},
-		Writer:  &Writer{Epoch: c.Epoch}, At: end,
+		Writer:  &Writer{Epoch: c.Epoch, Sequence: firstSequence(c.Epoch)}, At: -1,
 	})
-	if err != nil && !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrMoved) {
+	if err != nil && !errors.Is(err, ErrUnknown) {
 		return err
 	}
 	// The log says who has won: two claims of one epoch differ in their nonce.
@@ -179,6 +180,8 @@
 		ctx:    termCtx,
 		stop:   stop,
 		writes: ring.New[planner.Write](1),
+		// The claim has been read back, so every append of the term is later.
+		wroteTo: n.claimedAt,
 	}
 	t.lastOKMS.Store(n.now().MS)
 	n.term = t
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,10 +40,12 @@
 	startedMS int64
 
 	// Owned by the loop.
-	book      *jobs.Book
-	end       int64
-	members   map[string]member
-	claim     claim
+	book    *jobs.Book
+	end     int64
+	members map[string]member
+	claim   claim
+	// claimedAt is the end of the log just after that claim.
+	claimedAt int64
 	term      *term
 	manifest  *Manifest
 	nextReply uint64
@@ -55,11 +57,13 @@
 
 // term is the time in which this instance leads.
 type term struct {
-	epoch    uint64
-	core     *planner.Core
-	ctx      context.Context
-	stop     context.CancelFunc
-	writes   *ring.Ring[planner.Write]
+	epoch  uint64
+	core   *planner.Core
+	ctx    context.Context
+	stop   context.CancelFunc
+	writes *ring.Ring[planner.Write]
+	// wroteTo is the end of this term's last append; the journal duty owns it.
+	wroteTo  int64
 	lastOKMS atomic.Int64
 	// pendingMS is when the outstanding write was sent, or 0.
 	pendingMS atomic.Int64
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -208,3 +208,23 @@
 	bad.Check(&problems)
 	c.Assert(problems.Err(), qt.ErrorMatches, `(?s).*peer_addr.*lease_ms.*`)
 }
+
+// TestClaimsBesideWrites guards a hand-over against a log on which the leader
+// goes on writing: a claim must not depend on finding the log unchanged.
+func TestClaimsBesideWrites(t *testing.T) {
+	c := qt.New(t)
+	log, manifest, workers := newMemoryLog(), &fixedManifest{version: 1}, newInstantWorkers()
+	a := startInstance(t, "a", log, manifest, workers)
+	b := startInstance(t, "b", log, manifest, workers)
+	await(t, "both are ready", func() bool { return a.Ready() && b.Ready() && leaderOf(a, b) != nil })
+	first, other := a, b
+	if b.leading() {
+		first, other = b, a
+	}
+	log.moveBeforeAppend(other.config.Instance)
+	first.stopping.Store(true)
+	await(t, "the other instance leads", other.leading)
+	ids := submitAll(t, other, "a", 3)
+	await(t, "the jobs are done", func() bool { return completed(other, ids) })
+	c.Assert(first.leading(), qt.IsFalse)
+}
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -28,15 +28,33 @@
 	}
 }
 
+// sequencesPerEpoch separates the sequence numbers of two epochs. The log
+// repeats a writer's last answers by sequence number, also those of an earlier
+// epoch: a number that comes again would be answered without being written.
+const sequencesPerEpoch = 1 << 32
+
+// firstSequence is the sequence number of an epoch's claim.
+func firstSequence(epoch uint64) uint64 { return epoch * sequencesPerEpoch }
+
 // writeOne records one write; false means that the term is over.
 func (n *Node) writeOne(t *term, w planner.Write) bool {
 	for t.ctx.Err() == nil {
 		begun := time.Now()
 		offset, err := n.deps.Log.Append(t.ctx, Append{
-			Records: w.Records, Writer: &Writer{Epoch: t.epoch, Sequence: w.Seq}, At: -1,
+			Records: w.Records, Writer: &Writer{Epoch: t.epoch, Sequence: firstSequence(t.epoch) + w.Seq}, At: -1,
 		})
 		switch {
+		case err == nil && offset < t.wroteTo:
+			// The log has answered with an older append: nothing was written.
+			n.tele.Log.Error("append_answer_stale", zap.Uint64("seq", w.Seq), zap.Int64("offset", offset), zap.Int64("wrote_to", t.wroteTo))
+			n.post(t.ctx, func() {
+				if n.term == t {
+					n.resign("the log answered with an older append")
+				}
+			})
+			return false
 		case err == nil:
+			t.wroteTo = offset + int64(len(w.Records))
 			n.stats.append.RecordDuration(time.Since(begun))
 			n.stats.writes.Inc(1)
 			n.stats.records.Inc(int64(len(w.Records)))
