Ask the workers that the directory has dropped before tasks start again

The leader now records the workers that it knows; its successor asks those that the directory does not list, too. Also: a write is repeated after 350 ms, and a leader counts as cut off after 1.5 s without a confirmation or 400 ms of refusals, not after 600 ms.

The direct test fails without the record.

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -18,6 +18,10 @@
 // be lost without harm.
 const LearnedKey = "learned"
 
+// WorkersKey holds the workers that the leader knows: the directory may drop
+// one for a while although it still runs tasks.
+const WorkersKey = "workers"
+
 // Record is one keyed record of the log. A record without a value drops its key.
 type Record struct {
 	Key   string
@@ -52,6 +56,8 @@
 	Jobs map[ID]*Entry
 	// Learned is the newest record of what a leader has learned.
 	Learned []byte
+	// Workers is the newest record of the workers that a leader knew.
+	Workers []byte
 }
 
 // NewBook returns an empty book.
@@ -69,9 +75,13 @@
 // Apply applies a record and returns the job it is about, or "" for a record
 // that is not about a job.
 func (b *Book) Apply(r Record) (ID, error) {
-	if r.Key == LearnedKey {
+	switch r.Key {
+	case LearnedKey:
 		b.Learned = r.Value
 		return "", nil
+	case WorkersKey:
+		b.Workers = r.Value
+		return "", nil
 	}
 	if len(r.Key) < 3 {
 		return "", nil
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -103,9 +103,16 @@
 	electStagger = 120 * time.Millisecond
 	// checkTimeout bounds the question whether others hear the leader.
 	checkTimeout = 200 * time.Millisecond
-	// logSilence is how long the leader's append may stay unanswered before
-	// others may take over, if the log serves them.
-	logSilence = 600 * time.Millisecond
+	// firstAppendTimeout bounds the first attempt of an append, which takes some
+	// 15 ms, and appendTimeout the further ones, for a log that is slow. An
+	// append is repeated under its sequence number.
+	firstAppendTimeout = 350 * time.Millisecond
+	appendTimeout      = 900 * time.Millisecond
+	// logSilence is how long the leader's write may stay unconfirmed before
+	// others may take over, if the log serves them: three lost answers in a
+	// row. logRefused is the same for refusals.
+	logSilence = 1500 * time.Millisecond
+	logRefused = 400 * time.Millisecond
 	// logFast bounds the time of a read of a log that serves well; an ordinary
 	// one takes some 10 ms.
 	logFast = 120 * time.Millisecond
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -183,7 +183,6 @@
 		// The claim has been read back, so every append of the term is later.
 		wroteTo: n.claimedAt,
 	}
-	t.lastOKMS.Store(n.now().MS)
 	n.term = t
 	n.stats.elections.Inc(1)
 	n.leader.Store(&leaderInfo{epoch: c.Epoch, peer: c.Peer, self: true})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,10 +63,11 @@
 	stop   context.CancelFunc
 	writes *ring.Ring[planner.Write]
 	// wroteTo is the end of this term's last append; the journal duty owns it.
-	wroteTo  int64
-	lastOKMS atomic.Int64
+	wroteTo int64
 	// pendingMS is when the outstanding write was sent, or 0.
 	pendingMS atomic.Int64
+	// refusedMS is when the log first refused that write, or 0.
+	refusedMS atomic.Int64
 }
 
 // heard is the newest sign of life of a leader.
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,7 +24,7 @@
 				return
 			}
 			t.pendingMS.Store(0)
-			t.lastOKMS.Store(n.now().MS)
+			t.refusedMS.Store(0)
 		}
 	}
 }
@@ -38,11 +39,15 @@
 
 // writeOne records one write; false means that the term is over.
 func (n *Node) writeOne(t *term, w planner.Write) bool {
+	limit := firstAppendTimeout
 	for t.ctx.Err() == nil {
 		begun := time.Now()
-		offset, err := n.deps.Log.Append(t.ctx, Append{
+		ctx, cancel := context.WithTimeout(t.ctx, limit)
+		offset, err := n.deps.Log.Append(ctx, Append{
 			Records: w.Records, Writer: &Writer{Epoch: t.epoch, Sequence: firstSequence(t.epoch) + w.Seq}, At: -1,
 		})
+		cancel()
+		limit = appendTimeout
 		switch {
 		case err == nil && offset < t.wroteTo:
 			// The log has answered with an older append: nothing was written.
@@ -68,6 +73,9 @@
 			})
 			return false
 		}
+		if errors.Is(err, ErrUnavailable) {
+			t.refusedMS.CompareAndSwap(0, n.now().MS)
+		}
 		n.stats.logErrors.Inc(1)
 		n.tele.Log.Warn("append_failed", append(telemetry.ErrorFields(err), zap.Uint64("seq", w.Seq))...)
 		pause(t.ctx, retryPause)
@@ -108,8 +116,12 @@
 	return false
 }
 
-// logAvailable reports whether the leader's writes get through.
+// logAvailable reports whether the leader's writes get through. Refusals are
+// told sooner than silence: an answer may also be lost now and then.
 func (n *Node) logAvailable(t *term) bool {
-	pending := t.pendingMS.Load()
-	return pending == 0 || n.now().MS-pending < milliseconds(logSilence)
+	now, pending, refused := n.now().MS, t.pendingMS.Load(), t.refusedMS.Load()
+	if refused > 0 && now-refused >= milliseconds(logRefused) {
+		return false
+	}
+	return pending == 0 || now-pending < milliseconds(logSilence)
 }
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -92,6 +92,7 @@
 		c.adoptJob(id, !config.FirstTerm)
 		c.noteFinal(id)
 	}
+	c.inheritWorkers()
 	if len(book.Learned) > 0 {
 		if err := c.disturb.restore(book.Learned); err != nil {
 			c.emit(Decision{Event: "learned_invalid", Reason: err.Error()})
--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -29,8 +30,24 @@
 
 // join adds a worker that has reported once.
 func (d *direct) join(info WorkerInfo) {
-	d.step(WorkersChanged{Workers: []WorkerInfo{info}})
-	d.report(info, Report{BornMS: info.BornMS, ClockMS: 100})
+	d.confirm(d.step(WorkersChanged{Workers: []WorkerInfo{info}}))
+	d.confirm(d.report(info, Report{BornMS: info.BornMS, ClockMS: 100}))
+}
+
+// confirm records the writes among the effects.
+func (d *direct) confirm(effects []Effect) {
+	for _, e := range slices.Clone(effects) {
+		w, ok := e.(Write)
+		if !ok {
+			continue
+		}
+		for _, r := range w.Records {
+			if _, err := d.core.book.Apply(r); err != nil {
+				panic(err)
+			}
+		}
+		d.confirm(d.step(WriteDone{Seq: w.Seq}))
+	}
 }
 
 func (d *direct) report(info WorkerInfo, r Report) []Effect {
@@ -257,3 +274,49 @@
 	c.Assert(d.core.jobs["wide"].started, qt.IsTrue)
 	c.Assert(d.core.jobs["b3"].started, qt.IsFalse)
 }
+
+// TestUnlistedWorkerIsAsked guards a takeover while the directory has lost the
+// entry of a worker that runs on: its task must not start elsewhere.
+func TestUnlistedWorkerIsAsked(t *testing.T) {
+	c := qt.New(t)
+	first := newDirect(safeguards{})
+	other := testWorker
+	other.ID, other.Address = "v", "b"
+	var records []jobs.Record
+	keep := func(effects []Effect) {
+		for _, e := range effects {
+			if w, ok := e.(Write); ok {
+				for _, r := range w.Records {
+					_, err := first.core.book.Apply(r)
+					c.Assert(err, qt.IsNil)
+				}
+				records = append(records, w.Records...)
+				first.step(WriteDone{Seq: w.Seq})
+			}
+		}
+	}
+	keep(first.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	keep(first.report(testWorker, Report{BornMS: 7, ClockMS: 100}))
+	keep(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 9000}))
+	keep(first.wait(200))
+	c.Assert(first.core.jobs["j"].started, qt.IsTrue)
+
+	book := jobs.NewBook()
+	for _, r := range records {
+		_, err := book.Apply(r)
+		c.Assert(err, qt.IsNil)
+	}
+	config := first.core.config
+	config.FirstTerm = false
+	second := &direct{now: first.now + 1000}
+	second.core = New(config, book, 2, second.time())
+	second.step(QueuesChanged{Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}})
+	second.step(WorkersChanged{Workers: []WorkerInfo{other}})
+	effects := append(second.report(other, Report{BornMS: 7, ClockMS: 100}), second.wait(1000)...)
+	_, started := find[Start](effects)
+	c.Assert(started, qt.IsFalse)
+	second.report(testWorker, Report{BornMS: 7, ClockMS: 2000, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 1, Percent: 20}}})
+	c.Assert(second.core.workers["w"].runs, qt.HasLen, 1)
+	_, started = find[Start](second.wait(1000))
+	c.Assert(started, qt.IsFalse)
+}
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"encoding/json"
+
 	"redwingvale/internal/jobs"
 )
 
@@ -11,8 +13,10 @@
 	outstanding bool
 	lastMS      int64
 	learnedMS   int64
-	submissions []*job
-	dirty       []*job
+	// workersDirty is set while the record of the workers is not up to date.
+	workersDirty bool
+	submissions  []*job
+	dirty        []*job
 	// The content of the outstanding write.
 	written []*job
 	acks    []ackMark
@@ -55,7 +59,7 @@
 	if n.outstanding || c.now.MS-n.lastMS < writeGapMS {
 		return
 	}
-	if len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.drops) == 0 {
+	if len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.drops) == 0 && !n.workersDirty {
 		c.ackUnrecorded()
 		return
 	}
@@ -80,7 +84,7 @@
 		records = append(records, jobs.DropRecords(id)...)
 	}
 	n.drops = nil
-	records = c.appendLearned(records)
+	records = c.appendLearned(c.appendWorkers(records))
 	if len(n.dirty) == 0 {
 		c.collectAcks()
 	}
@@ -90,6 +94,58 @@
 	c.emit(Write{Seq: n.seq, Records: records})
 }
 
+// knownWorker is a worker in the record of all workers.
+type knownWorker struct {
+	ID         WorkerID `json:"i"`
+	Address    string   `json:"a"`
+	Service    string   `json:"s"`
+	DataCentre string   `json:"d,omitempty"`
+	Capacity   Room     `json:"c"`
+	Labels     []string `json:"l,omitempty"`
+}
+
+// appendWorkers adds the record of the workers to a write when it has changed.
+func (c *Core) appendWorkers(records []jobs.Record) []jobs.Record {
+	if !c.journal.workersDirty {
+		return records
+	}
+	c.journal.workersDirty = false
+	known := make([]knownWorker, 0, len(c.order))
+	for _, w := range c.order {
+		if !w.dead {
+			known = append(known, knownWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels})
+		}
+	}
+	value, err := json.Marshal(known)
+	if err != nil {
+		c.emit(Decision{Event: "workers_not_encoded", Reason: err.Error()})
+		return records
+	}
+	return append(records, jobs.Record{Key: jobs.WorkersKey, Value: value})
+}
+
+// inheritWorkers takes over the workers that the predecessor knew. Those that
+// the directory does not list are asked too, before tasks that were found
+// nowhere start again: an entry may be missing while its worker runs on.
+func (c *Core) inheritWorkers() {
+	if len(c.book.Workers) == 0 || c.config.FirstTerm {
+		return
+	}
+	var known []knownWorker
+	if err := json.Unmarshal(c.book.Workers, &known); err != nil {
+		c.emit(Decision{Event: "workers_invalid", Reason: err.Error()})
+		return
+	}
+	for _, k := range known {
+		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true}
+		w.health.reset()
+		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels}
+		c.workers[k.ID] = w
+		c.order = append(c.order, w)
+	}
+	sortWorkers(c.order)
+}
+
 // learnedIntervalMS is the least time between two records of what was learned.
 const learnedIntervalMS = 3000
 
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -11,6 +11,9 @@
 	info WorkerInfo
 	// listed is false once the directory has dropped the worker.
 	listed bool
+	// inherited is set for a worker that the predecessor knew; until it answers
+	// or its leases must be over it may run tasks.
+	inherited bool
 	// dead is set when another life answers at the address.
 	dead   bool
 	bornMS int64
@@ -120,7 +123,9 @@
 			w.health.reset()
 			c.workers[info.ID] = w
 			c.order = append(c.order, w)
+			c.journal.workersDirty = true
 		}
+		c.journal.workersDirty = c.journal.workersDirty || w.info.Address != info.Address
 		if info.Draining && !w.info.Draining {
 			w.drain = drainState{sinceMS: c.now.MS}
 			c.emit(Decision{Event: "worker_draining", Worker: info.ID})
@@ -148,8 +153,13 @@
 func (c *Core) dropGone() {
 	kept := c.order[:0]
 	for _, w := range c.order {
-		if !w.listed && len(w.runs) == 0 && (w.dead || c.now.MS-w.answeredMS > silentMS) {
+		gone := w.dead || c.now.MS-w.answeredMS > silentMS
+		if w.inherited && !w.answered && !w.dead {
+			gone = c.now.MS-c.termMS > c.inheritedLeaseMS()
+		}
+		if !w.listed && len(w.runs) == 0 && gone {
 			delete(c.workers, w.info.ID)
+			c.journal.workersDirty = true
 			continue
 		}
 		kept = append(kept, w)
@@ -597,7 +607,7 @@
 		c.account()
 	}
 	for _, w := range c.order {
-		if w.listed && !w.dead && !w.answered {
+		if (w.listed || w.inherited) && !w.dead && !w.answered {
 			silent = true
 		}
 	}
--- a/internal/planner/worker_test.go
+++ b/internal/planner/worker_test.go
@@ -23,8 +23,10 @@
 	top map[jobs.Task]int
 	// downUntil: nothing answers; cutUntil: nothing gets through, work goes on.
 	downUntil, cutUntil int64
-	failing             bool
-	stuck               bool
+	// unlistedUntil: the directory has dropped the entry.
+	unlistedUntil int64
+	failing       bool
+	stuck         bool
 }
 
 type fakeRun struct {
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -165,7 +165,9 @@
 func (w *world) directory() []WorkerInfo {
 	var out []WorkerInfo
 	for _, f := range w.workers {
-		out = append(out, f.info)
+		if w.now >= f.unlistedUntil {
+			out = append(out, f.info)
+		}
 	}
 	return out
 }
