--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -60,7 +60,41 @@
 		if i > 0 {
 			s.After = []int{i - 1}
 		}
-		switch w.rng.IntN(8) {
+		switch w.rng.IntN(9) {
+		case 0:
+			s.Gang, s.SameRack = true, w.rng.IntN(2) == 0
+			s.Count = min(s.Count, 4)
+		case 1:
+			s.MaxPerWorker = 1
+			s.Count = min(s.Count, 5)
+		case 2:
+			s.Label = "a"
+		case 3:
+			s.Fills, s.Image = true, "fill"
+		case 4:
+			s.Speculative = true
+		}
+		job.Steps = append(job.Steps, s)
+	}
+	switch w.rng.IntN(8) {
+	case 0:
+		job.Queue = "watch"
+		job.Steps = []jobs.Step{{Count: 2, CPUMilli: 2000, MemoryMB: 2000, EstimateMS: 300, LongRunning: true, Image: "watch", TailTargetMS: 2000, MaxUnavailable: 1}}
+	case 1:
+		job.Repeat, job.StartAtMS, job.IntervalMS = 2, w.now+1000, 3000
+	}
+	w.jobs[id] = &submitted{job: job}
+	w.ids = append(w.ids, id)
+	w.submit(id)
+	if w.rng.IntN(6) == 0 || job.Queue == "watch" && w.rng.IntN(2) == 0 {
+		w.at(w.rng.Int64N(8000), func() { w.cancel(id) })
+	}
+}
+
+// fault injects one random fault.
+func (w *world) fault() {
+	f := w.workers[w.rng.IntN(len(w.workers))]
+	switch w.rng.IntN(8) {
 	case 0:
 		f.crash(500 + w.rng.Int64N(4000))
 		w.at(600, func() { w.step(w.leader, WorkersChanged{Workers: w.directory()}) })
