--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"encoding/json"
-
 	"redwingvale/internal/jobs"
 )
 
@@ -94,58 +92,6 @@
 	c.emit(Write{Seq: n.seq, Records: records})
 }
 
-// knownWorker is a worker in the record of all workers.
-type knownWorker struct {
-	ID         WorkerID `json:"i"`
-	Address    string   `json:"a"`
-	Service    string   `json:"s"`
-	DataCentre string   `json:"d,omitempty"`
-	Capacity   Room     `json:"c"`
-	Labels     []string `json:"l,omitempty"`
-}
-
-// appendWorkers adds the record of the workers to a write when it has changed.
-func (c *Core) appendWorkers(records []jobs.Record) []jobs.Record {
-	if !c.journal.workersDirty {
-		return records
-	}
-	c.journal.workersDirty = false
-	known := make([]knownWorker, 0, len(c.order))
-	for _, w := range c.order {
-		if !w.dead {
-			known = append(known, knownWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels})
-		}
-	}
-	value, err := json.Marshal(known)
-	if err != nil {
-		c.emit(Decision{Event: "workers_not_encoded", Reason: err.Error()})
-		return records
-	}
-	return append(records, jobs.Record{Key: jobs.WorkersKey, Value: value})
-}
-
-// inheritWorkers takes over the workers that the predecessor knew. Those that
-// the directory does not list are asked too, before tasks that were found
-// nowhere start again: an entry may be missing while its worker runs on.
-func (c *Core) inheritWorkers() {
-	if len(c.book.Workers) == 0 || c.config.FirstTerm {
-		return
-	}
-	var known []knownWorker
-	if err := json.Unmarshal(c.book.Workers, &known); err != nil {
-		c.emit(Decision{Event: "workers_invalid", Reason: err.Error()})
-		return
-	}
-	for _, k := range known {
-		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true}
-		w.health.reset()
-		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels}
-		c.workers[k.ID] = w
-		c.order = append(c.order, w)
-	}
-	sortWorkers(c.order)
-}
-
 // learnedIntervalMS is the least time between two records of what was learned.
 const learnedIntervalMS = 3000
 
--- /dev/null
+++ b/internal/planner/orphans.go
@@ -0,0 +1,91 @@
+package planner
+
+import (
+	"slices"
+
+	"redwingvale/internal/jobs"
+)
+
+// orphan is a run of a job that the log does not hold. A predecessor may have
+// started it while the submission was being recorded; the caller's next
+// attempt brings the job back.
+type orphan struct {
+	task    RunningTask
+	sinceMS int64
+}
+
+// orphanMS is how long such a run is left alone: callers repeat a submission
+// that was not answered within their time limit of some seconds.
+const orphanMS = 1500
+
+// keepOrphan reports whether a run of an unknown job may go on for now.
+func (w *worker) keepOrphan(rt *RunningTask, nowMS int64) bool {
+	for i := range w.orphans {
+		if o := &w.orphans[i]; o.task.Task == rt.Task && o.task.Run == rt.Run {
+			o.task = *rt
+			return nowMS-o.sinceMS < orphanMS
+		}
+	}
+	w.orphans = append(w.orphans, orphan{task: *rt, sinceMS: nowMS})
+	return true
+}
+
+// dropOrphans forgets the orphans that the worker does not list any more.
+func (w *worker) dropOrphans(running []RunningTask) {
+	w.orphans = slices.DeleteFunc(w.orphans, func(o orphan) bool {
+		return !slices.ContainsFunc(running, func(rt RunningTask) bool { return rt.Task == o.task.Task && rt.Run == o.task.Run })
+	})
+}
+
+// adoptOrphans takes over the runs of a job that has just become known.
+func (c *Core) adoptOrphans(id jobs.ID) {
+	for _, w := range c.order {
+		kept := w.orphans[:0]
+		for i := range w.orphans {
+			o := w.orphans[i]
+			if o.task.Task.Job != id {
+				kept = append(kept, o)
+				continue
+			}
+			if r := c.adoptRun(w, &o.task); r != nil {
+				r.confirmedMS, r.progressMS = c.now.MS, c.now.MS
+			}
+		}
+		w.orphans = kept
+		held := w.heldEnds
+		w.heldEnds = nil
+		for i := range held {
+			if held[i].end.Task.Job == id {
+				c.ended(w, &held[i].end)
+			} else {
+				w.heldEnds = append(w.heldEnds, held[i])
+			}
+		}
+	}
+}
+
+// heldEnd is the end of a task whose job the log does not hold. It is not
+// acknowledged while the caller may still bring the job back: a task that is
+// done must not start again, and a failure counts.
+type heldEnd struct {
+	end     EndedTask
+	sinceMS int64
+}
+
+// heldEndMS is longer than callers repeat a submission.
+const heldEndMS = 15_000
+
+// ackable returns the number of the last end that may be acknowledged once
+// what was processed is recorded.
+func (w *worker) ackable() int64 {
+	if len(w.heldEnds) > 0 {
+		return min(w.seen, w.heldEnds[0].end.Number-1)
+	}
+	return w.seen
+}
+
+func (w *worker) dropHeldEnds(nowMS int64) {
+	for len(w.heldEnds) > 0 && nowMS-w.heldEnds[0].sinceMS > heldEndMS {
+		w.heldEnds = w.heldEnds[1:]
+	}
+}
--- /dev/null
+++ b/internal/planner/report.go
@@ -0,0 +1,230 @@
+package planner
+
+import (
+	"slices"
+
+	"redwingvale/internal/jobs"
+)
+
+// report takes in what a worker says of its runs.
+func (c *Core) report(w *worker, e HoldDone) {
+	if w.bornMS != 0 && e.Report.BornMS != 0 && e.Report.BornMS != w.bornMS {
+		if e.Report.BornMS < w.bornMS {
+			return
+		}
+		c.reborn(w, e.Report.BornMS)
+	}
+	if w.bornMS == 0 {
+		w.bornMS = e.Report.BornMS
+	}
+	if e.Report.ClockMS >= w.clockMS {
+		w.clockMS, w.clockReadMS = e.Report.ClockMS, c.now.MS
+	}
+	if w.inheritedEndMS == 0 {
+		w.inheritedEndMS = w.clockMS + c.config.MaxLeaseMS
+	}
+	if !w.answered || c.now.MS-w.answeredMS > silentMS {
+		c.wake = true
+	}
+	w.answered, w.answeredMS, w.unverified = true, c.now.MS, false
+	w.confirmed = max(w.confirmed, e.Token)
+	for i := range e.Report.Ended {
+		end := &e.Report.Ended[i]
+		if end.Number <= w.seen {
+			continue
+		}
+		w.seen = end.Number
+		if !c.off.holdEnds && (end.Kind == EndDone || end.Kind == EndFailed) && c.jobs[end.Task.Job] == nil && c.book.Known(end.Task.Job) == nil {
+			w.heldEnds = append(w.heldEnds, heldEnd{end: *end, sinceMS: c.now.MS})
+			continue
+		}
+		c.ended(w, end)
+	}
+	w.dropOrphans(e.Report.Running)
+	listed := make(map[*run]bool, len(e.Report.Running))
+	for i := range e.Report.Running {
+		if r := c.listed(w, &e.Report.Running[i], e.SentMS); r != nil {
+			listed[r] = true
+		}
+	}
+	for _, r := range slices.Clone(w.runs) {
+		if !listed[r] {
+			c.missing(w, r, e)
+		}
+	}
+	c.balanceFill(w)
+}
+
+// missing decides on a run that a report does not list.
+func (c *Core) missing(w *worker, r *run, e HoldDone) {
+	switch {
+	case r.phase == starting:
+	case r.phase == unsure:
+		// The report answers a higher token: the start can't come any more.
+		if e.Token > r.token {
+			c.emit(c.decision("start_settled", r, "not carried out"))
+			c.lost(r)
+		}
+	case r.confirmedMS > 0 && r.confirmedMS < e.SentMS:
+		c.emit(c.decision("run_lost", r, "not listed by its worker"))
+		c.lost(r)
+	case r.confirmedMS == 0 && e.Token > r.token:
+		c.lost(r)
+	}
+}
+
+// listed matches a run that a worker lists with the core's own; a run that
+// should not be there is stopped.
+func (c *Core) listed(w *worker, rt *RunningTask, sentMS int64) *run {
+	r := w.find(rt.Task, rt.Run)
+	if r == nil {
+		r = c.adoptRun(w, rt)
+	}
+	if r == nil && c.jobs[rt.Task.Job] == nil && c.book.Known(rt.Task.Job) == nil && w.keepOrphan(rt, c.now.MS) {
+		return nil
+	}
+	if r == nil {
+		c.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: rt.Task, Run: rt.Run})
+		c.emit(Decision{Event: "stop_sent", Job: rt.Task.Job, Task: rt.Task.String(), Run: rt.Run, Worker: w.info.ID, Reason: "not wanted here"})
+		return nil
+	}
+	if r.confirmedMS == 0 {
+		r.confirmedMS = c.now.MS
+		r.progressMS = c.now.MS
+	}
+	if r.phase == starting || r.phase == unsure {
+		r.phase = running
+	}
+	if rt.Checkpoint != "" {
+		r.checkpoint = rt.Checkpoint
+	}
+	if r.firstMS == 0 {
+		r.firstMS, r.firstPercent = c.now.MS, rt.Percent
+	}
+	if rt.Percent > r.percent {
+		r.percent, r.progressMS = rt.Percent, c.now.MS
+	}
+	r.usage, r.usageMS = rt.Usage, c.now.MS
+	if r.use == 0 {
+		r.use = float64(rt.Usage)
+	}
+	r.use += usageWeight * (float64(rt.Usage) - r.use)
+	if r.phase == stopping && sentMS-r.stopSentMS > holdRetryMS {
+		c.sendStop(r)
+	}
+	return r
+}
+
+// adoptRun takes over a run that a predecessor has started, if the task still
+// needs one.
+//
+// The step may not be open yet: the predecessor may have seen ends that are
+// not recorded and that this leader has yet to see.
+func (c *Core) adoptRun(w *worker, rt *RunningTask) *run {
+	t := c.taskOf(rt.Task)
+	if t == nil || t.done || t.step.job.state.Final() {
+		return nil
+	}
+	if len(t.runs) > 0 {
+		return nil
+	}
+	r := &run{task: t, worker: w, number: rt.Run, phase: running, token: w.token, sentMS: c.now.MS, pace: 100, adopted: true}
+	if t.step.spec.Fills {
+		// The predecessor's pace is not known, so it is set anew.
+		r.pace = 0
+	}
+	t.lastRun = max(t.lastRun, rt.Run)
+	c.attach(r)
+	t.step.job.started = true
+	c.emit(c.decision("run_adopted", r, "listed by its worker"))
+	return r
+}
+
+func (c *Core) taskOf(ref jobs.Task) *task {
+	j := c.jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	i := ref.Occurrence*len(j.spec.Steps) + ref.Step
+	if ref.Step >= len(j.spec.Steps) || i >= len(j.steps) || ref.Index >= len(j.steps[i].tasks) {
+		return nil
+	}
+	return &j.steps[i].tasks[ref.Index]
+}
+
+// attach books a run on its worker and task.
+func (c *Core) attach(r *run) {
+	s := r.task.step
+	r.worker.runs = append(r.worker.runs, r)
+	r.worker.plannedValid, r.worker.fillValid = false, false
+	r.worker.used = r.worker.used.plus(s.room())
+	r.task.runs = append(r.task.runs, r)
+	r.task.unaccounted = false
+	if s.perWorker == nil {
+		s.perWorker = map[*worker]int{}
+	}
+	s.perWorker[r.worker]++
+	c.unqueue(r.task)
+}
+
+// detach releases what the run has booked.
+func (c *Core) detach(r *run) {
+	s := r.task.step
+	i := slices.Index(r.worker.runs, r)
+	if i < 0 {
+		return
+	}
+	r.worker.runs = slices.Delete(r.worker.runs, i, i+1)
+	r.worker.plannedValid, r.worker.fillValid = false, false
+	r.worker.used = r.worker.used.minus(s.room())
+	if i := slices.Index(r.task.runs, r); i >= 0 {
+		r.task.runs = slices.Delete(r.task.runs, i, i+1)
+	}
+	if s.perWorker[r.worker]--; s.perWorker[r.worker] <= 0 {
+		delete(s.perWorker, r.worker)
+	}
+	c.wake = true
+}
+
+func (w *worker) find(ref jobs.Task, number int) *run {
+	for _, r := range w.runs {
+		if r.number == number && r.task.index == ref.Index && r.task.step.index == ref.Step &&
+			r.task.step.occurrence == ref.Occurrence && r.task.step.job.id == ref.Job {
+			return r
+		}
+	}
+	return nil
+}
+
+// lost releases a run that has ended without a word.
+func (c *Core) lost(r *run) {
+	t := r.task
+	if r.checkpoint != "" {
+		c.keepCheckpoint(t, r.checkpoint)
+	}
+	c.detach(r)
+	c.afterRun(t)
+}
+
+// afterRun lets a task wait for its next start when nothing of it runs.
+func (c *Core) afterRun(t *task) {
+	if len(t.runs) == 0 {
+		c.requeue(t)
+	}
+}
+
+func (c *Core) loseRuns(w *worker, reason string) {
+	for _, r := range slices.Clone(w.runs) {
+		d := c.decision("run_lost", r, reason)
+		d.AgeMS = c.now.MS - w.answeredMS
+		c.emit(d)
+		c.lost(r)
+	}
+}
+
+func (c *Core) decision(event string, r *run, reason string) Decision {
+	return Decision{
+		Event: event, Job: r.task.step.job.id, Task: r.task.ref().String(),
+		Run: r.number, Worker: r.worker.info.ID, Reason: reason,
+	}
+}
