--- a/internal/local/faults_test.go
+++ b/internal/local/faults_test.go
@@ -183,6 +183,27 @@
 // Guards against an entry that stays ready when its rwsched has left the
 // membership: owners grant slots to active members only.
 func TestEntryOfDepartedSchedIsNotReady(t *testing.T) {
+	wholePath(t)
+	t.Parallel()
+	c, cluster, ctx := startCluster(t)
+	leaving := cluster.Instances()[2]
+	c.Assert(leaving.Sched.Leave(ctx), qt.IsNil)
+	for leaving.Entry.Ready() {
+		c.Assert(ctx.Err(), qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+	}
+	callers := loadgen.NewCallers(cluster.ReadyEntries, urgentPath)
+	limited, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	callers.Run(limited, urgentPerSec)
+	callers.Wait()
+	counts := callers.Counts()
+	c.Assert(counts.Wrong+counts.Refused+counts.Unknown, qt.Equals, 0, qt.Commentf("%s%s", callers, callers.CodeCounts()))
+}
+
+// Guards against requests that end as unknown although nothing has happened
+// but that an instance has left the membership.
+func TestNoUnknownAfterSchedLeaves(t *testing.T) {
 	wholePath(t)
 	t.Parallel()
 	c, cluster, ctx := startCluster(t)
