--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -233,12 +233,12 @@
 	})
 }
 
-// traceJob prints what concerns one job of a run.
-var traceJob = flag.String("trace", "", "print the effects that name this job or task")
+// followedJob prints what concerns one job of a run.
+var followedJob = flag.String("follow", "", "print the effects that name this job or task")
 
 func (w *world) carryOut(l *leader, effect Effect) {
-	if *traceJob != "" {
-		if line := fmt.Sprintf("%T%+v", effect, effect); strings.Contains(line, *traceJob) {
+	if *followedJob != "" {
+		if line := fmt.Sprintf("%T%+v", effect, effect); strings.Contains(line, *followedJob) {
 			fmt.Println(w.now, "epoch", l.epoch, line)
 		}
 	}
