Ask departed homes of idempotency keys, under the listed incarnation

Cause: TestNoUnknownAfterSchedLeaves and TestRollingRestartCutsNoRequest ended requests as RW3007. A trace of each undecided key showed that no entry ever vouched: AskKey named the entry's own incarnation, while the asked entry compared it with the incarnation of the rwsched that the members list, and so took every asker for an instance it had not noticed to be new. Besides, a home that had left the members was not asked although its entry lived on.

The entry tests' harness now lists another incarnation than the entry's, as in production.

--- a/internal/dedupe/asked.go
+++ b/internal/dedupe/asked.go
@@ -1,6 +1,7 @@
 package dedupe
 
 import (
+	"slices"
 	"time"
 
 	"redwingvale/internal/code"
@@ -15,8 +16,8 @@
 	MovedTo spec.InstanceID
 	// Authoritative lists entries that would know of an earlier use.
 	Authoritative []spec.InstanceID
-	// Missing states that an entry did not answer.
-	Missing bool
+	// Silent lists the entries that did not answer.
+	Silent []spec.InstanceID
 }
 
 // Asked takes the findings about a key in.
@@ -37,23 +38,38 @@
 	if best := best(f.Records); best != nil {
 		return c.adopt(now, r, *best)
 	}
-	if !c.decided(r, f) {
+	if !c.decided(now, r, f) {
 		return c.undecided(now, r, f)
 	}
 	return c.nextWaiter(now, r)
 }
 
 // decided reports whether the findings exclude an earlier use.
-func (c *Core) decided(r *record, f Findings) bool {
+func (c *Core) decided(now time.Duration, r *record, f Findings) bool {
+	if c.missing(r, f) {
+		return false
+	}
 	if r.need == undecidable {
-		for _, id := range f.Authoritative {
-			if id == r.former && !f.Missing {
-				return true
-			}
+		return r.former != "" && slices.Contains(f.Authoritative, r.former) || c.vouched(now, r, f)
+	}
+	return true
+}
+
+// missing reports whether a member did not answer.
+func (c *Core) missing(r *record, f Findings) bool {
+	return slices.ContainsFunc(f.Silent, func(id spec.InstanceID) bool { return !slices.Contains(r.lost, id) })
+}
+
+// vouched reports whether the former homes that have left still answer for
+// their knowledge, so that nothing about the key has been lost.
+func (c *Core) vouched(now time.Duration, r *record, f Findings) bool {
+	var vouching []spec.InstanceID
+	for _, id := range r.lost {
+		if slices.Contains(f.Authoritative, id) {
+			vouching = append(vouching, id)
 		}
-		return false
 	}
-	return !f.Missing
+	return len(vouching) > 0 && c.needAfterTakeover(now, r.key, vouching...) != undecidable
 }
 
 // undecided ends the uses of a key that cannot be decided. When only an answer
@@ -62,7 +78,7 @@
 	if r.former != "" && r.tries < askTries {
 		return c.askAgain(r)
 	}
-	if r.need != undecidable || (f.Missing && r.former != "") {
+	if r.need != undecidable || (c.missing(r, f) && r.former != "") {
 		return c.giveUp(r, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "an entry that may know the key does not answer"})
 	}
 	r.state = Unsure
@@ -77,8 +93,7 @@
 func (c *Core) askAgain(r *record) []Effect {
 	r.tries++
 	r.asking = true
-	r.former = c.formerHome(r.key)
-	return []Effect{{Key: r.key, Ask: instances(c.others()), Again: true}}
+	return []Effect{{Key: r.key, Ask: c.toAsk(r), Again: true}}
 }
 
 // giveUp forgets the key and sends all waiters the reply.
@@ -212,7 +227,7 @@
 	if c.knowsOther(asker) {
 		return false
 	}
-	if homeOf(key, c.members, asker.Instance) != c.settings.Self.Instance {
+	if homeOf(key, c.withSelf(), asker.Instance) != c.settings.Self.Instance {
 		return false
 	}
 	moved, ok := c.takeover(key)
--- a/internal/dedupe/complete.go
+++ b/internal/dedupe/complete.go
@@ -43,6 +43,10 @@
 		invariant.Check(r.started == 1, invariant.AtMostOnce, "key %q ended as not run with %d uses started", r.key.Key, r.started)
 		r.started = 0
 		r.state = 0
+		if r.movedTo != "" && !c.hasLeft(r.movedTo, r.movedAt) {
+			// The next use is the new home's to decide on.
+			return c.giveUp(r, Reply{Kind: Moved, Home: r.movedTo})
+		}
 		return c.nextWaiter(now, r)
 	}
 	r.state = Unsure
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -17,7 +17,10 @@
 	asking bool
 	need   need
 	// former is the home before this one at the time of the question.
-	former   spec.InstanceID
+	former spec.InstanceID
+	// lost are the former homes that have left the members; they are asked too,
+	// since an entry may live on when its instance has left.
+	lost     []spec.InstanceID
 	tries    int
 	executor Executor
 	answer   *Answer
@@ -107,9 +110,15 @@
 		return c.proceed(now, r, u)
 	}
 	r.asking = true
-	r.former = c.formerHome(u.Key)
 	r.waiters = append(r.waiters, u)
-	return []Effect{{Key: u.Key, Ask: instances(c.others())}}
+	return []Effect{{Key: u.Key, Ask: c.toAsk(r)}}
+}
+
+// toAsk notes the key's former homes and returns whom to ask about it.
+func (c *Core) toAsk(r *record) []spec.InstanceID {
+	r.former = c.formerHome(r.key)
+	r.lost = c.lostHomes(r.key)
+	return append(instances(c.others()), r.lost...)
 }
 
 // others returns the members without this instance.
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -78,6 +78,8 @@
 	outcomes map[Reply]int
 	faults   faults
 	restarts int
+	// leaves lets instances leave the members while they live on.
+	leaves bool
 }
 
 var epoch = time.UnixMilli(1_700_000_000_000)
@@ -188,7 +190,7 @@
 				done()
 			})
 		}, func() {
-			findings.Missing = true
+			findings.Silent = append(findings.Silent, id)
 			done()
 		})
 	}
@@ -287,13 +289,32 @@
 	}, func() { again(i.core.Home(c.now, done.Key)) })
 }
 
-// stop ends an instance, by a crash or after a hand-over, and starts it again.
+// leave removes an instance from the members while its process lives on.
+func (c *cluster) leave(i *instance) {
+	c.setMembers(c.without(i.self.Instance))
+	c.after(c.delay(300*time.Millisecond), func() {
+		if i.alive {
+			i.core.SetMembers(c.now, c.wall(i), c.members)
+		}
+	})
+	c.after(10*time.Second+c.delay(20*time.Second), func() {
+		i.alive = false
+		c.join(i.self.Instance)
+	})
+}
+
+// stop ends an instance, by a crash, after a hand-over or by leaving the
+// members, and starts it again.
 func (c *cluster) stop(id spec.InstanceID) {
 	i := c.entries[id]
-	if !i.alive || len(c.members) < 4 {
+	if !i.alive || len(c.members) < 4 || !contains(c.members, id) {
 		return
 	}
 	c.restarts++
+	if c.leaves && c.random.IntN(3) == 0 {
+		c.leave(i)
+		return
+	}
 	remove := time.Second
 	if c.random.IntN(2) == 0 {
 		records, effects := i.core.HandOver(c.now)
@@ -373,6 +394,39 @@
 	}
 }
 
+// Guards against a key that runs twice when instances leave the members while
+// their entries live on and vouch for the keys that they knew.
+func TestRandomRunsWithDepartures(t *testing.T) {
+	c := qt.New(t)
+	run := newCluster(*seedFlag)
+	run.leaves = true
+	run.drive(int(*stepsFlag))
+	c.Logf("%d restarts, outcomes %v", run.restarts, run.outcomes)
+	c.Assert(len(run.runs) > int(*stepsFlag)/2, qt.IsTrue, qt.Commentf("%d keys ran", len(run.runs)))
+}
+
+// Guards against a key that ends as undecidable because its former home has
+// left the members, although its entry lives on and knows of no use.
+func TestDepartedHomeVouches(t *testing.T) {
+	c := qt.New(t)
+	run := newCluster(*seedFlag)
+	// By then no key can be older than the start of the cluster.
+	const settled = 70 * time.Second
+	run.after(settled, func() { run.leave(run.entries["e0"]) })
+	for n := range 400 {
+		run.after(settled+time.Duration(n)*5*time.Millisecond, func() {
+			key := run.newKey(run.any())
+			run.use(run.entries["e1"], key)
+		})
+	}
+	for run.now < settled+5*time.Second && len(run.events) > 0 {
+		next := heap.Pop(&run.events).(event)
+		run.now = next.at
+		next.run()
+	}
+	c.Assert(run.outcomes[Reply{Kind: Proceed}], qt.Equals, 400, qt.Commentf("%v", run.outcomes))
+}
+
 // Guards against the seeds that once failed, each with its cause.
 func TestRegressions(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/dedupe/service.go
+++ b/internal/dedupe/service.go
@@ -122,6 +122,9 @@
 		time.Sleep(retryPause)
 	}
 	key, entries := e.Key, e.Ask
+	s.mu.Lock()
+	asker := s.core.selfMember()
+	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), s.timing.Call)
 	defer cancel()
 	answers := make([]*entryv1.AskKeyResponse, len(entries))
@@ -130,7 +133,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			answers[i] = s.askOne(ctx, key, id)
+			answers[i] = s.askOne(ctx, asker, key, id)
 		}()
 	}
 	all.Wait()
@@ -140,15 +143,15 @@
 	s.deliver(s.core.Asked(s.timing.Now(), key, findings))
 }
 
-func (s *Service) askOne(ctx context.Context, key Key, id spec.InstanceID) *entryv1.AskKeyResponse {
+func (s *Service) askOne(ctx context.Context, asker Member, key Key, id spec.InstanceID) *entryv1.AskKeyResponse {
 	client := s.peer(id)
 	if client == nil {
 		return nil
 	}
 	req := &entryv1.AskKeyRequest{
 		Key:             keyToWire(key),
-		Home:            string(s.self.Instance),
-		HomeIncarnation: uint64(s.self.Incarnation),
+		Home:            string(asker.Instance),
+		HomeIncarnation: uint64(asker.Incarnation),
 	}
 	resp, err := client.AskKey(ctx, connect.NewRequest(req))
 	if err != nil {
@@ -162,7 +165,7 @@
 	for i, answer := range answers {
 		switch {
 		case answer == nil:
-			f.Missing = true
+			f.Silent = append(f.Silent, entries[i])
 		case answer.GetMovedTo() != "":
 			f.MovedTo = spec.InstanceID(answer.GetMovedTo())
 		case answer.GetRecord() != nil:
--- a/internal/dedupe/takeover.go
+++ b/internal/dedupe/takeover.go
@@ -71,15 +71,15 @@
 // takeover returns the newest change in which knowledge about the key may have
 // been lost. A key's state stays where it was registered until its home asks
 // for it, so the loss of any former home counts, not only of the last one.
-func (c *Core) takeover(key Key) (change, bool) {
+// Instances that vouch for the key have left but still know what they knew.
+func (c *Core) takeover(key Key, vouching ...spec.InstanceID) (change, bool) {
 	for i := len(c.changes) - 1; i >= 0; i-- {
 		ch := c.changes[i]
 		if ch.start {
 			return ch, true
 		}
 		for _, m := range ch.before {
-			gone := !slices.Contains(ch.after, m)
-			if gone && !c.clean[m] && c.wasHome(key, m.Instance, i) {
+			if c.lostWith(ch, m) && !slices.Contains(vouching, m.Instance) && c.wasHome(key, m.Instance, i) {
 				return ch, true
 			}
 		}
@@ -87,6 +87,34 @@
 	return change{}, false
 }
 
+// lostWith reports whether the member's knowledge may have been lost with the
+// change. What this instance knew itself is not lost when it leaves.
+func (c *Core) lostWith(ch change, m Member) bool {
+	return !slices.Contains(ch.after, m) && !c.clean[m] && m.Instance != c.settings.Self.Instance
+}
+
+// lostHomes returns the former homes of the key whose knowledge may have been
+// lost and that are not members now.
+func (c *Core) lostHomes(key Key) []spec.InstanceID {
+	var out []spec.InstanceID
+	for i, ch := range c.changes {
+		for _, m := range ch.before {
+			if c.lostWith(ch, m) && c.wasHome(key, m.Instance, i) && !contains(c.members, m.Instance) && !slices.Contains(out, m.Instance) {
+				out = append(out, m.Instance)
+			}
+		}
+	}
+	return out
+}
+
+// withSelf returns the members and this instance, which may have left.
+func (c *Core) withSelf() []Member {
+	if contains(c.members, c.settings.Self.Instance) {
+		return c.members
+	}
+	return append(slices.Clone(c.members), c.settings.Self)
+}
+
 // wasHome reports whether the instance was the key's home before the i-th
 // change, as far as this instance remembers.
 func (c *Core) wasHome(key Key, id spec.InstanceID, i int) bool {
@@ -125,10 +153,17 @@
 	if homeOf(key, c.members) != c.settings.Self.Instance {
 		return c.ruleAt(now, now, wall, made, ordered)
 	}
-	moved, ok := c.takeover(key)
+	return c.needAfterTakeover(now, key)
+}
+
+// needAfterTakeover applies the rule to the newest change in which knowledge
+// may have been lost, given the former homes that vouch for theirs.
+func (c *Core) needAfterTakeover(now time.Duration, key Key, vouching ...spec.InstanceID) need {
+	moved, ok := c.takeover(key, vouching...)
 	if !ok {
 		return certain
 	}
+	made, ordered := timeOf(key.Key)
 	return c.ruleAt(now, moved.at, moved.wall, made, ordered)
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -246,7 +246,9 @@
 	config.Listen, config.PeerListen = "127.0.0.1:0", "127.0.0.1:0"
 	config.BalancerWaitMS, config.ViewSpreadMS, config.Seed = 200, 0, 1
 	config.KeyTakeoverMS, config.KeyClockGuardMS = 500, 100
-	incarnations++
+	// The members list the incarnation of the instance's rwsched, which is a
+	// process of its own.
+	incarnations += 2
 	config.Incarnation = incarnations
 	if edit != nil {
 		edit(&config)
@@ -262,7 +264,7 @@
 	t := &testEntry{Entry: e, stop: stop, done: make(chan error, 1)}
 	w.change(func() {
 		w.members = append(w.members, &recordv1.Member{
-			Instance: name, Incarnation: config.Incarnation, DataCentre: "dc1",
+			Instance: name, Incarnation: config.Incarnation + 1, DataCentre: "dc1",
 			SchedAddr: "owner", EntryAddr: e.PeerAddr(), Active: true,
 		})
 		if len(w.members) == 1 {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,8 +33,11 @@
 
 	mu    sync.Mutex
 	peers map[spec.InstanceID]*peer
-	order []*peer
-	next  int
+	// departed entries have left the members; they may still be asked about
+	// idempotency keys.
+	departed map[spec.InstanceID]*peer
+	order    []*peer
+	next     int
 }
 
 func newPeerSet() *peerSet {
@@ -46,7 +49,8 @@
 			IdleConnTimeout:     peerIdleTimeout,
 			DisableCompression:  true,
 		},
-		peers: make(map[spec.InstanceID]*peer),
+		peers:    make(map[spec.InstanceID]*peer),
+		departed: make(map[spec.InstanceID]*peer),
 	}
 }
 
@@ -66,6 +70,12 @@
 		}
 		p.peers[id] = known
 		p.order = append(p.order, known)
+		delete(p.departed, id)
+	}
+	for id, known := range old {
+		if p.peers[id] == nil {
+			p.departed[id] = known
+		}
 	}
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].id < p.order[j].id })
 }
@@ -75,6 +85,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.peers[id]
+	if known == nil {
+		known = p.departed[id]
+	}
 	if known == nil {
 		return nil
 	}
