Look only at changed workers for a backlog; keep coefficients of the model

Cause: on the grown Kagoshima site the leader's event rate fell from 2,000 to 600 a second once a burst had left a backlog; each pass, every 8 ms, looked at each pair of a waiting step and one of 350 workers, with two string-keyed map look-ups and a root for each coefficient.

Ruled out: the store (appends failed only at the weak leaders), the followers (0.015 cores on average).

A step that fits nowhere now looks only at workers that have changed since, and at all of them every 250 ms; coefficients are computed once for each reading; runs are judged every 100 ms instead of every 20 ms.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -66,6 +66,7 @@
 		return
 	}
 	a.tickets = e.Tickets
+	j.steps[i].scanned = 0
 	a.untilMS = c.now.MS + e.ValidityMS - adviceMarginMS
 	c.wake = true
 }
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -75,6 +75,27 @@
 					b.Fatal(w.broken)
 				}
 				b.ReportMetric(float64(w.starts), "starts")
+				b.ReportMetric(w.spent.Seconds()/(float64(w.now-1_000_000)/1000), "cores")
+			}
+		})
+	}
+}
+
+// BenchmarkBacklog plays ten seconds of twice the load that the workers bear;
+// what counts is the planner's own processor time, in cores.
+func BenchmarkBacklog(b *testing.B) {
+	for _, workers := range []int{48, 350} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				w := newSite(1, workers)
+				before, begun := w.spent, w.now
+				w.load(16*float64(workers)/48, 10)
+				w.run(w.now + 10_000)
+				if len(w.broken) > 0 {
+					b.Fatal(w.broken)
+				}
+				b.ReportMetric((w.spent-before).Seconds()/(float64(w.now-begun)/1000), "cores")
+				b.ReportMetric(float64(w.starts), "starts")
 			}
 		})
 	}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -35,10 +35,17 @@
 	wake        bool
 	scheduledMS int64
 	// reserved are the workers that keep room for a step of this pass.
-	reserved map[*worker]*step
+	// formerlyReserved is the same of the pass before.
+	reserved, formerlyReserved map[*worker]*step
+
 	learned  durations
 	disturb  *disturbance
 	journal  journal
+	// pass numbers the passes over the waiting tasks.
+	pass int64
+	// usedBuffer and marginBuffer are reused by the disturbance model.
+	usedBuffer   used
+	marginBuffer []margin
 	// off switches single safeguards off; only tests set it.
 	off     safeguards
 	effects []Effect
@@ -81,7 +88,8 @@
 		learned: durations{byQueue: map[string]*estimate{}},
 		disturb: newDisturbance(),
 
-		reserved: map[*worker]*step{},
+		reserved:         map[*worker]*step{},
+		formerlyReserved: map[*worker]*step{},
 	}
 	ids := make([]jobs.ID, 0, len(book.Jobs))
 	for id := range book.Jobs {
--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -179,7 +179,7 @@
 	c.Assert(err, qt.IsNil)
 	next := newDisturbance()
 	c.Assert(next.restore(value), qt.IsNil)
-	c.Assert(next.base("serve") > 0.3 && next.base("serve") < 0.5, qt.IsTrue)
+	c.Assert(next.model("serve").base() > 0.3 && next.model("serve").base() < 0.5, qt.IsTrue)
 	c.Assert(next.coefficient("serve", "loud") > 2*next.coefficient("serve", "quiet"), qt.IsTrue)
 	c.Assert(next.restore([]byte("{")), qt.IsNotNil)
 }
--- a/internal/planner/disturb.go
+++ b/internal/planner/disturb.go
@@ -45,6 +45,11 @@
 type tailModel struct {
 	mean []float64
 	cov  [][]float64
+	// cautious holds what coefficient returns, and meanEffect the mean of all
+	// coefficients; both are computed when they are asked for.
+	cautious   []float64
+	meanEffect float64
+	fresh      bool
 }
 
 func newDisturbance() *disturbance {
@@ -73,6 +78,7 @@
 
 func (m *tailModel) grow(n int) {
 	for len(m.mean) < n {
+		m.fresh = false
 		mean, variance := priorCoef, priorCoefVar
 		if len(m.mean) == 0 {
 			mean, variance = priorBase, priorBaseVar
@@ -90,18 +96,21 @@
 // used is the share of a worker's processors by fill column; entry 0 is 1.
 type used []float64
 
-// usedOn returns what the filling tasks of a worker use now.
-func (d *disturbance) usedOn(w *worker) used {
+// usedOn returns what the filling tasks of a worker use now. It is valid until
+// the next call.
+func (c *Core) usedOn(w *worker) used {
 	for _, r := range w.runs {
 		if r.task.step.spec.Fills {
-			d.column(r.task.step.spec.Image)
+			c.fillColumn(r.task.step)
 		}
 	}
-	u := make(used, min(len(d.fills), maxFillImages)+1)
+	n := min(len(c.disturb.fills), maxFillImages) + 1
+	c.usedBuffer = append(c.usedBuffer[:0], make(used, n)...)
+	u := c.usedBuffer
 	u[0] = 1
 	for _, r := range w.runs {
-		if spec := r.task.step.spec; spec.Fills && r.phase == running && w.info.Capacity.CPUMilli > 0 {
-			u[d.column(spec.Image)] += r.use / float64(w.info.Capacity.CPUMilli)
+		if r.task.step.spec.Fills && r.phase == running && w.info.Capacity.CPUMilli > 0 {
+			u[c.fillColumn(r.task.step)] += r.use / float64(w.info.Capacity.CPUMilli)
 		}
 	}
 	return u
@@ -109,22 +118,27 @@
 
 // observe takes in one reading of a serving task's tail.
 func (d *disturbance) observe(image string, u used, ratio float64) {
-	m := d.model(image)
+	d.model(image).observe(u, ratio)
+}
+
+func (m *tailModel) observe(u used, ratio float64) {
+	m.grow(len(u))
 	n := len(m.mean)
 	gain := make([]float64, n)
 	innovation, variance := min(ratio, maxRatio), noiseVar
-	for i := range u {
-		innovation -= m.mean[i] * u[i]
-		for j := range u {
-			gain[i] += m.cov[i][j] * u[j]
+	for j, share := range u {
+		if share == 0 {
+			continue
 		}
-		variance += gain[i] * u[i]
-	}
-	for i := len(u); i < n; i++ {
-		for j := range u {
-			gain[i] += m.cov[i][j] * u[j]
+		innovation -= m.mean[j] * share
+		for i := range n {
+			gain[i] += m.cov[i][j] * share
 		}
 	}
+	for i, share := range u {
+		variance += gain[i] * share
+	}
+	m.fresh = false
 	for i := range m.mean {
 		m.mean[i] = max(m.mean[i]+gain[i]/variance*innovation, 0)
 		for j := range m.mean {
@@ -141,31 +155,44 @@
 // coefficient returns by how much a filling image that uses all processors
 // would raise the serving image's tail, in shares of its target.
 func (d *disturbance) coefficient(serving, fill string) float64 {
-	i := d.column(fill)
-	m := d.model(serving)
-	return m.mean[i] + caution*math.Sqrt(max(m.cov[i][i], 0))
+	return d.model(serving).coefficient(d.column(fill))
 }
 
-// meanCoefficient is the mean effect of all filling images on a serving image.
-func (d *disturbance) meanCoefficient(serving string) float64 {
-	m := d.model(serving)
-	if len(m.mean) < 2 {
-		return 0
+// coefficient is that of the filling image in the given column.
+func (m *tailModel) coefficient(column int) float64 {
+	if !m.fresh || column >= len(m.cautious) {
+		m.refresh(column + 1)
 	}
+	return m.cautious[column]
+}
+
+// meanCoefficient is the mean effect of all filling images.
+func (m *tailModel) meanCoefficient() float64 {
+	if !m.fresh {
+		m.refresh(1)
+	}
+	return m.meanEffect
+}
+
+func (m *tailModel) refresh(columns int) {
+	m.grow(columns)
+	m.cautious = m.cautious[:0]
 	sum := 0.0
-	for _, v := range m.mean[1:] {
+	for i, v := range m.mean {
+		m.cautious = append(m.cautious, v+caution*math.Sqrt(max(m.cov[i][i], 0)))
 		sum += v
 	}
-	return sum / float64(len(m.mean)-1)
+	m.meanEffect = (sum - m.mean[0]) / float64(max(len(m.mean)-1, 1))
+	m.fresh = true
 }
 
 // base is the tail that the model expects without disturbance.
-func (d *disturbance) base(serving string) float64 { return d.model(serving).mean[0] }
+func (m *tailModel) base() float64 { return m.mean[0] }
 
 // caused is the part of a serving task's tail that the model ascribes to the
 // filling tasks.
-func (d *disturbance) caused(serving string, u used) float64 {
-	m := d.model(serving)
+func (m *tailModel) caused(u used) float64 {
+	m.grow(len(u))
 	sum := 0.0
 	for i := 1; i < len(u); i++ {
 		sum += m.mean[i] * u[i]
@@ -173,6 +200,22 @@
 	return sum
 }
 
+// fillColumn is the model's column of the step's image.
+func (c *Core) fillColumn(s *step) int {
+	if s.fillColumn == 0 {
+		s.fillColumn = c.disturb.column(s.spec.Image)
+	}
+	return s.fillColumn
+}
+
+// tailModel is the model of the step's image as one that serves.
+func (c *Core) tailModel(s *step) *tailModel {
+	if s.tail == nil {
+		s.tail = c.disturb.model(s.spec.Image)
+	}
+	return s.tail
+}
+
 // learned is the record of what has been learned, for the next leader.
 type learned struct {
 	Fills   []string             `json:"f"`
@@ -214,6 +257,7 @@
 	}
 	for image, mean := range in.Serving {
 		m := d.model(image)
+		m.fresh = false
 		for i := range min(len(mean), len(m.mean)) {
 			m.mean[i] = max(mean[i], 0)
 			m.cov[i][i] = min(m.cov[i][i], inheritedVar)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -48,6 +48,16 @@
 	deadlineMS, remainingMS int64
 	// durations of the step's finished tasks.
 	finished estimate
+	// fillColumn and tail are the step's image in the disturbance model, once
+	// they have been looked up.
+	fillColumn int
+	tail       *tailModel
+	// scanned is the pass in which no worker was found for the step's tasks, and
+	// scannedMS when all workers were last looked at; 0 if some may fit.
+	scanned   int64
+	scannedMS int64
+	// held are the workers that the step reserved in that pass.
+	held []*worker
 }
 
 // task is one task of a step.
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -64,7 +64,7 @@
 	in := &w.interference
 	in.worst = 0
 	w.plannedValid = false
-	u := c.disturb.usedOn(w)
+	u := c.usedOn(w)
 	for _, r := range w.runs {
 		if r.serves() {
 			ratio := min(r.tailRatio(), maxRatio)
@@ -73,7 +73,7 @@
 			}
 			r.tail += tailWeight * (ratio - r.tail)
 			in.worst = max(in.worst, r.tail)
-			c.disturb.observe(r.task.step.spec.Image, u, ratio)
+			c.tailModel(r.task.step).observe(u, ratio)
 		}
 	}
 	if c.now.MS-in.changedMS < paceIntervalMS {
@@ -91,27 +91,29 @@
 
 // margin is how much the tail of a serving task may still rise.
 type margin struct {
-	image string
+	model *tailModel
 	left  float64
 }
 
 // margins returns what is left of the aim for each serving task when nothing
 // fills beside it: the tail that was seen less what the model ascribes to the
-// filling tasks.
+// filling tasks. The result is valid until the next call.
 func (c *Core) margins(w *worker, aim float64) []margin {
-	var out []margin
-	u := c.disturb.usedOn(w)
+	out := c.marginBuffer[:0]
+	u := c.usedOn(w)
 	for _, r := range w.runs {
 		spec := r.task.step.spec
 		if spec.TailTargetMS <= 0 || r.phase == stopping {
 			continue
 		}
-		own := c.disturb.base(spec.Image)
+		m := c.tailModel(r.task.step)
+		own := m.base()
 		if r.tail > 0 {
-			own = max(r.tail-c.disturb.caused(spec.Image, u), residualFloor)
+			own = max(r.tail-m.caused(u), residualFloor)
 		}
-		out = append(out, margin{spec.Image, aim - own})
+		out = append(out, margin{m, aim - own})
 	}
+	c.marginBuffer = out
 	return out
 }
 
@@ -136,16 +138,16 @@
 	})
 	for _, r := range fills {
 		share := 1.0
-		image := r.task.step.spec.Image
+		column := c.fillColumn(r.task.step)
 		use := c.fullUse(w, r)
 		for _, m := range margins {
-			coefficient := c.disturb.coefficient(m.image, image)
+			coefficient := m.model.coefficient(column)
 			if coefficient > lightCoefficient {
 				share = min(share, max(m.left, 0)/(coefficient*use))
 			}
 		}
 		for i := range margins {
-			margins[i].left -= c.disturb.coefficient(margins[i].image, image) * use * share
+			margins[i].left -= margins[i].model.coefficient(column) * use * share
 		}
 		r.wantPace = int(100 * share)
 		if change := r.wantPace - r.pace; !r.pacing && (change <= -paceStepMin || change >= paceStepMin || change != 0 && r.wantPace == 100) {
@@ -167,7 +169,7 @@
 	worst := 0.0
 	for _, r := range w.runs {
 		if spec := r.task.step.spec; spec.TailTargetMS > 0 {
-			worst = max(worst, c.disturb.coefficient(spec.Image, s.spec.Image))
+			worst = max(worst, c.tailModel(r.task.step).coefficient(c.fillColumn(s)))
 		}
 	}
 	return worst
@@ -179,8 +181,9 @@
 func (c *Core) fillPrediction(w *worker, s *step) float64 {
 	more := fillLoad * float64(s.spec.CPUMilli) / float64(max(w.info.Capacity.CPUMilli, 1))
 	worst := 0.0
+	column := c.fillColumn(s)
 	for _, t := range c.plannedTails(w) {
-		worst = max(worst, t.tail+c.disturb.coefficient(t.image, s.spec.Image)*more)
+		worst = max(worst, t.tail+t.model.coefficient(column)*more)
 	}
 	return worst
 }
@@ -188,7 +191,7 @@
 // plannedTail is the tail that the serving tasks of one image would have with
 // all filling tasks at full pace.
 type plannedTail struct {
-	image string
+	model *tailModel
 	tail  float64
 }
 
@@ -202,17 +205,17 @@
 	w.planned = w.planned[:0]
 	for _, m := range c.margins(w, 1) {
 		tail := 1 - m.left
-		i := slices.IndexFunc(w.planned, func(t plannedTail) bool { return t.image == m.image })
+		i := slices.IndexFunc(w.planned, func(t plannedTail) bool { return t.model == m.model })
 		if i < 0 {
-			w.planned = append(w.planned, plannedTail{m.image, tail})
+			w.planned = append(w.planned, plannedTail{m.model, tail})
 		} else {
 			w.planned[i].tail = max(w.planned[i].tail, tail)
 		}
 	}
 	for i := range w.planned {
 		for _, r := range w.runs {
-			if spec := r.task.step.spec; spec.Fills && r.phase != stopping {
-				w.planned[i].tail += c.disturb.coefficient(w.planned[i].image, spec.Image) * c.fullUse(w, r)
+			if r.task.step.spec.Fills && r.phase != stopping {
+				w.planned[i].tail += w.planned[i].model.coefficient(c.fillColumn(r.task.step)) * c.fullUse(w, r)
 			}
 		}
 	}
@@ -224,9 +227,10 @@
 // little anywhere thus leave the workers that bear the others to these.
 func (c *Core) advantage(w *worker, s *step) float64 {
 	mean, own := 0.0, 0.0
+	column := c.fillColumn(s)
 	for _, t := range c.plannedTails(w) {
-		mean = max(mean, c.disturb.meanCoefficient(t.image))
-		own = max(own, c.disturb.coefficient(t.image, s.spec.Image))
+		mean = max(mean, t.model.meanCoefficient())
+		own = max(own, t.model.coefficient(column))
 	}
 	return mean - own
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -19,6 +19,9 @@
 	// scheduleEveryMS tries waiting tasks again when nothing else has woken
 	// them: pauses and limits change with time.
 	scheduleEveryMS = 250
+	// rescanMS is how long a step that fits nowhere looks only at workers that
+	// have changed; limits and pauses also change with time.
+	rescanMS = 250
 	// maxReserved bounds the workers that one waiting step reserves.
 	maxReserved = 4
 	// avoidedPenalty ranks workers on which the task has failed behind all
@@ -34,6 +37,8 @@
 		return
 	}
 	c.wake, c.scheduledMS = false, c.now.MS
+	c.pass++
+	c.reserved, c.formerlyReserved = c.formerlyReserved, c.reserved
 	clear(c.reserved)
 	slices.SortStableFunc(c.ready, func(a, b *step) int {
 		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
@@ -52,6 +57,11 @@
 	}
 	clear(c.ready[len(kept):])
 	c.ready = kept
+	for w, s := range c.formerlyReserved {
+		if c.reserved[w] != s {
+			w.changedPass = c.pass
+		}
+	}
 }
 
 // The lateness classes of a step.
@@ -108,15 +118,30 @@
 		if !c.mayStart(t) {
 			continue
 		}
-		w := c.pick(t, nil)
+		w := c.pickChanged(t)
 		if w == nil {
 			// The step's tasks are alike: what does not fit one fits none, but
 			// for the workers that a task avoids, which pick only ranks last.
 			c.reserve(s)
+			s.scanned = c.pass
 			return
 		}
 		c.start(t, w, t.lastRun+1, "placed")
 	}
+	s.scanned = 0
+}
+
+// pickChanged returns the best worker for a task, or nil. When the step's
+// tasks have just been found to fit nowhere, only the workers that have changed
+// since are looked at: a pass over a long backlog would else look at each pair
+// of a step and a worker.
+func (c *Core) pickChanged(t *task) *worker {
+	s := t.step
+	since := s.scanned
+	if since == 0 || c.now.MS-s.scannedMS >= rescanMS {
+		since, s.scannedMS = 0, c.now.MS
+	}
+	return c.pickSince(t, nil, since)
 }
 
 // reserve keeps room that becomes free for the waiting tasks of a step, which
@@ -126,11 +151,20 @@
 	if s.spec.Fills {
 		return
 	}
+	if s.scanned > 0 && s.scannedMS != c.now.MS {
+		for _, w := range s.held {
+			if c.reserved[w] == nil && w.usable(c.now.MS) {
+				c.reserved[w] = s
+			}
+		}
+		return
+	}
+	s.held = s.held[:0]
 	for range min(len(s.pending), maxReserved) {
 		var best *worker
 		for _, w := range c.order {
 			if c.reserved[w] != nil || w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
-				!s.room().fits(w.info.Capacity.minus(w.lasting())) ||
+				!s.room().fits(w.info.Capacity.minus(w.lasting)) ||
 				s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) {
 				continue
 			}
@@ -142,20 +176,10 @@
 			return
 		}
 		c.reserved[best] = s
+		s.held = append(s.held, best)
 	}
 }
 
-// lasting is the room of the worker's long-running tasks.
-func (w *worker) lasting() Room {
-	var out Room
-	for _, r := range w.runs {
-		if r.task.step.spec.LongRunning {
-			out = out.plus(r.task.step.room())
-		}
-	}
-	return out
-}
-
 func (c *Core) mayStart(t *task) bool {
 	if t.unaccounted || len(t.runs) > 0 {
 		return false
@@ -164,11 +188,14 @@
 }
 
 // pick returns the best worker for a task, or nil.
-func (c *Core) pick(t *task, exclude *worker) *worker {
+func (c *Core) pick(t *task, exclude *worker) *worker { return c.pickSince(t, exclude, 0) }
+
+// pickSince is pick among the workers that have changed in a pass or since.
+func (c *Core) pickSince(t *task, exclude *worker, since int64) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range c.order {
-		if w == exclude || !c.feasible(t, w) {
+		if w.changedPass < since || w == exclude || !c.feasible(t, w) {
 			continue
 		}
 		score := c.score(t, w)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -53,8 +53,12 @@
 		}
 	}
 	c.balanceFill(w)
+	c.changed(w)
 }
 
+// changed notes that more may fit on a worker than in the last pass.
+func (c *Core) changed(w *worker) { w.changedPass = c.pass + 1 }
+
 // missing decides on a run that a report does not list.
 func (c *Core) missing(w *worker, r *run, e HoldDone) {
 	switch {
@@ -158,6 +162,9 @@
 	r.worker.runs = append(r.worker.runs, r)
 	r.worker.plannedValid, r.worker.fillValid = false, false
 	r.worker.used = r.worker.used.plus(s.room())
+	if s.spec.LongRunning {
+		r.worker.lasting = r.worker.lasting.plus(s.room())
+	}
 	r.task.runs = append(r.task.runs, r)
 	r.task.unaccounted = false
 	if s.perWorker == nil {
@@ -177,6 +184,10 @@
 	r.worker.runs = slices.Delete(r.worker.runs, i, i+1)
 	r.worker.plannedValid, r.worker.fillValid = false, false
 	r.worker.used = r.worker.used.minus(s.room())
+	if s.spec.LongRunning {
+		r.worker.lasting = r.worker.lasting.minus(s.room())
+	}
+	c.changed(r.worker)
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
 	}
--- a/internal/planner/watch.go
+++ b/internal/planner/watch.go
@@ -11,6 +11,8 @@
 const (
 	// stallMS without progress, seen in fresh reports, ends a run.
 	stallMS = 2300
+	// watchEveryMS is the least time between two looks at a worker's runs.
+	watchEveryMS = 100
 	// freshMS is the age up to which a report counts as fresh.
 	freshMS = 700
 	// moveBeforeMS is how long before a worker leaves its checkpointing tasks
@@ -21,9 +23,10 @@
 // watchRuns stops runs that stand still and moves work off a worker that
 // leaves.
 func (c *Core) watchRuns(w *worker) {
-	if c.now.MS-w.answeredMS > freshMS {
+	if c.now.MS-w.answeredMS > freshMS || c.now.MS-w.watchedMS < watchEveryMS {
 		return
 	}
+	w.watchedMS = c.now.MS
 	for _, r := range slices.Clone(w.runs) {
 		if r.phase != running {
 			continue
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -43,6 +43,12 @@
 	// heldEnds are ends of jobs that the log does not hold, in order.
 	heldEnds []heldEnd
 	used     Room
+	// lasting is the part of used that belongs to long-running tasks.
+	lasting Room
+	// changedPass is the pass before which more may have come to fit.
+	changedPass int64
+	// watchedMS is when the runs were last judged.
+	watchedMS int64
 	// noRoomUntilMS pauses placement after a refusal for want of room.
 	noRoomUntilMS int64
 	health        health
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"redwingvale/internal/jobs"
 )
@@ -39,6 +40,8 @@
 	failed map[jobs.Task]int
 	broken []string
 	starts int
+	// spent is the processor time of the planner.
+	spent time.Duration
 	// logDownUntil: appends get no answer until then.
 	logDownUntil int64
 }
@@ -187,7 +190,10 @@
 }
 
 func (w *world) step(l *leader, e Event) {
-	for _, effect := range slices.Clone(l.core.Step(w.time(), e)) {
+	begun := time.Now()
+	effects := l.core.Step(w.time(), e)
+	w.spent += time.Since(begun)
+	for _, effect := range slices.Clone(effects) {
 		w.carryOut(l, effect)
 	}
 }
