Let the strongest instances lead, and members stand one after the other

Cause: on the grown sites instances of 0.11 cores and 10 Mbit/s led as soon as one of them missed three heartbeats; none could bear the leader's work, and 113 claims of all members at once followed, as no member waited for another when the leader was cut off from the log.

Members say how strong they are; the order of candidates is by strength, then by start. Only standbys are asked whether the leader lives. A claim that the leader has asked for waits for its turn like any other. At the first start all instances get 600 ms to register.

New tests: the order of candidates, one claim at a time, distant members.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -25,6 +25,11 @@
 	StoreAddr  string `toml:"store_addr"`
 	AdviceAddr string `toml:"advice_addr"`
 	Bounds     Bounds `toml:"bounds"`
+	// CPUShare is this instance's share of a processor, for example 0.16.
+	// The strongest instances lead.
+	CPUShare float64 `toml:"cpu_share"`
+	// Cores is how many times as fast that processor is.
+	Cores float64 `toml:"cores"`
 	// LeaseMS is how long a worker keeps its runs without a renewal.
 	LeaseMS int64 `toml:"lease_ms"`
 	// OptimisticStart starts tasks while their submission is being recorded.
@@ -99,6 +104,17 @@
 	heartbeatInterval = 200 * time.Millisecond
 	heartbeatTimeout  = 400 * time.Millisecond
 	electAfter        = 700 * time.Millisecond
+	// standbys is how many members hear the leader in every round and take over
+	// first. The others hear it every distantRounds rounds and wait for longer:
+	// three of their heartbeats and the time that the standbys need.
+	standbys          = 6
+	distantRounds     = 5
+	distantElectAfter = 3500 * time.Millisecond
+	// maxStaggered bounds the members that wait for one another.
+	maxStaggered = 20
+	// firstClaimAfter lets all instances of a new deployment register, which
+	// start within 0.3 s of each other, before the strongest one claims.
+	firstClaimAfter = 600 * time.Millisecond
 	// electStagger separates the claims of two members.
 	electStagger = 120 * time.Millisecond
 	// checkTimeout bounds the question whether others hear the leader.
--- /dev/null
+++ b/internal/node/election_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"io"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/telemetry"
+)
+
+// electing returns an instance whose loop does not run, with members of the
+// given strengths; the first one leads.
+func electing(t *testing.T, self string, strengths map[string]int, started map[string]int64) *Node {
+	t.Helper()
+	config := DefaultConfig()
+	config.Instance = self
+	tele := telemetry.New("rwnode", self, io.Discard)
+	t.Cleanup(tele.Close)
+	n := New(config, Deps{}, tele)
+	for name, strength := range strengths {
+		n.members[name] = member{Peer: name, Strength: strength, StartedMS: started[name]}
+	}
+	n.claim = claim{Epoch: 3, Instance: "leader"}
+	n.heard = heard{epoch: 3, logAvailable: true}
+	return n
+}
+
+// Guards against a weak instance that takes the lead of a large deployment: it
+// cannot bear the leader's work, and the next election follows.
+func TestStrongestStandsFirst(t *testing.T) {
+	c := qt.New(t)
+	strengths := map[string]int{"leader": 800, "weak-1": 110, "weak-2": 110, "strong-1": 800, "strong-2": 800}
+	started := map[string]int64{"strong-2": 7, "weak-1": 100}
+	n := electing(t, "weak-1", strengths, started)
+	var order []string
+	for _, m := range n.candidates("leader") {
+		order = append(order, m.name)
+	}
+	c.Assert(order, qt.DeepEquals, []string{"strong-2", "strong-1", "weak-1", "weak-2"})
+	for _, test := range []struct {
+		self   string
+		silent int64
+		due    bool
+	}{
+		{"strong-2", 650, false},
+		{"strong-2", 750, true},
+		{"weak-1", 750, false},
+		{"weak-1", 1000, true},
+	} {
+		n := electing(t, test.self, strengths, started)
+		n.heard.atMS = n.now().MS - test.silent
+		c.Check(n.electionDue().now, qt.Equals, test.due, qt.Commentf("%+v", test))
+	}
+}
+
+// Guards against a stampede of all members when the leader is cut off from
+// the log, and against distant members that miss its rarer heartbeats.
+func TestMembersStandOneAfterTheOther(t *testing.T) {
+	c := qt.New(t)
+	strengths, started := map[string]int{"leader": 800}, map[string]int64{}
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	for i, name := range names {
+		strengths[name], started[name] = 110, int64(100-i)
+	}
+	due := func(self string, cutOffMS, silentMS int64) bool {
+		n := electing(t, self, strengths, started)
+		now := n.now().MS
+		n.heard.atMS, n.heard.logAvailable = now-silentMS, cutOffMS == 0
+		if cutOffMS > 0 {
+			n.heard.askedMS = now - cutOffMS
+		}
+		n.logReadMS.Store(now)
+		return n.electionDue().now
+	}
+	count := func(cutOffMS, silentMS int64) (out int) {
+		for _, name := range names {
+			if due(name, cutOffMS, silentMS) {
+				out++
+			}
+		}
+		return out
+	}
+	c.Assert(count(50, 100), qt.Equals, 1)
+	c.Assert(count(300, 100), qt.Equals, 3)
+	// Distant members hear the leader once a second.
+	c.Assert(due("i", 0, 1500), qt.IsFalse)
+	c.Assert(due("i", 0, 6000), qt.IsTrue)
+	n := electing(t, "i", strengths, started)
+	c.Assert(n.electionDue().others, qt.HasLen, standbys)
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"sort"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"redwingvale/internal/jobs"
 	"redwingvale/internal/planner"
 	"redwingvale/internal/ring"
-	"redwingvale/internal/telemetry"
 )
 
 // leaderInfo is where requests for the leader go.
@@ -23,103 +20,6 @@
 	self  bool
 }
 
-// stand watches the leader and claims its place when it is gone.
-func (n *Node) stand(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, tickInterval*5)
-		if !n.caughtUp.Load() || n.stopping.Load() || n.leading() {
-			continue
-		}
-		due, err := ask(ctx, n, n.electionDue)
-		if err != nil || !due.now {
-			continue
-		}
-		if due.check && n.othersHearLeader(ctx, due) {
-			continue
-		}
-		if err := n.claimTerm(ctx, due); err != nil {
-			n.tele.Log.Warn("claim_failed", append(telemetry.ErrorFields(err), zap.Uint64("epoch", due.epoch+1))...)
-			pause(ctx, retryPause)
-		}
-	}
-}
-
-// election is the state in which an instance may claim.
-type election struct {
-	now bool
-	// check asks the other members first.
-	check  bool
-	epoch  uint64
-	others []string
-	reason string
-}
-
-// electionDue decides whether this instance should claim now. It runs in the
-// loop.
-func (n *Node) electionDue() election {
-	out := election{epoch: n.claim.Epoch, check: true}
-	names := make([]string, 0, len(n.members))
-	for name := range n.members {
-		names = append(names, name)
-	}
-	// The instance that started last goes first: in a rolling restart it is the
-	// one whose turn is farthest away.
-	sort.Slice(names, func(i, j int) bool {
-		a, b := n.members[names[i]], n.members[names[j]]
-		return a.StartedMS > b.StartedMS || a.StartedMS == b.StartedMS && names[i] < names[j]
-	})
-	rank := 0
-	for i, name := range names {
-		if name == n.config.Instance {
-			rank = i
-		} else if name != n.claim.Instance {
-			out.others = append(out.others, n.members[name].Peer)
-		}
-	}
-	silent := n.now().MS - n.heard.atMS
-	stagger := int64(rank) * milliseconds(electStagger)
-	switch {
-	case n.claim.Epoch == 0 && n.config.FirstStart:
-		out.now, out.check, out.reason = true, false, "first start"
-	case silent > milliseconds(electAfter)+stagger:
-		out.now, out.reason = true, "leader silent"
-	case n.heard.epoch == n.claim.Epoch && n.heard.stopping && silent > stagger/2:
-		out.now, out.check, out.reason = true, false, "leader stopping"
-	case n.heard.epoch == n.claim.Epoch && !n.heard.logAvailable && n.logServes():
-		// The log serves this instance but not the leader.
-		out.now, out.check, out.reason = true, false, "leader cut off from the log"
-	}
-	return out
-}
-
-// logServes reports whether the log has answered this instance lately, and
-// fast: while it is slow for everybody, a new leader would fare no better.
-func (n *Node) logServes() bool {
-	read := n.logReadMS.Load()
-	return read > 0 && n.now().MS-read < milliseconds(2*followInterval) && n.logTookMS.Load() < milliseconds(logFast)
-}
-
-// othersHearLeader asks the members whether the leader is alive: an instance
-// that alone has lost it must not claim.
-func (n *Node) othersHearLeader(ctx context.Context, e election) bool {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	alive := make(chan bool, len(e.others))
-	group := errgroup.Group{}
-	for _, peer := range e.others {
-		group.Go(func() error {
-			alive <- n.checkLeader(ctx, peer, e.epoch)
-			return nil
-		})
-	}
-	for range e.others {
-		if <-alive {
-			return true
-		}
-	}
-	return false
-}
-
 // claimTerm claims the next epoch. The claim fences the predecessor's writes,
 // so that what this instance reads afterwards is all that the predecessor has
 // recorded. Of two claims of one epoch the log takes the first: the second is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,8 @@
 	logTookMS atomic.Int64
 
 	startedMS int64
+	// bootMS is the start on the clock of now.
+	bootMS int64
 
 	// Owned by the loop.
 	book    *jobs.Book
@@ -76,6 +78,8 @@
 	atMS         int64
 	logAvailable bool
 	stopping     bool
+	// askedMS is since when the leader has wanted to be replaced, or 0.
+	askedMS int64
 }
 
 // New returns an instance.
@@ -97,7 +101,8 @@
 
 // Run works until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	n.heard.atMS, n.tickedMS = n.now().MS, n.now().MS
+	n.bootMS = n.now().MS
+	n.heard.atMS, n.tickedMS = n.bootMS, n.bootMS
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { n.loop(ctx); return nil })
 	group.Go(func() error { n.followManifest(ctx); return nil })
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -27,27 +27,24 @@
 	return nodev1connect.NewNodeServiceClient(n.peers, "http://"+address)
 }
 
-// sendHeartbeats tells every member that the leader is alive.
+// sendHeartbeats tells every member that the leader is alive: the standbys in
+// each round, the others by turns, so that the cost hardly grows with the
+// number of members.
 func (n *Node) sendHeartbeats(t *term) {
 	clients := map[string]nodev1connect.NodeServiceClient{}
-	for t.ctx.Err() == nil {
-		peers, err := ask(t.ctx, n, func() []string {
-			var out []string
-			for name, m := range n.members {
-				if name != n.config.Instance {
-					out = append(out, m.Peer)
-				}
-			}
-			return out
-		})
+	for round := 0; t.ctx.Err() == nil; round++ {
+		peers, err := ask(t.ctx, n, func() []ranked { return n.candidates(n.config.Instance) })
 		if err != nil {
 			return
 		}
-		for _, address := range peers {
-			if clients[address] == nil {
-				clients[address] = n.peer(address)
+		for i, m := range peers {
+			if i >= standbys && (round+i)%distantRounds != 0 {
+				continue
+			}
+			if clients[m.Peer] == nil {
+				clients[m.Peer] = n.peer(m.Peer)
 			}
-			go n.sendHeartbeat(t, clients[address])
+			go n.sendHeartbeat(t, clients[m.Peer])
 		}
 		pause(t.ctx, heartbeatInterval)
 	}
@@ -112,7 +109,15 @@
 	if m.GetEpoch() > n.heard.epoch {
 		n.log("leader_heard", zap.Uint64("epoch", m.GetEpoch()), zap.String("leader", m.GetLeader()))
 	}
-	n.heard = heard{epoch: m.GetEpoch(), atMS: n.now().MS, logAvailable: m.GetLogAvailable(), stopping: m.GetStopping()}
+	now := n.now().MS
+	news := heard{epoch: m.GetEpoch(), atMS: now, logAvailable: m.GetLogAvailable(), stopping: m.GetStopping()}
+	if news.stopping || !news.logAvailable {
+		news.askedMS = now
+		if n.heard.epoch == news.epoch && n.heard.askedMS > 0 {
+			news.askedMS = n.heard.askedMS
+		}
+	}
+	n.heard = news
 	if l := n.leader.Load(); l == nil || l.epoch <= m.GetEpoch() {
 		n.leader.Store(&leaderInfo{epoch: m.GetEpoch(), peer: m.GetPeerAddress()})
 	}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -38,9 +38,9 @@
 	// formerlyReserved is the same of the pass before.
 	reserved, formerlyReserved map[*worker]*step
 
-	learned  durations
-	disturb  *disturbance
-	journal  journal
+	learned durations
+	disturb *disturbance
+	journal journal
 	// pass numbers the passes over the waiting tasks.
 	pass int64
 	// usedBuffer and marginBuffer are reused by the disturbance model.
