Learn disturbance against a step's own tail, in logarithms

Now a filter of level and trend follows each serving step's own tail, and the coefficients are learned from logarithms of readings against it.

--- a/internal/planner/disturb.go
+++ b/internal/planner/disturb.go
@@ -10,11 +10,11 @@
 // disturbance learns how much each image of filling tasks raises the tail of
 // each image of serving tasks. For one serving image s it models
 //
-//	tail / target = base_s + sum over fill images f of coef_sf * used_f
+//	tail = own tail of the step * (1 + sum over fill images f of coef_sf * used_f)
 //
 // where used_f is the share of the worker's processors that tasks of image f
-// use, and follows base and coefficients with a Kalman filter, because they
-// change within seconds.
+// use, and follows the coefficients with a Kalman filter, because they may
+// change. A step's own tail moves with its load; see ownTail.
 type disturbance struct {
 	fills   map[string]int
 	serving map[string]*tailModel
@@ -23,25 +23,32 @@
 const (
 	// maxFillImages bounds the model; further images share the last column.
 	maxFillImages = 24
-	// priorBase and priorCoef are what is assumed of images never seen: half of
-	// the target without disturbance, and the target reached when three
-	// tenths of the processors go to filling tasks.
-	priorBase    = 0.5
-	priorCoef    = 1.5
-	priorBaseVar = 0.05
-	priorCoefVar = 2.0
-	// noiseVar is the variance of one reading, driftVar what a second-old
-	// coefficient gains per reading at some 100 readings a second.
-	noiseVar = 0.15
-	driftVar = 0.0002
-	// maxRatio cuts single readings off.
+	// priorCoef is what is assumed of a pair of images never seen: a tail that is
+	// half as long again when half of the processors go to filling tasks.
+	// priorVar leaves open that the pair harms: harmful pairs have coefficients
+	// of 5 to 10.
+	priorCoef = 1.0
+	priorVar  = 4.0
+	// noiseVar is the variance of one reading's logarithm, driftVar what a
+	// second-old coefficient gains per reading at some 100 readings a second.
+	noiseVar = 0.08
+	driftVar = 0.0005
+	// maxRatio cuts single readings off, in targets, maxRise their logarithm
+	// against the own tail.
 	maxRatio = 3.0
+	maxRise  = 1.6
+	// maxLearnUse is the share of the processors beyond which the serving tasks
+	// also lack processor time, which is no effect of an image.
+	maxLearnUse = 0.5
 	// caution adds a share of the standard deviation to a coefficient, so that
-	// pairs that have not been tried are tried rarely.
-	caution = 1.3
+	// pairs that have not been tried are tried rarely, and relativeCaution a
+	// quarter, because what a task uses is known roughly.
+	caution         = 1.0
+	relativeCaution = 1.25
 )
 
-// tailModel is the filter of one serving image.
+// tailModel is the filter of one serving image. Its entries are numbered like
+// the columns of the fill images, from 1 on.
 type tailModel struct {
 	mean []float64
 	cov  [][]float64
@@ -56,7 +63,7 @@
 	return &disturbance{fills: map[string]int{}, serving: map[string]*tailModel{}}
 }
 
-// column returns the model's column of a fill image; column 0 is the base.
+// column returns the model's column of a fill image, from 1 on.
 func (d *disturbance) column(image string) int {
 	if i, ok := d.fills[image]; ok {
 		return i
@@ -79,23 +86,27 @@
 func (m *tailModel) grow(n int) {
 	for len(m.mean) < n {
 		m.fresh = false
-		mean, variance := priorCoef, priorCoefVar
-		if len(m.mean) == 0 {
-			mean, variance = priorBase, priorBaseVar
-		}
-		m.mean = append(m.mean, mean)
+		m.mean = append(m.mean, priorCoef)
 		for i := range m.cov {
 			m.cov[i] = append(m.cov[i], 0)
 		}
 		row := make([]float64, len(m.mean))
-		row[len(row)-1] = variance
+		row[len(row)-1] = priorVar
 		m.cov = append(m.cov, row)
 	}
 }
 
-// used is the share of a worker's processors by fill column; entry 0 is 1.
+// used is the share of a worker's processors by fill column; entry 0 is 0.
 type used []float64
 
+func (u used) total() float64 {
+	sum := 0.0
+	for _, share := range u {
+		sum += share
+	}
+	return sum
+}
+
 // usedOn returns what the filling tasks of a worker use now. It is valid until
 // the next call.
 func (c *Core) usedOn(w *worker) used {
@@ -107,7 +118,6 @@
 	n := min(len(c.disturb.fills), maxFillImages) + 1
 	c.usedBuffer = append(c.usedBuffer[:0], make(used, n)...)
 	u := c.usedBuffer
-	u[0] = 1
 	for _, r := range w.runs {
 		if r.task.step.spec.Fills && r.phase == running && w.info.Capacity.CPUMilli > 0 {
 			u[c.fillColumn(r.task.step)] += r.use / float64(w.info.Capacity.CPUMilli)
@@ -116,27 +126,28 @@
 	return u
 }
 
-// observe takes in one reading of a serving task's tail.
-func (d *disturbance) observe(image string, u used, ratio float64) {
-	d.model(image).observe(u, ratio)
-}
-
-func (m *tailModel) observe(u used, ratio float64) {
+// observe takes in the logarithm of a serving task's tail against its own tail.
+// The logarithm keeps the readings' long upper tail from being taken for an
+// effect of the filling tasks.
+func (m *tailModel) observe(u used, rise float64) {
 	m.grow(len(u))
+	if u.total() > maxLearnUse {
+		return
+	}
 	n := len(m.mean)
 	gain := make([]float64, n)
-	innovation, variance := min(ratio, maxRatio), noiseVar
+	caused := m.caused(u)
+	innovation, variance := min(rise, maxRise)-math.Log1p(caused), noiseVar
 	for j, share := range u {
 		if share == 0 {
 			continue
 		}
-		innovation -= m.mean[j] * share
 		for i := range n {
-			gain[i] += m.cov[i][j] * share
+			gain[i] += m.cov[i][j] * share / (1 + caused)
 		}
 	}
 	for i, share := range u {
-		variance += gain[i] * share
+		variance += gain[i] * share / (1 + caused)
 	}
 	m.fresh = false
 	for i := range m.mean {
@@ -144,16 +155,12 @@
 		for j := range m.mean {
 			m.cov[i][j] -= gain[i] * gain[j] / variance
 		}
-		limit := priorCoefVar
-		if i == 0 {
-			limit = priorBaseVar
-		}
-		m.cov[i][i] = min(m.cov[i][i]+driftVar, limit)
+		m.cov[i][i] = min(m.cov[i][i]+driftVar, priorVar)
 	}
 }
 
 // coefficient returns by how much a filling image that uses all processors
-// would raise the serving image's tail, in shares of its target.
+// would raise the serving image's tail, as a share of that tail.
 func (d *disturbance) coefficient(serving, fill string) float64 {
 	return d.model(serving).coefficient(d.column(fill))
 }
@@ -179,18 +186,15 @@
 	m.cautious = m.cautious[:0]
 	sum := 0.0
 	for i, v := range m.mean {
-		m.cautious = append(m.cautious, v+caution*math.Sqrt(max(m.cov[i][i], 0)))
+		m.cautious = append(m.cautious, relativeCaution*v+caution*math.Sqrt(max(m.cov[i][i], 0)))
 		sum += v
 	}
 	m.meanEffect = (sum - m.mean[0]) / float64(max(len(m.mean)-1, 1))
 	m.fresh = true
 }
 
-// base is the tail that the model expects without disturbance.
-func (m *tailModel) base() float64 { return m.mean[0] }
-
-// caused is the part of a serving task's tail that the model ascribes to the
-// filling tasks.
+// caused is by how much the filling tasks raise a serving task's tail, as a
+// share of its own tail.
 func (m *tailModel) caused(u used) float64 {
 	m.grow(len(u))
 	sum := 0.0
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -52,6 +52,8 @@
 	// they have been looked up.
 	fillColumn int
 	tail       *tailModel
+	// own is the tail of the step's serving tasks without disturbance.
+	own ownTail
 	// scanned is the pass in which no worker was found for the step's tasks, and
 	// scannedMS when all workers were last looked at; 0 if some may fit.
 	scanned   int64
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -9,7 +10,9 @@
 // fill beside them.
 type interference struct {
 	// worst is the largest tail of a serving task against its target.
-	worst     float64
+	worst float64
+	// tightened is by how much the margins are cut, 0 for not at all.
+	tightened float64
 	changedMS int64
 	movedMS   int64
 }
@@ -18,20 +21,30 @@
 const (
 	// tailAim is what the paces of a worker's filling tasks aim at, tailPlace
 	// what a new one may raise the tail to.
-	tailAim   = 0.85
-	tailPlace = 0.75
+	tailAim   = 0.90
+	tailPlace = 0.90
+	// paceAheadMS is how long a new pace takes to show and to be followed by the
+	// next one; placeAheadMS the same for a new task.
+	paceAheadMS  = 900
+	placeAheadMS = 1500
+	// maxCaused is the highest rise that the filling tasks may cause: users that
+	// are served half as fast queue up.
+	maxCaused = 0.9
+	// tightenAt is the tail that was seen, in targets, at which the margins of a
+	// worker are cut by tightenBy, because the model has failed there; they
+	// are given back by loosenBy in each round of paces.
+	tightenAt = 1.1
+	tightenBy = 0.6
+	loosenBy  = 0.1
 	// placePatienceMS is how long a step waits before tailPlace rises, by
 	// tailPerSecond.
 	placePatienceMS = 15_000
 	tailPerSecond   = 0.04
 	// lightCoefficient is the effect below which slowing a filling task helps
 	// nobody: a tenth of the processors would move a tail by a few percent.
-	lightCoefficient = 0.4
-	// residualFloor is the least tail that a serving task is taken to have
-	// without disturbance.
-	residualFloor = 0.2
+	lightCoefficient = 0.8
 	// tailWeight and usageWeight smooth the readings, which vary by a third.
-	tailWeight  = 0.5
+	tailWeight  = 0.3
 	usageWeight = 0.5
 	// paceIntervalMS lets a change show in the figures before the next one.
 	paceIntervalMS = 400
@@ -47,6 +60,18 @@
 	moveAfterMS = 900
 )
 
+// allowed is the share of the margins that may be used.
+func (i *interference) allowed() float64 { return 1 - i.tightened }
+
+// control cuts the margins while the tails are over what the model expects.
+func (i *interference) control() {
+	if i.worst > tightenAt {
+		i.tightened = 1 - (1-i.tightened)*tightenBy
+	} else {
+		i.tightened = max(i.tightened-loosenBy, 0)
+	}
+}
+
 // pressure is 0 where the serving tasks are well, 1 where one is at its target.
 func (i *interference) pressure() float64 { return min(i.worst, 1) }
 
@@ -67,51 +92,56 @@
 	u := c.usedOn(w)
 	for _, r := range w.runs {
 		if r.serves() {
+			c.observeTail(r, u)
 			ratio := min(r.tailRatio(), maxRatio)
 			if r.tail == 0 {
 				r.tail = ratio
 			}
 			r.tail += tailWeight * (ratio - r.tail)
 			in.worst = max(in.worst, r.tail)
-			c.tailModel(r.task.step).observe(u, ratio)
 		}
 	}
 	if c.now.MS-in.changedMS < paceIntervalMS {
 		return
 	}
+	in.control()
 	c.setPaces(w)
 	c.moveFill(w)
 }
 
+// observeTail learns from a reading of a serving task.
+func (c *Core) observeTail(r *run, u used) {
+	s, ratio := r.task.step, r.tailRatio()
+	m := c.tailModel(s)
+	if s.own.known {
+		m.observe(u, math.Log(max(ratio, minRatio)/s.own.now(c.now.MS)))
+	}
+	s.own.observe(ratio, m.caused(u), len(s.tasks), c.now.MS)
+}
+
 func (c *Core) sendPace(r *run) {
 	r.pacing = true
 	w := r.worker
 	c.emit(Pace{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: r.task.ref(), Run: r.number, Percent: r.wantPace})
 }
 
-// margin is how much the tail of a serving task may still rise.
+// margin is how much the tail of a serving task may still rise, as a share of
+// its own tail.
 type margin struct {
 	model *tailModel
 	left  float64
 }
 
-// margins returns what is left of the aim for each serving task when nothing
-// fills beside it: the tail that was seen less what the model ascribes to the
-// filling tasks. The result is valid until the next call.
-func (c *Core) margins(w *worker, aim float64) []margin {
+// margins returns by how much the tail of each serving task may rise to the
+// aim. The result is valid until the next call.
+func (c *Core) margins(w *worker) []margin {
 	out := c.marginBuffer[:0]
-	u := c.usedOn(w)
 	for _, r := range w.runs {
-		spec := r.task.step.spec
-		if spec.TailTargetMS <= 0 || r.phase == stopping {
+		s := r.task.step
+		if s.spec.TailTargetMS <= 0 || r.phase == stopping {
 			continue
 		}
-		m := c.tailModel(r.task.step)
-		own := m.base()
-		if r.tail > 0 {
-			own = max(r.tail-m.caused(u), residualFloor)
-		}
-		out = append(out, margin{m, aim - own})
+		out = append(out, margin{c.tailModel(s), min(tailAim/s.own.highest(c.now.MS, paceAheadMS)-1, maxCaused) * w.interference.allowed()})
 	}
 	c.marginBuffer = out
 	return out
@@ -129,7 +159,7 @@
 	if len(fills) == 0 {
 		return
 	}
-	margins := c.margins(w, tailAim)
+	margins := c.margins(w)
 	slices.SortStableFunc(fills, func(a, b *run) int {
 		if d := cmp.Compare(c.lateness(a.task.step), c.lateness(b.task.step)); d != 0 {
 			return d
@@ -142,7 +172,7 @@
 		use := c.fullUse(w, r)
 		for _, m := range margins {
 			coefficient := m.model.coefficient(column)
-			if coefficient > lightCoefficient {
+			if coefficient > lightCoefficient*w.interference.allowed() {
 				share = min(share, max(m.left, 0)/(coefficient*use))
 			}
 		}
@@ -183,39 +213,45 @@
 	worst := 0.0
 	column := c.fillColumn(s)
 	for _, t := range c.plannedTails(w) {
-		worst = max(worst, t.tail+t.model.coefficient(column)*more)
+		worst = max(worst, t.own*(1+t.caused+t.model.coefficient(column)*more))
 	}
 	return worst
 }
 
-// plannedTail is the tail that the serving tasks of one image would have with
-// all filling tasks at full pace.
+// plannedTail is what the serving tasks of one image have to expect with all
+// filling tasks at full pace.
 type plannedTail struct {
 	model *tailModel
-	tail  float64
+	// own is the highest own tail, caused the rise by the filling tasks.
+	own, caused float64
 }
 
-// plannedTails returns the worst planned tail of each serving image. It is
-// kept until a report or a start changes it.
+// plannedTails returns the planned tail of each serving image. It is kept until
+// a report or a start changes it.
 func (c *Core) plannedTails(w *worker) []plannedTail {
 	if w.plannedValid {
 		return w.planned
 	}
 	w.plannedValid = true
 	w.planned = w.planned[:0]
-	for _, m := range c.margins(w, 1) {
-		tail := 1 - m.left
-		i := slices.IndexFunc(w.planned, func(t plannedTail) bool { return t.model == m.model })
+	for _, r := range w.runs {
+		s := r.task.step
+		if s.spec.TailTargetMS <= 0 || r.phase == stopping {
+			continue
+		}
+		model, own := c.tailModel(s), s.own.highest(c.now.MS, placeAheadMS)
+		i := slices.IndexFunc(w.planned, func(t plannedTail) bool { return t.model == model })
 		if i < 0 {
-			w.planned = append(w.planned, plannedTail{m.model, tail})
+			w.planned = append(w.planned, plannedTail{model: model, own: own})
 		} else {
-			w.planned[i].tail = max(w.planned[i].tail, tail)
+			w.planned[i].own = max(w.planned[i].own, own)
 		}
 	}
 	for i := range w.planned {
+		t := &w.planned[i]
 		for _, r := range w.runs {
 			if r.task.step.spec.Fills && r.phase != stopping {
-				w.planned[i].tail += w.planned[i].model.coefficient(c.fillColumn(r.task.step)) * c.fullUse(w, r)
+				t.caused += t.model.coefficient(c.fillColumn(r.task.step)) * c.fullUse(w, r)
 			}
 		}
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -9,7 +9,7 @@
 const (
 	// servingLoad is the share of its reservation that a serving task uses on
 	// average; what is left over goes to filling tasks.
-	servingLoad = 0.45
+	servingLoad = 0.55
 	// fillLoad is the share of its declared processors that a filling task
 	// uses at full speed.
 	fillLoad = 0.85
@@ -219,12 +219,18 @@
 		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
 		s.spec.MaxPerWorker > 0 && s.perWorker[w] >= s.spec.MaxPerWorker,
 		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS),
-		s.spec.Fills && c.fillPrediction(w, s) > c.placeLimit(s):
+		s.spec.Fills && !c.mayFill(w, s):
 		return false
 	}
 	return w.health.admits(c.now.MS, w.runs)
 }
 
+// mayFill reports whether another filling task of the step leaves the serving
+// tasks their processor time and keeps their tails.
+func (c *Core) mayFill(w *worker, s *step) bool {
+	return c.fillShare(w, s.spec.CPUMilli) >= 1 && c.fillPrediction(w, s) <= c.placeLimit(s)
+}
+
 // usable reports whether new work may go to the worker at all.
 func (w *worker) usable(nowMS int64) bool {
 	return w.listed && !w.dead && w.answered && !w.info.Draining && w.confirmed > 0 &&
