Give up the runs of a worker that is gone for good

Each look without an answer was taken to prolong the worker's lease, as it may have been carried out, so the lease was never over while looks went on and the runs kept their room for good.

Ruled out: the directory (the entry was dropped in time), the takeover (the runs were adopted and the stop was sent).

--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -331,3 +331,36 @@
 	_, started = find[Start](second.wait(1000))
 	c.Assert(started, qt.IsFalse)
 }
+
+// Guards against tasks that are lost with a worker that is gone for good:
+// looks without an answer must not be taken to prolong its lease for ever.
+func TestSilentWorkerIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	other := testWorker
+	other.ID, other.Address = "other", "b"
+	d.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}})
+	d.confirm(d.report(testWorker, Report{BornMS: 7, ClockMS: 100}))
+	d.confirm(d.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, LongRunning: true}))
+	d.wait(100)
+	d.report(testWorker, Report{BornMS: 7, ClockMS: 300, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 1, Percent: 100}}})
+	begun := d.now
+	// What is certain: the last look that may have been carried out, its
+	// lease on a slow clock, and the next look at the other worker.
+	bound := int64(silentMS+float64(d.core.config.LeaseMS)*clockSlack) + leaseMarginMS + 1000
+	for d.now < begun+20_000 {
+		var effects []Effect
+		if d.core.workers["w"] != nil && d.core.workers["w"].holds > 0 {
+			effects = append(effects, d.step(HoldDone{Worker: "w", SentMS: d.now, Outcome: Unsure})...)
+		}
+		effects = append(effects, d.step(Tick{})...)
+		effects = append(effects, d.report(other, Report{BornMS: 7, ClockMS: d.now})...)
+		if start, ok := find[Start](effects); ok {
+			c.Assert(start.Worker, qt.Equals, WorkerID("other"))
+			c.Assert(d.now-begun <= bound, qt.IsTrue, qt.Commentf("%d ms", d.now-begun))
+			return
+		}
+		d.now += 20
+	}
+	c.Fatal("the task was not started again")
+}
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -213,6 +213,34 @@
 	}
 }
 
+// remove takes two workers away for good, one of them around a takeover.
+func (w *world) remove() {
+	first := w.rng.IntN(len(w.workers))
+	for i := range 2 {
+		f := w.workers[(first+i)%len(w.workers)]
+		w.at(w.rng.Int64N(faultsSeconds*1000), func() {
+			f.crash(1 << 40)
+			if i == 0 {
+				w.at(w.rng.Int64N(1000), w.elect)
+			}
+			w.at(3300, func() {
+				f.unlistedUntil = 1 << 60
+				w.step(w.leader, WorkersChanged{Workers: w.directory()})
+			})
+		})
+	}
+}
+
+// TestRandomRunsWithRemovedWorkers guards the tasks of workers that never come
+// back.
+func TestRandomRunsWithRemovedWorkers(t *testing.T) {
+	c := qt.New(t)
+	for i := range *seedCount / 3 {
+		w := play(*firstSeed+uint64(i), (*world).remove)
+		c.Assert(w.broken, qt.HasLen, 0)
+	}
+}
+
 // TestBrokenSafeguards switches one safeguard off at a time: the seeds of CI
 // must notice, or the runs prove nothing about it.
 func TestBrokenSafeguards(t *testing.T) {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -222,9 +222,11 @@
 }
 
 // lease returns the end of the lease to ask for now, on the worker's clock,
-// or 0 while that clock is not known.
+// or 0 while that clock is not known or the worker is silent.
 func (c *Core) lease(w *worker) int64 {
-	if w.clockMS == 0 {
+	if w.clockMS == 0 || c.now.MS-w.answeredMS > silentMS {
+		// A worker that is gone must not keep its runs: what has been sent so far
+		// counts, nothing is added.
 		return 0
 	}
 	w.leaseEndMS = max(w.leaseEndMS, w.clockMS+(c.now.MS-w.clockReadMS)+c.config.LeaseMS)
