Stop what fills beside a serving task that stays over its target

The margins of a worker were cut only above 1.1 targets, on a tail smoothed over some two seconds; a tail between 1.0 and 1.1 that the model expects just below the target was left alone.

A task whose smoothed tail is at 0.97 of its target or more for a second now takes all margins of its worker, so that every filling task there is paced to 0, and a worker with a tail above 0.8 is looked at every 300 ms.

The proof is the new test, which fails without the limit.

--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -364,3 +364,34 @@
 	}
 	c.Fatal("the task was not started again")
 }
+
+// Guards against serving tasks that stay a little over their target because
+// the model expects them just under it: what fills beside them has to stop
+// within the 4 s that users allow.
+func TestFillStopsBesideTaskOverTarget(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.join(testWorker)
+	d.submit(t, "serve", jobs.Step{Count: 1, CPUMilli: 8000, LongRunning: true, Image: "serve", TailTargetMS: 100})
+	d.submit(t, "fill", jobs.Step{Count: 1, CPUMilli: 6000, Fills: true, Image: "fill", EstimateMS: 60_000})
+	d.wait(100)
+	for range 300 {
+		d.core.disturb.model("serve").observe(used{0, 0.2}, 0)
+	}
+	begun := d.now
+	for i := 0; d.now-begun < 4000; i++ {
+		effects := d.report(testWorker, Report{BornMS: 7, ClockMS: d.now - begun + 2000, Running: []RunningTask{
+			{Task: jobs.Task{Job: "serve"}, Run: 1, Percent: 100, Usage: 104},
+			{Task: jobs.Task{Job: "fill"}, Run: 1, Percent: i + 1, Usage: 6000},
+		}})
+		if p, ok := find[Pace](effects); ok {
+			c.Assert(p.Task.Job, qt.Equals, jobs.ID("fill"))
+			if p.Percent == 0 {
+				return
+			}
+			d.step(PaceDone{Worker: "w", Task: p.Task, Run: p.Run, Percent: p.Percent, Outcome: Done})
+		}
+		d.now += closeWaitMS
+	}
+	c.Fatal("what fills works on beside a serving task over its target")
+}
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -13,6 +13,8 @@
 	worst float64
 	// tightened is by how much the margins are cut, 0 for not at all.
 	tightened float64
+	// overMS is how long a serving task has been over its target.
+	overMS    int64
 	changedMS int64
 	movedMS   int64
 }
@@ -36,6 +38,14 @@
 	tightenAt = 1.1
 	tightenBy = 0.6
 	loosenBy  = 0.1
+	// overTail is the smoothed tail from which a task counts as over its target.
+	// After overLimitMS of that nothing fills beside it: users allow some 4 s,
+	// of which readings, smoothing and the order take 2.
+	overTail    = 0.97
+	overLimitMS = 1000
+	// closeTail is the tail above which a worker is looked at every closeWaitMS.
+	closeTail   = 0.8
+	closeWaitMS = 300
 	// placePatienceMS is how long a step waits before tailPlace rises, by
 	// tailPerSecond.
 	placePatienceMS = 15_000
@@ -44,7 +54,7 @@
 	// nobody: a tenth of the processors would move a tail by a few percent.
 	lightCoefficient = 0.8
 	// tailWeight and usageWeight smooth the readings, which vary by a third.
-	tailWeight  = 0.3
+	tailWeight  = 0.4
 	usageWeight = 0.5
 	// paceIntervalMS lets a change show in the figures before the next one.
 	paceIntervalMS = 400
@@ -65,13 +75,20 @@
 
 // control cuts the margins while the tails are over what the model expects.
 func (i *interference) control() {
-	if i.worst > tightenAt {
+	switch {
+	case i.overMS > overLimitMS:
+		i.tightened = 1
+	case i.worst > tightenAt:
 		i.tightened = 1 - (1-i.tightened)*tightenBy
-	} else {
+	default:
 		i.tightened = max(i.tightened-loosenBy, 0)
 	}
 }
 
+// close reports whether a tail is so near to its target that the worker has to
+// be looked at more often.
+func (i *interference) close() bool { return i.worst > closeTail }
+
 // pressure is 0 where the serving tasks are well, 1 where one is at its target.
 func (i *interference) pressure() float64 { return min(i.worst, 1) }
 
@@ -87,7 +104,7 @@
 // balanceFill learns from a report and sets the pace of the filling tasks.
 func (c *Core) balanceFill(w *worker) {
 	in := &w.interference
-	in.worst = 0
+	in.worst, in.overMS = 0, 0
 	w.plannedValid = false
 	u := c.usedOn(w)
 	for _, r := range w.runs {
@@ -95,10 +112,14 @@
 			c.observeTail(r, u)
 			ratio := min(r.tailRatio(), maxRatio)
 			if r.tail == 0 {
-				r.tail = ratio
+				r.tail, r.underMS = ratio, c.now.MS
 			}
 			r.tail += tailWeight * (ratio - r.tail)
 			in.worst = max(in.worst, r.tail)
+			if r.tail < overTail {
+				r.underMS = c.now.MS
+			}
+			in.overMS = max(in.overMS, c.now.MS-r.underMS)
 		}
 	}
 	if c.now.MS-in.changedMS < paceIntervalMS {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -87,8 +87,10 @@
 	usageMS    int64
 	// use and tail are the smoothed usage of a filling task, in thousandths of
 	// a core, and tail of a serving task, against its target.
-	use        float64
-	tail       float64
+	use  float64
+	tail float64
+	// underMS is when the tail was last below the target.
+	underMS    int64
 	pace       int
 	wantPace   int
 	pacing     bool
@@ -212,6 +214,9 @@
 		ack = w.seen
 	}
 	wait := int64(holdWaitMS)
+	if w.interference.close() {
+		wait = closeWaitMS
+	}
 	if w.confirmed < w.token || w.seen > w.acked || !w.answered || w.unverified {
 		wait = 0
 	}
