Add a fault soak of rwnode processes against a stand-in of the platform

What it checks: nothing runs twice, out of order, unasked or after a noted end; a refused job has not run; an accepted one is known and ends; completed is true; a graceful stop ends within the grace time.

Found while it was built, once: an instance was never ready, because a proxy had taken the port chosen for it; each instance has a loopback address of its own now.

--- /dev/null
+++ b/cmd/rwsoak/main.go
@@ -0,0 +1,81 @@
+// Command rwsoak runs random faults against rwnode processes on the loopback
+// interface and checks the promises while it runs. It exits with 1 when a
+// promise was broken.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"redwingvale/internal/soak"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	flags := flag.NewFlagSet("rwsoak", flag.ExitOnError)
+	options := soak.Options{}
+	seed := flags.Uint64("seed", 1, "first seed")
+	seeds := flags.Int("seeds", 1, "number of seeds, one after the other")
+	dir := flags.String("dir", "", "directory for settings and logs of the processes; a new one if empty")
+	flags.StringVar(&options.Binary, "rwnode", "bin/rwnode", "the rwnode binary to test")
+	flags.IntVar(&options.Instances, "instances", 5, "number of rwnode processes")
+	flags.IntVar(&options.Workers, "workers", 12, "number of workers")
+	flags.DurationVar(&options.Faults, "faults", 20*time.Second, "how long faults are injected")
+	flags.DurationVar(&options.Calm, "calm", 30*time.Second, "how long jobs may take to end after the last fault")
+	flags.Float64Var(&options.JobsPerS, "jobs", 8, "submissions a second")
+	flags.IntVar(&options.Series, "series", 3, "series of faults that go on at once")
+	verbose := flags.Bool("v", false, "print each fault")
+	if err := ff.Parse(flags, os.Args[1:], ff.WithEnvVarPrefix("RWSOAK")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if *dir == "" {
+		made, err := os.MkdirTemp("", "rwsoak-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+		*dir = made
+	}
+	if *verbose {
+		options.Log = os.Stdout
+	}
+	code := 0
+	for i := range *seeds {
+		options.Seed = *seed + uint64(i)
+		options.KillAll = options.Seed%2 == 0
+		options.Dir = filepath.Join(*dir, strconv.FormatUint(options.Seed, 10))
+		if err := os.MkdirAll(options.Dir, 0o700); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+		result, err := soak.Run(ctx, options)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+		fmt.Println(result)
+		for _, broken := range result.Broken {
+			fmt.Println("  ", broken)
+			code = 1
+		}
+		if len(result.Broken) > 0 {
+			fmt.Println("   logs are in", options.Dir)
+		}
+	}
+	return code
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -21,6 +21,9 @@
 	ReadinessAddr string `toml:"readiness_addr"`
 	PeerAddr      string `toml:"peer_addr"`
 	MetricsAddr   string `toml:"metrics_addr"`
+	// PeerAdvertisedAddr is where the others reach PeerAddr, if it is another
+	// address.
+	PeerAdvertisedAddr string `toml:"peer_advertised_addr"`
 	// Addresses of the platform.
 	StoreAddr  string `toml:"store_addr"`
 	AdviceAddr string `toml:"advice_addr"`
@@ -52,6 +55,7 @@
 // DefaultConfig returns the settings before the file is read.
 func DefaultConfig() Config {
 	return Config{
+		Cores:           1,
 		LeaseMS:         4000,
 		OptimisticStart: true,
 		Bounds: Bounds{
@@ -71,11 +75,22 @@
 	if c.MetricsAddr != "" {
 		problems.Address("metrics_addr", c.MetricsAddr)
 	}
+	if c.PeerAdvertisedAddr != "" {
+		problems.Address("peer_advertised_addr", c.PeerAdvertisedAddr)
+	}
 	problems.Range("lease_ms", c.LeaseMS, 500, math.MaxInt32)
 	problems.Range("bounds.max_lease_ms", int64(c.Bounds.MaxLeaseMS), 500, math.MaxInt32)
 	problems.Range("bounds.grace_s", int64(c.Bounds.GraceS), 1, 3600)
 }
 
+// advertised is the address under which other instances reach this one.
+func (c *Config) advertised() string {
+	if c.PeerAdvertisedAddr != "" {
+		return c.PeerAdvertisedAddr
+	}
+	return c.PeerAddr
+}
+
 func (c *Config) planner(firstTerm bool) planner.Config {
 	return planner.Config{
 		LeaseMS:         min(c.LeaseMS, int64(c.Bounds.MaxLeaseMS)),
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -208,7 +208,7 @@
 
 // register writes the instance's own record if the log does not hold it.
 func (n *Node) register(ctx context.Context) error {
-	want := member{Peer: n.config.PeerAddr, DataCentre: n.config.DataCentre, StartedMS: n.startedMS, Strength: int(n.config.CPUShare * n.config.Cores * 1000)}
+	want := member{Peer: n.config.advertised(), DataCentre: n.config.DataCentre, StartedMS: n.startedMS, Strength: int(n.config.CPUShare * n.config.Cores * 1000)}
 	missing, err := ask(ctx, n, func() bool { return n.members[n.config.Instance] != want })
 	if err != nil || !missing || n.stopping.Load() {
 		return err
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -28,7 +28,7 @@
 	if _, err := n.catchUp(ctx); err != nil {
 		return err
 	}
-	c := claim{Epoch: e.epoch + 1, Instance: n.config.Instance, Peer: n.config.PeerAddr, Nonce: uuid.NewString()}
+	c := claim{Epoch: e.epoch + 1, Instance: n.config.Instance, Peer: n.config.advertised(), Nonce: uuid.NewString()}
 	value, err := json.Marshal(c)
 	if err != nil {
 		return err
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
 	defer cancel()
 	answer, err := client.Heartbeat(ctx, connect.NewRequest(&nodev1.HeartbeatRequest{
-		Epoch: t.epoch, Leader: n.config.Instance, PeerAddress: n.config.PeerAddr,
+		Epoch: t.epoch, Leader: n.config.Instance, PeerAddress: n.config.advertised(),
 		LogAvailable: n.logAvailable(t), Stopping: n.stopping.Load(),
 	}))
 	if err != nil {
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"redwingvale/platform/standin"
+)
+
+const (
+	syscallContinue = syscall.SIGCONT
+	// graceTime is how long the platform waits after SIGTERM.
+	graceTime = 6 * time.Second
+	// longest bounds a fault; leases last 6 s at most.
+	longest = 8 * time.Second
+)
+
+// harm injects one fault after the other, some in quick series, until ctx
+// ends. Several of these run at once, so faults overlap.
+func (r *run) harm(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(rng.IntN(2500))*time.Millisecond)
+		for range 1 + rng.IntN(3)/2*rng.IntN(4) {
+			if ctx.Err() != nil {
+				return
+			}
+			r.fault(ctx, rng)
+		}
+	}
+}
+
+// fault injects one fault and ends it again.
+func (r *run) fault(ctx context.Context, rng *rand.Rand) {
+	r.faults.Add(1)
+	in := r.instances[rng.IntN(len(r.instances))]
+	worker := rng.IntN(len(r.workers))
+	d := time.Duration(rng.Int64N(int64(longest)))
+	link := [...]*proxy{in.callers, in.peer, in.store, r.links[worker]}[rng.IntN(4)]
+	note := func(format string, args ...any) {
+		if r.options.Log != nil {
+			fmt.Fprintf(r.options.Log, "time=%s event=fault what=%q for=%s\n", time.Now().Format(time.RFC3339Nano), fmt.Sprintf(format, args...), d)
+		}
+	}
+	switch kind := rng.IntN(13); kind {
+	case 0:
+		note("kill %s", in.name)
+		_ = in.stop(syscall.SIGKILL, graceTime)
+		sleep(ctx, d/4)
+		r.restart(in)
+	case 1:
+		note("terminate %s", in.name)
+		if err := in.stop(syscall.SIGTERM, graceTime); err != nil {
+			r.truth.Report("%v", err)
+		}
+		r.restart(in)
+	case 2:
+		note("pause %s", in.name)
+		in.signal(syscall.SIGSTOP)
+		sleep(ctx, d)
+		in.signal(syscall.SIGCONT)
+	case 3:
+		note("kill all")
+		r.killAll()
+		for _, other := range r.instances {
+			r.restart(other)
+		}
+	case 4:
+		note("delay a link")
+		link.set(time.Duration(rng.IntN(300))*time.Millisecond, false, false)
+		sleep(ctx, d)
+		link.set(0, false, false)
+	case 5:
+		note("reset the connections of a link")
+		link.resetAll()
+	case 6:
+		oneWay := rng.IntN(3)
+		note("hold a link, direction %d", oneWay)
+		link.set(0, oneWay != 1, oneWay != 0)
+		sleep(ctx, d)
+		link.set(0, false, false)
+		link.resetAll()
+	case 7:
+		note("crash a worker")
+		r.workers[worker].Crash(d/2, false)
+	case 8:
+		note("silence a worker")
+		r.workers[worker].Silence(d)
+	case 9, 10:
+		f := [...]standin.StoreFault{{Refuse: true}, {Silent: true}, {Delay: 200 * time.Millisecond}, {LoseAnswers: true}}[rng.IntN(4)]
+		note("store fault %+v for %s", f, in.name)
+		r.store.SetFault(in.name, f)
+		sleep(ctx, d)
+		r.store.SetFault(in.name, standin.StoreFault{})
+	case 11:
+		f := [...]standin.StoreFault{{Refuse: true}, {Silent: true}, {Delay: 150 * time.Millisecond}}[rng.IntN(3)]
+		note("store fault %+v for all", f)
+		for _, other := range r.instances {
+			r.store.SetFault(other.name, f)
+		}
+		sleep(ctx, d/2)
+		for _, other := range r.instances {
+			r.store.SetFault(other.name, standin.StoreFault{})
+		}
+	case 12:
+		note("new manifest, reload of %s", in.name)
+		r.mu.Lock()
+		r.version += 1 + rng.IntN(3)
+		standin.PutManifest(r.store, r.version)
+		r.mu.Unlock()
+		in.signal(syscall.SIGHUP)
+	}
+}
+
+func (r *run) killAll() {
+	for _, in := range r.instances {
+		in.signal(syscall.SIGKILL)
+	}
+	for _, in := range r.instances {
+		_ = in.stop(syscall.SIGKILL, graceTime)
+	}
+}
+
+func (r *run) restart(in *instance) {
+	in.mu.Lock()
+	ended := in.ended
+	in.mu.Unlock()
+	select {
+	case <-ended:
+	default:
+		// Another fault has started it again.
+		return
+	}
+	if err := in.start(); err != nil {
+		r.truth.Report("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,174 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingvale/platform/standin"
+)
+
+// instance is one rwnode process, its settings and the proxies around it.
+type instance struct {
+	name    string
+	binary  string
+	file    string
+	log     *os.File
+	callers *proxy
+	peer    *proxy
+	store   *proxy
+	direct  string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	paused  bool
+}
+
+// freeAddresses returns addresses that nobody listens on. Each instance has a
+// loopback address of its own: a port that is free now could else be taken by
+// a proxy before the process listens on it.
+func freeAddresses(index int) (out [3]string, err error) {
+	for i := range out {
+		socket, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", index+1))
+		if err != nil {
+			return out, err
+		}
+		defer socket.Close()
+		out[i] = socket.Addr().String()
+	}
+	return out, nil
+}
+
+const settingsText = `instance = %q
+data_centre = "z1"
+first_start = %v
+callers_addr = %q
+readiness_addr = %q
+peer_addr = %q
+peer_advertised_addr = %q
+store_addr = %q
+cpu_share = 0.5
+
+[bounds]
+max_lease_ms = 6000
+status_s = 120
+grace_s = 6
+`
+
+// newInstance prepares an instance in a directory; nothing runs yet.
+func newInstance(dir, binary string, index int, store *standin.Store, servers *[]*http.Server) (*instance, error) {
+	name := fmt.Sprintf("n%d", index)
+	in := &instance{name: name, binary: binary, file: filepath.Join(dir, name+".toml")}
+	addresses, err := freeAddresses(index)
+	if err != nil {
+		return nil, err
+	}
+	storeSocket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: store.Handler(name), ReadHeaderTimeout: time.Minute}
+	*servers = append(*servers, server)
+	go func() { _ = server.Serve(storeSocket) }()
+	if in.callers, err = newProxy(addresses[0]); err != nil {
+		return nil, err
+	}
+	if in.peer, err = newProxy(addresses[2]); err != nil {
+		return nil, err
+	}
+	if in.store, err = newProxy(storeSocket.Addr().String()); err != nil {
+		return nil, err
+	}
+	in.direct = addresses[1]
+	if in.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
+		return nil, err
+	}
+	settings := func(first bool) string {
+		return fmt.Sprintf(settingsText, name, first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address())
+	}
+	return in, os.WriteFile(in.file, []byte(settings(true)), 0o600)
+}
+
+// start runs the process; it is started again when it ends by itself.
+func (in *instance) start() error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	command := exec.Command(in.binary, "run", "-config", in.file)
+	command.Stdout, command.Stderr = in.log, in.log
+	if err := command.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", in.name)
+	}
+	ended := make(chan struct{})
+	in.process, in.ended, in.paused = command, ended, false
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process if it runs.
+func (in *instance) signal(s syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.process == nil {
+		return
+	}
+	select {
+	case <-in.ended:
+	default:
+		_ = in.process.Process.Signal(s)
+		in.paused = s == syscall.SIGSTOP
+	}
+}
+
+// stop ends the process and waits for it. A graceful stop that takes longer
+// than the grace time is a finding.
+func (in *instance) stop(s syscall.Signal, grace time.Duration) error {
+	in.signal(syscall.SIGCONT)
+	in.signal(s)
+	in.mu.Lock()
+	ended := in.ended
+	in.mu.Unlock()
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(grace):
+		in.signal(syscall.SIGKILL)
+		<-ended
+		return errors.Newf("%s still ran %s after signal %d", in.name, grace, s)
+	}
+}
+
+func (in *instance) running() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.process == nil {
+		return false
+	}
+	select {
+	case <-in.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// ready asks the instance whether it takes requests.
+func (in *instance) ready(client *http.Client) bool {
+	response, err := client.Get("http://" + in.direct + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
