--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -395,3 +395,26 @@
 	}
 	c.Fatal("what fills works on beside a serving task over its target")
 }
+
+// Guards against a wait that nobody can explain: the log says once which
+// reasons rule the workers out.
+func TestWaitIsExplained(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.join(testWorker)
+	d.submit(t, "wide", jobs.Step{Count: 2, CPUMilli: 40_000, MemoryMB: 10})
+	d.submit(t, "labelled", jobs.Step{Count: 1, CPUMilli: 10, Label: "gold"})
+	reasons := map[jobs.ID]string{}
+	for range 30 {
+		d.report(testWorker, Report{BornMS: 7, ClockMS: d.now})
+		for _, e := range d.wait(200) {
+			if decision, ok := e.(Decision); ok && decision.Event == "step_waits" {
+				c.Assert(reasons[decision.Job], qt.Equals, "")
+				c.Assert(decision.AgeMS >= explainAfterMS, qt.IsTrue)
+				reasons[decision.Job] = decision.Reason
+			}
+		}
+	}
+	c.Assert(reasons["wide"], qt.Equals, "tasks=2 cpu=40000 mem=10 ruled_out=processors:1")
+	c.Assert(reasons["labelled"], qt.Equals, "tasks=1 cpu=10 mem=0 ruled_out=label:1")
+}
--- /dev/null
+++ b/internal/planner/explain.go
@@ -0,0 +1,67 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// explainAfterMS is how long a step waits before the log says why.
+const explainAfterMS = 2000
+
+// explainWait logs once why the waiting tasks of a step fit on no worker: how
+// many workers each reason rules out.
+func (c *Core) explainWait(s *step) {
+	if s.explained || c.now.MS-s.pendingSinceMS < explainAfterMS {
+		return
+	}
+	s.explained = true
+	counts := map[string]int{}
+	for _, w := range c.order {
+		counts[c.whyNot(s, w)]++
+	}
+	var parts []string
+	for _, reason := range []string{"service", "unusable", "processors", "memory", "accelerators", "label", "tasks_per_worker", "advice", "reserved", "disturbance", "suspect", "none"} {
+		if counts[reason] > 0 {
+			parts = append(parts, fmt.Sprintf("%s:%d", reason, counts[reason]))
+		}
+	}
+	id := s.id()
+	c.emit(Decision{
+		Event: "step_waits", Job: id.Job, Task: fmt.Sprintf("%s.%d.%d", id.Job, id.Occurrence, id.Step),
+		Reason: fmt.Sprintf("tasks=%d cpu=%d mem=%d ruled_out=%s", len(s.pending), s.spec.CPUMilli, s.spec.MemoryMB, strings.Join(parts, ",")),
+		AgeMS:  c.now.MS - s.pendingSinceMS,
+	})
+}
+
+// whyNot names the first reason for which a worker cannot run the step's tasks
+// now, or "none".
+func (c *Core) whyNot(s *step, w *worker) string {
+	free, room := w.info.Capacity.minus(w.used), s.room()
+	holder := c.reserved[w]
+	switch {
+	case w.info.Service != s.job.queue.Service:
+		return "service"
+	case !w.usable(c.now.MS):
+		return "unusable"
+	case s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label):
+		return "label"
+	case room.CPUMilli > free.CPUMilli:
+		return "processors"
+	case room.MemoryMB > free.MemoryMB:
+		return "memory"
+	case room.GPU > free.GPU:
+		return "accelerators"
+	case s.spec.MaxPerWorker > 0 && s.perWorker[w] >= s.spec.MaxPerWorker:
+		return "tasks_per_worker"
+	case s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS):
+		return "advice"
+	case holder != nil && holder != s && room.CPUMilli > 0:
+		return "reserved"
+	case s.spec.Fills && !c.mayFill(w, s):
+		return "disturbance"
+	case !w.health.admits(c.now.MS, w.runs):
+		return "suspect"
+	}
+	return "none"
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -58,6 +58,8 @@
 	// scannedMS when all workers were last looked at; 0 if some may fit.
 	scanned   int64
 	scannedMS int64
+	// explained is set once the log says why the step waits.
+	explained bool
 	// held are the workers that the step reserved in that pass.
 	held []*worker
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -124,6 +124,7 @@
 			// for the workers that a task avoids, which pick only ranks last.
 			c.reserve(s)
 			s.scanned = c.pass
+			c.explainWait(s)
 			return
 		}
 		c.start(t, w, t.lastRun+1, "placed")
