Bound a takeover's wait by the lease that the predecessor has asked for

All leaders ask for 4 s only.

The claim now names its leader's lease, and the next leader waits for that and the time in which a living predecessor learns of its fall; if the lease is not known, for the longest one as before. On a worker that has answered, the predecessor is fenced, so its lease alone counts there.

Ruled out: the wait itself as needless (the random runs notice its absence, TestBrokenSafeguards). New test: TestTakeoverWaitsForPriorLease.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -25,6 +25,8 @@
 	Epoch    uint64 `json:"epoch"`
 	Instance string `json:"instance"`
 	Peer     string `json:"peer"`
+	// LeaseMS is the lease that the leader asks workers for.
+	LeaseMS int64 `json:"lease"`
 	// Nonce tells two claims of one epoch apart.
 	Nonce string `json:"nonce"`
 }
@@ -84,6 +86,7 @@
 	if c.Epoch <= n.claim.Epoch {
 		return
 	}
+	n.priorLeaseMS = n.claim.LeaseMS
 	n.claim, n.claimedAt = c, n.end
 	n.log("leader_changed", zap.Uint64("epoch", c.Epoch), zap.String("leader", c.Instance))
 	n.leader.Store(&leaderInfo{epoch: c.Epoch, peer: c.Peer, self: c.Instance == n.config.Instance && n.term != nil && n.term.epoch == c.Epoch})
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -28,7 +28,7 @@
 	if _, err := n.catchUp(ctx); err != nil {
 		return err
 	}
-	c := claim{Epoch: e.epoch + 1, Instance: n.config.Instance, Peer: n.config.advertised(), Nonce: uuid.NewString()}
+	c := claim{Epoch: e.epoch + 1, Instance: n.config.Instance, Peer: n.config.advertised(), LeaseMS: n.config.planner(false).LeaseMS, Nonce: uuid.NewString()}
 	value, err := json.Marshal(c)
 	if err != nil {
 		return err
@@ -73,10 +73,13 @@
 // lead begins a term. It runs in the loop.
 func (n *Node) lead(ctx context.Context, c claim, infos []planner.WorkerInfo, from int64) {
 	termCtx, stop := context.WithCancel(ctx)
-	first := c.Epoch == 1
+	config := n.config.planner(c.Epoch == 1)
+	if n.priorLeaseMS > 0 {
+		config.PriorLeaseMS = min(max(n.priorLeaseMS, config.LeaseMS), config.MaxLeaseMS)
+	}
 	t := &term{
 		epoch:  c.Epoch,
-		core:   planner.New(n.config.planner(first), n.book, c.Epoch, n.now()),
+		core:   planner.New(config, n.book, c.Epoch, n.now()),
 		ctx:    termCtx,
 		stop:   stop,
 		writes: ring.New[planner.Write](1),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,8 @@
 	end     int64
 	members map[string]member
 	claim   claim
+	// priorLeaseMS is the lease of the leader before, 0 if it is not known.
+	priorLeaseMS int64
 	// claimedAt is the end of the log just after that claim.
 	claimedAt int64
 	term      *term
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -7,6 +7,9 @@
 	LeaseMS int64
 	// MaxLeaseMS is the longest lease that a worker grants.
 	MaxLeaseMS int64
+	// PriorLeaseMS is the longest lease that a predecessor has asked for;
+	// MaxLeaseMS if it is not known.
+	PriorLeaseMS int64
 	// GangTimeoutMS is how long a gang member waits for the others.
 	GangTimeoutMS int64
 	// InterferenceMS is how long a serving task may be over its target.
@@ -40,6 +43,9 @@
 	// clockSlack is the share by which a worker's clock may be slow (2%), with
 	// as much again for rounding.
 	clockSlack = 1.03
+	// deposedMS is how long a predecessor that lives may renew leases until a
+	// worker refuses it: each is looked at once a second.
+	deposedMS = 1200
 	// leaseMarginMS is added to the computed end of a lease.
 	leaseMarginMS = 60
 	// runsPerTerm separates the run numbers of two leaders: a new leader does
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -15,6 +15,8 @@
 	now    Time
 	// termMS is when the term began.
 	termMS int64
+	// priorLeaseMS is how long a predecessor's lease lasts from its order on.
+	priorLeaseMS int64
 	// settled is set once every worker has answered, or has had its chance to.
 	settled bool
 
@@ -91,6 +93,7 @@
 		reserved:         map[*worker]*step{},
 		formerlyReserved: map[*worker]*step{},
 	}
+	c.priorLeaseMS = cmp.Or(config.PriorLeaseMS, config.MaxLeaseMS)
 	ids := make([]jobs.ID, 0, len(book.Jobs))
 	for id := range book.Jobs {
 		ids = append(ids, id)
--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -345,6 +345,8 @@
 	d.wait(100)
 	d.report(testWorker, Report{BornMS: 7, ClockMS: 300, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 1, Percent: 100}}})
 	begun := d.now
+	// There is no predecessor.
+	d.core.workers["w"].inheritedEndMS = 0
 	// What is certain: the last look that may have been carried out, its
 	// lease on a slow clock, and the next look at the other worker.
 	bound := int64(silentMS+float64(d.core.config.LeaseMS)*clockSlack) + leaseMarginMS + 1000
@@ -418,3 +420,34 @@
 	c.Assert(reasons["wide"], qt.Equals, "tasks=2 cpu=40000 mem=10 ruled_out=processors:1")
 	c.Assert(reasons["labelled"], qt.Equals, "tasks=1 cpu=10 mem=0 ruled_out=label:1")
 }
+
+// Guards against a takeover that holds all tasks back for the longest lease
+// that workers grant, because one worker has died with the leader: what the
+// predecessor has asked for bounds what may still run there.
+func TestTakeoverWaitsForPriorLease(t *testing.T) {
+	c := qt.New(t)
+	first := newDirect(safeguards{})
+	first.join(testWorker)
+	first.confirm(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 9000}))
+	first.confirm(first.wait(200))
+	config := first.core.config
+	config.FirstTerm, config.PriorLeaseMS, config.MaxLeaseMS = false, 4000, 60_000
+	second := &direct{now: first.now + 1000}
+	second.core = New(config, first.core.book, 2, second.time())
+	second.step(QueuesChanged{Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}})
+	other := testWorker
+	other.ID, other.Address = "other", "b"
+	second.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}})
+	begun, bound := second.now, int64(float64(4000+deposedMS)*clockSlack)+leaseMarginMS
+	for second.now-begun < 2*bound {
+		second.report(other, Report{BornMS: 7, ClockMS: second.now})
+		effects := second.wait(20)
+		if start, ok := find[Start](effects); ok {
+			c.Assert(start.Worker, qt.Equals, WorkerID("other"))
+			c.Assert(second.now-begun > 4000, qt.IsTrue, qt.Commentf("%d ms", second.now-begun))
+			c.Assert(second.now-begun <= bound+300, qt.IsTrue, qt.Commentf("%d ms", second.now-begun))
+			return
+		}
+	}
+	c.Fatal("the task was not started")
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -21,7 +21,7 @@
 		w.clockMS, w.clockReadMS = e.Report.ClockMS, c.now.MS
 	}
 	if w.inheritedEndMS == 0 {
-		w.inheritedEndMS = w.clockMS + c.config.MaxLeaseMS
+		w.inheritedEndMS = w.clockMS + c.priorLeaseMS
 	}
 	if !w.answered || c.now.MS-w.answeredMS > silentMS {
 		c.wake = true
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -35,7 +35,7 @@
 // inheritedLeaseMS is how long a run of a predecessor may go on, on a worker
 // that does not answer.
 func (c *Core) inheritedLeaseMS() int64 {
-	return int64(float64(c.config.MaxLeaseMS)*clockSlack) + leaseMarginMS
+	return int64(float64(c.priorLeaseMS+deposedMS)*clockSlack) + leaseMarginMS
 }
 
 // account frees the tasks that were held back for a predecessor's runs.
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -91,7 +91,7 @@
 func newWorld(seed uint64, faults faultRates) *world {
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: 1_000_000, faults: faults,
-		config: Config{LeaseMS: 4000, MaxLeaseMS: 6000, GangTimeoutMS: 3000, InterferenceMS: 4000, StatusMS: 120_000, OptimisticStart: true},
+		config: Config{LeaseMS: 4000, PriorLeaseMS: 4000, MaxLeaseMS: 10_000, GangTimeoutMS: 3000, InterferenceMS: 4000, StatusMS: 120_000, OptimisticStart: true},
 		queues: []Queue{
 			{Name: "urgent", Service: "s", Priority: 0, MaxAttempts: 4, Stretch: 1.5, TargetLatencyMS: 250},
 			{Name: "batch", Service: "s", Priority: 2, MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000},
