--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -30,7 +30,7 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
-	paused  bool
+	pauses  int
 }
 
 // freeAddresses returns addresses that nobody listens on. Each instance has a
@@ -108,7 +108,7 @@
 		return errors.Wrapf(err, "start %s", in.name)
 	}
 	ended := make(chan struct{})
-	in.process, in.ended, in.paused = command, ended, false
+	in.process, in.ended = command, ended
 	go func() {
 		_ = command.Wait()
 		close(ended)
@@ -127,7 +127,9 @@
 	case <-in.ended:
 	default:
 		_ = in.process.Process.Signal(s)
-		in.paused = s == syscall.SIGSTOP
+		if s == syscall.SIGSTOP {
+			in.pauses++
+		}
 	}
 }
 
@@ -137,7 +139,7 @@
 	in.signal(syscall.SIGCONT)
 	in.signal(s)
 	in.mu.Lock()
-	ended := in.ended
+	ended, pauses := in.ended, in.pauses
 	in.mu.Unlock()
 	select {
 	case <-ended:
@@ -145,6 +147,12 @@
 	case <-time.After(grace):
 		in.signal(syscall.SIGKILL)
 		<-ended
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		if in.pauses != pauses {
+			// Another fault has paused it meanwhile.
+			return nil
+		}
 		return errors.Newf("%s still ran %s after signal %d", in.name, grace, s)
 	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // proxy forwards connections on the loopback interface and harms them on
@@ -78,6 +80,11 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			p.wait(inward)
+			if isReset(from) {
+				// Bytes that are held up are lost when their sender resets the
+				// connection.
+				return
+			}
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				return
 			}
@@ -105,6 +112,24 @@
 	}
 }
 
+// isReset reports whether the other side has reset the connection, without
+// reading from it.
+func isReset(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	pending := 0
+	err = raw.Control(func(fd uintptr) {
+		pending, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+	})
+	return err != nil || pending != 0
+}
+
 func (p *proxy) set(delay time.Duration, heldIn, heldOut bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
