Let the bounds on interference and on configuration decide what they name

The first now bounds how long anything may fill beside a serving task over its target (a quarter of it, 1 s as before at 4 s), the second the wait of one read of the manifest (half of it at most, 1 s as before at 2 s). Both are checked at the start.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -80,6 +80,8 @@
 	}
 	problems.Range("lease_ms", c.LeaseMS, 500, math.MaxInt32)
 	problems.Range("bounds.max_lease_ms", int64(c.Bounds.MaxLeaseMS), 500, math.MaxInt32)
+	problems.Range("bounds.interference_ms", int64(c.Bounds.InterferenceMS), 1000, math.MaxInt32)
+	problems.Range("bounds.config_in_force_ms", int64(c.Bounds.ConfigInForceMS), 500, math.MaxInt32)
 	problems.Range("bounds.grace_s", int64(c.Bounds.GraceS), 1, 3600)
 }
 
@@ -91,6 +93,12 @@
 	return c.PeerAddr
 }
 
+// manifestWait bounds one read of the manifest: a silent connection is noticed
+// in time for the next one.
+func (c *Config) manifestWait() time.Duration {
+	return min(manifestWait, time.Duration(c.Bounds.ConfigInForceMS/2)*time.Millisecond)
+}
+
 func (c *Config) planner(firstTerm bool) planner.Config {
 	return planner.Config{
 		LeaseMS:         min(c.LeaseMS, int64(c.Bounds.MaxLeaseMS)),
@@ -154,8 +162,8 @@
 	leaderReadInterval = 500 * time.Millisecond
 	// directoryInterval is the pause between reads of the workers' entries.
 	directoryInterval = 400 * time.Millisecond
-	// manifestWait is how long a read of the manifest waits for a change: well
-	// within the time in which a change has to be in force.
+	// manifestWait is how long a read of the manifest waits for a change, at most
+	// half of the time in which a change has to be in force.
 	manifestWait = time.Second
 	// retryPause is the pause after a failed call to the log.
 	retryPause = 100 * time.Millisecond
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -237,7 +237,7 @@
 		var m *Manifest
 		var err error
 		if loaded {
-			m, from, err = n.deps.Operators.Await(ctx, from, manifestWait)
+			m, from, err = n.deps.Operators.Await(ctx, from, n.config.manifestWait())
 		} else {
 			m, from, err = n.deps.Operators.Manifest(ctx)
 			loaded = err == nil && m != nil
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -12,7 +12,8 @@
 	PriorLeaseMS int64
 	// GangTimeoutMS is how long a gang member waits for the others.
 	GangTimeoutMS int64
-	// InterferenceMS is how long a serving task may be over its target.
+	// InterferenceMS is how long a serving task may be over its target because
+	// of what fills beside it.
 	InterferenceMS int64
 	// StopTimeoutMS is how long a stop takes at most, RestoreMS how long a task
 	// takes to resume from a checkpoint.
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -39,10 +39,10 @@
 	tightenBy = 0.6
 	loosenBy  = 0.1
 	// overTail is the smoothed tail from which a task counts as over its target.
-	// After overLimitMS of that nothing fills beside it: users allow some 4 s,
-	// of which readings, smoothing and the order take 2.
-	overTail    = 0.97
-	overLimitMS = 1000
+	// After a quarter of InterferenceMS nothing fills beside it any more; the
+	// readings, their smoothing and the order take half of that time.
+	overTail       = 0.97
+	overLimitShare = 4
 	// closeTail is the tail above which a worker is looked at every closeWaitMS.
 	closeTail   = 0.8
 	closeWaitMS = 300
@@ -74,7 +74,7 @@
 func (i *interference) allowed() float64 { return 1 - i.tightened }
 
 // control cuts the margins while the tails are over what the model expects.
-func (i *interference) control() {
+func (i *interference) control(overLimitMS int64) {
 	switch {
 	case i.overMS > overLimitMS:
 		i.tightened = 1
@@ -125,7 +125,7 @@
 	if c.now.MS-in.changedMS < paceIntervalMS {
 		return
 	}
-	in.control()
+	in.control(c.config.InterferenceMS / overLimitShare)
 	c.setPaces(w)
 	c.moveFill(w)
 }
