--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -186,13 +186,13 @@
 			c.Assert(math.Abs(own.now(int64(i*100))-load) < 0.1, qt.IsTrue, qt.Commentf("own tail %.2f, want %.2f", own.now(int64(i*100)), load))
 		}
 	}
-	c.Assert(d.coefficient("serve", "loud") > 4, qt.IsTrue)
-	c.Assert(d.coefficient("serve", "quiet") < 0.6, qt.IsTrue)
+	c.Assert(d.model("serve").coefficient(d.column("loud")) > 4, qt.IsTrue)
+	c.Assert(d.model("serve").coefficient(d.column("quiet")) < 0.6, qt.IsTrue)
 	value, err := d.record()
 	c.Assert(err, qt.IsNil)
 	next := newDisturbance()
 	c.Assert(next.restore(value), qt.IsNil)
-	c.Assert(next.coefficient("serve", "loud") > 2*next.coefficient("serve", "quiet"), qt.IsTrue)
+	c.Assert(next.model("serve").coefficient(next.column("loud")) > 2*next.model("serve").coefficient(next.column("quiet")), qt.IsTrue)
 	c.Assert(next.restore([]byte("{")), qt.IsNotNil)
 }
 
--- a/internal/planner/disturb.go
+++ b/internal/planner/disturb.go
@@ -159,13 +159,8 @@
 	}
 }
 
-// coefficient returns by how much a filling image that uses all processors
-// would raise the serving image's tail, as a share of that tail.
-func (d *disturbance) coefficient(serving, fill string) float64 {
-	return d.model(serving).coefficient(d.column(fill))
-}
-
-// coefficient is that of the filling image in the given column.
+// coefficient returns by how much the filling image of the column would raise
+// the serving image's tail, as a share of that tail, if it used all processors.
 func (m *tailModel) coefficient(column int) float64 {
 	if !m.fresh || column >= len(m.cautious) {
 		m.refresh(column + 1)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	syscallContinue = syscall.SIGCONT
+	// longestSeries bounds the faults that follow each other without a pause.
+	longestSeries = 4
 	// graceTime is how long the platform waits after SIGTERM.
 	graceTime = 6 * time.Second
 	// longest bounds a fault; leases last 6 s at most.
@@ -23,7 +24,11 @@
 func (r *run) harm(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(rng.IntN(2500))*time.Millisecond)
-		for range 1 + rng.IntN(3)/2*rng.IntN(4) {
+		length := 1
+		if rng.IntN(3) == 0 {
+			length += rng.IntN(longestSeries)
+		}
+		for range length {
 			if ctx.Err() != nil {
 				return
 			}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -191,7 +192,7 @@
 	close(r.stop)
 	for _, in := range r.instances {
 		if in.running() {
-			in.signal(9)
+			in.signal(syscall.SIGKILL)
 			<-in.ended
 		}
 		in.callers.close()
@@ -214,7 +215,7 @@
 		for _, p := range []*proxy{in.callers, in.peer, in.store} {
 			p.set(0, false, false)
 		}
-		in.signal(syscallContinue)
+		in.signal(syscall.SIGCONT)
 		if !in.running() {
 			if err := in.start(); err != nil {
 				r.truth.Report("%v", err)
