Remove a flag of the soak that nothing reads

Found in the last read of the change: run.calm was set once and never looked at. No behaviour changes; go vet and the build pass, the soak tests were not run again on this commit.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -78,7 +78,6 @@
 	servers   []*http.Server
 	probe     *http.Client
 	stop      chan struct{}
-	calm      atomic.Bool
 	faults    atomic.Int64
 	completed atomic.Int64
 	version   int
@@ -126,7 +125,6 @@
 	r.heal()
 	limited, cancelCalm := context.WithTimeout(ctx, options.Calm)
 	defer cancelCalm()
-	r.calm.Store(true)
 	ended := make(chan struct{})
 	go func() { callers.Wait(); close(ended) }()
 	select {
