Log why ends wait and which bound has ended a job

job_ended names the task, its failures and the bound; term_begins names the version of the configuration. ends_wait is written once for a worker whose ends have waited for 2 s, with what holds them up, and ends_acknowledged when the wait is over.

--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -89,7 +89,11 @@
 	n.term = t
 	n.stats.elections.Inc(1)
 	n.leader.Store(&leaderInfo{epoch: c.Epoch, peer: c.Peer, self: true})
-	n.log("term_begins", zap.Uint64("epoch", c.Epoch), zap.Int("workers", len(infos)), zap.Int("jobs", len(n.book.Jobs)))
+	version := int64(0)
+	if n.manifest != nil {
+		version = n.manifest.Version
+	}
+	n.log("term_begins", zap.Uint64("epoch", c.Epoch), zap.Int64("version", version), zap.Int("workers", len(infos)), zap.Int("jobs", len(n.book.Jobs)))
 	if n.manifest != nil {
 		n.step(planner.QueuesChanged{Queues: n.manifest.queues()})
 	}
--- /dev/null
+++ b/internal/planner/acks.go
@@ -0,0 +1,51 @@
+package planner
+
+import "strconv"
+
+// ackWarnMS is half of the shortest bound within which operators expect the
+// end of a run to be acknowledged (4 s); a longer wait is logged.
+const ackWarnMS = 2000
+
+// ackWait is how long the ends of a worker's runs have waited for their
+// acknowledgement.
+type ackWait struct {
+	// sinceMS is when the wait began, or when the last end was acknowledged; 0
+	// while nothing waits.
+	sinceMS int64
+	// logged is set once the log tells of the wait.
+	logged bool
+}
+
+// watchAck logs a wait that takes long, with what holds it up, and its end.
+func (c *Core) watchAck(w *worker) {
+	wait := &w.ackWait
+	if w.seen <= w.acked {
+		if wait.logged {
+			c.emit(Decision{Event: "ends_acknowledged", Worker: w.info.ID, AgeMS: c.now.MS - wait.sinceMS})
+		}
+		*wait = ackWait{}
+		return
+	}
+	if wait.sinceMS == 0 {
+		wait.sinceMS = c.now.MS
+	}
+	if !wait.logged && c.now.MS-wait.sinceMS >= ackWarnMS {
+		wait.logged = true
+		c.emit(Decision{Event: "ends_wait", Worker: w.info.ID, Reason: c.ackBlocked(w), AgeMS: c.now.MS - wait.sinceMS})
+	}
+}
+
+// ackBlocked says what holds up the acknowledgement of a worker's ends.
+func (c *Core) ackBlocked(w *worker) string {
+	waiting := " waiting=" + strconv.FormatInt(w.seen-w.acked, 10)
+	switch {
+	case c.suspended:
+		return "leadership in doubt" + waiting
+	case len(w.heldEnds) > 0 && w.ackable() <= w.acked:
+		return "end of an unknown job " + string(w.heldEnds[0].end.Task.Job) + waiting
+	case c.journal.outstanding:
+		return "write outstanding for " + strconv.FormatInt(c.now.MS-c.journal.lastMS, 10) + " ms, dirty jobs " + strconv.Itoa(len(c.journal.dirty)) + waiting
+	default:
+		return "not recorded yet" + waiting
+	}
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"slices"
 
 	"redwingvale/internal/jobs"
@@ -157,8 +158,8 @@
 	if t.step.spec.LongRunning {
 		return
 	}
-	if j.progress.FailuresOf(counted.ref()) >= j.queue.MaxAttempts && !c.off.budget {
-		c.end(j, jobs.Failed, "a task has used up its attempts")
+	if failures := j.progress.FailuresOf(counted.ref()); failures >= j.queue.MaxAttempts && !c.off.budget {
+		c.end(j, jobs.Failed, fmt.Sprintf("a task has used up its attempts: task=%s failures=%d attempts=%d", counted.ref(), failures, j.queue.MaxAttempts))
 	}
 }
 
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -21,6 +21,7 @@
 	// seen is the last end that was processed, acked the last that may be
 	// acknowledged.
 	seen, acked int64
+	ackWait     ackWait
 
 	holds      int
 	holdSentMS int64
@@ -183,6 +184,7 @@
 		c.loseRuns(w, "lease_over")
 	}
 	w.dropHeldEnds(c.now.MS)
+	c.watchAck(w)
 	c.watchRuns(w)
 }
 
@@ -300,6 +302,6 @@
 func (c *Core) reborn(w *worker, bornMS int64) {
 	c.emit(Decision{Event: "worker_reborn", Worker: w.info.ID})
 	w.bornMS, w.seen, w.acked, w.clockMS, w.leaseEndMS, w.inheritedEndMS, w.confirmed = bornMS, 0, 0, 0, 0, 0, 0
-	w.orphans, w.heldEnds = nil, nil
+	w.orphans, w.heldEnds, w.ackWait = nil, nil, ackWait{}
 	w.health.reset()
 }
