Decide a job's failure only by a bound that is known

Cause: the planner gave a queue that it did not know one attempt, and a term begins without waiting for the configuration. A failed end that the new leader reads first ends the job, and a recorded end never reverts. Ruled out: one run counted twice (failures are listed by run number).

A job now keeps the policy under which it was accepted. The newest policy that is known bounds the attempts: the configuration's, then the job's own. While the configuration has not been read in a term nothing is decided and no run starts that the bound may forbid; each version that is put in force judges the counted failures again. The deadline of waiting steps follows too: it was computed once, before the first configuration of a term. A missing bound in the configuration is no longer raised to one attempt: it means no bound and is logged as attempts_unbounded.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -20,6 +20,18 @@
 // ID names a job. The caller chooses it.
 type ID string
 
+// Policy is what the operators' configuration says of a queue.
+type Policy struct {
+	Service  string `json:"s,omitempty"`
+	Priority int    `json:"p,omitempty"`
+	// MaxAttempts bounds the failed runs of a task; 0 is no bound.
+	MaxAttempts     int     `json:"a,omitempty"`
+	Stretch         float64 `json:"x,omitempty"`
+	TargetLatencyMS int64   `json:"t,omitempty"`
+	// Advised queues need the placement adviser's permission for a worker.
+	Advised bool `json:"v,omitempty"`
+}
+
 // Job is one submission: what to run, in which order, and how often.
 type Job struct {
 	Queue   string `json:"q"`
@@ -32,6 +44,9 @@
 	IntervalMS int64 `json:"i,omitempty"`
 	// SubmittedMS is when the job was taken in, in Unix milliseconds.
 	SubmittedMS int64 `json:"t,omitempty"`
+	// Policy is the queue's policy under which the job was accepted. It stands in
+	// for the configuration where that is not known or has dropped the queue.
+	Policy *Policy `json:"p,omitempty"`
 }
 
 // Step is a set of equal tasks that start when the steps before it are done.
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -42,6 +42,9 @@
 	n.stats.submitted.Inc(1)
 	begun := time.Now()
 	job.SubmittedMS = begun.UnixMilli()
+	if v := n.view.Load(); v != nil {
+		job.Policy = v.policies[job.Queue]
+	}
 	encoded, err := jobs.EncodeJob(job)
 	if err != nil {
 		return Result{Code: code.Internal}
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -112,7 +112,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return &Manifest{Version: m.version, Queues: []QueueRoute{{
-		Queue: planner.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000},
+		Queue: planner.Queue{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}},
 		Host:  "h", Prefix: "/q/",
 	}}}, 0, nil
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -262,6 +262,11 @@
 	}
 	n.view.Store(newView(m))
 	n.log("manifest_in_force", zap.Int64("version", m.Version), zap.Int("queues", len(m.Queues)))
+	for i := range m.Queues {
+		if q := &m.Queues[i]; q.MaxAttempts == 0 {
+			n.tele.Log.Warn("attempts_unbounded", zap.Int64("version", m.Version), zap.String("queue", q.Name))
+		}
+	}
 	n.post(ctx, func() {
 		n.manifest = m
 		n.step(planner.QueuesChanged{Queues: m.queues()})
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -1,16 +1,24 @@
 package node
 
-import "strings"
+import (
+	"strings"
+
+	"redwingvale/internal/jobs"
+)
 
 // view is the manifest as the request path reads it.
 type view struct {
 	version int64
 	hosts   map[string][]QueueRoute
+	// policies holds the policy of each queue by the queue's name.
+	policies map[string]*jobs.Policy
 }
 
 func newView(m *Manifest) *view {
-	v := &view{version: m.Version, hosts: map[string][]QueueRoute{}}
+	v := &view{version: m.Version, hosts: map[string][]QueueRoute{}, policies: map[string]*jobs.Policy{}}
 	for _, q := range m.Queues {
+		policy := q.Policy
+		v.policies[q.Name] = &policy
 		v.hosts[q.Host] = append(v.hosts[q.Host], q)
 	}
 	return v
--- /dev/null
+++ b/internal/planner/attempts.go
@@ -0,0 +1,151 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+
+	"redwingvale/internal/jobs"
+)
+
+// bound is how many failed runs of a task end its job.
+type bound struct {
+	// attempts is 0 where there is no bound.
+	attempts int
+	// certain is false while the configuration has not been read in this term:
+	// then nothing final is decided, and no run starts that the bound may forbid.
+	certain bool
+}
+
+// queueOf returns the queue of a job with the newest policy that is known: that
+// of the configuration, or the one under which the job was accepted. A queue
+// without any has no workers.
+func (c *Core) queueOf(spec *jobs.Job) *Queue {
+	if q := c.queues[spec.Queue]; q != nil {
+		return q
+	}
+	q := &Queue{Name: spec.Queue}
+	if spec.Policy != nil {
+		q.Policy = *spec.Policy
+	}
+	return q
+}
+
+// boundOf returns the bound on the attempts of a job's tasks.
+func (c *Core) boundOf(j *job) bound {
+	switch {
+	case c.queues[j.spec.Queue] != nil:
+		return bound{j.queue.MaxAttempts, true}
+	case j.spec.Policy != nil:
+		return bound{j.queue.MaxAttempts, c.configured}
+	default:
+		// The lowest bound that a queue can have.
+		return bound{1, false}
+	}
+}
+
+// setQueues puts a version of the configuration in force. A queue that is gone
+// keeps its last policy for the jobs that it still has. Failures that were
+// counted under another bound are judged again.
+func (c *Core) setQueues(queues []Queue) {
+	c.configured = true
+	for i := range queues {
+		q := queues[i]
+		c.queues[q.Name] = &q
+	}
+	for _, id := range c.jobIDs() {
+		j := c.jobs[id]
+		j.queue = c.queueOf(j.spec)
+		deadline := c.deadline(j)
+		for _, s := range j.steps {
+			s.deadlineMS = deadline
+		}
+		c.judge(j)
+	}
+	c.wake = true
+}
+
+// jobIDs returns the jobs in a fixed order.
+func (c *Core) jobIDs() []jobs.ID {
+	ids := make([]jobs.ID, 0, len(c.jobs))
+	for id := range c.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// taskFailed counts a failure and gives the job up when the queue's attempts
+// are used up.
+func (c *Core) taskFailed(t *task, w *worker, number int) {
+	t.step.job.progress.AddFailure(t.counted(), number)
+	if !slices.Contains(t.avoid, w) {
+		t.avoid = append(t.avoid, w)
+	}
+	c.judgeTask(t)
+}
+
+// counted is the task for which a failure counts: the failures of a gang count
+// together.
+func (t *task) counted() jobs.Task {
+	if t.step.spec.Gang {
+		return t.step.tasks[0].ref()
+	}
+	return t.ref()
+}
+
+// exhausted reports whether the task must not start again.
+func (c *Core) exhausted(t *task) bool {
+	j := t.step.job
+	if t.step.spec.LongRunning || len(j.progress.Failures) == 0 || c.off.budget {
+		return false
+	}
+	b := c.boundOf(j)
+	return b.attempts > 0 && j.progress.FailuresOf(t.counted()) >= b.attempts
+}
+
+// judgeTask ends the job if the task is exhausted under a bound that is certain.
+func (c *Core) judgeTask(t *task) {
+	j := t.step.job
+	if j.state.Final() || !c.exhausted(t) {
+		return
+	}
+	ref, b := t.counted(), c.boundOf(j)
+	failures := j.progress.FailuresOf(ref)
+	if !b.certain {
+		c.holdBack(t)
+		c.emit(Decision{Event: "verdict_waits", Job: j.id, Task: ref.String(), Reason: fmt.Sprintf("configuration not read: failures=%d attempts=%d", failures, b.attempts)})
+		return
+	}
+	c.end(j, jobs.Failed, fmt.Sprintf("a task has used up its attempts: task=%s failures=%d attempts=%d", ref, failures, b.attempts))
+}
+
+// holdBack takes a task, or its whole gang, out of what waits for a worker.
+func (c *Core) holdBack(t *task) {
+	if !t.step.spec.Gang {
+		c.unqueue(t)
+		return
+	}
+	for i := range t.step.tasks {
+		c.unqueue(&t.step.tasks[i])
+	}
+}
+
+// judge looks at all failures of a job again: those that use up the attempts
+// end it, the other tasks may start again.
+func (c *Core) judge(j *job) {
+	if len(j.progress.Failures) == 0 {
+		return
+	}
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			if t.done || j.progress.FailuresOf(t.counted()) == 0 {
+				continue
+			}
+			c.judgeTask(t)
+			if !j.state.Final() && len(t.runs) == 0 {
+				c.requeue(t)
+			}
+		}
+	}
+}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -20,8 +20,10 @@
 	// settled is set once every worker has answered, or has had its chance to.
 	settled bool
 
-	queues  map[string]*Queue
-	workers map[WorkerID]*worker
+	queues map[string]*Queue
+	// configured is set once the configuration has been read in this term.
+	configured bool
+	workers    map[WorkerID]*worker
 	// order holds the workers sorted by id.
 	order []*worker
 	jobs  map[jobs.ID]*job
@@ -192,27 +194,6 @@
 	c.purge()
 }
 
-// setQueues replaces the queues' policies; a queue that is gone keeps its
-// last policy for the jobs that it still has.
-func (c *Core) setQueues(queues []Queue) {
-	for i := range queues {
-		q := queues[i]
-		c.queues[q.Name] = &q
-	}
-	for _, j := range c.jobs {
-		j.queue = c.queueOf(j.spec.Queue)
-	}
-	c.wake = true
-}
-
-// queueOf returns the policy of a queue; an unknown queue has no workers.
-func (c *Core) queueOf(name string) *Queue {
-	if q := c.queues[name]; q != nil {
-		return q
-	}
-	return &Queue{Name: name, MaxAttempts: 1}
-}
-
 // Waiting returns the number of a queue's accepted jobs of which no task has
 // started.
 func (c *Core) Waiting(queue string) int {
--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -21,7 +21,7 @@
 	d := &direct{now: 1_000_000}
 	d.core = New(config, jobs.NewBook(), 1, d.time())
 	d.core.off = off
-	d.step(QueuesChanged{Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}})
+	d.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}}})
 	return d
 }
 
@@ -257,8 +257,8 @@
 	c := qt.New(t)
 	d := newDirect(safeguards{})
 	d.step(QueuesChanged{Queues: []Queue{
-		{Name: "q", Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 9, TargetLatencyMS: 1000},
-		{Name: "batch", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 9, TargetLatencyMS: 1000},
+		{Name: "q", Policy: jobs.Policy{Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 9, TargetLatencyMS: 1000}},
+		{Name: "batch", Policy: jobs.Policy{Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 9, TargetLatencyMS: 1000}},
 	}})
 	small := testWorker
 	small.Capacity = Room{CPUMilli: 10_000, MemoryMB: 64_000}
@@ -321,7 +321,7 @@
 	config.FirstTerm = false
 	second := &direct{now: first.now + 1000}
 	second.core = New(config, book, 2, second.time())
-	second.step(QueuesChanged{Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}})
+	second.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}}})
 	second.step(WorkersChanged{Workers: []WorkerInfo{other}})
 	effects := append(second.report(other, Report{BornMS: 7, ClockMS: 100}), second.wait(1000)...)
 	_, started := find[Start](effects)
@@ -434,7 +434,7 @@
 	config.FirstTerm, config.PriorLeaseMS, config.MaxLeaseMS = false, 4000, 60_000
 	second := &direct{now: first.now + 1000}
 	second.core = New(config, first.core.book, 2, second.time())
-	second.step(QueuesChanged{Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}})
+	second.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}}})
 	other := testWorker
 	other.ID, other.Address = "other", "b"
 	second.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}})
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -168,6 +168,7 @@
 	j.started = j.state == jobs.Active
 	c.adoptOrphans(id)
 	c.openSteps(j)
+	c.judge(j)
 }
 
 func progressOf(entry *jobs.Entry) *jobs.Progress {
@@ -179,7 +180,7 @@
 
 func (c *Core) newJob(id jobs.ID, spec *jobs.Job, progress *jobs.Progress, inherited bool) *job {
 	j := &job{
-		id: id, spec: spec, progress: progress, queue: c.queueOf(spec.Queue),
+		id: id, spec: spec, progress: progress, queue: c.queueOf(spec),
 		state: jobs.Queued, inherited: inherited, arrivedMS: c.now.MS,
 	}
 	if spec.SubmittedMS > 0 {
@@ -305,7 +306,7 @@
 // requeue lets a task wait for a worker.
 func (c *Core) requeue(t *task) {
 	s := t.step
-	if t.waiting || t.done || s.job.state.Final() || !s.queued {
+	if t.waiting || t.done || s.job.state.Final() || !s.queued || c.exhausted(t) {
 		return
 	}
 	t.waiting = true
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -1,11 +1,6 @@
 package planner
 
-import (
-	"fmt"
-	"slices"
-
-	"redwingvale/internal/jobs"
-)
+import "slices"
 
 // start sends a task to a worker.
 func (c *Core) start(t *task, w *worker, number int, reason string) *run {
@@ -101,6 +96,7 @@
 	}
 	t.lastRun = max(t.lastRun, end.Run)
 	j := t.step.job
+	j.started = true
 	d := Decision{Event: "run_ended", Job: j.id, Task: end.Task.String(), Run: end.Run, Worker: w.info.ID, Reason: string(end.Kind)}
 	if r != nil {
 		d.AgeMS = c.now.MS - r.sentMS
@@ -143,26 +139,6 @@
 	}
 }
 
-// taskFailed counts a failure and gives the job up when the queue's attempts
-// are used up. A gang's failures count together.
-func (c *Core) taskFailed(t *task, w *worker, number int) {
-	j := t.step.job
-	counted := t
-	if t.step.spec.Gang {
-		counted = &t.step.tasks[0]
-	}
-	j.progress.AddFailure(counted.ref(), number)
-	if !slices.Contains(t.avoid, w) {
-		t.avoid = append(t.avoid, w)
-	}
-	if t.step.spec.LongRunning {
-		return
-	}
-	if failures := j.progress.FailuresOf(counted.ref()); failures >= j.queue.MaxAttempts && !c.off.budget {
-		c.end(j, jobs.Failed, fmt.Sprintf("a task has used up its attempts: task=%s failures=%d attempts=%d", counted.ref(), failures, j.queue.MaxAttempts))
-	}
-}
-
 // keepCheckpoint remembers where a task resumes. A checkpoint of any member
 // stands for its gang.
 func (c *Core) keepCheckpoint(t *task, checkpoint string) {
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -55,16 +55,10 @@
 	LeavesInMS int64
 }
 
-// Queue is the policy of one queue of jobs.
+// Queue is a queue of jobs and its policy.
 type Queue struct {
-	Name            string
-	Service         string
-	Priority        int
-	MaxAttempts     int
-	Stretch         float64
-	TargetLatencyMS int64
-	// Advised queues need the placement adviser's permission for a worker.
-	Advised bool
+	Name string
+	jobs.Policy
 }
 
 // Event is something the core learns of.
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -8,7 +9,7 @@
 	"redwingvale/internal/jobs"
 )
 
-var testQueue = Queue{Name: "q", Service: "s", MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000}
+var testQueue = Queue{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000}}
 
 // successor is the leader of the next term on the same log, before it has read
 // the configuration.
@@ -43,6 +44,81 @@
 	c.Assert(started, qt.IsTrue)
 }
 
+// Guards against a verdict by the wrong bound of attempts: the newest
+// configuration that has been read decides, then the policy under which the
+// job was accepted, and nothing is decided before the configuration was read.
+func TestWhichBoundEndsAJob(t *testing.T) {
+	recorded := &jobs.Policy{Service: "s", MaxAttempts: 2}
+	with := func(attempts int) []Queue {
+		return []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: attempts}}}
+	}
+	for _, test := range []struct {
+		name     string
+		policy   *jobs.Policy
+		failures int
+		queues   []Queue
+		// The job's state before and after the configuration is read, and whether
+		// the task starts again before and after.
+		before, after             jobs.State
+		startsBefore, startsAfter bool
+	}{
+		{"not known at all", nil, 3, []Queue{}, jobs.Active, jobs.Active, false, false},
+		{"queue dropped, attempts left", recorded, 1, []Queue{}, jobs.Active, jobs.Active, true, false},
+		{"queue dropped, attempts used up", recorded, 2, []Queue{}, jobs.Active, jobs.Failed, false, false},
+		{"bound raised", recorded, 2, with(3), jobs.Active, jobs.Active, false, true},
+		{"bound lowered", recorded, 1, with(1), jobs.Active, jobs.Failed, true, false},
+		{"no bound", recorded, 9, with(0), jobs.Active, jobs.Active, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			first := newDirect(safeguards{})
+			encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Policy: test.policy, Steps: []jobs.Step{{Count: 2, CPUMilli: 100, EstimateMS: 900}}})
+			c.Assert(err, qt.IsNil)
+			first.confirm(first.step(SubmitRequested{ID: "j", Encoded: encoded}))
+			first.confirm(first.wait(100))
+			second := first.successor()
+			report := Report{BornMS: 7, ClockMS: 2000}
+			for i := range test.failures {
+				report.Ended = append(report.Ended, EndedTask{Number: int64(i + 1), Task: jobs.Task{Job: "j"}, Run: i + 1, Kind: EndFailed})
+			}
+			starts := func(effects []Effect) (n int) {
+				for _, e := range effects {
+					if s, ok := e.(Start); ok && s.Task.Index == 0 {
+						n++
+					}
+				}
+				return n
+			}
+			second.confirm(second.report(testWorker, report))
+			early := second.wait(200)
+			second.confirm(early)
+			state, _ := second.core.State("j")
+			c.Check(state, qt.Equals, test.before)
+			c.Check(starts(early) > 0, qt.Equals, test.startsBefore)
+			effects := second.step(QueuesChanged{Queues: test.queues})
+			second.confirm(effects)
+			effects = append(slices.Clone(effects), second.wait(8000)...)
+			state, _ = second.core.State("j")
+			c.Check(state, qt.Equals, test.after)
+			c.Check(starts(effects) > 0, qt.Equals, test.startsAfter)
+		})
+	}
+}
+
+// Guards the order of waiting work after a takeover: a deadline that was
+// computed before the configuration was read is computed again.
+func TestDeadlineFollowsConfiguration(t *testing.T) {
+	c := qt.New(t)
+	first := newDirect(safeguards{})
+	first.confirm(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	first.confirm(first.wait(100))
+	want := first.core.jobs["j"].steps[0].deadlineMS
+	second := first.successor()
+	second.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}}})
+	j := second.core.jobs["j"]
+	c.Assert(j.steps[0].deadlineMS-j.arrivedMS, qt.Equals, want-first.core.jobs["j"].arrivedMS)
+}
+
 // ackBoundMS is the users' bound for the acknowledgement of an end after a
 // disturbance is over.
 const ackBoundMS = 4000
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -93,9 +93,9 @@
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: 1_000_000, faults: faults,
 		config: Config{LeaseMS: 4000, PriorLeaseMS: 4000, MaxLeaseMS: 10_000, GangTimeoutMS: 3000, InterferenceMS: 4000, StatusMS: 120_000, OptimisticStart: true},
 		queues: []Queue{
-			{Name: "urgent", Service: "s", Priority: 0, MaxAttempts: 4, Stretch: 1.5, TargetLatencyMS: 250},
-			{Name: "batch", Service: "s", Priority: 2, MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000},
-			{Name: "watch", Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 2500},
+			{Name: "urgent", Policy: jobs.Policy{Service: "s", Priority: 0, MaxAttempts: 4, Stretch: 1.5, TargetLatencyMS: 250}},
+			{Name: "batch", Policy: jobs.Policy{Service: "s", Priority: 2, MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000}},
+			{Name: "watch", Policy: jobs.Policy{Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 2500}},
 		},
 		jobs: map[jobs.ID]*submitted{}, tickets: map[uint64]jobs.ID{}, cancels: map[uint64]jobs.ID{},
 		acked: map[jobs.Task]bool{}, done: map[jobs.Task]bool{}, failed: map[jobs.Task]int{},
