Record the ends of unknown jobs instead of holding them back

Cause: a leader starts tasks while their submission is being recorded. When it falls before the record is written, the next leader finds ends of jobs that the log does not hold. It kept such an end back for 15 s, in case the caller repeats the submission, and with it every later end of its worker, since acknowledgements are a cursor. With a slow log before the takeover nearly every worker had such an end: ends_wait named one on 41 of 48 workers, 15.04 s each.

The end is now recorded under a key of its own (e/ID) and acknowledged when that is confirmed; whoever leads when the submission comes takes the recorded ends into the job's progress. So no acknowledgement depends on a caller, and nothing is forgotten after 15 s either: a task that was done more than 15 s before its job came back could run again before.

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -12,6 +12,7 @@
 	submissionPrefix   = "s/"
 	progressPrefix     = "p/"
 	cancellationPrefix = "c/"
+	earlyEndsPrefix    = "e/"
 )
 
 // LearnedKey holds what the leader has learned of the jobs' behaviour. It may
@@ -34,6 +35,8 @@
 	Job       *Job
 	Progress  *Progress
 	Cancelled bool
+	// EarlyEnds are ends of runs that were recorded before the submission.
+	EarlyEnds []EarlyEnd
 }
 
 // State returns the recorded state of the job.
@@ -88,7 +91,7 @@
 	}
 	prefix, id := r.Key[:2], ID(r.Key[2:])
 	switch prefix {
-	case submissionPrefix, progressPrefix, cancellationPrefix:
+	case submissionPrefix, progressPrefix, cancellationPrefix, earlyEndsPrefix:
 	default:
 		return "", nil
 	}
@@ -124,6 +127,12 @@
 		e.Progress = progress
 	case cancellationPrefix:
 		e.Cancelled = true
+	case earlyEndsPrefix:
+		var ends []EarlyEnd
+		if err := json.Unmarshal(value, &ends); err != nil {
+			return errors.Wrap(err, "decode early ends")
+		}
+		e.EarlyEnds = ends
 	}
 	return nil
 }
@@ -140,8 +149,10 @@
 		entry.Progress = nil
 	case cancellationPrefix:
 		entry.Cancelled = false
+	case earlyEndsPrefix:
+		entry.EarlyEnds = nil
 	}
-	if entry.Job == nil && entry.Progress == nil && !entry.Cancelled {
+	if entry.Job == nil && entry.Progress == nil && !entry.Cancelled && entry.EarlyEnds == nil {
 		delete(b.Jobs, id)
 	}
 }
@@ -180,9 +191,13 @@
 		{Key: submissionPrefix + string(id)},
 		{Key: cancellationPrefix + string(id)},
 		{Key: progressPrefix + string(id)},
+		DropEarlyEnds(id),
 	}
 }
 
+// DropEarlyEnds returns the record that removes a job's early ends.
+func DropEarlyEnds(id ID) Record { return Record{Key: earlyEndsPrefix + string(id)} }
+
 // Submitted returns the job that a record submits, or "".
 func Submitted(r Record) ID {
 	if id, ok := strings.CutPrefix(r.Key, submissionPrefix); ok && len(r.Value) > 0 {
--- /dev/null
+++ b/internal/jobs/early.go
@@ -0,0 +1,60 @@
+package jobs
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// EarlyEnd is the end of a run of a job that the log does not hold: a leader
+// may start tasks while their submission is being recorded, and fall before it
+// is. The end counts once the caller repeats the submission.
+type EarlyEnd struct {
+	Occurrence int `json:"o,omitempty"`
+	Step       int `json:"s,omitempty"`
+	Index      int `json:"x,omitempty"`
+	Run        int `json:"r"`
+	// Done is false for a run that has failed.
+	Done bool `json:"d,omitempty"`
+}
+
+// EarlyEndsRecord returns the record of all early ends of a job.
+func EarlyEndsRecord(id ID, ends []EarlyEnd) (Record, error) {
+	value, err := json.Marshal(ends)
+	return Record{Key: earlyEndsPrefix + string(id), Value: value}, errors.Wrap(err, "encode early ends")
+}
+
+// AddEarlyEnds takes the ends into the progress of a job that has become
+// known. Ends that are counted already change nothing, and those of tasks that
+// the job does not have are left out.
+func (p *Progress) AddEarlyEnds(id ID, job *Job, ends []EarlyEnd) {
+	for _, e := range ends {
+		if e.Occurrence >= job.Occurrences() || e.Step >= len(job.Steps) || e.Index >= job.Steps[e.Step].Count {
+			continue
+		}
+		p.LastRun = max(p.LastRun, e.Run)
+		step := &job.Steps[e.Step]
+		task := Task{Job: id, Occurrence: e.Occurrence, Step: e.Step, Index: e.Index}
+		switch {
+		case !e.Done:
+			p.AddFailure(step.Counted(task), e.Run)
+		case step.LongRunning:
+		case step.Gang:
+			for i := range step.Count {
+				task.Index = i
+				p.SetDone(job, task)
+			}
+		default:
+			p.SetDone(job, task)
+		}
+	}
+}
+
+// Counted is the task for which a failure counts: the failures of a gang count
+// together.
+func (s *Step) Counted(t Task) Task {
+	if s.Gang {
+		t.Index = 0
+	}
+	return t
+}
--- a/internal/planner/acks.go
+++ b/internal/planner/acks.go
@@ -41,8 +41,6 @@
 	switch {
 	case c.suspended:
 		return "leadership in doubt" + waiting
-	case len(w.heldEnds) > 0 && w.ackable() <= w.acked:
-		return "end of an unknown job " + string(w.heldEnds[0].end.Task.Job) + waiting
 	case c.journal.outstanding:
 		return "write outstanding for " + strconv.FormatInt(c.now.MS-c.journal.lastMS, 10) + " ms, dirty jobs " + strconv.Itoa(len(c.journal.dirty)) + waiting
 	default:
--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -84,14 +84,8 @@
 	c.judgeTask(t)
 }
 
-// counted is the task for which a failure counts: the failures of a gang count
-// together.
-func (t *task) counted() jobs.Task {
-	if t.step.spec.Gang {
-		return t.step.tasks[0].ref()
-	}
-	return t.ref()
-}
+// counted is the task for which a failure counts.
+func (t *task) counted() jobs.Task { return t.step.spec.Counted(t.ref()) }
 
 // exhausted reports whether the task must not start again.
 func (c *Core) exhausted(t *task) bool {
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -27,6 +27,8 @@
 	// order holds the workers sorted by id.
 	order []*worker
 	jobs  map[jobs.ID]*job
+	// early holds the ends of runs of jobs that are not submitted yet.
+	early map[jobs.ID][]jobs.EarlyEnd
 	// ready holds the steps with tasks that wait for a worker.
 	ready []*step
 	// scheduled holds the occurrences that are not due yet.
@@ -64,8 +66,8 @@
 	recordFirst bool
 	// settleStart: a start without an answer waits for a report.
 	settleStart bool
-	// holdEnds: ends of unknown jobs are not acknowledged.
-	holdEnds bool
+	// earlyEnds: ends of unknown jobs are recorded.
+	earlyEnds bool
 	// settleTerm: a new leader waits for the workers' reports.
 	settleTerm bool
 	// stepOrder: a step waits for its predecessors.
@@ -89,6 +91,7 @@
 		queues:  map[string]*Queue{},
 		workers: map[WorkerID]*worker{},
 		jobs:    map[jobs.ID]*job{},
+		early:   map[jobs.ID][]jobs.EarlyEnd{},
 		learned: durations{byQueue: map[string]*estimate{}},
 		disturb: newDisturbance(),
 
@@ -102,6 +105,9 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
+		if ends := book.Jobs[id].EarlyEnds; len(ends) > 0 {
+			c.early[id] = slices.Clone(ends)
+		}
 		c.adoptJob(id, !config.FirstTerm)
 		c.noteFinal(id)
 	}
@@ -118,11 +124,14 @@
 // noteFinal plans the removal of a job that was final before the term.
 func (c *Core) noteFinal(id jobs.ID) {
 	entry := c.book.Jobs[id]
-	if c.jobs[id] != nil || entry.Progress == nil {
-		return
+	switch {
+	case c.jobs[id] != nil:
+	case entry.Progress != nil:
+		age := max(0, c.now.UnixMS-entry.Progress.EndedMS)
+		c.journal.final = append(c.journal.final, finalJob{id, c.now.MS - age})
+	case len(entry.EarlyEnds) > 0:
+		c.journal.final = append(c.journal.final, finalJob{id, c.now.MS})
 	}
-	age := max(0, c.now.UnixMS-entry.Progress.EndedMS)
-	c.journal.final = append(c.journal.final, finalJob{id, c.now.MS - age})
 }
 
 // Step takes an event and returns what is to be done. The effects are valid
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -115,13 +115,22 @@
 		return
 	}
 	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), !c.settled)
-	c.adoptOrphans(e.ID)
 	j.submitters = []uint64{e.Ticket}
 	j.encoded = e.Encoded
 	c.journal.submissions = append(c.journal.submissions, j)
+	c.adoptOrphans(e.ID)
 	if c.config.OptimisticStart {
 		c.openSteps(j)
 	}
+	c.resume(j)
+}
+
+// resume draws the conclusions from what is known of a job's earlier runs.
+func (c *Core) resume(j *job) {
+	c.completeIfDone(j)
+	if !j.state.Final() {
+		c.judge(j)
+	}
 }
 
 // cancel stops a job and records that it is cancelled.
@@ -168,7 +177,7 @@
 	j.started = j.state == jobs.Active
 	c.adoptOrphans(id)
 	c.openSteps(j)
-	c.judge(j)
+	c.resume(j)
 }
 
 func progressOf(entry *jobs.Entry) *jobs.Progress {
@@ -187,6 +196,7 @@
 		// The age of a job survives its leader.
 		j.arrivedMS -= max(0, c.now.UnixMS-spec.SubmittedMS)
 	}
+	c.takeEarlyEnds(j)
 	base := progress.LastRun
 	if inherited {
 		base = max(base, int(c.epoch-1)*runsPerTerm)
@@ -337,8 +347,12 @@
 			c.openStep(next)
 		}
 	}
-	for _, other := range j.steps {
-		if other.done < len(other.tasks) {
+	c.completeIfDone(j)
+}
+
+func (c *Core) completeIfDone(j *job) {
+	for _, s := range j.steps {
+		if s.done < len(s.tasks) {
 			return
 		}
 	}
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -15,6 +15,8 @@
 	workersDirty bool
 	submissions  []*job
 	dirty        []*job
+	// early are the jobs whose early ends are to be recorded.
+	early []jobs.ID
 	// The content of the outstanding write.
 	written []*job
 	acks    []ackMark
@@ -57,7 +59,7 @@
 	if n.outstanding || c.now.MS-n.lastMS < writeGapMS {
 		return
 	}
-	if len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.drops) == 0 && !n.workersDirty {
+	if len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.early) == 0 && len(n.drops) == 0 && !n.workersDirty {
 		c.ackUnrecorded()
 		return
 	}
@@ -67,6 +69,7 @@
 		n.written = append(n.written, j)
 	}
 	n.submissions = nil
+	records = c.appendEarlyEnds(records)
 	for len(n.dirty) > 0 && len(records) < maxRecordsPerWrite {
 		j := n.dirty[0]
 		n.dirty = n.dirty[1:]
@@ -76,6 +79,10 @@
 			continue
 		}
 		records = append(records, record)
+		if entry := c.book.Jobs[j.id]; entry != nil && len(entry.EarlyEnds) > 0 {
+			// The progress holds them from this write on.
+			records = append(records, jobs.DropEarlyEnds(j.id))
+		}
 		n.written = append(n.written, j)
 	}
 	for _, id := range n.drops {
@@ -83,7 +90,7 @@
 	}
 	n.drops = nil
 	records = c.appendLearned(c.appendWorkers(records))
-	if len(n.dirty) == 0 {
+	if len(n.dirty) == 0 && len(n.early) == 0 {
 		c.collectAcks()
 	}
 	n.seq++
@@ -130,8 +137,8 @@
 // collectAcks notes which ends the outstanding write covers.
 func (c *Core) collectAcks() {
 	for _, w := range c.order {
-		if n := w.ackable(); n > w.acked {
-			c.journal.acks = append(c.journal.acks, ackMark{w, w.bornMS, n})
+		if w.seen > w.acked {
+			c.journal.acks = append(c.journal.acks, ackMark{w, w.bornMS, w.seen})
 		}
 	}
 }
@@ -140,8 +147,8 @@
 // that are final already.
 func (c *Core) ackUnrecorded() {
 	for _, w := range c.order {
-		if n := w.ackable(); n > w.acked {
-			c.ack(ackMark{w, w.bornMS, n})
+		if w.seen > w.acked {
+			c.ack(ackMark{w, w.bornMS, w.seen})
 		}
 	}
 }
@@ -185,7 +192,7 @@
 		}
 	}
 	entry := c.book.Known(j.id)
-	if entry == nil || !entry.State().Final() || j.dirty {
+	if entry == nil || !entry.State().Final() || j.dirty || c.jobs[j.id] != j {
 		return
 	}
 	for _, ticket := range j.cancellers {
@@ -196,11 +203,24 @@
 	c.journal.final = append(c.journal.final, finalJob{j.id, c.now.MS})
 }
 
-// purge drops the records of jobs that have been final for long enough.
+// purge drops the records of jobs that have been final for long enough, and
+// early ends of jobs that nobody has submitted.
 func (c *Core) purge() {
 	n := &c.journal
 	for len(n.final) > 0 && c.now.MS-n.final[0].atMS > c.config.StatusMS+purgeMarginMS && len(n.drops) < maxRecordsPerWrite/4 {
-		n.drops = append(n.drops, n.final[0].id)
+		id := n.final[0].id
 		n.final = n.final[1:]
+		if c.jobs[id] != nil || c.endedWithin(id, c.config.StatusMS) {
+			// Ends came before the submission; the job is listed again when it ends.
+			continue
+		}
+		delete(c.early, id)
+		n.drops = append(n.drops, id)
 	}
 }
+
+// endedWithin reports whether a job has become final in the last ms.
+func (c *Core) endedWithin(id jobs.ID, ms int64) bool {
+	entry := c.book.Jobs[id]
+	return entry != nil && entry.Progress != nil && c.now.UnixMS-entry.Progress.EndedMS < ms
+}
--- a/internal/planner/orphans.go
+++ b/internal/planner/orphans.go
@@ -52,40 +52,5 @@
 			}
 		}
 		w.orphans = kept
-		held := w.heldEnds
-		w.heldEnds = nil
-		for i := range held {
-			if held[i].end.Task.Job == id {
-				c.ended(w, &held[i].end)
-			} else {
-				w.heldEnds = append(w.heldEnds, held[i])
-			}
-		}
-	}
-}
-
-// heldEnd is the end of a task whose job the log does not hold. It is not
-// acknowledged while the caller may still bring the job back: a task that is
-// done must not start again, and a failure counts.
-type heldEnd struct {
-	end     EndedTask
-	sinceMS int64
-}
-
-// heldEndMS is longer than callers repeat a submission.
-const heldEndMS = 15_000
-
-// ackable returns the number of the last end that may be acknowledged once
-// what was processed is recorded.
-func (w *worker) ackable() int64 {
-	if len(w.heldEnds) > 0 {
-		return min(w.seen, w.heldEnds[0].end.Number-1)
-	}
-	return w.seen
-}
-
-func (w *worker) dropHeldEnds(nowMS int64) {
-	for len(w.heldEnds) > 0 && nowMS-w.heldEnds[0].sinceMS > heldEndMS {
-		w.heldEnds = w.heldEnds[1:]
 	}
 }
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -254,7 +254,7 @@
 		{"lease wait", safeguards{leaseWait: true}, 1},
 		{"record first", safeguards{recordFirst: true}, 1},
 		{"settle start", safeguards{settleStart: true}, 1},
-		{"hold ends", safeguards{holdEnds: true}, 40},
+		{"early ends", safeguards{earlyEnds: true}, 40},
 		{"settle term", safeguards{settleTerm: true}, 1},
 		{"step order", safeguards{stepOrder: true}, 1},
 		{"budget", safeguards{budget: true}, 1},
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -34,8 +34,8 @@
 			continue
 		}
 		w.seen = end.Number
-		if !c.off.holdEnds && (end.Kind == EndDone || end.Kind == EndFailed) && c.jobs[end.Task.Job] == nil && c.book.Known(end.Task.Job) == nil {
-			w.heldEnds = append(w.heldEnds, heldEnd{end: *end, sinceMS: c.now.MS})
+		if c.isEarly(end) {
+			c.noteEarlyEnd(w, end)
 			continue
 		}
 		c.ended(w, end)
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -142,3 +142,90 @@
 		c.Assert(d.now-begun <= ackBoundMS, qt.IsTrue, qt.Commentf("acknowledged up to %d after %d ms", d.core.workers["w"].acked, d.now-begun))
 	}
 }
+
+// Guards against a task that runs twice, and against failures that do not
+// count, after the end of a run was acknowledged before its job was submitted:
+// whoever leads when the caller repeats the submission must know of it.
+func TestEarlyEndCountsOnceTheJobIsSubmitted(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		takeover bool
+		// direct submissions are recorded by another instance.
+		direct bool
+	}{{"same leader", false, false}, {"next leader", true, false}, {"recorded by another instance", true, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDirect(safeguards{})
+			d.join(testWorker)
+			end := func(number int64, index, run int, kind EndKind) EndedTask {
+				return EndedTask{Number: number, Task: jobs.Task{Job: "late", Index: index}, Run: run, Kind: kind}
+			}
+			d.confirm(d.report(testWorker, Report{BornMS: 7, ClockMS: 300, Ended: []EndedTask{
+				end(1, 0, 1, EndDone), end(2, 1, 1, EndFailed), end(3, 2, 1, EndFailed), end(4, 2, 2, EndFailed),
+			}}))
+			d.confirm(d.wait(200))
+			c.Assert(d.core.workers["w"].acked, qt.Equals, int64(4))
+			_, known := d.core.State("late")
+			c.Assert(known, qt.IsFalse)
+			if test.takeover {
+				d = d.successor()
+				d.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 3, Stretch: 2, TargetLatencyMS: 1000}}}})
+				d.confirm(d.report(testWorker, Report{BornMS: 7, ClockMS: 2000}))
+			} else {
+				d.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 3, Stretch: 2, TargetLatencyMS: 1000}}}})
+			}
+			step := jobs.Step{Count: 3, CPUMilli: 100, EstimateMS: 900}
+			var effects []Effect
+			if test.direct {
+				encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{step}})
+				c.Assert(err, qt.IsNil)
+				_, err = d.core.book.Apply(jobs.SubmissionRecord("late", encoded))
+				c.Assert(err, qt.IsNil)
+				effects = slices.Clone(d.step(RecordsRead{Jobs: []jobs.ID{"late"}}))
+			} else {
+				effects = slices.Clone(d.submit(t, "late", step))
+			}
+			d.confirm(effects)
+			effects = append(effects, d.wait(100)...)
+			d.confirm(effects)
+			started := map[int]bool{}
+			for _, e := range effects {
+				if s, ok := e.(Start); ok {
+					started[s.Task.Index] = true
+				}
+			}
+			c.Assert(started, qt.DeepEquals, map[int]bool{1: true, 2: true})
+			j := d.core.jobs["late"]
+			c.Assert(j.progress.FailuresOf(jobs.Task{Job: "late", Index: 2}), qt.Equals, 2)
+			d.confirm(d.wait(100))
+			c.Assert(d.core.book.Jobs["late"].EarlyEnds, qt.HasLen, 0)
+			c.Assert(d.core.book.Jobs["late"].Progress.IsDone(j.spec, jobs.Task{Job: "late"}), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against records of ends that stay for ever because nobody submits the
+// job, and against a job that is forgotten early because its ends were older.
+func TestEarlyEndsArePurged(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.join(testWorker)
+	d.confirm(d.report(testWorker, Report{BornMS: 7, ClockMS: 300, Ended: []EndedTask{
+		{Number: 1, Task: jobs.Task{Job: "never"}, Run: 1, Kind: EndDone},
+		{Number: 2, Task: jobs.Task{Job: "late"}, Run: 1, Kind: EndFailed},
+	}}))
+	d.confirm(d.wait(100))
+	c.Assert(d.core.book.Jobs["never"], qt.IsNotNil)
+	keep := d.core.config.StatusMS + purgeMarginMS
+	d.confirm(d.wait(keep - 5000))
+	d.confirm(d.submit(t, "late", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	d.confirm(d.step(CancelRequested{Ticket: 2, ID: "late"}))
+	d.confirm(d.wait(10_000))
+	c.Assert(d.core.book.Jobs["never"], qt.IsNil)
+	state, known := d.core.State("late")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(state, qt.Equals, jobs.Cancelled)
+	d.confirm(d.wait(keep + 10_000))
+	_, known = d.core.State("late")
+	c.Assert(known, qt.IsFalse)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -41,9 +41,7 @@
 
 	runs    []*run
 	orphans []orphan
-	// heldEnds are ends of jobs that the log does not hold, in order.
-	heldEnds []heldEnd
-	used     Room
+	used    Room
 	// lasting is the part of used that belongs to long-running tasks.
 	lasting Room
 	// changedPass is the pass before which more may have come to fit.
@@ -183,7 +181,6 @@
 	if len(w.runs) > 0 && c.leaseOver(w) {
 		c.loseRuns(w, "lease_over")
 	}
-	w.dropHeldEnds(c.now.MS)
 	c.watchAck(w)
 	c.watchRuns(w)
 }
@@ -302,6 +299,6 @@
 func (c *Core) reborn(w *worker, bornMS int64) {
 	c.emit(Decision{Event: "worker_reborn", Worker: w.info.ID})
 	w.bornMS, w.seen, w.acked, w.clockMS, w.leaseEndMS, w.inheritedEndMS, w.confirmed = bornMS, 0, 0, 0, 0, 0, 0
-	w.orphans, w.heldEnds, w.ackWait = nil, nil, ackWait{}
+	w.orphans, w.ackWait = nil, ackWait{}
 	w.health.reset()
 }
