Ask a worker again that has started anew at its old address

A worker was taken as gone for good when another life answered at its address, until its address changed. A worker that starts again under its id and address after that would never have been asked again: its ends would not be acknowledged and its room not be used. A newer birth time in the directory now ends that state, like a new address.

TestWorkerIsAskedAgainAfterItsRestart failed before (no look was sent).

--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -229,3 +229,19 @@
 	_, known = d.core.State("late")
 	c.Assert(known, qt.IsFalse)
 }
+
+// Guards against a worker that is taken as gone for ever: another one answered
+// at its address, and it has started again under its id.
+func TestWorkerIsAskedAgainAfterItsRestart(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.join(testWorker)
+	d.step(HoldDone{Worker: "w", Outcome: OtherWorker})
+	_, held := find[Hold](d.wait(500))
+	c.Assert(held, qt.IsFalse)
+	again := testWorker
+	again.BornMS++
+	effects := slices.Clone(d.step(WorkersChanged{Workers: []WorkerInfo{again}}))
+	_, held = find[Hold](append(effects, d.wait(500)...))
+	c.Assert(held, qt.IsTrue)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -138,7 +138,7 @@
 			// A new life under the same id: its report says what is left.
 			w.nextHoldMS = c.now.MS
 		}
-		if w.dead && info.Address != w.info.Address {
+		if w.dead && (info.Address != w.info.Address || info.BornMS > w.info.BornMS) {
 			w.dead = false
 		}
 		w.info, w.listed = info, true
