Ask the placement adviser about all workers, not the first thirty

A step of an advised queue was never started if the adviser allowed none of the first 30 usable workers: each question named the same ones, and an answer without tickets counted as the answer for the step until it expired.

The step keeps what the adviser has said of each worker, asks about the next ones with room, those near its data first, when its tasks fit none that is allowed, and drops a rejected ticket for its worker only.

TestAdviceIsAskedForEveryWorker failed before: no start among 100 workers of which the adviser allows two.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -1,54 +1,102 @@
 package planner
 
-// adviceState is the placement adviser's permission for a step.
+import (
+	"cmp"
+	"slices"
+)
+
+// adviceState is what the placement adviser has said of a step. Its answer for
+// a worker does not change, but a ticket expires.
 type adviceState struct {
-	tickets map[WorkerID]string
-	untilMS int64
-	asking  bool
+	tickets map[WorkerID]ticket
+	// denied are the workers that may not run the step.
+	denied map[WorkerID]bool
+	// asked are the workers of the question that is under way.
+	asked   []WorkerID
 	askedMS int64
 }
 
+// ticket is the permission to start the step's tasks on one worker.
+type ticket struct {
+	value   string
+	untilMS int64
+}
+
 const (
 	// adviceBatch is how many workers one question names; the adviser's time
 	// grows with each.
 	adviceBatch = 30
-	// adviceRetryMS is the pause after a question without an answer.
+	// adviceRetryMS is the pause between two questions: one that was not
+	// answered has found the adviser busy.
 	adviceRetryMS = 300
 	// adviceMarginMS is the time that a start may take to arrive before its
 	// ticket expires.
 	adviceMarginMS = 100
 )
 
-func (a *adviceState) expire() { a.untilMS = 0 }
-
 func (a *adviceState) allows(id WorkerID, nowMS int64) bool {
-	return nowMS < a.untilMS && a.tickets[id] != ""
+	t := a.tickets[id]
+	return t.value != "" && nowMS < t.untilMS
 }
 
-// advised reports whether the step has valid tickets, and asks for them when
-// it has none.
+// advised reports whether a worker may run the step's tasks, and asks about
+// others when none may.
 func (c *Core) advised(s *step) bool {
+	for id := range s.advice.tickets {
+		if w := c.workers[id]; w != nil && s.advice.allows(id, c.now.MS) && w.usable(c.now.MS) && s.room().fits(w.info.Capacity.minus(w.used)) {
+			return true
+		}
+	}
+	c.askAdvice(s)
+	return false
+}
+
+// askAdvice asks about the next workers that might run the step's tasks. Once
+// the adviser has denied them all it is asked anew: a worker may have started
+// again under its id.
+func (c *Core) askAdvice(s *step) {
 	a := &s.advice
-	if c.now.MS < a.untilMS {
-		return true
+	if a.asked != nil || c.now.MS-a.askedMS < adviceRetryMS {
+		return
+	}
+	candidates := c.adviceCandidates(s)
+	if len(candidates) == 0 {
+		if len(a.denied) > 0 && len(a.tickets) == 0 {
+			a.denied, a.askedMS = nil, c.now.MS
+		}
+		return
 	}
-	if a.asking || c.now.MS-a.askedMS < adviceRetryMS {
-		return false
+	a.askedMS = c.now.MS
+	for _, w := range candidates[:min(len(candidates), adviceBatch)] {
+		a.asked = append(a.asked, w.info.ID)
 	}
-	var ids []WorkerID
-	a.tickets = nil
+	c.emit(Advise{Step: s.id(), Workers: slices.Clone(a.asked)})
+}
+
+// adviceCandidates returns the workers whose permission is not known and that
+// have room now: first those near the step's data, then those with most room.
+func (c *Core) adviceCandidates(s *step) []*worker {
+	var out []*worker
 	for _, w := range c.order {
-		if w.info.Service == s.job.queue.Service && w.usable(c.now.MS) &&
-			s.room().fits(w.info.Capacity.minus(w.used)) && len(ids) < adviceBatch {
-			ids = append(ids, w.info.ID)
+		if w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
+			s.advice.denied[w.info.ID] || s.advice.allows(w.info.ID, c.now.MS) ||
+			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) ||
+			!s.room().fits(w.info.Capacity.minus(w.used)) {
+			continue
 		}
+		out = append(out, w)
 	}
-	if len(ids) == 0 {
-		return false
+	near := func(w *worker) int {
+		if s.spec.Rack != "" && slices.Contains(w.info.Labels, s.spec.Rack) {
+			return 0
+		}
+		return 1
 	}
-	a.asking, a.askedMS = true, c.now.MS
-	c.emit(Advise{Step: s.id(), Workers: ids})
-	return false
+	free := func(w *worker) int { return w.info.Capacity.CPUMilli - w.used.CPUMilli }
+	slices.SortStableFunc(out, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(near(a), near(b)), cmp.Compare(free(b), free(a)))
+	})
+	return out
 }
 
 func (c *Core) adviceDone(e AdviceDone) {
@@ -60,13 +108,24 @@
 	if i >= len(j.steps) {
 		return
 	}
-	a := &j.steps[i].advice
-	a.asking = false
+	s := j.steps[i]
+	a := &s.advice
+	asked := a.asked
+	a.asked = nil
 	if e.Outcome != Done {
 		return
 	}
-	a.tickets = e.Tickets
-	j.steps[i].scanned = 0
-	a.untilMS = c.now.MS + e.ValidityMS - adviceMarginMS
+	if a.tickets == nil {
+		a.tickets, a.denied = map[WorkerID]ticket{}, map[WorkerID]bool{}
+	}
+	until := c.now.MS + e.ValidityMS - adviceMarginMS
+	for _, id := range asked {
+		if value := e.Tickets[id]; value != "" {
+			a.tickets[id] = ticket{value, until}
+		} else {
+			a.denied[id] = true
+		}
+	}
+	s.scanned = 0
 	c.wake = true
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -122,6 +122,9 @@
 		if w == nil {
 			// The step's tasks are alike: what does not fit one fits none, but
 			// for the workers that a task avoids, which pick only ranks last.
+			if s.job.queue.Advised {
+				c.askAdvice(s)
+			}
 			c.reserve(s)
 			s.scanned = c.pass
 			c.explainWait(s)
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -17,7 +17,7 @@
 	c.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: t.ref(), Run: number,
 		Payload: j.spec.Payload, LeaseEndMS: c.lease(w), Checkpoint: t.checkpoint,
-		Ticket: t.step.advice.tickets[w.info.ID],
+		Ticket: t.step.advice.tickets[w.info.ID].value,
 	})
 	d := c.decision("start_sent", r, reason)
 	d.AgeMS = c.now.MS - w.answeredMS
@@ -64,7 +64,7 @@
 	case NoRoom, Late:
 		w.noRoomUntilMS = c.now.MS + noRoomPauseMS
 	case NoTicket:
-		r.task.step.advice.expire()
+		delete(r.task.step.advice.tickets, w.info.ID)
 	case Refused, Unreached:
 		w.health.refused(c.now.MS)
 	case Invalid:
