Pass a predecessor's run numbers at once after a rejection

A job that was submitted again under a new leader started with run 1. On a worker where the leader before had stopped a run of the unrecorded job, each start is rejected until the number is higher than that run's, which may be 1001 or more: one round trip for each number. After a rejection as an old run the number now continues above all that earlier terms can have used.

TestOldRunNumberIsPassedAtOnce failed before (runs 1 to 3 rejected in turn).

--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -65,6 +65,9 @@
 		w.noRoomUntilMS = c.now.MS + noRoomPauseMS
 	case NoTicket:
 		delete(r.task.step.advice.tickets, w.info.ID)
+	case OldRun:
+		// A predecessor has used a higher number there.
+		r.task.lastRun = max(r.task.lastRun, int(c.epoch-1)*runsPerTerm)
 	case Refused, Unreached:
 		w.health.refused(c.now.MS)
 	case Invalid:
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -230,6 +230,33 @@
 	c.Assert(known, qt.IsFalse)
 }
 
+// Guards against a task that is rejected on a worker a thousand times: the
+// leader before it had numbered a run there that was never recorded.
+func TestOldRunNumberIsPassedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	first := newDirect(safeguards{})
+	first.join(testWorker)
+	first.confirm(first.wait(100))
+	d := first.successor()
+	d.step(QueuesChanged{Queues: []Queue{testQueue}})
+	d.confirm(d.report(testWorker, Report{BornMS: 7, ClockMS: 2000}))
+	effects := slices.Clone(d.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	rejected := 0
+	for range 100 {
+		if s, ok := find[Start](effects); ok {
+			if s.Run > 700 {
+				return
+			}
+			rejected++
+			c.Assert(rejected <= 2, qt.IsTrue, qt.Commentf("run %d is rejected", s.Run))
+			effects = slices.Clone(d.step(StartDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: OldRun}))
+			continue
+		}
+		effects = append(slices.Clone(d.report(testWorker, Report{BornMS: 7, ClockMS: 2000 + d.now})), d.wait(40)...)
+	}
+	c.Fatal("the task was not started")
+}
+
 // Guards against a worker that is taken as gone for ever: another one answered
 // at its address, and it has started again under its id.
 func TestWorkerIsAskedAgainAfterItsRestart(t *testing.T) {
