--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -187,8 +187,15 @@
 	done chan struct{}
 }
 
+// fakeWorkers plays the directory, the workers and the adviser.
+type fakeWorkers interface {
+	Directory
+	Workers
+	Adviser
+}
+
 // startInstance runs a node on free ports of the loopback interface.
-func startInstance(t *testing.T, name string, log *memoryLog, operators Operators, workers *instantWorkers) *instance {
+func startInstance(t *testing.T, name string, log *memoryLog, operators Operators, workers fakeWorkers) *instance {
 	c := qt.New(t)
 	config := DefaultConfig()
 	config.Instance, config.FirstStart = name, true
