Keep a submission that arrives while its id is being purged

Callers would have seen an accepted job vanish: the removal of the early ends of an id dropped all records of the id. It was planned in a tick and written after the submissions of the same write, so a submission that came while the write before was outstanding was recorded and dropped in one append and acknowledged all the same. A submission that another instance records directly could be dropped in the same way. An end that came meanwhile was acknowledged and its record dropped.

Whether a removal still applies is now decided when the write is made, removals go before the submissions of a write, and an id that was never submitted loses only its early ends.

TestSubmissionDuringPurgeIsKept, TestDirectSubmissionDuringPurgeIsKept and TestEarlyEndDuringPurgeIsKept failed before (no record of the job, or of the end) and pass now.

--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"redwingvale/internal/jobs"
 )
 
@@ -59,11 +61,11 @@
 	if n.outstanding || c.now.MS-n.lastMS < writeGapMS {
 		return
 	}
-	if len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.early) == 0 && len(n.drops) == 0 && !n.workersDirty {
+	records := c.appendDrops(nil)
+	if len(records) == 0 && len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.early) == 0 && !n.workersDirty {
 		c.ackUnrecorded()
 		return
 	}
-	var records []jobs.Record
 	for _, j := range n.submissions {
 		records = append(records, jobs.SubmissionRecord(j.id, j.encoded))
 		n.written = append(n.written, j)
@@ -85,10 +87,6 @@
 		}
 		n.written = append(n.written, j)
 	}
-	for _, id := range n.drops {
-		records = append(records, jobs.DropRecords(id)...)
-	}
-	n.drops = nil
 	records = c.appendLearned(c.appendWorkers(records))
 	if len(n.dirty) == 0 && len(n.early) == 0 {
 		c.collectAcks()
@@ -214,11 +212,32 @@
 			// Ends came before the submission; the job is listed again when it ends.
 			continue
 		}
-		delete(c.early, id)
 		n.drops = append(n.drops, id)
 	}
 }
 
+// appendDrops adds the removals to a write, unless a submission or another end
+// has come since they were planned.
+func (c *Core) appendDrops(records []jobs.Record) []jobs.Record {
+	n := &c.journal
+	for _, id := range n.drops {
+		switch {
+		case c.jobs[id] != nil:
+		case slices.Contains(n.early, id):
+			n.final = append(n.final, finalJob{id, c.now.MS})
+		case c.book.Known(id) == nil:
+			// Another instance may be recording the submission.
+			delete(c.early, id)
+			records = append(records, jobs.DropEarlyEnds(id))
+		default:
+			delete(c.early, id)
+			records = append(records, jobs.DropRecords(id)...)
+		}
+	}
+	n.drops = nil
+	return records
+}
+
 // endedWithin reports whether a job has become final in the last ms.
 func (c *Core) endedWithin(id jobs.ID, ms int64) bool {
 	entry := c.book.Jobs[id]
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -272,3 +272,75 @@
 	_, held = find[Hold](append(effects, d.wait(500)...))
 	c.Assert(held, qt.IsTrue)
 }
+
+// purging returns a leader that is about to remove the early end of the job
+// "late", and the write that is outstanding meanwhile.
+func purging(t *testing.T) (*direct, []Effect) {
+	d := newDirect(safeguards{})
+	d.join(testWorker)
+	d.confirm(d.report(testWorker, Report{BornMS: 7, ClockMS: 300, Ended: []EndedTask{endOfLate(1, 0)}}))
+	d.confirm(d.wait(100))
+	d.now += d.core.config.StatusMS + purgeMarginMS
+	outstanding := slices.Clone(d.submit(t, "other", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	outstanding = append(outstanding, d.wait(100)...)
+	qt.New(t).Assert(d.core.journal.drops, qt.DeepEquals, []jobs.ID{"late"})
+	return d, outstanding
+}
+
+func endOfLate(number int64, index int) EndedTask {
+	return EndedTask{Number: number, Task: jobs.Task{Job: "late", Index: index}, Run: 1, Kind: EndDone}
+}
+
+func encodedLate(t *testing.T) []byte {
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: 2, CPUMilli: 100, EstimateMS: 900}}})
+	qt.New(t).Assert(err, qt.IsNil)
+	return encoded
+}
+
+// Guards against an accepted job that is lost: its submission comes while the
+// removal of the early ends of its id waits for the write before.
+func TestSubmissionDuringPurgeIsKept(t *testing.T) {
+	c := qt.New(t)
+	d, outstanding := purging(t)
+	d.step(SubmitRequested{ID: "late", Encoded: encodedLate(t)})
+	d.report(testWorker, Report{BornMS: 7, ClockMS: 400, Ended: []EndedTask{endOfLate(2, 1)}})
+	d.confirm(outstanding)
+	d.confirm(d.wait(100))
+	c.Assert(d.core.book.Known("late"), qt.IsNotNil)
+	state, _ := d.core.State("late")
+	c.Assert(state, qt.Equals, jobs.Completed)
+}
+
+// Guards against an accepted job that is lost: another instance records its
+// submission just before the leader removes the early ends of its id.
+func TestDirectSubmissionDuringPurgeIsKept(t *testing.T) {
+	c := qt.New(t)
+	d, outstanding := purging(t)
+	first, _ := find[Write](outstanding)
+	for _, r := range first.Records {
+		_, err := d.core.book.Apply(r)
+		c.Assert(err, qt.IsNil)
+	}
+	removal := append(slices.Clone(d.step(WriteDone{Seq: first.Seq})), d.wait(100)...)
+	_, err := d.core.book.Apply(jobs.SubmissionRecord("late", encodedLate(t)))
+	c.Assert(err, qt.IsNil)
+	d.step(RecordsRead{Jobs: []jobs.ID{"late"}})
+	d.confirm(removal)
+	d.confirm(d.wait(100))
+	c.Assert(d.core.book.Jobs["late"], qt.IsNotNil)
+	c.Assert(d.core.book.Jobs["late"].Job, qt.IsNotNil)
+}
+
+// Guards against an end that is acknowledged and forgotten: it comes while the
+// removal of earlier ends of the same unknown job waits for the write before.
+func TestEarlyEndDuringPurgeIsKept(t *testing.T) {
+	c := qt.New(t)
+	d, outstanding := purging(t)
+	d.report(testWorker, Report{BornMS: 7, ClockMS: 400, Ended: []EndedTask{endOfLate(2, 1)}})
+	d.confirm(outstanding)
+	d.confirm(d.wait(100))
+	c.Assert(d.core.workers["w"].acked, qt.Equals, int64(2))
+	entry := d.core.book.Jobs["late"]
+	c.Assert(entry, qt.IsNotNil)
+	c.Assert(slices.ContainsFunc(entry.EarlyEnds, func(e jobs.EarlyEnd) bool { return e.Index == 1 }), qt.IsTrue)
+}
