Start no second copy of a task that may have used up its attempts

While the configuration has not been read, a task whose failures use up the bound under which its job was accepted is held back from the waiting tasks. The second copy of a slow speculative run does not come from there: a leader could start it beyond the attempts, which did not occur as long as such a failure ended the job. A slow run of such a task was also stopped although no other may follow it.

TestNoSecondCopyBeforeConfiguration failed before (run 1001 starts after 500 ms) and passes now.

--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -344,3 +344,37 @@
 	c.Assert(entry, qt.IsNotNil)
 	c.Assert(slices.ContainsFunc(entry.EarlyEnds, func(e jobs.EarlyEnd) bool { return e.Index == 1 }), qt.IsTrue)
 }
+
+// Guards against a run beyond the attempts of a queue: a slow copy of a task
+// whose failures use up the known bound gets no second copy while the
+// configuration has not been read.
+func TestNoSecondCopyBeforeConfiguration(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	infos := d.joinMany(3)
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Policy: &jobs.Policy{Service: "s", MaxAttempts: 1}, Steps: []jobs.Step{{Count: 1, CPUMilli: 100, EstimateMS: 900, Speculative: true}}})
+	c.Assert(err, qt.IsNil)
+	d.confirm(d.step(SubmitRequested{ID: "j", Encoded: encoded}))
+	d.confirm(d.wait(100))
+	next := d.successor()
+	next.confirm(next.step(WorkersChanged{Workers: infos}))
+	copyOf := func(percent int) []RunningTask {
+		return []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 2, Percent: percent}}
+	}
+	next.confirm(next.report(infos[0], Report{BornMS: 7, ClockMS: 2000, Running: copyOf(1)}))
+	next.confirm(next.report(infos[1], Report{BornMS: 7, ClockMS: 2000, Ended: []EndedTask{{Number: 1, Task: jobs.Task{Job: "j"}, Run: 1, Kind: EndFailed}}}))
+	next.confirm(next.report(infos[2], Report{BornMS: 7, ClockMS: 2000}))
+	for i := range 15 {
+		effects := slices.Clone(next.wait(100))
+		for w := range infos {
+			report := Report{BornMS: 7, ClockMS: int64(2100 + 100*i)}
+			if w == 0 {
+				report.Running = copyOf(1 + i/5)
+			}
+			effects = append(effects, next.report(infos[w], report)...)
+		}
+		next.confirm(effects)
+		s, started := find[Start](effects)
+		c.Assert(started, qt.IsFalse, qt.Commentf("run %d starts after %d ms", s.Run, 100*i))
+	}
+}
--- a/internal/planner/watch.go
+++ b/internal/planner/watch.go
@@ -128,6 +128,10 @@
 		r.judgedMS = r.usageMS
 		w.health.observeSpeed(expected*rate/100, c.now.MS)
 	}
+	if c.exhausted(r.task) {
+		// No other run may follow this one.
+		return
+	}
 	remaining := float64(100-r.percent) / rate
 	fresh := expected + replaceMarginMS
 	if s.spec.Checkpointing {
