Show a job as started when its tasks ended before its submission

A job whose early ends were recorded before another instance recorded the submission was counted as waiting and shown as queued until its next start: adopting the job overwrote what the early ends had set.

TestJobWithEarlyEndsHasStarted failed before (one job waits) and passes now.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -174,7 +174,7 @@
 	j := c.newJob(id, entry.Job, progressOf(entry), inherited)
 	j.recorded = true
 	j.state = entry.State()
-	j.started = j.state == jobs.Active
+	j.started = j.started || j.state == jobs.Active
 	c.adoptOrphans(id)
 	c.openSteps(j)
 	c.resume(j)
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -378,3 +378,24 @@
 		c.Assert(started, qt.IsFalse, qt.Commentf("run %d starts after %d ms", s.Run, 100*i))
 	}
 }
+
+// Guards against a job that is counted as waiting although its tasks have run:
+// another instance recorded the submission after the ends.
+func TestJobWithEarlyEndsHasStarted(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.join(testWorker)
+	d.confirm(d.report(testWorker, Report{BornMS: 7, ClockMS: 300, Ended: []EndedTask{
+		{Number: 1, Task: jobs.Task{Job: "late"}, Run: 1, Kind: EndDone},
+	}}))
+	d.confirm(d.wait(100))
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: 2, CPUMilli: 900_000, EstimateMS: 900}}})
+	c.Assert(err, qt.IsNil)
+	_, err = d.core.book.Apply(jobs.SubmissionRecord("late", encoded))
+	c.Assert(err, qt.IsNil)
+	d.confirm(d.step(RecordsRead{Jobs: []jobs.ID{"late"}}))
+	d.confirm(d.wait(100))
+	c.Assert(d.core.Waiting("q"), qt.Equals, 0)
+	state, _ := d.core.State("late")
+	c.Assert(state, qt.Equals, jobs.Active)
+}
