Ask the placement adviser about more workers for a gang that does not fit

A gang of an advised queue was not started while the workers that were allowed first had room for some of its members only: more workers were asked about only for single tasks, or when no allowed worker had room.

TestAdviceIsAskedForWholeGang failed before (no start in 2 s with two allowed workers among 40) and passes now.

--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -101,3 +101,22 @@
 	c.Assert(len(again) > 0, qt.IsTrue)
 	c.Assert(a.questions, qt.Equals, 2)
 }
+
+// Guards against a gang that never starts although the adviser allows enough
+// workers: those that were allowed first have room for some members only.
+func TestAdviceIsAskedForWholeGang(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true}}}})
+	infos := d.joinMany(40)
+	a := &adviser{allowed: []WorkerID{"w001", "w035"}}
+	starts := a.answer(d, d.submit(t, "j", jobs.Step{Count: 2, CPUMilli: 20_000, EstimateMS: 900, Gang: true}))
+	begun := d.now
+	for len(starts) < 2 && d.now-begun < 2000 {
+		for _, info := range infos {
+			starts = append(starts, a.answer(d, d.report(info, Report{BornMS: 7, ClockMS: 100 + d.now - begun}))...)
+		}
+		starts = append(starts, a.answer(d, d.wait(100))...)
+	}
+	c.Assert(starts, qt.HasLen, 2)
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -112,6 +112,9 @@
 	}
 	if s.spec.Gang {
 		c.placeGang(s)
+		if s.job.queue.Advised && len(s.pending) > 0 {
+			c.askAdvice(s)
+		}
 		return
 	}
 	for _, t := range slices.Clone(s.pending) {
