Keep the policy of a dropped queue for requests that were routed to it

A request is routed when its head has been read and gets the queue's policy once its body has. If the queue was dropped in between, the job was accepted without a policy: the next leader knows neither its service nor its bound of attempts, so it neither starts nor ends it.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -257,10 +257,11 @@
 
 // enforce puts a newer version in force; an older one never replaces it.
 func (n *Node) enforce(ctx context.Context, m *Manifest) {
-	if current := n.view.Load(); current != nil && current.version >= m.Version {
+	current := n.view.Load()
+	if current != nil && current.version >= m.Version {
 		return
 	}
-	n.view.Store(newView(m))
+	n.view.Store(newView(m, current))
 	n.log("manifest_in_force", zap.Int64("version", m.Version), zap.Int("queues", len(m.Queues)))
 	for i := range m.Queues {
 		if q := &m.Queues[i]; q.MaxAttempts == 0 {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -182,7 +182,7 @@
 	c := qt.New(t)
 	v := newView(&Manifest{Queues: []QueueRoute{
 		{Host: "h", Prefix: "/a/"}, {Host: "h", Prefix: "/a/b/"}, {Host: "g", Prefix: "/"},
-	}})
+	}}, nil)
 	for _, test := range []struct {
 		host, path, rest string
 		ok               bool
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"strings"
 
 	"redwingvale/internal/jobs"
@@ -14,8 +15,13 @@
 	policies map[string]*jobs.Policy
 }
 
-func newView(m *Manifest) *view {
+// newView returns the view of a manifest. A queue that the manifest has dropped
+// keeps its last policy: a request may have been routed to it before.
+func newView(m *Manifest, before *view) *view {
 	v := &view{version: m.Version, hosts: map[string][]QueueRoute{}, policies: map[string]*jobs.Policy{}}
+	if before != nil {
+		maps.Copy(v.policies, before.policies)
+	}
 	for _, q := range m.Queues {
 		policy := q.Policy
 		v.policies[q.Name] = &policy
