Take an answer from a worker's former address as no sign of its death

A call that was sent to an address which the worker has left may be answered by another worker there after the directory has listed the new address. The worker was then taken as gone and never asked again, since neither its address nor its birth time changed any more: its ends were not acknowledged, its room was not used, and what had been started at the new address was started again elsewhere.

The answers of workers now carry the address that was called, and only an answer from the present one ends a worker's life.

TestAnswerFromFormerAddressIsNoDeath failed before (no look at the new address, for the answer to a look and to a start) and passes now.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -41,7 +41,7 @@
 	sent := n.now().MS
 	report, outcome := n.deps.Workers.Hold(t.ctx, e)
 	n.stats.call(outcome)
-	n.event(t, planner.HoldDone{Worker: e.Worker, Token: e.Token, SentMS: sent, Outcome: outcome, Report: report})
+	n.event(t, planner.HoldDone{Worker: e.Worker, Address: e.Address, Token: e.Token, SentMS: sent, Outcome: outcome, Report: report})
 }
 
 func (n *Node) callStart(t *term, e planner.Start) {
@@ -50,14 +50,14 @@
 	outcome := n.deps.Workers.Start(t.ctx, e)
 	n.stats.call(outcome)
 	n.stats.start.RecordDuration(time.Since(begun))
-	n.event(t, planner.StartDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Token: e.Token, Outcome: outcome})
+	n.event(t, planner.StartDone{Worker: e.Worker, Address: e.Address, Task: e.Task, Run: e.Run, Token: e.Token, Outcome: outcome})
 }
 
 func (n *Node) callStop(t *term, e planner.Stop) {
 	n.stats.stops.Inc(1)
 	outcome := n.deps.Workers.Stop(t.ctx, e)
 	n.stats.call(outcome)
-	n.event(t, planner.StopDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: outcome})
+	n.event(t, planner.StopDone{Worker: e.Worker, Address: e.Address, Task: e.Task, Run: e.Run, Outcome: outcome})
 }
 
 func (n *Node) callPace(t *term, e planner.Pace) {
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -55,8 +55,10 @@
 		c.raiseToken(w, r.token)
 		return
 	case OtherWorker:
-		c.died(w, "other_worker")
-		return
+		if !w.movedFrom(e.Address) {
+			c.died(w, "other_worker")
+			return
+		}
 	case Fenced:
 		if e.Token >= w.token {
 			c.depose(w)
@@ -201,6 +203,8 @@
 			c.raiseToken(w, r.token)
 		}
 	case OtherWorker:
-		c.died(w, "other_worker")
+		if !w.movedFrom(e.Address) {
+			c.died(w, "other_worker")
+		}
 	}
 }
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -96,6 +96,7 @@
 	// HoldDone is the answer to a Hold.
 	HoldDone struct {
 		Worker  WorkerID
+		Address string
 		Token   uint64
 		SentMS  int64
 		Outcome Outcome
@@ -104,6 +105,7 @@
 	// StartDone is the answer to a Start.
 	StartDone struct {
 		Worker  WorkerID
+		Address string
 		Task    jobs.Task
 		Run     int
 		Token   uint64
@@ -112,6 +114,7 @@
 	// StopDone is the answer to a Stop.
 	StopDone struct {
 		Worker  WorkerID
+		Address string
 		Task    jobs.Task
 		Run     int
 		Outcome Outcome
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -263,7 +263,7 @@
 	c := qt.New(t)
 	d := newDirect(safeguards{})
 	d.join(testWorker)
-	d.step(HoldDone{Worker: "w", Outcome: OtherWorker})
+	d.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: OtherWorker})
 	_, held := find[Hold](d.wait(500))
 	c.Assert(held, qt.IsFalse)
 	again := testWorker
@@ -399,3 +399,35 @@
 	state, _ := d.core.State("late")
 	c.Assert(state, qt.Equals, jobs.Active)
 }
+
+// Guards against a worker that is taken as gone for ever: the answer of another
+// one, at the address that the worker has left, arrives after its new address
+// is known.
+func TestAnswerFromFormerAddressIsNoDeath(t *testing.T) {
+	moved := testWorker
+	moved.Address = "b"
+	for _, test := range []struct {
+		name   string
+		answer func(s Start) Event
+	}{
+		{"look", func(Start) Event { return HoldDone{Worker: "w", Address: "a", Outcome: OtherWorker} }},
+		{"start", func(s Start) Event {
+			return StartDone{Worker: "w", Address: "a", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: OtherWorker}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDirect(safeguards{})
+			d.join(testWorker)
+			start, ok := find[Start](append(slices.Clone(d.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900})), d.wait(40)...))
+			c.Assert(ok, qt.IsTrue)
+			d.step(WorkersChanged{Workers: []WorkerInfo{moved}})
+			effects := slices.Clone(d.step(test.answer(start)))
+			// Whatever else was under way is answered.
+			effects = append(effects, d.step(HoldDone{Worker: "w", Address: "a", Outcome: Unreached})...)
+			hold, held := find[Hold](append(effects, d.wait(500)...))
+			c.Assert(held, qt.IsTrue)
+			c.Assert(hold.Address, qt.Equals, "b")
+		})
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -257,6 +257,11 @@
 	case Done:
 		c.report(w, e)
 	case OtherWorker:
+		if w.movedFrom(e.Address) {
+			w.unverified = true
+			w.nextHoldMS = c.now.MS
+			break
+		}
 		c.died(w, "other_worker")
 		return
 	case Fenced:
@@ -285,6 +290,10 @@
 	c.settle()
 }
 
+// movedFrom reports whether the directory has another address of the worker by
+// now: who answers at the former one says nothing of the worker.
+func (w *worker) movedFrom(address string) bool { return address != w.info.Address }
+
 // died gives up a life of a worker.
 func (c *Core) died(w *worker, reason string) {
 	w.dead = true
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -253,11 +253,11 @@
 		w.hold(l, e)
 	case Start:
 		w.call(e.Worker, func(f *fakeWorker) Outcome { return f.start(e) }, func(o Outcome) {
-			w.step(l, StartDone{e.Worker, e.Task, e.Run, e.Token, o})
+			w.step(l, StartDone{e.Worker, e.Address, e.Task, e.Run, e.Token, o})
 		})
 	case Stop:
 		w.call(e.Worker, func(f *fakeWorker) Outcome { return f.stop(e) }, func(o Outcome) {
-			w.step(l, StopDone{e.Worker, e.Task, e.Run, o})
+			w.step(l, StopDone{e.Worker, e.Address, e.Task, e.Run, o})
 		})
 	case Pace:
 		w.call(e.Worker, func(f *fakeWorker) Outcome { return f.setPace(e) }, func(o Outcome) {
@@ -289,7 +289,7 @@
 			wait = min(h.WaitMS, 100)
 		}
 		w.at(wait, func() {
-			w.step(l, HoldDone{Worker: h.Worker, Token: h.Token, SentMS: sent, Outcome: o, Report: report})
+			w.step(l, HoldDone{Worker: h.Worker, Address: h.Address, Token: h.Token, SentMS: sent, Outcome: o, Report: report})
 		})
 	})
 }
