Notice a suspension before the events that have waited through it

What callers could see: a task that runs twice. A leader that was suspended (stopped process, paused machine) handled events of before the suspension, such as reports of workers, and sent the orders that follow from them before it looked at its clock. By then another instance may lead. A worker that has started anew meanwhile has seen no newer token and carries such an order out.

Cause: the gap was looked for in the loop's ticks only, and after a suspension the ring's events and the tick are both due, in no fixed order.

Evidence: found by reading; TestSuspensionNoticedBeforeEvents failed before (an event was handled 5,000 ms after the last tick), passes now.

The loop now looks for a gap before each event. An order that a goroutine had been given before the suspension may still go out; that is as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,7 @@
 	nextReply uint64
 	replies   map[uint64]chan planner.Reply
 	heard     heard
-	// tickedMS is when the loop last ticked.
+	// tickedMS is when the loop was last seen at work.
 	tickedMS int64
 }
 
@@ -123,6 +123,8 @@
 			n.resign("stopped")
 			return
 		case event := <-n.ring.Out():
+			// An event may have waited through a suspension.
+			n.checkGap()
 			event()
 		case <-ticker.C:
 			n.checkGap()
