Leave out a listing of the log that the book has overtaken

What callers could see: a job shown as completed and then as active again, with its tasks started once more.

The listing that arrived last was applied to the book whatever the book held by then, while the end that had been read stayed where it was: what lay between was reverted and never read again. The planner took the reverted job up anew.

Evidence: found by reading; TestLoadNeverReverts failed before, leading and following (active instead of completed), passes now.

A listing is applied only if it reaches at least the end of the book. Then each of its records is as new as what the book holds for that key.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -153,13 +153,17 @@
 	}
 }
 
-// loadLog reads the newest record of each key and what came since.
+// loadLog reads the newest record of each key and what came since. A listing
+// that ends before the book's own end is left out: its records may be older.
 func (n *Node) loadLog(ctx context.Context) error {
 	batch, err := n.deps.Log.Newest(ctx)
 	if err != nil {
 		return err
 	}
 	_, err = ask(ctx, n, func() struct{} {
+		if n.end > batch.End {
+			return struct{}{}
+		}
 		if n.term == nil {
 			n.book = jobs.NewBook()
 			clear(n.members)
@@ -170,7 +174,7 @@
 				changed = append(changed, id)
 			}
 		}
-		n.end = max(n.end, batch.End)
+		n.end = batch.End
 		n.step(planner.RecordsRead{Jobs: changed})
 		return struct{}{}
 	})
--- /dev/null
+++ b/internal/node/load_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/jobs"
+	"redwingvale/internal/planner"
+	"redwingvale/internal/ring"
+	"redwingvale/internal/telemetry"
+)
+
+// overtakenLog is a log whose next listing of the newest records arrives after
+// something else has happened.
+type overtakenLog struct {
+	Log
+	meanwhile func()
+}
+
+func (l *overtakenLog) Newest(ctx context.Context) (Batch, error) {
+	batch, err := l.Log.Newest(ctx)
+	if meanwhile := l.meanwhile; meanwhile != nil {
+		l.meanwhile = nil
+		meanwhile()
+	}
+	return batch, err
+}
+
+// looping returns an instance of which only the loop runs.
+func looping(t *testing.T, log Log) *Node {
+	t.Helper()
+	tele := telemetry.New("rwnode", "a", io.Discard)
+	config := DefaultConfig()
+	config.Instance = "a"
+	n := New(config, Deps{Log: log}, tele)
+	n.tickedMS = n.now().MS
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.loop(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-done
+		tele.Close()
+	})
+	return n
+}
+
+// Guards against a listing of the newest records that arrives after the book
+// has moved on, as when two duties load at once: a job that is completed must
+// not become active again, or its tasks start once more.
+func TestLoadNeverReverts(t *testing.T) {
+	for _, leading := range []bool{false, true} {
+		t.Run(fmt.Sprint("leading=", leading), func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			log := newMemoryLog()
+			overtaken := &overtakenLog{Log: log.of("a")}
+			n := looping(t, overtaken)
+			if leading {
+				n.post(ctx, func() {
+					termCtx, stop := context.WithCancel(ctx)
+					n.term = &term{
+						epoch: 1, core: planner.New(n.config.planner(true), n.book, 1, n.now()),
+						ctx: termCtx, stop: stop, writes: ring.New[planner.Write](1),
+					}
+				})
+			}
+			id := jobs.ID("0000000000000001")
+			spec := &jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: 1, CPUMilli: 100}}}
+			encoded, err := jobs.EncodeJob(spec)
+			c.Assert(err, qt.IsNil)
+			progress := jobs.NewProgress(spec)
+			progress.State = jobs.Active
+			active, err := jobs.ProgressRecord(id, progress)
+			c.Assert(err, qt.IsNil)
+			progress.State = jobs.Completed
+			progress.SetDone(spec, jobs.Task{Job: id})
+			completed, err := jobs.ProgressRecord(id, progress)
+			c.Assert(err, qt.IsNil)
+
+			writer := log.of("b")
+			_, err = writer.Append(ctx, Append{Records: []jobs.Record{jobs.SubmissionRecord(id, encoded), active}, At: -1})
+			c.Assert(err, qt.IsNil)
+			overtaken.meanwhile = func() {
+				_, err := writer.Append(ctx, Append{Records: []jobs.Record{completed}, At: -1})
+				c.Check(err, qt.IsNil)
+				_, err = n.catchUp(ctx)
+				c.Check(err, qt.IsNil)
+			}
+			c.Assert(n.loadLog(ctx), qt.IsNil)
+			state, err := ask(ctx, n, func() jobs.State { return n.book.Known(id).State() })
+			c.Assert(err, qt.IsNil)
+			c.Assert(state, qt.Equals, jobs.Completed)
+		})
+	}
+}
