Take a read of the log as complete only when it reaches the end

What callers could see: 410 for a job that was accepted, or a new leader that begins its term without some of the jobs.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -207,9 +207,12 @@
 			}
 			return n.end
 		})
-		if err != nil || end >= batch.End || len(batch.Records) == 0 {
+		if err != nil || end >= batch.End {
 			return end, err
 		}
+		if len(batch.Records) == 0 {
+			return end, errors.Wrapf(ErrUnavailable, "no records at %d of %d", from, batch.End)
+		}
 	}
 }
 
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -98,3 +98,27 @@
 		})
 	}
 }
+
+// emptyReads is a log whose reads return no records although it goes on.
+type emptyReads struct{ Log }
+
+func (l emptyReads) Read(ctx context.Context, from int64) (Batch, error) {
+	batch, err := l.Log.Read(ctx, from)
+	batch.Records = nil
+	return batch, err
+}
+
+// Guards against a read without records that counts as the end of the log: a
+// job would be said not to exist, and a term would begin without its jobs.
+func TestReadBeforeTheEndIsNoEnd(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	log := newMemoryLog()
+	n := looping(t, emptyReads{log.of("a")})
+	_, err := n.catchUp(ctx)
+	c.Assert(err, qt.IsNil)
+	_, err = log.of("b").Append(ctx, Append{Records: []jobs.Record{{Key: "other", Value: []byte("1")}}, At: -1})
+	c.Assert(err, qt.IsNil)
+	_, err = n.catchUp(ctx)
+	c.Assert(err, qt.ErrorIs, ErrUnavailable)
+}
