Read a worker's report as a whole or not at all

What callers could see: a task that runs twice, or an end that is never taken note of.

Cause: rows of a report that could not be decoded were left out without a log line. A run that a report does not list counts as gone, so its task starts again while it runs; a later end moves the acknowledgement past one that was never read. A field that decides nothing, such as the percentage, was enough to lose the row.

Evidence: found by reading; TestUnreadableReportIsNoAnswer failed before in 10 of its 12 cases, passes now.

The task's name, the run's number, and of an end the number and the kind must be readable; otherwise the report is logged as report_invalid and counts as no answer. Its worker then gets no lease and its runs are given up when the lease is over, like those of any silent worker. The other fields keep their zero value.

TestReport expected the silent omission of rows that cannot be decoded, which is the fault. It keeps the case of rows that bear no task's name, now in both lists; rows that cannot be decoded are checked by the new test.

--- a/cmd/rwnode/main.go
+++ b/cmd/rwnode/main.go
@@ -39,7 +39,7 @@
 		}
 	}()
 	store := platform.NewStore(config.StoreAddr)
-	workers := platform.NewWorkers(config.AdviceAddr)
+	workers := platform.NewWorkers(config.AdviceAddr, tele.Log)
 	n := node.New(config, node.Deps{
 		Log:       platform.JobLog{Store: store},
 		Operators: platform.Operators{Store: store},
