Refuse no queue on the word of a configuration older than its bound

What callers could see: 404, "no such queue", for a queue that the operators have added. Callers don't repeat a request after a 404.

Cause: the path was looked up in the version in force, however long ago that was known to be the newest: with the store away, after a suspension, or when a version could not be decoded.

Evidence: found by reading.

The instance notes up to when its version is known to be the newest. After a failed read the next one doesn't wait for a change. Requests for queues that the version names go on.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -84,6 +84,7 @@
 	ConfigConflict   Code = 6001
 	ConfigUnsure     Code = 6002
 	ConfigNotInForce Code = 6003
+	ConfigUnread     Code = 6004
 
 	Internal Code = 9001
 )
@@ -148,6 +149,7 @@
 	ConfigConflict:   {ConfigConflict, "config_conflict", http.StatusConflict, NotRun, "another change was accepted first"},
 	ConfigUnsure:     {ConfigUnsure, "config_unsure", http.StatusGatewayTimeout, Unknown, "the change may yet be accepted; repeat with the same apply id"},
 	ConfigNotInForce: {ConfigNotInForce, "config_not_in_force", http.StatusAccepted, Ran, "the change is accepted but not in force on every instance yet"},
+	ConfigUnread:     {ConfigUnread, "config_unread", http.StatusServiceUnavailable, NotRun, "the configuration has not been read within its bound, so it is not known whether there is anything at this path"},
 
 	Internal: {Internal, "internal", http.StatusInternalServerError, Unknown, "an internal error; the request may have run"},
 }
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -24,17 +24,21 @@
 const maxRetryPause = 60 * time.Millisecond
 
 // Route returns the queue that a request is for and the rest of its path. The
-// code is OK, UnknownResource, or OwnerUnknown while there is no manifest.
+// code is OK, UnknownResource, or ConfigUnread: a configuration that was not
+// read within its bound cannot say that there is no such queue.
 func (n *Node) Route(host, path string) (queue, rest string, c code.Code) {
 	v := n.view.Load()
 	if v == nil {
-		return "", "", code.OwnerUnknown
+		return "", "", code.ConfigUnread
 	}
 	queue, rest, ok := v.route(host, path)
-	if !ok {
-		return "", "", code.UnknownResource
+	switch {
+	case ok:
+		return queue, rest, code.OK
+	case n.now().MS-n.manifestMS.Load() > milliseconds(n.config.manifestBound()):
+		return "", "", code.ConfigUnread
 	}
-	return queue, rest, code.OK
+	return "", "", code.UnknownResource
 }
 
 // Submit takes a job in. It returns OK once the job is in the log.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -93,10 +93,16 @@
 	return c.PeerAddr
 }
 
+// manifestBound is the age up to which the configuration says what does not
+// exist: the time in which a change has to be in force.
+func (c *Config) manifestBound() time.Duration {
+	return time.Duration(c.Bounds.ConfigInForceMS) * time.Millisecond
+}
+
 // manifestWait bounds one read of the manifest: a silent connection is noticed
 // in time for the next one.
 func (c *Config) manifestWait() time.Duration {
-	return min(manifestWait, time.Duration(c.Bounds.ConfigInForceMS/2)*time.Millisecond)
+	return min(manifestWait, c.manifestBound()/2)
 }
 
 func (c *Config) planner(firstTerm bool) planner.Config {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -240,22 +240,38 @@
 func (n *Node) followManifest(ctx context.Context) {
 	var from int64
 	loaded := false
+	wait := n.config.manifestWait()
 	for ctx.Err() == nil {
 		var m *Manifest
 		var err error
+		// A version that came after the read was sent may be missing from it.
+		knownMS := n.now().MS
 		if loaded {
-			m, from, err = n.deps.Operators.Await(ctx, from, n.config.manifestWait())
+			var next int64
+			m, next, err = n.deps.Operators.Await(ctx, from, wait)
+			if next == from {
+				// Nothing came until the wait was over.
+				knownMS += milliseconds(wait)
+			}
+			from = next
 		} else {
 			m, from, err = n.deps.Operators.Manifest(ctx)
 			loaded = err == nil && m != nil
 		}
+		// After a failure the next read does not wait: the version in force may
+		// be too old by now.
+		wait = n.config.manifestWait()
 		if err != nil {
+			wait = 0
 			n.stats.logErrors.Inc(1)
 			n.tele.Log.Warn("manifest_unavailable", telemetry.ErrorFields(err)...)
 		}
 		if m != nil {
 			n.enforce(ctx, m)
 		}
+		if err == nil && loaded {
+			n.manifestMS.Store(min(knownMS, n.now().MS))
+		}
 		if err != nil || !loaded {
 			pause(ctx, retryPause)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,8 @@
 
 	// view is what the request path reads without the loop.
 	view atomic.Pointer[view]
+	// manifestMS is up to when view is known to be the newest version.
+	manifestMS atomic.Int64
 	// leader is where the current leader is.
 	leader   atomic.Pointer[leaderInfo]
 	stopping atomic.Bool
