Lead on an own claim whose answer was lost

What callers could see: no leader until the next election, although the log named one; nothing starts meanwhile, and jobs wait.

Cause: a claim whose answer was lost was given up, and so was one after which the log or the workers' entries could not be read. Its next attempt carried another nonce. When the log took the first claim after all, the repeat got the first one's answer and the instance read a claim that it did not know as its own: "epoch 4 is another instance's", with itself as the leader named. Others had accepted that leader, the predecessor was fenced, and the next claim burnt another epoch.

A claim is sent again as it was until the log holds it or another one for its epoch. An instance whose own claim is the newest in the log, and on which it has not led, leads at its next turn. The nonce is unique and lives in memory only, so neither another process nor a restarted one can lead on it, and an instance leads on a claim at most once.

--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -94,6 +94,9 @@
 	// A leader that wants to be replaced says so in its heartbeats.
 	asked := n.heard.epoch == n.claim.Epoch && n.heard.askedMS > 0 && now-n.heard.askedMS >= stagger
 	switch {
+	case n.ownClaim():
+		// Its answer, or what was to be read after it, was lost.
+		out.now, out.check, out.reason = true, false, "own claim"
 	case n.claim.Epoch == 0 && n.config.FirstStart:
 		out.now, out.check, out.reason = now-n.bootMS >= milliseconds(firstClaimAfter)+stagger, false, "first start"
 	case silent > limit+stagger:
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -28,22 +28,15 @@
 	if _, err := n.catchUp(ctx); err != nil {
 		return err
 	}
-	c := claim{Epoch: e.epoch + 1, Instance: n.config.Instance, Peer: n.config.advertised(), LeaseMS: n.config.planner(false).LeaseMS, Nonce: uuid.NewString()}
-	value, err := json.Marshal(c)
+	c, err := ask(ctx, n, func() claim { return n.nextClaim(e.epoch) })
 	if err != nil {
 		return err
 	}
-	n.log("claim_sent", zap.Uint64("epoch", c.Epoch), zap.String("reason", e.reason))
-	_, err = n.deps.Log.Append(ctx, Append{
-		Records: []jobs.Record{{Key: claimKey, Value: value}},
-		Writer:  &Writer{Epoch: c.Epoch, Sequence: firstSequence(c.Epoch)}, At: -1,
-	})
-	if err != nil && !errors.Is(err, ErrUnknown) {
-		return err
+	if c.Epoch == 0 {
+		return n.claimLost(ctx)
 	}
-	// The log says who has won: two claims of one epoch differ in their nonce.
-	if _, readErr := n.catchUp(ctx); readErr != nil {
-		return errors.CombineErrors(readErr, err)
+	if err := n.sendClaim(ctx, c, e.reason); err != nil {
+		return err
 	}
 	infos, from, err := n.deps.Directory.Workers(ctx)
 	if err != nil {
@@ -53,21 +46,77 @@
 		if n.claim != c || n.term != nil {
 			return false
 		}
+		n.sentClaim = claim{}
 		n.lead(ctx, c, infos, from)
 		return true
 	})
 	if err == nil && !won {
-		return errors.Newf("epoch %d is %s's", n.claimedEpoch(ctx), "another instance")
+		return n.claimLost(ctx)
 	}
 	return err
 }
 
-func (n *Node) claimedEpoch(ctx context.Context) uint64 {
-	epoch, err := ask(ctx, n, func() uint64 { return n.claim.Epoch })
+// nextClaim returns the claim to send for the epoch after the given one, or
+// none if the log has moved on. A claim whose outcome was not learned is sent
+// again as it was, so that this instance knows it as its own whichever time
+// the log takes it. It runs in the loop.
+func (n *Node) nextClaim(epoch uint64) claim {
+	switch {
+	case n.ownClaim():
+		return n.sentClaim
+	case n.claim.Epoch != epoch:
+		return claim{}
+	case n.sentClaim.Epoch != epoch+1:
+		n.sentClaim = claim{
+			Epoch: epoch + 1, Instance: n.config.Instance, Peer: n.config.advertised(),
+			LeaseMS: n.config.planner(false).LeaseMS, Nonce: uuid.NewString(),
+		}
+	}
+	return n.sentClaim
+}
+
+// ownClaim reports whether the log's newest claim is this instance's and it
+// has not led on it yet. It runs in the loop.
+func (n *Node) ownClaim() bool { return n.sentClaim.Epoch > 0 && n.claim == n.sentClaim }
+
+// sendClaim writes a claim that the log does not hold yet, and reads the log:
+// it says who has won, since two claims of one epoch differ in their nonce.
+func (n *Node) sendClaim(ctx context.Context, c claim, reason string) error {
+	held, err := ask(ctx, n, n.ownClaim)
+	if err != nil || held {
+		return err
+	}
+	value, err := json.Marshal(c)
 	if err != nil {
-		return 0
+		return err
+	}
+	n.log("claim_sent", zap.Uint64("epoch", c.Epoch), zap.String("reason", reason))
+	_, err = n.deps.Log.Append(ctx, Append{
+		Records: []jobs.Record{{Key: claimKey, Value: value}},
+		Writer:  &Writer{Epoch: c.Epoch, Sequence: firstSequence(c.Epoch)}, At: -1,
+	})
+	if err != nil && !errors.Is(err, ErrUnknown) {
+		return err
+	}
+	_, readErr := n.catchUp(ctx)
+	if readErr != nil {
+		return errors.CombineErrors(readErr, err)
+	}
+	return nil
+}
+
+// claimLost says what the log holds instead of this instance's claim.
+func (n *Node) claimLost(ctx context.Context) error {
+	type claims struct{ held, sent claim }
+	c, err := ask(ctx, n, func() claims { return claims{n.claim, n.sentClaim} })
+	switch {
+	case err != nil:
+		return err
+	case c.held.Epoch < c.sent.Epoch:
+		return errors.Newf("the claim for epoch %d is not in the log yet", c.sent.Epoch)
+	default:
+		return errors.Newf("the log holds the claim of %q for epoch %d", c.held.Instance, c.held.Epoch)
 	}
-	return epoch
 }
 
 // lead begins a term. It runs in the loop.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	end     int64
 	members map[string]member
 	claim   claim
+	// sentClaim is the last claim that this instance has sent and not led on.
+	sentClaim claim
 	// priorLeaseMS is the lease of the leader before, 0 if it is not known.
 	priorLeaseMS int64
 	// claimedAt is the end of the log just after that claim.
