Replace a leader whose doubt about its leadership is not settled

What callers could see: nothing starts, and the leases of running tasks run out, although another instance could lead.

Cause: a leader that was suspended, or whose order a worker refused for a newer token, sends no order until it has read the log. That wait had no bound: its heartbeats went on, and they told of the log's refusals of writes only. With nothing to write, a leader that the log turns away stayed in place.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -69,9 +69,11 @@
 // recheck reads the log until it is known whether another instance has
 // claimed; then this one steps down, or goes on with its orders.
 func (n *Node) recheck(t *term) {
+	t.doubtMS.CompareAndSwap(0, n.now().MS)
 	for t.ctx.Err() == nil {
 		_, err := n.catchUp(t.ctx)
 		if err == nil {
+			t.doubtMS.Store(0)
 			n.event(t, planner.LeadershipConfirmed{})
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,8 @@
 	pendingMS atomic.Int64
 	// refusedMS is when the log first refused that write, or 0.
 	refusedMS atomic.Int64
+	// doubtMS is since when the leadership is in doubt and no orders go out, or 0.
+	doubtMS atomic.Int64
 }
 
 // heard is the newest sign of life of a leader.
--- a/internal/node/suspended_test.go
+++ b/internal/node/suspended_test.go
@@ -39,3 +39,27 @@
 	stop()
 	<-done
 }
+
+// Guards against a leader in doubt that keeps the others away: it sends no
+// orders until it has read the log, and leases run out when the log does not
+// serve it.
+func TestLeaderInDoubtIsReplaced(t *testing.T) {
+	log, manifest, workers := newMemoryLog(), &fixedManifest{version: 1}, newInstantWorkers()
+	a := startInstance(t, "a", log, manifest, workers)
+	b := startInstance(t, "b", log, manifest, workers)
+	await(t, "both are ready", func() bool { return a.Ready() && b.Ready() && leaderOf(a, b) != nil })
+	first, other := a, b
+	if b.leading() {
+		first, other = b, a
+	}
+	// Nothing is to be written that the log could refuse.
+	await(t, "no write is outstanding", func() bool {
+		idle, err := ask(context.Background(), first.Node, func() bool {
+			return first.term != nil && first.term.pendingMS.Load() == 0
+		})
+		return err == nil && idle
+	})
+	log.refuse(first.config.Instance, true)
+	first.post(context.Background(), func() { first.tickedMS -= 2 * milliseconds(suspendedAfter) })
+	await(t, "the other instance leads", func() bool { return other.leading() && !first.leading() })
+}
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -116,12 +116,15 @@
 	return false
 }
 
-// logAvailable reports whether the leader's writes get through. Refusals are
+// logAvailable reports whether the log serves the leader: its writes get
+// through, and a doubt about its leadership is settled. Refusals and doubts are
 // told sooner than silence: an answer may also be lost now and then.
 func (n *Node) logAvailable(t *term) bool {
-	now, pending, refused := n.now().MS, t.pendingMS.Load(), t.refusedMS.Load()
-	if refused > 0 && now-refused >= milliseconds(logRefused) {
-		return false
+	now, pending := n.now().MS, t.pendingMS.Load()
+	for _, since := range []int64{t.refusedMS.Load(), t.doubtMS.Load()} {
+		if since > 0 && now-since >= milliseconds(logRefused) {
+			return false
+		}
 	}
 	return pending == 0 || now-pending < milliseconds(logSilence)
 }
