Begin a term without a configuration that is too old

What callers could see: a job shown as failed although its queue allows more attempts by now.

Cause: a new leader gave its planner whatever version of the configuration it had, and the planner took it as read in this term. An instance that was suspended or that the store's operator topic does not answer can lead with a version of long ago.

The planner gets the configuration at the begin of a term only if it is known to have been the newest within config_in_force_ms, and otherwise with the next read that succeeds. Until then it decides nothing final, as for a configuration that was not read yet. configuration_awaited tells of it.

--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -35,7 +35,7 @@
 	switch {
 	case ok:
 		return queue, rest, code.OK
-	case n.now().MS-n.manifestMS.Load() > milliseconds(n.config.manifestBound()):
+	case !n.manifestFresh():
 		return "", "", code.ConfigUnread
 	}
 	return "", "", code.UnknownResource
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -106,13 +107,15 @@
 type fixedManifest struct {
 	mu      sync.Mutex
 	version int64
+	// attempts is the queue's bound; 0 stands for 2.
+	attempts int
 }
 
 func (m *fixedManifest) Manifest(context.Context) (*Manifest, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return &Manifest{Version: m.version, Queues: []QueueRoute{{
-		Queue: planner.Queue{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}},
+		Queue: planner.Queue{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: cmp.Or(m.attempts, 2), Stretch: 2, TargetLatencyMS: 1000}},
 		Host:  "h", Prefix: "/q/",
 	}}}, 0, nil
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -271,6 +271,7 @@
 		}
 		if err == nil && loaded {
 			n.manifestMS.Store(min(knownMS, n.now().MS))
+			n.post(ctx, n.configureTerm)
 		}
 		if err != nil || !loaded {
 			pause(ctx, retryPause)
@@ -293,10 +294,31 @@
 	}
 	n.post(ctx, func() {
 		n.manifest = m
-		n.step(planner.QueuesChanged{Queues: m.queues()})
+		if n.term != nil {
+			n.giveQueues(n.term)
+		}
 	})
 }
 
+// manifestFresh reports whether the version in force is known to have been the
+// newest within the bound.
+func (n *Node) manifestFresh() bool {
+	return n.now().MS-n.manifestMS.Load() <= milliseconds(n.config.manifestBound())
+}
+
+// configureTerm gives the planner of a new term the configuration, unless that
+// is too old: the planner decides for good by it. It runs in the loop.
+func (n *Node) configureTerm() {
+	if t := n.term; t != nil && !t.configured && n.manifest != nil && n.manifestFresh() {
+		n.giveQueues(t)
+	}
+}
+
+func (n *Node) giveQueues(t *term) {
+	t.configured = true
+	n.step(planner.QueuesChanged{Queues: n.manifest.queues()})
+}
+
 func (m *Manifest) queues() []planner.Queue {
 	out := make([]planner.Queue, 0, len(m.Queues))
 	for _, q := range m.Queues {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -143,8 +143,9 @@
 		version = n.manifest.Version
 	}
 	n.log("term_begins", zap.Uint64("epoch", c.Epoch), zap.Int64("version", version), zap.Int("workers", len(infos)), zap.Int("jobs", len(n.book.Jobs)))
-	if n.manifest != nil {
-		n.step(planner.QueuesChanged{Queues: n.manifest.queues()})
+	n.configureTerm()
+	if !t.configured {
+		n.log("configuration_awaited", zap.Uint64("epoch", c.Epoch), zap.Int64("version", version))
 	}
 	n.step(planner.WorkersChanged{Workers: infos})
 	go n.write(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,8 @@
 	writes *ring.Ring[planner.Write]
 	// wroteTo is the end of this term's last append; the journal duty owns it.
 	wroteTo int64
+	// configured is set once the planner has the configuration; the loop owns it.
+	configured bool
 	// pendingMS is when the outstanding write was sent, or 0.
 	pendingMS atomic.Int64
 	// refusedMS is when the log first refused that write, or 0.
