End the process when one of its sockets fails

What callers could see: requests that hang until their time limit, at an instance that the balancer's probe finds ready.

Cause: when a server ended with an error, the duties were stopped and Serve waited for the other servers, which nothing ends. Requests then wait for a loop that does not run any more.

Evidence: found by reading; TestFailedSocketEndsTheProcess failed before ("the process goes on", 20 s), passes now.

Serve closes the other servers and returns the error, so that the process ends and the platform starts it again. Listening is split from serving for the test.

--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -21,48 +21,65 @@
 	Readiness http.Handler
 }
 
+// endpoint is a socket and what answers there.
+type endpoint struct {
+	socket  net.Listener
+	handler http.Handler
+}
+
 // Serve listens, works until ctx ends, and then drains: it hands its term
 // over, goes on answering on open connections until the balancer has noticed,
-// and ends when the last request is answered.
+// and ends when the last request is answered. It also ends when one of its
+// sockets fails.
 func (n *Node) Serve(ctx context.Context, handlers Handlers) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, running := errgroup.WithContext(running)
-	var servers []*http.Server
-	serve := func(address string, handler http.Handler) error {
+	var endpoints []endpoint
+	listen := func(address string, handler http.Handler) error {
 		socket, err := net.Listen("tcp", address)
-		if err != nil {
-			return errors.Wrapf(err, "listen on %s", address)
-		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-		servers = append(servers, server)
-		group.Go(func() error {
-			if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
-		return nil
+		endpoints = append(endpoints, endpoint{socket, handler})
+		return errors.Wrapf(err, "listen on %s", address)
 	}
-	if err := serve(n.config.CallersAddr, handlers.Callers); err != nil {
+	if err := listen(n.config.CallersAddr, handlers.Callers); err != nil {
 		return err
 	}
-	if err := serve(n.config.ReadinessAddr, handlers.Readiness); err != nil {
+	if err := listen(n.config.ReadinessAddr, handlers.Readiness); err != nil {
 		return err
 	}
-	if err := serve(n.config.PeerAddr, n.PeerHandler()); err != nil {
+	if err := listen(n.config.PeerAddr, n.PeerHandler()); err != nil {
 		return err
 	}
 	if n.config.MetricsAddr != "" {
-		if err := serve(n.config.MetricsAddr, n.tele.Handler(n.Ready)); err != nil {
+		if err := listen(n.config.MetricsAddr, n.tele.Handler(n.Ready)); err != nil {
 			return err
 		}
 	}
+	return n.serve(ctx, endpoints)
+}
+
+// serve answers on the endpoints, of which the callers' comes first.
+func (n *Node) serve(ctx context.Context, endpoints []endpoint) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	var servers []*http.Server
+	for _, e := range endpoints {
+		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
+		servers = append(servers, server)
+		group.Go(func() error {
+			if err := server.Serve(e.socket); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
 	group.Go(func() error { return n.Run(running) })
 	n.log("started")
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
+		// The duties have ended, so nothing could answer the other sockets.
+		for _, server := range servers {
+			server.Close()
+		}
 		return group.Wait()
 	}
 	n.drain(servers)
