Log workers' entries that cannot be read or used

What operators saw: a worker that gets no work, and nothing in the log. Entries that don't decode or lack a field were left out silently, and so was a failed read of the entries. Both have a line now, entry_invalid and workers_unavailable. The entries still name no worker to use, as the platform's pages ask.

--- a/cmd/rwnode/main.go
+++ b/cmd/rwnode/main.go
@@ -43,7 +43,7 @@
 	n := node.New(config, node.Deps{
 		Log:       platform.JobLog{Store: store},
 		Operators: platform.Operators{Store: store},
-		Directory: platform.NewDirectory(store),
+		Directory: platform.NewDirectory(store, tele.Log),
 		Workers:   workers,
 		Adviser:   workers,
 	}, tele)
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -11,6 +11,7 @@
 	"redwingvale/internal/jobs"
 	"redwingvale/internal/planner"
 	"redwingvale/internal/ring"
+	"redwingvale/internal/telemetry"
 )
 
 // leaderInfo is where requests for the leader go.
@@ -183,7 +184,11 @@
 		pause(t.ctx, directoryInterval)
 		infos, next, err := n.deps.Directory.Changes(t.ctx, from)
 		if err != nil {
+			if t.ctx.Err() != nil {
+				return
+			}
 			n.stats.logErrors.Inc(1)
+			n.tele.Log.Warn("workers_unavailable", telemetry.ErrorFields(err)...)
 			continue
 		}
 		if next != from {
