Start no failed task again before the bound of attempts is known

A task could start again although it had failed as often as the configuration allows (BUDGET in random runs; no caller has reported it).

Cause: while a leader had not read the configuration in its term, a task with failures started again under the policy with which its job was accepted. The bound may have been lowered since, longer ago than a version may stay in force (configApplyMs).

Only the lowest bound that a queue can have is safe then: a task that has failed waits for the configuration, every other task starts as before. The job's own policy counts once the configuration is read and does not have the queue.

--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -30,13 +30,15 @@
 	return q
 }
 
-// boundOf returns the bound on the attempts of a job's tasks.
+// boundOf returns the bound on the attempts of a job's tasks. The policy under
+// which a job was accepted may have been replaced since, so it counts only for
+// a queue that the configuration does not have any more.
 func (c *Core) boundOf(j *job) bound {
 	switch {
 	case c.queues[j.spec.Queue] != nil:
 		return bound{j.queue.MaxAttempts, true}
-	case j.spec.Policy != nil:
-		return bound{j.queue.MaxAttempts, c.configured}
+	case j.spec.Policy != nil && c.configured:
+		return bound{j.queue.MaxAttempts, true}
 	default:
 		// The lowest bound that a queue can have.
 		return bound{1, false}
