Let random runs begin terms without a configuration

TestRandomRunsBeforeConfiguration gives a new term its queues after up to 9 s, maybe the version before the newest first, while that may still be in force. Versions change the bounds of attempts and drop a queue that has jobs; a third of the callers give up after one attempt; leaders fall while the log is down.

All random runs now check: a job ends as failed only when workers have listed as many failures of one task as a version in force allows; each end that a reachable worker lists, of any kind, is acknowledged within 4 s of calm; an accepted job is never answered as unknown; every cancellation is answered; no run is left that no job wants; a recorded job ends even if its caller has given up. BUDGET follows the versions instead of a fixed four attempts.

A log that forgets submissions is noticed too.

--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -39,9 +39,11 @@
 		return bound{j.queue.MaxAttempts, true}
 	case j.spec.Policy != nil && c.configured:
 		return bound{j.queue.MaxAttempts, true}
+	case j.spec.Policy != nil && c.off.lowestBound:
+		return bound{j.queue.MaxAttempts, false}
 	default:
 		// The lowest bound that a queue can have.
-		return bound{1, false}
+		return bound{1, c.off.knownBound}
 	}
 }
 
@@ -61,7 +63,9 @@
 		for _, s := range j.steps {
 			s.deadlineMS = deadline
 		}
-		c.judge(j)
+		if !c.off.judgeAgain {
+			c.judge(j)
+		}
 	}
 	c.wake = true
 }
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -74,6 +74,16 @@
 	stepOrder bool
 	// budget: a job ends when its attempts are used up.
 	budget bool
+	// knownBound: a bound of attempts decides once it is known.
+	knownBound bool
+	// lowestBound: before that, no failed task starts again.
+	lowestBound bool
+	// judgeAgain: a configuration judges the failures that were counted before.
+	judgeAgain bool
+	// stopUnknown: runs of unknown jobs are stopped after a while.
+	stopUnknown bool
+	// acknowledgeIdle: ends that change nothing need no write.
+	acknowledgeIdle bool
 	// verifyLife: nothing is acknowledged to a worker that may be a new life.
 	verifyLife bool
 }
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -63,7 +63,9 @@
 	}
 	records := c.appendDrops(nil)
 	if len(records) == 0 && len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.early) == 0 && !n.workersDirty {
-		c.ackUnrecorded()
+		if !c.off.acknowledgeIdle {
+			c.ackUnrecorded()
+		}
 		return
 	}
 	for _, j := range n.submissions {
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -84,6 +85,7 @@
 		job.Repeat, job.StartAtMS, job.IntervalMS = 2, w.now+1000, 3000
 	}
 	w.jobs[id] = &submitted{job: job}
+	w.unsettleJob(w.jobs[id])
 	w.ids = append(w.ids, id)
 	w.submit(id)
 	if w.rng.IntN(6) == 0 || job.Queue == "watch" && w.rng.IntN(2) == 0 {
@@ -134,7 +136,11 @@
 		s := w.jobs[id]
 		state, ok := w.leader.core.State(id)
 		switch {
-		case !s.accepted:
+		case s.asked && !s.answered:
+			w.violate("ACKS", "the cancellation of %s is not answered", id)
+		case !s.accepted && s.once && !ok:
+			// The only attempt met a leader that fell.
+		case !s.accepted && !s.once:
 			w.violate("LOST", "%s is not accepted", id)
 		case !ok:
 			w.violate("LOST", "%s is not known", id)
@@ -146,8 +152,11 @@
 			w.violate("LOST", "%s is still %s", id, state)
 		case state == jobs.Completed:
 			w.checkComplete(id)
+		case state == jobs.Failed && !w.verdicts[id]:
+			w.violate("LOST", "%s has failed, and no leader in office has said so", id)
 		}
 	}
+	w.checkLeft()
 }
 
 func (w *world) checkWatch(id jobs.ID, state jobs.State) {
@@ -260,22 +269,28 @@
 		{"budget", safeguards{budget: true}, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			for seed := test.first; seed < test.first+mostSeeds; seed++ {
-				w := play(seed, func(w *world) {
-					w.off = test.off
-					w.leader.core.off = test.off
-				})
-				if len(w.broken) > 0 {
-					t.Log(w.broken[0])
-					return
-				}
-			}
-			c.Fatalf("no violation in %d seeds", mostSeeds)
+			requireNoticed(t, test.first, mostSeeds, "", func(w *world) { w.switchOff(test.off) })
 		})
 	}
 }
 
+func (w *world) switchOff(off safeguards) { w.off, w.leader.core.off = off, off }
+
+// requireNoticed plays seeds with a safeguard switched off until one breaks the
+// rule, or any rule if it is "".
+func requireNoticed(t *testing.T, first, seeds uint64, rule string, change func(*world)) {
+	t.Helper()
+	for seed := first; seed < first+seeds; seed++ {
+		for _, broken := range play(seed, change).broken {
+			if strings.Contains(broken, ": "+rule) {
+				t.Log(broken)
+				return
+			}
+		}
+	}
+	qt.New(t).Fatalf("no violation of %q in %d seeds", rule, seeds)
+}
+
 // regressions are seeds that once failed, each with its cause.
 var regressions = map[uint64]string{
 	26:   "a deposed leader went on while a worker had lost its token",
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -84,7 +84,7 @@
 	if r == nil {
 		r = c.adoptRun(w, rt)
 	}
-	if r == nil && c.jobs[rt.Task.Job] == nil && c.book.Known(rt.Task.Job) == nil && w.keepOrphan(rt, c.now.MS) {
+	if r == nil && c.jobs[rt.Task.Job] == nil && c.book.Known(rt.Task.Job) == nil && (w.keepOrphan(rt, c.now.MS) || c.off.stopUnknown) {
 		return nil
 	}
 	if r == nil {
--- /dev/null
+++ b/internal/planner/unsettled_test.go
@@ -0,0 +1,291 @@
+package planner
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/jobs"
+)
+
+const (
+	// configApplyMS is the platform's bound for a version to be in force
+	// everywhere (configApplyMs).
+	configApplyMS = 2000
+	// predecessorMS is how long a deposed leader goes on in these runs.
+	predecessorMS = 2000
+)
+
+// version is a version of the configuration.
+type version struct {
+	at     int64
+	queues []Queue
+}
+
+func (v version) queue(name string) *Queue {
+	for i := range v.queues {
+		if v.queues[i].Name == name {
+			return &v.queues[i]
+		}
+	}
+	return nil
+}
+
+type orderedRun struct {
+	task jobs.Task
+	run  int
+}
+
+// configure gives a new leader its configuration: at once, or under unsettle
+// after a while, maybe with the version before the newest first.
+func (w *world) configure(l *leader) {
+	newest := len(w.versions) - 1
+	if w.extra == nil || w.epoch == 1 {
+		w.apply(l, newest)
+		return
+	}
+	delay := []int64{0, w.extra.Int64N(1000), w.extra.Int64N(9000)}[w.extra.IntN(3)]
+	if newest > 0 && w.extra.IntN(2) == 0 {
+		// An older version may be in force until the bound.
+		if bound := w.versions[newest].at + configApplyMS; w.now+delay/4 < bound {
+			w.at(delay/4, func() { w.apply(l, newest-1) })
+			delay = min(delay, bound-w.now)
+		}
+	}
+	w.at(delay, func() { w.apply(l, len(w.versions)-1) })
+}
+
+// apply puts a version in force at a leader; an older one never replaces a newer.
+func (w *world) apply(l *leader, n int) {
+	if l.version < n {
+		l.version = n
+		w.step(l, QueuesChanged{Queues: w.versions[n].queues})
+	}
+}
+
+// publish confirms a new version, which the leader learns of within the bound.
+func (w *world) publish(queues []Queue) {
+	w.versions = append(w.versions, version{w.now, queues})
+	n := len(w.versions) - 1
+	l := w.leader
+	w.at(w.extra.Int64N(configApplyMS), func() {
+		// A leader that has no version yet is still waiting for its first.
+		if l.version >= 0 {
+			w.apply(l, n)
+		}
+	})
+}
+
+// randomVersion changes bounds of attempts; now and then it drops a queue that
+// may have jobs.
+func (w *world) randomVersion() {
+	queues := slices.Clone(w.versions[0].queues)
+	for i := range queues {
+		queues[i].MaxAttempts = 1 + w.extra.IntN(6)
+	}
+	if w.extra.IntN(3) == 0 {
+		queues = slices.DeleteFunc(queues, func(q Queue) bool { return q.Name == "batch" })
+	}
+	w.publish(queues)
+}
+
+// unsettle lets leaders begin without a configuration or with an older one,
+// changes the configuration, lets callers give up after one attempt and lets
+// leaders fall while the log is down.
+func (w *world) unsettle() {
+	w.extra = rand.New(rand.NewPCG(w.seed, 2))
+	for range 5 {
+		w.at(w.extra.Int64N(faultsSeconds*1000), func() {
+			w.randomVersion()
+			if w.extra.IntN(2) == 0 {
+				w.at(w.extra.Int64N(configApplyMS), w.elect)
+			}
+		})
+	}
+	for range 3 {
+		w.at(w.extra.Int64N(faultsSeconds*1000), func() {
+			down := 200 + w.extra.Int64N(5000)
+			w.logDownUntil = max(w.logDownUntil, w.now+down)
+			w.at(w.extra.Int64N(down+1), w.elect)
+		})
+	}
+}
+
+// unsettleJob accepts a job under a version that is in force, and lets some
+// callers give up after one attempt. Jobs of the queue urgent, which is never
+// dropped, are as an earlier release recorded them: without a policy.
+func (w *world) unsettleJob(s *submitted) {
+	if w.extra == nil {
+		return
+	}
+	s.once = w.extra.IntN(3) == 0
+	newest := len(w.versions) - 1
+	if newest > 0 && w.now < w.versions[newest].at+configApplyMS && w.extra.IntN(2) == 0 {
+		newest--
+	}
+	q := w.versions[newest].queue(s.job.Queue)
+	if q == nil || s.job.Queue == "batch" && w.extra.IntN(4) == 0 {
+		s.job.Queue = "urgent"
+		return
+	}
+	policy := q.Policy
+	s.job.Policy = &policy
+}
+
+// bounds returns the bounds of attempts that may be in force for a job between
+// two moments: those of the versions, and where one has dropped the queue the
+// last before it and the one under which the job was accepted.
+func (w *world) bounds(job *jobs.Job, from, to int64) []int {
+	var out []int
+	last := 0
+	for i, v := range w.versions {
+		superseded := i+1 < len(w.versions) && w.versions[i+1].at+configApplyMS < from
+		q := v.queue(job.Queue)
+		switch {
+		case v.at > to:
+		case superseded && q != nil:
+			last = q.MaxAttempts
+		case superseded:
+		case q != nil:
+			last = q.MaxAttempts
+			out = append(out, last)
+		default:
+			out = append(out, last)
+			if job.Policy != nil {
+				out = append(out, job.Policy.MaxAttempts)
+			}
+		}
+	}
+	return out
+}
+
+// mostAttempts is how many failures a version in force since the order of a
+// start has allowed.
+func (w *world) mostAttempts(s Start) int {
+	ordered := w.ordered[orderedRun{s.Task, s.Run}]
+	return slices.Max(w.bounds(w.jobs[s.Task.Job].job, ordered, ordered))
+}
+
+func (w *world) onListed(ends []EndedTask) {
+	for _, e := range ends {
+		if e.Kind != EndFailed {
+			continue
+		}
+		t := e.Task
+		if w.spec(t).Gang {
+			t.Index = 0
+		}
+		if w.listedFailures[t] == nil {
+			w.listedFailures[t] = map[int]bool{}
+		}
+		w.listedFailures[t][e.Run] = true
+	}
+}
+
+// checkVerdict checks that a job ends as failed only when the workers have
+// listed as many failures of one task as a version in force allows.
+func (w *world) checkVerdict(l *leader, d Decision) {
+	if d.Event != "job_ended" || l.epoch != w.epoch || l.core.jobs[d.Job].state != jobs.Failed {
+		return
+	}
+	w.verdicts[d.Job] = true
+	most := 0
+	for t, runs := range w.listedFailures {
+		if t.Job == d.Job {
+			most = max(most, len(runs))
+		}
+	}
+	if bounds := w.bounds(w.jobs[d.Job].job, w.now, w.now); most < slices.Min(bounds) {
+		w.violate("LOST", "%s has failed after %d failures of a task, versions in force allow %v: %s", d.Job, most, bounds, d.Reason)
+	}
+}
+
+// calmSince is since when the log is up, the worker can be reached and one
+// leader orders.
+func (w *world) calmSince(f *fakeWorker) int64 {
+	return max(f.downUntil, f.cutUntil, f.unlistedUntil, w.logDownUntil, w.leader.sinceMS+predecessorMS)
+}
+
+// checkAcks checks that the ends that a worker lists are acknowledged within
+// the users' bound of calm.
+func (w *world) checkAcks(f *fakeWorker) {
+	for _, e := range f.ended {
+		if calm := w.now - max(f.endedAt[e.Number], w.calmSince(f)); calm > ackBoundMS {
+			w.violate("ACKS", "end %d of %s (%s run %d, %s) is not acknowledged after %d ms of calm", e.Number, f.info.ID, e.Task, e.Run, e.Kind, calm)
+			return
+		}
+	}
+}
+
+// cancelAnswered notes the answer to a cancellation.
+func (w *world) cancelAnswered(s *submitted, r Reply) {
+	switch {
+	case r.Known && s.cancelled == 0:
+		s.cancelled, s.answered = w.now, true
+	case !r.Known && s.accepted:
+		w.violate("LOST", "%s is accepted and answered as unknown", s.job.Payload)
+	case !r.Known && s.once:
+		// The caller repeats a cancellation as long as it repeats the submission.
+		s.answered = true
+	}
+}
+
+// checkLeft checks that no worker still runs what no job wants.
+func (w *world) checkLeft() {
+	for _, f := range w.workers {
+		for _, t := range sortedTasks(f.runs) {
+			state, ok := w.leader.core.State(t.Job)
+			if w.now >= f.downUntil && (!ok || state.Final()) {
+				w.violate("UNASKED", "%s run %d still runs on %s, its job is %q", t, f.runs[t].number, f.info.ID, state)
+			}
+		}
+	}
+}
+
+// Guards against decisions that a leader takes before it has the configuration
+// or by one that is not in force, against waits without end for what a caller
+// or a leader has left behind, and against late acknowledgements.
+func TestRandomRunsBeforeConfiguration(t *testing.T) {
+	c := qt.New(t)
+	for i := range *seedCount {
+		w := play(*firstSeed+uint64(i), (*world).unsettle)
+		c.Check(w.broken, qt.HasLen, 0)
+	}
+}
+
+// TestBrokenSafeguardsBeforeConfiguration switches off what guards against
+// each failure of TestRandomRunsBeforeConfiguration: its seeds must notice.
+func TestBrokenSafeguardsBeforeConfiguration(t *testing.T) {
+	const mostSeeds = 60
+	for _, test := range []struct {
+		name, rule string
+		off        safeguards
+		// first is where to start: the rarer faults show in few seeds.
+		first uint64
+	}{
+		{"known bound", "LOST", safeguards{knownBound: true}, 1},
+		{"lowest bound", "BUDGET", safeguards{lowestBound: true}, 60},
+		{"judge again", "LOST", safeguards{judgeAgain: true}, 1},
+		{"early ends", "TWICE", safeguards{earlyEnds: true}, 1},
+		{"acknowledge idle", "ACKS", safeguards{acknowledgeIdle: true}, 1},
+		{"stop unknown", "UNASKED", safeguards{stopUnknown: true}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			requireNoticed(t, test.first, mostSeeds, test.rule, func(w *world) {
+				w.unsettle()
+				w.switchOff(test.off)
+			})
+		})
+	}
+}
+
+// Guards against a check that would not notice an accepted job that is
+// answered as unknown: the log forgets what it has confirmed.
+func TestRandomRunsNoticeForgottenSubmissions(t *testing.T) {
+	requireNoticed(t, 1, 10, "LOST", func(w *world) {
+		w.unsettle()
+		w.forgetful = true
+	})
+}
--- a/internal/planner/worker_test.go
+++ b/internal/planner/worker_test.go
@@ -19,6 +19,8 @@
 	runs   map[jobs.Task]*fakeRun
 	ended  []EndedTask
 	ends   int64
+	// endedAt is when each listed end came about.
+	endedAt map[int64]int64
 	// top is the highest run number that has been stopped or has ended.
 	top map[jobs.Task]int
 	// downUntil: nothing answers; cutUntil: nothing gets through, work goes on.
@@ -80,6 +82,7 @@
 	r := f.runs[task]
 	delete(f.runs, task)
 	f.ends++
+	f.endedAt[f.ends] = f.world.now
 	f.ended = append(f.ended, EndedTask{Number: f.ends, Task: task, Run: r.number, Kind: kind, Checkpoint: r.saved()})
 	f.top[task] = max(f.top[task], r.number)
 	f.world.onEnd(f, task, r, kind)
@@ -95,7 +98,7 @@
 // crash loses everything and starts a new life under the same id.
 func (f *fakeWorker) crash(downMS int64) {
 	f.runs = map[jobs.Task]*fakeRun{}
-	f.ended, f.ends, f.top = nil, 0, map[jobs.Task]int{}
+	f.ended, f.ends, f.endedAt, f.top = nil, 0, map[int64]int64{}, map[jobs.Task]int{}
 	f.downUntil = f.world.now + downMS
 	f.clock0, f.bornAt = f.downUntil, f.downUntil+1
 	f.token, f.lease = 0, 0
@@ -126,6 +129,7 @@
 
 func (f *fakeWorker) report() Report {
 	out := Report{BornMS: f.bornAt, ClockMS: f.clock() + 1, Ended: append([]EndedTask(nil), f.ended...)}
+	f.world.onListed(f.ended)
 	for _, task := range sortedTasks(f.runs) {
 		r := f.runs[task]
 		percent := 100
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -28,7 +28,6 @@
 	epoch   uint64
 	leader  *leader
 	workers []*fakeWorker
-	queues  []Queue
 	jobs    map[jobs.ID]*submitted
 	ids     []jobs.ID
 	tickets map[uint64]jobs.ID
@@ -38,12 +37,25 @@
 	acked  map[jobs.Task]bool
 	done   map[jobs.Task]bool
 	failed map[jobs.Task]int
+	// listedFailures holds the failed runs that workers have listed, by the task
+	// for which they count.
+	listedFailures map[jobs.Task]map[int]bool
+	// ordered is when the start of a run was ordered.
+	ordered map[orderedRun]int64
+	// verdicts holds the jobs that a leader in office has ended as failed.
+	verdicts map[jobs.ID]bool
+	// versions are the versions of the configuration, from the oldest on.
+	versions []version
+	// extra drives the choices of unsettle; nil without it.
+	extra  *rand.Rand
 	broken []string
 	starts int
 	// spent is the processor time of the planner.
 	spent time.Duration
 	// logDownUntil: appends get no answer until then.
 	logDownUntil int64
+	// forgetful lets the log drop submissions that it has confirmed.
+	forgetful bool
 }
 
 // submitted is a job as its caller knows it.
@@ -52,6 +64,10 @@
 	accepted  bool
 	cancelled int64
 	recorded  bool
+	// once is set if the caller does not repeat the submission.
+	once bool
+	// asked and answered tell whether a cancellation was sent and answered.
+	asked, answered bool
 }
 
 // leader is one instance's term; a deposed one may go on for a while.
@@ -61,6 +77,10 @@
 	end   int
 	epoch uint64
 	over  bool
+	// version is the version of the configuration in force; -1 before the first.
+	version int
+	// sinceMS is when the term began.
+	sinceMS int64
 }
 
 // faultRates are the shares of calls that go wrong.
@@ -92,18 +112,19 @@
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: 1_000_000, faults: faults,
 		config: Config{LeaseMS: 4000, PriorLeaseMS: 4000, MaxLeaseMS: 10_000, GangTimeoutMS: 3000, InterferenceMS: 4000, StatusMS: 120_000, OptimisticStart: true},
-		queues: []Queue{
+		versions: []version{{queues: []Queue{
 			{Name: "urgent", Policy: jobs.Policy{Service: "s", Priority: 0, MaxAttempts: 4, Stretch: 1.5, TargetLatencyMS: 250}},
 			{Name: "batch", Policy: jobs.Policy{Service: "s", Priority: 2, MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000}},
 			{Name: "watch", Policy: jobs.Policy{Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 2500}},
-		},
+		}}},
 		jobs: map[jobs.ID]*submitted{}, tickets: map[uint64]jobs.ID{}, cancels: map[uint64]jobs.ID{},
 		acked: map[jobs.Task]bool{}, done: map[jobs.Task]bool{}, failed: map[jobs.Task]int{},
+		listedFailures: map[jobs.Task]map[int]bool{}, ordered: map[orderedRun]int64{}, verdicts: map[jobs.ID]bool{},
 	}
 	for i := range 6 {
 		f := &fakeWorker{
 			world: w, rate: 1 - 0.02*w.rng.Float64(), clock0: w.now - 5000, bornAt: w.now - 5000,
-			runs: map[jobs.Task]*fakeRun{}, top: map[jobs.Task]int{},
+			runs: map[jobs.Task]*fakeRun{}, top: map[jobs.Task]int{}, endedAt: map[int64]int64{},
 			info: WorkerInfo{
 				ID: WorkerID(fmt.Sprintf("w%d", i)), Address: fmt.Sprintf("addr%d", i), Service: "s",
 				Capacity: Room{CPUMilli: 16_000, MemoryMB: 64_000},
@@ -143,6 +164,7 @@
 func (w *world) tick() {
 	for _, f := range w.workers {
 		f.advance(20)
+		w.checkAcks(f)
 	}
 	w.step(w.leader, Tick{})
 	w.at(20, w.tick)
@@ -154,14 +176,14 @@
 		w.leader.over = true
 	}
 	w.epoch++
-	l := &leader{epoch: w.epoch, book: jobs.NewBook()}
+	l := &leader{epoch: w.epoch, book: jobs.NewBook(), version: -1, sinceMS: w.now}
 	w.catchUp(l)
 	config := w.config
 	config.FirstTerm = w.epoch == 1
 	l.core = New(config, l.book, w.epoch, w.time())
 	l.core.off = w.off
 	w.leader = l
-	w.step(l, QueuesChanged{Queues: w.queues})
+	w.configure(l)
 	w.step(l, WorkersChanged{Workers: w.directory()})
 }
 
@@ -252,6 +274,7 @@
 	case Hold:
 		w.hold(l, e)
 	case Start:
+		w.ordered[orderedRun{e.Task, e.Run}] = w.now
 		w.call(e.Worker, func(f *fakeWorker) Outcome { return f.start(e) }, func(o Outcome) {
 			w.step(l, StartDone{e.Worker, e.Address, e.Task, e.Run, e.Token, o})
 		})
@@ -263,6 +286,8 @@
 		w.call(e.Worker, func(f *fakeWorker) Outcome { return f.setPace(e) }, func(o Outcome) {
 			w.step(l, PaceDone{e.Worker, e.Task, e.Run, e.Percent, o})
 		})
+	case Decision:
+		w.checkVerdict(l, e)
 	case Write:
 		w.write(l, e)
 	case Reply:
@@ -309,6 +334,10 @@
 		}
 		w.log = append(w.log, e.Records...)
 		w.catchUp(l)
+		if w.forgetful {
+			w.log = slices.DeleteFunc(w.log, func(r jobs.Record) bool { return jobs.Submitted(r) != "" })
+			l.end = len(w.log)
+		}
 		for _, r := range e.Records {
 			if id := jobs.Submitted(r); id != "" {
 				w.jobs[id].recorded = true
@@ -331,15 +360,18 @@
 		return
 	}
 	w.step(w.leader, SubmitRequested{Ticket: w.ticket, ID: id, Encoded: encoded})
-	w.at(1000, func() { w.submit(id) })
+	if !s.once {
+		w.at(1000, func() { w.submit(id) })
+	}
 }
 
 func (w *world) cancel(id jobs.ID) {
 	w.ticket++
 	w.cancels[w.ticket] = id
+	w.jobs[id].asked = true
 	w.step(w.leader, CancelRequested{Ticket: w.ticket, ID: id})
 	w.at(1000, func() {
-		if w.jobs[id].cancelled == 0 {
+		if !w.jobs[id].answered {
 			w.cancel(id)
 		}
 	})
@@ -352,8 +384,8 @@
 			w.violate("LOST", "%s is accepted before it is in the log", id)
 		}
 	}
-	if id, ok := w.cancels[r.Ticket]; ok && r.Known && w.jobs[id].cancelled == 0 {
-		w.jobs[id].cancelled = w.now
+	if id, ok := w.cancels[r.Ticket]; ok {
+		w.cancelAnswered(w.jobs[id], r)
 	}
 }
 
@@ -410,8 +442,8 @@
 	if sub.cancelled > 0 && w.now-sub.cancelled > 3000 && s.Token>>tokenShift == w.epoch {
 		w.violate("UNASKED", "%s starts %d ms after its cancellation", s.Task, w.now-sub.cancelled)
 	}
-	if w.failed[s.Task] >= 4 && !spec.LongRunning && !spec.Gang {
-		w.violate("BUDGET", "%s starts after %d failures", s.Task, w.failed[s.Task])
+	if most := w.mostAttempts(s); w.failed[s.Task] >= most && !spec.LongRunning && !spec.Gang {
+		w.violate("BUDGET", "%s starts after %d failures, %d are allowed", s.Task, w.failed[s.Task], most)
 	}
 	if spec.Speculative {
 		return
