Acknowledge ends in batches, so that none waits for new jobs

Cause: acknowledgements were collected only for a write after which no job was left to be recorded. A write holds 400 records. Where more jobs change during one write than the next one holds, some are always left, and nothing bounds the wait: the ends pile up on the workers, which list 500 at a time. 800 jobs, 1200 ends a second and appends of 500 ms are enough; a bound by bytes is reached sooner.

Ends are now collected in a batch that is acknowledged once the jobs that were queued at that moment are recorded. Jobs that change later join the next batch, so a batch takes as many writes as its jobs need. A job that is submitted while its early ends are queued takes their place in the batch.

TestEndsAcknowledgedWhileJobsWait failed before (acknowledged up to 0 of 3 after 4000 ms, 227 jobs to record) and fails with "acknowledged and not recorded" if a batch doesn't wait for its jobs.

--- /dev/null
+++ b/internal/planner/acks_test.go
@@ -0,0 +1,81 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/jobs"
+)
+
+// Guards against ends that are never acknowledged, or before they are recorded:
+// on a large deployment with a slow log more jobs change during one write than
+// the next one can hold.
+func TestEndsAcknowledgedWhileJobsWait(t *testing.T) {
+	const (
+		jobCount, tasksPerJob = 800, 12
+		workerCount           = 8
+		writeTakesMS          = 500
+	)
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	workers := make([]WorkerInfo, workerCount)
+	for i := range workers {
+		workers[i] = testWorker
+		workers[i].ID, workers[i].Address = WorkerID(fmt.Sprint("w", i)), fmt.Sprint("a", i)
+	}
+	d.confirm(d.step(WorkersChanged{Workers: workers}))
+	for i := range jobCount {
+		d.confirm(d.submit(t, jobs.ID(fmt.Sprintf("%03d", i)), jobs.Step{Count: tasksPerJob, CPUMilli: 32_000, EstimateMS: 900}))
+	}
+	d.confirm(d.wait(100))
+
+	var outstanding *Write
+	var writeEndsMS int64
+	take := func(effects []Effect) {
+		for _, e := range effects {
+			if w, ok := e.(Write); ok {
+				outstanding, writeEndsMS = &w, d.now+writeTakesMS
+			}
+		}
+	}
+	listed := map[int64]int64{} // the last end that each worker had listed at a time
+	ends := map[WorkerID][]jobs.Task{}
+	checked := map[WorkerID]int64{}
+	ended, number := 0, int64(0)
+	for ended+3*workerCount <= jobCount*tasksPerJob {
+		if outstanding != nil && d.now >= writeEndsMS {
+			w := *outstanding
+			outstanding = nil
+			for _, r := range w.Records {
+				_, err := d.core.book.Apply(r)
+				c.Assert(err, qt.IsNil)
+			}
+			take(d.step(WriteDone{Seq: w.Seq}))
+		}
+		for _, info := range workers {
+			r := Report{BornMS: 7, ClockMS: d.now - 1_000_000}
+			for k := range int64(3) {
+				ref := jobs.Task{Job: jobs.ID(fmt.Sprintf("%03d", ended%jobCount)), Index: ended / jobCount}
+				r.Ended = append(r.Ended, EndedTask{Number: number + k + 1, Task: ref, Run: 1, Kind: EndDone})
+				ends[info.ID] = append(ends[info.ID], ref)
+				ended++
+			}
+			take(d.report(info, r))
+		}
+		number += 3
+		listed[d.now] = number
+		for _, info := range workers {
+			acked, due := d.core.workers[info.ID].acked, listed[d.now-ackBoundMS]
+			for ; checked[info.ID] < acked; checked[info.ID]++ {
+				ref := ends[info.ID][checked[info.ID]]
+				entry := d.core.book.Known(ref.Job)
+				c.Assert(entry.Progress != nil && entry.Progress.IsDone(entry.Job, ref), qt.IsTrue, qt.Commentf("%s is acknowledged and not recorded", ref))
+			}
+			c.Assert(acked >= due, qt.IsTrue, qt.Commentf("acknowledged up to %d of %d after %d ms, jobs to record %d", acked, due, ackBoundMS, len(d.core.journal.dirty)))
+		}
+		d.now += 20
+		take(d.step(Tick{}))
+	}
+}
--- a/internal/planner/early.go
+++ b/internal/planner/early.go
@@ -43,10 +43,29 @@
 		return
 	}
 	delete(c.early, j.id)
-	c.journal.early = slices.DeleteFunc(c.journal.early, func(id jobs.ID) bool { return id == j.id })
 	j.progress.AddEarlyEnds(j.id, j.spec, ends)
 	j.started = true
 	c.markDirty(j)
+	c.recordInstead(j)
+}
+
+// recordInstead lets a job take the place of its early ends among what is to be
+// recorded: a batch of acknowledgements may wait for them.
+func (c *Core) recordInstead(j *job) {
+	n := &c.journal
+	i := slices.Index(n.early, j.id)
+	if i < 0 {
+		return
+	}
+	n.early = slices.Delete(n.early, i, i+1)
+	if i >= n.waiting.early {
+		return
+	}
+	n.waiting.early--
+	if i := slices.Index(n.dirty, j); i >= n.waiting.dirty {
+		n.dirty = slices.Insert(slices.Delete(n.dirty, i, i+1), 0, j)
+		n.waiting.dirty++
+	}
 }
 
 // appendEarlyEnds adds the records of early ends to a write.
@@ -55,6 +74,7 @@
 	for len(n.early) > 0 && len(records) < maxRecordsPerWrite {
 		id := n.early[0]
 		n.early = n.early[1:]
+		n.waiting.early = max(0, n.waiting.early-1)
 		record, err := jobs.EarlyEndsRecord(id, c.early[id])
 		if err != nil {
 			c.emit(Decision{Event: "early_ends_not_encoded", Job: id, Reason: err.Error()})
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -19,6 +19,8 @@
 	dirty        []*job
 	// early are the jobs whose early ends are to be recorded.
 	early []jobs.ID
+	// waiting are the ends that are acknowledged next.
+	waiting ackBatch
 	// The content of the outstanding write.
 	written []*job
 	acks    []ackMark
@@ -35,6 +37,17 @@
 	number int64
 }
 
+// ackBatch holds ends until what was queued before them is recorded. Ends that
+// come later wait for the next batch, so that no batch waits for new jobs.
+type ackBatch struct {
+	marks []ackMark
+	// dirty and early are how many at the head of the queues of that name are
+	// still to be recorded.
+	dirty, early int
+}
+
+func (b *ackBatch) recorded() bool { return b.dirty == 0 && b.early == 0 }
+
 type finalJob struct {
 	id   jobs.ID
 	atMS int64
@@ -68,6 +81,9 @@
 		}
 		return
 	}
+	if len(n.waiting.marks) == 0 {
+		n.waiting = c.collectAcks()
+	}
 	for _, j := range n.submissions {
 		records = append(records, jobs.SubmissionRecord(j.id, j.encoded))
 		n.written = append(n.written, j)
@@ -77,6 +93,7 @@
 	for len(n.dirty) > 0 && len(records) < maxRecordsPerWrite {
 		j := n.dirty[0]
 		n.dirty = n.dirty[1:]
+		n.waiting.dirty = max(0, n.waiting.dirty-1)
 		j.dirty = false
 		record, ok := c.progressRecord(j)
 		if !ok {
@@ -90,8 +107,9 @@
 		n.written = append(n.written, j)
 	}
 	records = c.appendLearned(c.appendWorkers(records))
-	if len(n.dirty) == 0 && len(n.early) == 0 {
-		c.collectAcks()
+	if n.waiting.recorded() {
+		n.acks = append(n.acks, n.waiting.marks...)
+		n.waiting.marks = n.waiting.marks[:0]
 	}
 	n.seq++
 	n.outstanding = true
@@ -134,13 +152,16 @@
 	return record, true
 }
 
-// collectAcks notes which ends the outstanding write covers.
-func (c *Core) collectAcks() {
+// collectAcks returns the ends that are not acknowledged yet.
+func (c *Core) collectAcks() ackBatch {
+	n := &c.journal
+	b := ackBatch{marks: n.waiting.marks[:0], dirty: len(n.dirty), early: len(n.early)}
 	for _, w := range c.order {
 		if w.seen > w.acked {
-			c.journal.acks = append(c.journal.acks, ackMark{w, w.bornMS, w.seen})
+			b.marks = append(b.marks, ackMark{w, w.bornMS, w.seen})
 		}
 	}
+	return b
 }
 
 // ackUnrecorded acknowledges ends that change nothing, such as those of jobs
