Keep no list of the failures of long-running tasks

The list of a task's failed runs is part of its job's record. A task that lasts has no bound of attempts, so nothing reads the list, and it grew with each failure until the log would refuse the record. The write would be repeated for ever, and no job's progress recorded any more.

--- a/internal/jobs/early.go
+++ b/internal/jobs/early.go
@@ -36,9 +36,9 @@
 		step := &job.Steps[e.Step]
 		task := Task{Job: id, Occurrence: e.Occurrence, Step: e.Step, Index: e.Index}
 		switch {
+		case step.LongRunning:
 		case !e.Done:
 			p.AddFailure(step.Counted(task), e.Run)
-		case step.LongRunning:
 		case step.Gang:
 			for i := range step.Count {
 				task.Index = i
--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -83,10 +83,14 @@
 // taskFailed counts a failure and gives the job up when the queue's attempts
 // are used up.
 func (c *Core) taskFailed(t *task, w *worker, number int) {
-	t.step.job.progress.AddFailure(t.counted(), number)
 	if !slices.Contains(t.avoid, w) {
 		t.avoid = append(t.avoid, w)
 	}
+	if t.step.spec.LongRunning {
+		// Its attempts have no bound, so a list of them would only grow.
+		return
+	}
+	t.step.job.progress.AddFailure(t.counted(), number)
 	c.judgeTask(t)
 }
 
