Refuse a submission with more tasks than a leader can hold

The number of occurrences had no limit, and every leader in turn makes room for the tasks of all of them at once: one submission could have ended each process that leads. Records of jobs that were accepted before are read without that limit.

TestCheck: the two new rows beyond the limit were accepted before.

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -166,7 +166,7 @@
 	if err := json.Unmarshal(value, job); err != nil {
 		return nil, errors.Wrap(err, "decode job")
 	}
-	return job, job.Check()
+	return job, job.checkShape()
 }
 
 // SubmissionRecord returns the record that submits an encoded job.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -15,6 +15,9 @@
 	MaxPayloadBytes = 4000
 	MaxSteps        = 64
 	MaxTasksPerStep = 10_000
+	// MaxTasks bounds the tasks of all occurrences: the leader keeps them in
+	// memory, of which the smallest instances have 184 MB.
+	MaxTasks = 100_000
 )
 
 // ID names a job. The caller chooses it.
@@ -106,6 +109,18 @@
 
 // Check returns an error with a result code for a job that cannot be taken.
 func (j *Job) Check() error {
+	if err := j.checkShape(); err != nil {
+		return err
+	}
+	if j.Occurrences() > MaxTasks || j.tasks()*j.Occurrences() > MaxTasks {
+		return code.New(code.BadRequest, "%d occurrences of %d tasks, at most %d in all", j.Occurrences(), j.tasks(), MaxTasks)
+	}
+	return nil
+}
+
+// checkShape returns an error for a job that no planner can handle. Records of
+// accepted jobs have to pass it too, so it must not become stricter.
+func (j *Job) checkShape() error {
 	switch {
 	case len(j.Payload) > MaxPayloadBytes:
 		return code.New(code.BodyTooLarge, "payload of %d bytes, at most %d", len(j.Payload), MaxPayloadBytes)
@@ -122,6 +137,15 @@
 	return nil
 }
 
+// tasks returns the number of tasks of one occurrence.
+func (j *Job) tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 func (s *Step) check(index int) error {
 	if s.Count < 1 || s.Count > MaxTasksPerStep {
 		return code.New(code.BadRequest, "step %d: %d tasks, want 1 to %d", index, s.Count, MaxTasksPerStep)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -23,6 +24,9 @@
 		{"after itself", Job{Steps: []Step{{Count: 1, After: []int{0}}}}, code.BadRequest},
 		{"after a later one", Job{Steps: []Step{{Count: 1, After: []int{1}}, step}}, code.BadRequest},
 		{"negative amount", Job{Steps: []Step{{Count: 1, CPUMilli: -1}}}, code.BadResources},
+		{"too many occurrences", Job{Repeat: math.MaxInt, Steps: []Step{step}}, code.BadRequest},
+		{"too many tasks in all", Job{Repeat: 11, Steps: []Step{{Count: 10_000}}}, code.BadRequest},
+		{"as many tasks as may be", Job{Repeat: 10, Steps: []Step{{Count: 10_000}}}, code.OK},
 		{"negative schedule", Job{Repeat: -1, Steps: []Step{step}}, code.BadRequest},
 	} {
 		t.Run(test.name, func(t *testing.T) {
