Start no second copy while the leadership is in doubt

A leader that was suspended or refused for a newer token sends no order until it has read the log. The second copy of a slow speculative run did not wait for that.

TestNoSecondCopyWhileSuspended failed before.

--- a/internal/planner/direct_test.go
+++ b/internal/planner/direct_test.go
@@ -451,3 +451,33 @@
 	}
 	c.Fatal("the task was not started")
 }
+
+// Guards against a start by a leader whose leadership is in doubt: the second
+// copy of a slow run has to wait like every other start.
+func TestNoSecondCopyWhileSuspended(t *testing.T) {
+	for _, suspended := range []bool{false, true} {
+		c := qt.New(t)
+		d := newDirect(safeguards{})
+		infos := d.joinMany(3)
+		start, ok := find[Start](d.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900, Speculative: true}))
+		c.Assert(ok, qt.IsTrue)
+		if suspended {
+			d.step(Suspended{})
+		}
+		copies := 0
+		for i := range 15 {
+			effects := slices.Clone(d.wait(100))
+			for _, info := range infos {
+				report := Report{BornMS: 7, ClockMS: int64(2100 + 100*i)}
+				if info.ID == start.Worker {
+					report.Running = []RunningTask{{Task: start.Task, Run: start.Run, Percent: 1 + i/5}}
+				}
+				effects = append(effects, d.report(info, report)...)
+			}
+			if _, started := find[Start](effects); started {
+				copies++
+			}
+		}
+		c.Assert(copies > 0, qt.Equals, !suspended)
+	}
+}
--- a/internal/planner/watch.go
+++ b/internal/planner/watch.go
@@ -128,8 +128,8 @@
 		r.judgedMS = r.usageMS
 		w.health.observeSpeed(expected*rate/100, c.now.MS)
 	}
-	if c.exhausted(r.task) {
-		// No other run may follow this one.
+	if c.suspended || c.exhausted(r.task) {
+		// No other run may follow this one, or not now.
 		return
 	}
 	remaining := float64(100-r.percent) / rate
