Ask the adviser anew when no allowed worker is left

The workers that the adviser has denied were asked about again only if it had never allowed one: a ticket of a worker that is gone, or that had expired, kept the denials for good, although workers may start again under their ids.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -61,7 +61,7 @@
 	}
 	candidates := c.adviceCandidates(s)
 	if len(candidates) == 0 {
-		if len(a.denied) > 0 && len(a.tickets) == 0 {
+		if len(a.denied) > 0 && !c.allowedSomewhere(s) {
 			a.denied, a.askedMS = nil, c.now.MS
 		}
 		return
@@ -73,6 +73,17 @@
 	c.emit(Advise{Step: s.id(), Workers: slices.Clone(a.asked)})
 }
 
+// allowedSomewhere reports whether a worker may run the step's tasks, with room
+// now or later.
+func (c *Core) allowedSomewhere(s *step) bool {
+	for id := range s.advice.tickets {
+		if w := c.workers[id]; w != nil && w.listed && s.advice.allows(id, c.now.MS) {
+			return true
+		}
+	}
+	return false
+}
+
 // adviceCandidates returns the workers whose permission is not known and that
 // have room now: first those near the step's data, then those with most room.
 func (c *Core) adviceCandidates(s *step) []*worker {
