Look now and then at a listed worker that counts as gone

One answer of another worker from a worker's address made it count as gone until its entry changed. A stray answer would have left a worker that lives without work and without acknowledgements for good. While the directory lists it, it is asked again every 2 s.

--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -54,6 +54,10 @@
 	runsPerTerm = 1000
 	// tokenShift leaves room for 2^20 raises of a worker's token in one term.
 	tokenShift = 20
+	// deadLookMS is the pause between looks at a worker that the directory lists
+	// although another one has answered at its address: the answer may have been
+	// a stray one.
+	deadLookMS = 2000
 	// silentMS without an answer takes a worker out of placement.
 	silentMS = 1600
 	// noRoomPauseMS keeps tasks away from a worker that had no room although
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -431,3 +431,25 @@
 		})
 	}
 }
+
+// Guards against a worker that is taken as gone for ever after one stray
+// answer: while the directory lists it, it is asked again now and then.
+func TestListedWorkerIsAskedAgainAfterStrayAnswer(t *testing.T) {
+	c := qt.New(t)
+	d := newDirect(safeguards{})
+	d.join(testWorker)
+	d.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: OtherWorker})
+	looks := 0
+	for range 50 {
+		if _, held := find[Hold](d.wait(100)); held {
+			looks++
+			d.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: OtherWorker})
+		}
+	}
+	c.Assert(looks, qt.Equals, 2)
+	d.wait(deadLookMS)
+	d.report(testWorker, Report{BornMS: 7, ClockMS: 9000})
+	effects := slices.Clone(d.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	_, started := find[Start](append(effects, d.wait(300)...))
+	c.Assert(started, qt.IsTrue)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -173,6 +173,9 @@
 // worker cannot run any more.
 func (c *Core) tickWorker(w *worker) {
 	if w.dead {
+		if w.listed && w.holds == 0 && c.now.MS >= w.nextHoldMS {
+			c.sendHold(w)
+		}
 		return
 	}
 	if w.holds == 0 && (w.wantHold || c.now.MS >= w.nextHoldMS) {
@@ -255,6 +258,7 @@
 	w.holds = max(0, w.holds-1)
 	switch e.Outcome {
 	case Done:
+		w.dead = false
 		c.report(w, e)
 	case OtherWorker:
 		if w.movedFrom(e.Address) {
@@ -296,6 +300,10 @@
 
 // died gives up a life of a worker.
 func (c *Core) died(w *worker, reason string) {
+	w.nextHoldMS = c.now.MS + deadLookMS
+	if w.dead {
+		return
+	}
 	w.dead = true
 	c.emit(Decision{Event: "worker_dead", Worker: w.info.ID, Reason: reason})
 	c.loseRuns(w, reason)
