Keep the leader's appends within the log's limits

Callers saw the site with 3,000 workers come to a stand after the first term: the leader recorded nothing any more, and no end was acknowledged.

Cause: the leader wrote all workers as one record, 296,235 bytes at 3,000 workers. The store takes 262,144 and answers 400. Submissions were bounded neither in number nor in bytes, and a progress record could outgrow the limit as well.

Each worker now has a record of its own, written when it comes, changes or goes; the one record of earlier releases is read and dropped. A submission that does not fit is refused with RW1002 before anything is recorded or started. The sequence number counts confirmed appends; if an attempt of a rejected append may have been carried out, the leader steps down. The memory log and the stand-in store keep the limits and the order of sequence numbers.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -80,6 +80,7 @@
 	LogUnavailable   Code = 5004
 	OwnershipLost    Code = 5005
 	AcceptanceUnsure Code = 5006
+	RecordRejected   Code = 5007
 
 	ConfigConflict   Code = 6001
 	ConfigUnsure     Code = 6002
@@ -145,6 +146,7 @@
 	LogUnavailable:   {LogUnavailable, "log_unavailable", http.StatusServiceUnavailable, NotRun, "the log service does not answer; nothing was recorded"},
 	OwnershipLost:    {OwnershipLost, "ownership_lost", http.StatusServiceUnavailable, NotRun, "the worker group changed its owner; the record is void"},
 	AcceptanceUnsure: {AcceptanceUnsure, "acceptance_unsure", http.StatusGatewayTimeout, Unknown, "the record may yet be accepted; repeat with the same id"},
+	RecordRejected:   {RecordRejected, "record_rejected", http.StatusServiceUnavailable, NotRun, "the log rejects the record; nothing was recorded"},
 
 	ConfigConflict:   {ConfigConflict, "config_conflict", http.StatusConflict, NotRun, "another change was accepted first"},
 	ConfigUnsure:     {ConfigUnsure, "config_unsure", http.StatusGatewayTimeout, Unknown, "the change may yet be accepted; repeat with the same apply id"},
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -19,9 +19,13 @@
 // be lost without harm.
 const LearnedKey = "learned"
 
-// WorkersKey holds the workers that the leader knows: the directory may drop
-// one for a while although it still runs tasks.
-const WorkersKey = "workers"
+// workerPrefix begins the keys of the workers that the leader knows: the
+// directory may drop one for a while although it still runs tasks.
+const workerPrefix = "w/"
+
+// allWorkersKey held all workers in one record, which outgrew the limit of a
+// record at some 2,600 workers. Leaders of earlier releases write it.
+const allWorkersKey = "workers"
 
 // Record is one keyed record of the log. A record without a value drops its key.
 type Record struct {
@@ -29,6 +33,21 @@
 	Value []byte
 }
 
+// Framing of a record in the log: the length of its key, and its own length.
+const (
+	// MaxKeyBytes is what the length of a key can state in one byte.
+	MaxKeyBytes    = 255
+	keyLengthBytes = 1
+	lengthBytes    = 4
+)
+
+// ContentBytes is what counts towards the log's limit of a record: the key, its
+// length and the value.
+func (r Record) ContentBytes() int { return keyLengthBytes + len(r.Key) + len(r.Value) }
+
+// EncodedBytes is the record's share of an append.
+func (r Record) EncodedBytes() int { return lengthBytes + r.ContentBytes() }
+
 // Entry is what the log says of one job.
 type Entry struct {
 	// Job is nil once the job's submission has been dropped from the log.
@@ -59,12 +78,14 @@
 	Jobs map[ID]*Entry
 	// Learned is the newest record of what a leader has learned.
 	Learned []byte
-	// Workers is the newest record of the workers that a leader knew.
-	Workers []byte
+	// Workers holds the newest record of each worker that a leader knew.
+	Workers map[string][]byte
+	// AllWorkers is the one record of all workers by an earlier release.
+	AllWorkers []byte
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{Jobs: map[ID]*Entry{}} }
+func NewBook() *Book { return &Book{Jobs: map[ID]*Entry{}, Workers: map[string][]byte{}} }
 
 // Known returns the entry of a job that has been submitted, or nil.
 func (b *Book) Known(id ID) *Entry {
@@ -82,8 +103,16 @@
 	case LearnedKey:
 		b.Learned = r.Value
 		return "", nil
-	case WorkersKey:
-		b.Workers = r.Value
+	case allWorkersKey:
+		b.AllWorkers = r.Value
+		return "", nil
+	}
+	if worker, ok := strings.CutPrefix(r.Key, workerPrefix); ok {
+		if len(r.Value) == 0 {
+			delete(b.Workers, worker)
+		} else {
+			b.Workers[worker] = r.Value
+		}
 		return "", nil
 	}
 	if len(r.Key) < 3 {
@@ -198,6 +227,14 @@
 // DropEarlyEnds returns the record that removes a job's early ends.
 func DropEarlyEnds(id ID) Record { return Record{Key: earlyEndsPrefix + string(id)} }
 
+// WorkerRecord returns the record of a worker; nil drops it.
+func WorkerRecord(worker string, value []byte) Record {
+	return Record{Key: workerPrefix + worker, Value: value}
+}
+
+// DropAllWorkers returns the record that removes the one record of all workers.
+func DropAllWorkers() Record { return Record{Key: allWorkersKey} }
+
 // Submitted returns the job that a record submits, or "".
 func Submitted(r Record) ID {
 	if id, ok := strings.CutPrefix(r.Key, submissionPrefix); ok && len(r.Value) > 0 {
@@ -205,3 +242,11 @@
 	}
 	return ""
 }
+
+// Progressed returns the job whose progress a record holds, or "".
+func Progressed(r Record) ID {
+	if id, ok := strings.CutPrefix(r.Key, progressPrefix); ok && len(r.Value) > 0 {
+		return ID(id)
+	}
+	return ""
+}
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"redwingvale/internal/code"
@@ -53,6 +54,11 @@
 	if err != nil {
 		return Result{Code: code.Internal}
 	}
+	if err := n.config.limits().CheckRecords(id, job, encoded); err != nil {
+		n.stats.refused.Inc(1)
+		n.log("job_refused", append(telemetry.ErrorFields(err), zap.String("job", string(id)), zap.String("queue", job.Queue))...)
+		return Result{Code: code.Of(err)}
+	}
 	got := n.submit(ctx, id, encoded)
 	n.stats.accept.RecordDuration(time.Since(begun))
 	switch code.Lookup(got.Code).Outcome {
@@ -78,8 +84,11 @@
 // submit asks the leader, and records the job itself when the leader cannot
 // be reached. Both are idempotent, so an unsure attempt is simply repeated.
 func (n *Node) submit(ctx context.Context, id jobs.ID, encoded []byte) Result {
+	// unsure is set once the leader may have taken the job in.
+	unsure := false
 	for ctx.Err() == nil {
 		got := n.submitToLeader(ctx, id, encoded)
+		unsure = unsure || got.Code == code.AcceptanceUnsure
 		if got.Code != code.OwnerUnknown && got.Code != code.LogUnavailable && got.Code != code.AcceptanceUnsure {
 			return got
 		}
@@ -88,6 +97,9 @@
 			n.log("job_recorded_directly", zap.String("job", string(id)), zap.String("reason", got.Code.String()))
 			return Result{Code: code.OK}
 		}
+		if errors.Is(err, ErrRejected) && !unsure {
+			return Result{Code: code.RecordRejected}
+		}
 		pause(ctx, maxRetryPause)
 	}
 	return Result{Code: code.AcceptanceUnsure}
@@ -171,7 +183,14 @@
 		// The planner may have taken the job in before the term ended.
 		return Result{Code: code.AcceptanceUnsure}
 	}
-	if !reply.Accepted {
+	switch {
+	case reply.TooLarge:
+		return Result{Code: code.BodyTooLarge}
+	case reply.Rejected && reply.Started:
+		return Result{Code: code.Internal}
+	case reply.Rejected:
+		return Result{Code: code.RecordRejected}
+	case !reply.Accepted:
 		return Result{Code: code.CannotMeetTime, RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond}
 	}
 	return Result{Code: code.OK}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -31,6 +31,9 @@
 	case planner.Deposed:
 		n.log("fenced_by_worker", zap.String("worker", string(e.Worker)), zap.Uint64("epoch", t.epoch))
 		go n.recheck(t)
+	case planner.NotRecorded:
+		n.stats.notRecorded.Inc(1)
+		n.tele.Log.Error("record_not_recorded", zap.Uint64("epoch", t.epoch), zap.String("key", e.Key), zap.Int("bytes", e.Bytes), zap.String("reason", e.Reason))
 	case planner.Decision:
 		n.logDecision(t, e)
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"redwingvale/internal/jobs"
 	"redwingvale/internal/planner"
 	"redwingvale/internal/settings"
 )
@@ -27,7 +28,11 @@
 	// Addresses of the platform.
 	StoreAddr  string `toml:"store_addr"`
 	AdviceAddr string `toml:"advice_addr"`
-	Bounds     Bounds `toml:"bounds"`
+	// RecordBytes and RequestBytes are the most that the store takes in one
+	// record and in the records of one append.
+	RecordBytes  int64  `toml:"store_record_bytes"`
+	RequestBytes int64  `toml:"store_request_bytes"`
+	Bounds       Bounds `toml:"bounds"`
 	// CPUShare is this instance's share of a processor, for example 0.16.
 	// The strongest instances lead.
 	CPUShare float64 `toml:"cpu_share"`
@@ -58,6 +63,9 @@
 		Cores:           1,
 		LeaseMS:         4000,
 		OptimisticStart: true,
+		// The limits that the platform states for its store.
+		RecordBytes:  256 << 10,
+		RequestBytes: 2 << 20,
 		Bounds: Bounds{
 			MaxLeaseMS: 6000, GangTimeoutMS: 3000, InterferenceMS: 4000,
 			StopTimeoutMS: 500, RestoreMS: 500, StatusS: 120, GraceS: 6, ConfigInForceMS: 2000,
@@ -79,6 +87,8 @@
 		problems.Address("peer_advertised_addr", c.PeerAdvertisedAddr)
 	}
 	problems.Range("lease_ms", c.LeaseMS, 500, math.MaxInt32)
+	problems.Range("store_record_bytes", c.RecordBytes, minRecordBytes, math.MaxInt32)
+	problems.Range("store_request_bytes", c.RequestBytes, c.RecordBytes, math.MaxInt32)
 	problems.Range("bounds.max_lease_ms", int64(c.Bounds.MaxLeaseMS), 500, math.MaxInt32)
 	problems.Range("bounds.interference_ms", int64(c.Bounds.InterferenceMS), 1000, math.MaxInt32)
 	problems.Range("bounds.config_in_force_ms", int64(c.Bounds.ConfigInForceMS), 500, math.MaxInt32)
@@ -105,6 +115,16 @@
 	return min(manifestWait, c.manifestBound()/2)
 }
 
+// minRecordBytes holds a submission with the largest payload of plain text and
+// some steps.
+const minRecordBytes = 16 << 10
+
+// limits are the log's limits. The length in front of a record counts towards
+// an append.
+func (c *Config) limits() jobs.Limits {
+	return jobs.Limits{Record: int(c.RecordBytes), Request: int(c.RequestBytes)}
+}
+
 func (c *Config) planner(firstTerm bool) planner.Config {
 	return planner.Config{
 		LeaseMS:         min(c.LeaseMS, int64(c.Bounds.MaxLeaseMS)),
@@ -114,6 +134,7 @@
 		StopTimeoutMS:   int64(c.Bounds.StopTimeoutMS),
 		RestoreMS:       int64(c.Bounds.RestoreMS),
 		StatusMS:        int64(c.Bounds.StatusS * 1000),
+		Log:             c.limits(),
 		OptimisticStart: c.OptimisticStart,
 		FirstTerm:       firstTerm,
 	}
--- a/internal/node/deps.go
+++ b/internal/node/deps.go
@@ -19,6 +19,8 @@
 	ErrUnknown = errors.New("outcome unknown")
 	// ErrUnavailable: the log did not carry the call out.
 	ErrUnavailable = errors.New("log unavailable")
+	// ErrRejected: the log does not take the append as it is, now or later.
+	ErrRejected = errors.New("append rejected")
 	// ErrFenced: a higher epoch has written.
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrMoved: the log does not end at the stated offset.
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -22,17 +23,27 @@
 	mu      sync.Mutex
 	records []jobs.Record
 	epoch   uint64
-	answers map[uint64]int64
+	// sequence is the number of the writer's last append.
+	sequence uint64
+	answers  map[uint64]int64
 	// refuses names the instances that the log turns away.
 	refuses map[string]bool
 	// moves names the instance before whose appends the log always moves on.
 	moves string
+	// limits bound the records, rejects is a key that the log never takes.
+	limits  jobs.Limits
+	rejects string
+	// rejectRepeats answers the repeat of an append as if it were not allowed.
+	rejectRepeats bool
 	// loseAnswers makes the next appends take effect without an answer.
 	loseAnswers int
 }
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{answers: map[uint64]int64{}, refuses: map[string]bool{}}
+	return &memoryLog{
+		answers: map[uint64]int64{}, refuses: map[string]bool{},
+		limits: jobs.Limits{Record: 256 << 10, Request: 2 << 20},
+	}
 }
 
 // of returns the log as one instance sees it.
@@ -50,6 +61,16 @@
 	if l.refuses[v.instance] {
 		return 0, ErrUnavailable
 	}
+	total := 0
+	for _, r := range a.Records {
+		total += r.EncodedBytes()
+		if !l.limits.Allows(r) || r.Key == l.rejects {
+			return 0, ErrRejected
+		}
+	}
+	if total > l.limits.Request {
+		return 0, ErrRejected
+	}
 	if v.instance == l.moves {
 		l.records = append(l.records, jobs.Record{Key: "other", Value: []byte("1")})
 	}
@@ -57,11 +78,18 @@
 		if w.Epoch < l.epoch {
 			return 0, ErrFenced
 		}
-		l.epoch = w.Epoch
 		// The answers of earlier epochs are repeated too.
 		if offset, ok := l.answers[w.Sequence]; ok {
+			if l.rejectRepeats {
+				l.rejectRepeats = false
+				return 0, ErrRejected
+			}
 			return offset, nil
 		}
+		if w.Epoch == l.epoch && w.Sequence != l.sequence+1 {
+			return 0, ErrFenced
+		}
+		l.epoch, l.sequence = w.Epoch, w.Sequence
 	}
 	if a.At >= 0 && a.At != int64(len(l.records)) {
 		return 0, ErrMoved
@@ -135,6 +163,8 @@
 	count int64
 	runs  map[string]int
 	born  time.Time
+	// others is the number of workers that are listed beside it and run nothing.
+	others int
 }
 
 func newInstantWorkers() *instantWorkers {
@@ -142,9 +172,17 @@
 }
 
 func (w *instantWorkers) Workers(context.Context) ([]planner.WorkerInfo, int64, error) {
-	return []planner.WorkerInfo{{
+	infos := []planner.WorkerInfo{{
 		ID: "w", Address: "w", Service: "s", Capacity: planner.Room{CPUMilli: 64_000, MemoryMB: 64_000}, BornMS: 1,
-	}}, 0, nil
+	}}
+	for i := range w.others {
+		infos = append(infos, planner.WorkerInfo{
+			ID: planner.WorkerID(fmt.Sprintf("other-%06d", i)), Address: fmt.Sprintf("10.1.%d.%d:8547", i/250, i%250),
+			Service: "another", DataCentre: "dc-1", Capacity: planner.Room{CPUMilli: 32_000, MemoryMB: 128_000},
+			Labels: []string{"kind-a", fmt.Sprintf("rack-%d", i/8)}, BornMS: 1,
+		})
+	}
+	return infos, 0, nil
 }
 
 func (w *instantWorkers) Changes(ctx context.Context, _ int64) ([]planner.WorkerInfo, int64, error) {
@@ -152,6 +190,10 @@
 }
 
 func (w *instantWorkers) Hold(ctx context.Context, h planner.Hold) (planner.Report, planner.Outcome) {
+	if h.Worker != "w" {
+		pause(ctx, max(time.Duration(h.WaitMS)*time.Millisecond, 100*time.Millisecond))
+		return planner.Report{BornMS: 1, ClockMS: 1 + time.Since(w.born).Milliseconds()}, planner.Done
+	}
 	pause(ctx, 5*time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -125,7 +125,9 @@
 		}
 		n.logState(err)
 		if err == nil {
-			err = n.register(ctx)
+			if err = n.register(ctx); err != nil {
+				n.tele.Log.Warn("register_failed", telemetry.ErrorFields(err)...)
+			}
 		}
 		if err != nil && !loaded {
 			pause(ctx, retryPause)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,9 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	writes *ring.Ring[planner.Write]
+	// appends counts the confirmed appends of the term, and with them the
+	// sequence numbers; the journal duty owns it.
+	appends uint64
 	// wroteTo is the end of this term's last append; the journal duty owns it.
 	wroteTo int64
 	// configured is set once the planner has the configuration; the loop owns it.
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"redwingvale/internal/jobs"
 	"redwingvale/internal/planner"
 	"redwingvale/internal/telemetry"
 )
@@ -37,14 +38,17 @@
 // firstSequence is the sequence number of an epoch's claim.
 func firstSequence(epoch uint64) uint64 { return epoch * sequencesPerEpoch }
 
-// writeOne records one write; false means that the term is over.
+// writeOne records one write or tells the planner that the log rejects it;
+// false means that the term is over.
 func (n *Node) writeOne(t *term, w planner.Write) bool {
 	limit := firstAppendTimeout
+	// unsure is set once an attempt may have been carried out.
+	unsure := false
 	for t.ctx.Err() == nil {
 		begun := time.Now()
 		ctx, cancel := context.WithTimeout(t.ctx, limit)
 		offset, err := n.deps.Log.Append(ctx, Append{
-			Records: w.Records, Writer: &Writer{Epoch: t.epoch, Sequence: firstSequence(t.epoch) + w.Seq}, At: -1,
+			Records: w.Records, Writer: &Writer{Epoch: t.epoch, Sequence: firstSequence(t.epoch) + t.appends + 1}, At: -1,
 		})
 		cancel()
 		limit = appendTimeout
@@ -59,6 +63,7 @@
 			})
 			return false
 		case err == nil:
+			t.appends++
 			t.wroteTo = offset + int64(len(w.Records))
 			n.stats.append.RecordDuration(time.Since(begun))
 			n.stats.writes.Inc(1)
@@ -72,17 +77,54 @@
 				}
 			})
 			return false
+		case errors.Is(err, ErrRejected):
+			n.appendRejected(t, w, err, unsure)
+			return !unsure
 		}
+		unsure = unsure || errors.Is(err, ErrUnknown)
 		if errors.Is(err, ErrUnavailable) {
 			t.refusedMS.CompareAndSwap(0, n.now().MS)
 		}
 		n.stats.logErrors.Inc(1)
-		n.tele.Log.Warn("append_failed", append(telemetry.ErrorFields(err), zap.Uint64("seq", w.Seq))...)
+		n.tele.Log.Warn("append_failed", append(telemetry.ErrorFields(err), writeFields(w)...)...)
 		pause(t.ctx, retryPause)
 	}
 	return false
 }
 
+// appendRejected tells the planner that the log never takes a write. If an
+// earlier attempt may have been carried out, its sequence number must not be
+// used for other records: the next leader reads what the log holds.
+func (n *Node) appendRejected(t *term, w planner.Write, err error, unsure bool) {
+	n.stats.rejected.Inc(1)
+	n.tele.Log.Error("append_rejected", append(telemetry.ErrorFields(err), writeFields(w)...)...)
+	if !unsure {
+		n.event(t, planner.WriteRejected{Seq: w.Seq})
+		return
+	}
+	n.post(t.ctx, func() {
+		if n.term == t {
+			n.resign("the log rejects an append that it may have carried out")
+		}
+	})
+}
+
+// writeFields describes a write in a log line.
+func writeFields(w planner.Write) []zap.Field {
+	total := 0
+	var largest jobs.Record
+	for _, r := range w.Records {
+		total += r.EncodedBytes()
+		if r.ContentBytes() > largest.ContentBytes() {
+			largest = r
+		}
+	}
+	return []zap.Field{
+		zap.Uint64("seq", w.Seq), zap.Int("records", len(w.Records)), zap.Int("bytes", total),
+		zap.String("largest_key", largest.Key), zap.Int("largest_bytes", largest.ContentBytes()),
+	}
+}
+
 // recorded takes a confirmed write into the book. Records that others wrote
 // before it are read first, so that the book follows the order of the log.
 func (n *Node) recorded(t *term, w planner.Write, offset int64) bool {
--- /dev/null
+++ b/internal/node/write_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/code"
+	"redwingvale/internal/jobs"
+)
+
+func submitOne(in *instance, id jobs.ID, job *jobs.Job) code.Code {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return in.Submit(ctx, id, job).Code
+}
+
+// Guards against a record of all workers that outgrows the log's limit of a
+// record: the leader's appends were refused from then on, for good.
+func TestManyWorkersHoldNoAppendUp(t *testing.T) {
+	c := qt.New(t)
+	log, workers := newMemoryLog(), newInstantWorkers()
+	workers.others = 3000
+	in := startInstance(t, "n", log, &fixedManifest{version: 1}, workers)
+	await(t, "the instance is ready", in.Ready)
+	c.Assert(submitOne(in, "a000000000000001", job(3)), qt.Equals, code.OK)
+	await(t, "the job is done", func() bool { return completed(in, []jobs.ID{"a000000000000001"}) })
+	await(t, "every worker is recorded", func() bool {
+		recorded, err := ask(context.Background(), in.Node, func() int { return len(in.book.Workers) })
+		return err == nil && recorded == workers.others+1
+	})
+}
+
+// Guards against a record that the log rejects and that is repeated for ever:
+// its caller is told, and what else was in the append is recorded.
+func TestRejectedRecordHoldsUpNoOther(t *testing.T) {
+	c := qt.New(t)
+	log := newMemoryLog()
+	log.rejects = "s/a000000000000002"
+	in := startInstance(t, "n", log, &fixedManifest{version: 1}, newInstantWorkers())
+	await(t, "the instance is ready", in.Ready)
+	results := make(chan code.Code, 5)
+	for i := range cap(results) {
+		go func() {
+			id := jobs.ID(fmt.Sprintf("a%015d", i))
+			got := submitOne(in, id, job(3))
+			if id == "a000000000000002" {
+				if got != code.RecordRejected && got != code.Internal {
+					t.Errorf("rejected submission: %s", got)
+				}
+				got = code.OK
+			}
+			results <- got
+		}()
+	}
+	for range cap(results) {
+		c.Check(<-results, qt.Equals, code.OK)
+	}
+	_, got := in.State(context.Background(), "a000000000000002")
+	c.Assert(got, qt.Equals, code.UnknownJob)
+}
+
+// Guards against a submission that the log cannot take: its caller is told
+// before anything of it is recorded or started.
+func TestOversizeSubmissionIsRefused(t *testing.T) {
+	c := qt.New(t)
+	log, workers := newMemoryLog(), newInstantWorkers()
+	in := startInstance(t, "n", log, &fixedManifest{version: 1}, workers)
+	await(t, "the instance is ready", in.Ready)
+	large := job(1)
+	large.Steps[0].Image = strings.Repeat("x", 256<<10)
+	c.Assert(submitOne(in, "a000000000000001", large), qt.Equals, code.BodyTooLarge)
+	often := job(8000)
+	often.Repeat = 1 << 30
+	c.Assert(submitOne(in, "a000000000000002", often), qt.Equals, code.BodyTooLarge)
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	for _, r := range log.records {
+		c.Check(jobs.Submitted(r), qt.Equals, jobs.ID(""))
+	}
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	c.Assert(workers.runs, qt.HasLen, 0)
+}
+
+// Guards against other records under the number of an append that may have
+// been carried out: the log would answer with the first one, unwritten.
+func TestRejectedRepeatEndsTheTerm(t *testing.T) {
+	log := newMemoryLog()
+	in := startInstance(t, "n", log, &fixedManifest{version: 1}, newInstantWorkers())
+	await(t, "the instance is ready", in.Ready)
+	log.mu.Lock()
+	log.loseAnswers, log.rejectRepeats = 1, true
+	log.mu.Unlock()
+	got := submitOne(in, "a000000000000001", job(3))
+	qt.New(t).Assert(got, qt.Equals, code.OK)
+	await(t, "the next term has begun", func() bool {
+		epoch, err := ask(context.Background(), in.Node, func() uint64 { return in.claim.Epoch })
+		return err == nil && epoch > 1 && in.leading()
+	})
+	await(t, "the job is done", func() bool { return completed(in, []jobs.ID{"a000000000000001"}) })
+}
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -1,5 +1,7 @@
 package planner
 
+import "redwingvale/internal/jobs"
+
 // Config holds the times and limits of the planner. The platform's bounds
 // come from the settings; the others have defaults.
 type Config struct {
@@ -20,6 +22,8 @@
 	StopTimeoutMS, RestoreMS int64
 	// StatusMS is how long the state of a final job is kept.
 	StatusMS int64
+	// Log holds the limits of the log; a write never exceeds them.
+	Log jobs.Limits
 	// OptimisticStart starts tasks before the submission is recorded.
 	OptimisticStart bool
 	// FirstTerm is set for the first leader of a new deployment: no
@@ -63,6 +67,12 @@
 	// noRoomPauseMS keeps tasks away from a worker that had no room although
 	// the book said so, until its next report.
 	noRoomPauseMS = 300
-	// maxEffectsPerWrite bounds the records of one append.
+	// maxRecordsPerWrite bounds the records of one append, so that the log, which
+	// takes some 20 MB/s, has them within tens of milliseconds.
 	maxRecordsPerWrite = 400
+	// maxWorkersPerWrite leaves most of an append to the jobs: 3,000 new workers
+	// are recorded in 30 writes, within some seconds.
+	maxWorkersPerWrite = 100
+	// maxDropsPerWrite is the same for jobs that are removed, of four records each.
+	maxDropsPerWrite = 25
 )
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -166,6 +166,8 @@
 		}
 	case WriteDone:
 		c.writeDone(e.Seq)
+	case WriteRejected:
+		c.writeRejected(e.Seq)
 	case Suspended:
 		c.suspended = true
 	case LeadershipConfirmed:
--- a/internal/planner/early.go
+++ b/internal/planner/early.go
@@ -69,18 +69,20 @@
 }
 
 // appendEarlyEnds adds the records of early ends to a write.
-func (c *Core) appendEarlyEnds(records []jobs.Record) []jobs.Record {
+func (c *Core) appendEarlyEnds(b *batch) {
 	n := &c.journal
-	for len(n.early) > 0 && len(records) < maxRecordsPerWrite {
+	for len(n.early) > 0 {
 		id := n.early[0]
-		n.early = n.early[1:]
-		n.waiting.early = max(0, n.waiting.early-1)
 		record, err := jobs.EarlyEndsRecord(id, c.early[id])
-		if err != nil {
+		switch {
+		case err != nil:
 			c.emit(Decision{Event: "early_ends_not_encoded", Job: id, Reason: err.Error()})
-			continue
+		case !c.config.Log.Allows(record):
+			c.notRecorded(record, "larger than the log allows")
+		case !b.add(record):
+			return
 		}
-		records = append(records, record)
+		n.early = n.early[1:]
+		n.waiting.early = max(0, n.waiting.early-1)
 	}
-	return records
 }
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -24,6 +24,10 @@
 	// inherited is set for a job that a predecessor may have started.
 	inherited bool
 	arrivedMS int64
+	// bare is set when only the end of the job is to be recorded.
+	bare bool
+	// shortened is set once the recorded progress leaves parts out.
+	shortened bool
 }
 
 // step is one step of one occurrence.
@@ -114,6 +118,11 @@
 		c.emit(Reply{Ticket: e.Ticket})
 		return
 	}
+	if err := c.config.Log.CheckRecords(e.ID, spec, e.Encoded); err != nil {
+		c.emit(Decision{Event: "submission_too_large", Job: e.ID, Reason: err.Error()})
+		c.emit(Reply{Ticket: e.Ticket, TooLarge: true})
+		return
+	}
 	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), !c.settled)
 	j.submitters = []uint64{e.Ticket}
 	j.encoded = e.Encoded
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -13,15 +13,18 @@
 	outstanding bool
 	lastMS      int64
 	learnedMS   int64
-	// workersDirty is set while the record of the workers is not up to date.
-	workersDirty bool
-	submissions  []*job
-	dirty        []*job
+	// workers are those whose record may not be up to date.
+	workers     []WorkerID
+	submissions []*job
+	dirty       []*job
 	// early are the jobs whose early ends are to be recorded.
 	early []jobs.ID
 	// waiting are the ends that are acknowledged next.
 	waiting ackBatch
-	// The content of the outstanding write.
+	// sent is the outstanding write, rest what is left of one that the log has
+	// rejected as a whole.
+	sent, rest []jobs.Record
+	// The content of both.
 	written []*job
 	acks    []ackMark
 	drops   []jobs.ID
@@ -74,64 +77,88 @@
 	if n.outstanding || c.now.MS-n.lastMS < writeGapMS {
 		return
 	}
-	records := c.appendDrops(nil)
-	if len(records) == 0 && len(n.submissions) == 0 && len(n.dirty) == 0 && len(n.early) == 0 && !n.workersDirty {
+	if len(n.waiting.marks) == 0 {
+		n.waiting = c.collectAcks()
+	}
+	b := &batch{limits: c.config.Log}
+	c.appendDrops(b)
+	c.appendWorkers(b)
+	c.appendSubmissions(b)
+	c.appendEarlyEnds(b)
+	c.appendProgress(b)
+	if len(b.records) == 0 {
+		n.waiting.marks = n.waiting.marks[:0]
 		if !c.off.acknowledgeIdle {
 			c.ackUnrecorded()
 		}
 		return
 	}
-	if len(n.waiting.marks) == 0 {
-		n.waiting = c.collectAcks()
+	c.appendLearned(b)
+	if n.waiting.recorded() {
+		n.acks = append(n.acks, n.waiting.marks...)
+		n.waiting.marks = n.waiting.marks[:0]
 	}
-	for _, j := range n.submissions {
-		records = append(records, jobs.SubmissionRecord(j.id, j.encoded))
+	c.send(b.records)
+}
+
+func (c *Core) appendSubmissions(b *batch) {
+	n := &c.journal
+	for len(n.submissions) > 0 {
+		j := n.submissions[0]
+		if !b.add(jobs.SubmissionRecord(j.id, j.encoded)) {
+			return
+		}
+		n.submissions = n.submissions[1:]
 		n.written = append(n.written, j)
 	}
-	n.submissions = nil
-	records = c.appendEarlyEnds(records)
-	for len(n.dirty) > 0 && len(records) < maxRecordsPerWrite {
+}
+
+func (c *Core) appendProgress(b *batch) {
+	n := &c.journal
+	if len(n.submissions) > 0 {
+		// A progress must not be recorded before its submission.
+		return
+	}
+	for len(n.dirty) > 0 {
 		j := n.dirty[0]
+		record, ok := c.progressRecord(j)
+		if ok {
+			records := []jobs.Record{record}
+			if entry := c.book.Jobs[j.id]; entry != nil && len(entry.EarlyEnds) > 0 {
+				// The progress holds them from this write on.
+				records = append(records, jobs.DropEarlyEnds(j.id))
+			}
+			if !b.add(records...) {
+				return
+			}
+			n.written = append(n.written, j)
+		}
 		n.dirty = n.dirty[1:]
 		n.waiting.dirty = max(0, n.waiting.dirty-1)
 		j.dirty = false
-		record, ok := c.progressRecord(j)
-		if !ok {
-			continue
-		}
-		records = append(records, record)
-		if entry := c.book.Jobs[j.id]; entry != nil && len(entry.EarlyEnds) > 0 {
-			// The progress holds them from this write on.
-			records = append(records, jobs.DropEarlyEnds(j.id))
-		}
-		n.written = append(n.written, j)
-	}
-	records = c.appendLearned(c.appendWorkers(records))
-	if n.waiting.recorded() {
-		n.acks = append(n.acks, n.waiting.marks...)
-		n.waiting.marks = n.waiting.marks[:0]
 	}
-	n.seq++
-	n.outstanding = true
-	n.lastMS = c.now.MS
-	c.emit(Write{Seq: n.seq, Records: records})
 }
 
 // learnedIntervalMS is the least time between two records of what was learned.
 const learnedIntervalMS = 3000
 
 // appendLearned adds what was learned to a write now and then.
-func (c *Core) appendLearned(records []jobs.Record) []jobs.Record {
+func (c *Core) appendLearned(b *batch) {
 	if c.now.MS-c.journal.learnedMS < learnedIntervalMS || len(c.disturb.serving) == 0 {
-		return records
+		return
 	}
 	c.journal.learnedMS = c.now.MS
 	value, err := c.disturb.record()
 	if err != nil {
 		c.emit(Decision{Event: "learned_not_encoded", Reason: err.Error()})
-		return records
+		return
 	}
-	return append(records, jobs.Record{Key: jobs.LearnedKey, Value: value})
+	record := jobs.Record{Key: jobs.LearnedKey, Value: value}
+	if !c.config.Log.Allows(record) {
+		c.notRecorded(record, "larger than the log allows")
+		return
+	}
+	b.add(record)
 }
 
 func (c *Core) progressRecord(j *job) (jobs.Record, bool) {
@@ -145,6 +172,9 @@
 		}
 	}
 	record, err := jobs.ProgressRecord(j.id, j.progress)
+	if err == nil && (j.bare || !c.config.Log.Allows(record)) {
+		record, err = c.shorterProgress(j)
+	}
 	if err != nil {
 		c.emit(Decision{Event: "progress_not_encoded", Job: j.id, Reason: err.Error()})
 		return record, false
@@ -190,6 +220,10 @@
 		return
 	}
 	n.outstanding = false
+	if len(n.rest) > 0 {
+		c.send(n.rest)
+		return
+	}
 	for _, j := range n.written {
 		c.jobRecorded(j)
 	}
@@ -241,9 +275,11 @@
 
 // appendDrops adds the removals to a write, unless a submission or another end
 // has come since they were planned.
-func (c *Core) appendDrops(records []jobs.Record) []jobs.Record {
+func (c *Core) appendDrops(b *batch) {
 	n := &c.journal
-	for _, id := range n.drops {
+	for count := 0; len(n.drops) > 0 && count < maxDropsPerWrite; count++ {
+		id := n.drops[0]
+		n.drops = n.drops[1:]
 		switch {
 		case c.jobs[id] != nil:
 		case slices.Contains(n.early, id):
@@ -251,14 +287,12 @@
 		case c.book.Known(id) == nil:
 			// Another instance may be recording the submission.
 			delete(c.early, id)
-			records = append(records, jobs.DropEarlyEnds(id))
+			b.add(jobs.DropEarlyEnds(id))
 		default:
 			delete(c.early, id)
-			records = append(records, jobs.DropRecords(id)...)
+			b.add(jobs.DropRecords(id)...)
 		}
 	}
-	n.drops = nil
-	return records
 }
 
 // endedWithin reports whether a job has become final in the last ms.
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -1,7 +1,10 @@
 package planner
 
 import (
+	"bytes"
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"redwingvale/internal/jobs"
 )
@@ -54,7 +57,7 @@
 	c.emit(Decision{Event: "workers_settled", AgeMS: c.now.MS - c.termMS})
 }
 
-// knownWorker is a worker in the record of all workers.
+// knownWorker is a worker in the log.
 type knownWorker struct {
 	ID         WorkerID `json:"i"`
 	Address    string   `json:"a"`
@@ -64,44 +67,78 @@
 	Labels     []string `json:"l,omitempty"`
 }
 
-// appendWorkers adds the record of the workers to a write when it has changed.
-func (c *Core) appendWorkers(records []jobs.Record) []jobs.Record {
-	if !c.journal.workersDirty {
-		return records
-	}
-	c.journal.workersDirty = false
-	known := make([]knownWorker, 0, len(c.order))
-	for _, w := range c.order {
-		if !w.dead {
-			known = append(known, knownWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels})
+// workerChanged lets a worker's record be brought up to date.
+func (c *Core) workerChanged(id WorkerID) { c.journal.workers = append(c.journal.workers, id) }
+
+// appendWorkers adds the records of workers that have come, changed or gone.
+func (c *Core) appendWorkers(b *batch) {
+	n := &c.journal
+	for added := 0; len(n.workers) > 0 && added < maxWorkersPerWrite; n.workers = n.workers[1:] {
+		record, changed := c.workerRecord(n.workers[0])
+		switch {
+		case !changed:
+			continue
+		case !c.config.Log.Allows(record):
+			c.notRecorded(record, "larger than the log allows")
+			continue
+		case !b.add(record):
+			return
 		}
+		added++
+	}
+	if len(n.workers) == 0 && len(c.book.AllWorkers) > 0 {
+		b.add(jobs.DropAllWorkers())
 	}
-	value, err := json.Marshal(known)
-	if err != nil {
-		c.emit(Decision{Event: "workers_not_encoded", Reason: err.Error()})
-		return records
+}
+
+// workerRecord returns what the log should hold of a worker, and whether it
+// holds something else.
+func (c *Core) workerRecord(id WorkerID) (jobs.Record, bool) {
+	var value []byte
+	if w := c.workers[id]; w != nil {
+		var err error
+		value, err = json.Marshal(knownWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels})
+		if err != nil {
+			c.emit(Decision{Event: "worker_not_encoded", Worker: id, Reason: err.Error()})
+			return jobs.Record{}, false
+		}
 	}
-	return append(records, jobs.Record{Key: jobs.WorkersKey, Value: value})
+	return jobs.WorkerRecord(string(id), value), !bytes.Equal(value, c.book.Workers[string(id)])
 }
 
 // inheritWorkers takes over the workers that the predecessor knew. Those that
 // the directory does not list are asked too, before tasks that were found
 // nowhere start again: an entry may be missing while its worker runs on.
 func (c *Core) inheritWorkers() {
-	if len(c.book.Workers) == 0 || c.config.FirstTerm {
+	if c.config.FirstTerm {
 		return
 	}
 	var known []knownWorker
-	if err := json.Unmarshal(c.book.Workers, &known); err != nil {
-		c.emit(Decision{Event: "workers_invalid", Reason: err.Error()})
-		return
+	if len(c.book.AllWorkers) > 0 {
+		if err := json.Unmarshal(c.book.AllWorkers, &known); err != nil {
+			c.emit(Decision{Event: "workers_invalid", Reason: err.Error()})
+			known = nil
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.book.Workers)) {
+		var k knownWorker
+		if err := json.Unmarshal(c.book.Workers[id], &k); err != nil || string(k.ID) != id {
+			c.emit(Decision{Event: "worker_invalid", Worker: WorkerID(id), Reason: "record of another form"})
+			c.workerChanged(WorkerID(id))
+			continue
+		}
+		known = append(known, k)
 	}
 	for _, k := range known {
+		if c.workers[k.ID] != nil {
+			continue
+		}
 		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true}
 		w.health.reset()
 		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels}
 		c.workers[k.ID] = w
 		c.order = append(c.order, w)
+		c.workerChanged(k.ID)
 	}
 	sortWorkers(c.order)
 }
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -88,6 +88,9 @@
 	RecordsRead struct{ Jobs []jobs.ID }
 	// WriteDone says that a Write is recorded and that the book holds it.
 	WriteDone struct{ Seq uint64 }
+	// WriteRejected says that the log will never take a Write as it is, and that
+	// nothing of it is recorded.
+	WriteRejected struct{ Seq uint64 }
 	// Suspended holds all orders back until LeadershipConfirmed: the instance
 	// may have been deposed without noticing.
 	Suspended struct{}
@@ -143,6 +146,7 @@
 func (CancelRequested) event()     {}
 func (RecordsRead) event()         {}
 func (WriteDone) event()           {}
+func (WriteRejected) event()       {}
 func (Suspended) event()           {}
 func (LeadershipConfirmed) event() {}
 func (HoldDone) event()            {}
@@ -298,6 +302,10 @@
 		Accepted bool
 		// Known is false when a cancelled job does not exist.
 		Known bool
+		// TooLarge is set when the log does not take a submission of this size,
+		// Rejected when it has rejected this one. Nothing of it is recorded; after
+		// Rejected, Started says whether tasks had been started.
+		TooLarge, Rejected, Started bool
 		// RetryAfterMS advises the caller of a refused submission.
 		RetryAfterMS int64
 	}
@@ -315,14 +323,21 @@
 		// AgeMS is the age of the input that decided.
 		AgeMS int64
 	}
+	// NotRecorded says that a record is left out of the log for good.
+	NotRecorded struct {
+		Key    string
+		Bytes  int
+		Reason string
+	}
 )
 
-func (Hold) effect()     {}
-func (Start) effect()    {}
-func (Stop) effect()     {}
-func (Pace) effect()     {}
-func (Advise) effect()   {}
-func (Write) effect()    {}
-func (Reply) effect()    {}
-func (Deposed) effect()  {}
-func (Decision) effect() {}
+func (Hold) effect()        {}
+func (Start) effect()       {}
+func (Stop) effect()        {}
+func (Pace) effect()        {}
+func (Advise) effect()      {}
+func (Write) effect()       {}
+func (Reply) effect()       {}
+func (Deposed) effect()     {}
+func (Decision) effect()    {}
+func (NotRecorded) effect() {}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -124,9 +124,10 @@
 			w.health.reset()
 			c.workers[info.ID] = w
 			c.order = append(c.order, w)
-			c.journal.workersDirty = true
 		}
-		c.journal.workersDirty = c.journal.workersDirty || w.info.Address != info.Address
+		if w.info.ID != info.ID || w.info.Address != info.Address || w.info.Service != info.Service || w.info.Capacity != info.Capacity {
+			c.workerChanged(info.ID)
+		}
 		if info.Draining && !w.info.Draining {
 			w.drain = drainState{sinceMS: c.now.MS}
 			c.emit(Decision{Event: "worker_draining", Worker: info.ID})
@@ -160,7 +161,7 @@
 		}
 		if !w.listed && len(w.runs) == 0 && gone {
 			delete(c.workers, w.info.ID)
-			c.journal.workersDirty = true
+			c.workerChanged(w.info.ID)
 			continue
 		}
 		kept = append(kept, w)
--- /dev/null
+++ b/internal/planner/write_test.go
@@ -0,0 +1,220 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/jobs"
+)
+
+// platformLimits are the limits that the platform states for its store.
+var platformLimits = jobs.Limits{Record: 256 << 10, Request: 2 << 20}
+
+func manyWorkers(count int) []WorkerInfo {
+	out := make([]WorkerInfo, count)
+	for i := range out {
+		out[i] = WorkerInfo{
+			ID: WorkerID(fmt.Sprintf("worker-%06d", i)), Address: fmt.Sprintf("10.1.%d.%d:8547", i/250, i%250), Service: "s",
+			DataCentre: "dc-1", Capacity: Room{CPUMilli: 32_000, MemoryMB: 128_000}, Labels: []string{"kind-a", fmt.Sprintf("rack-%d", i/8)}, BornMS: 1,
+		}
+	}
+	return out
+}
+
+// record confirms all writes until nothing is left to record and returns them.
+// It fails the test if one exceeds the limits.
+func (d *direct) record(t *testing.T, effects []Effect) []Write {
+	t.Helper()
+	var out []Write
+	for idle := 0; idle < 3; {
+		write, ok := find[Write](effects)
+		if !ok {
+			idle++
+			d.now += writeGapMS
+			effects = slices.Clone(d.step(Tick{}))
+			continue
+		}
+		idle = 0
+		size := 0
+		for _, r := range write.Records {
+			size += r.EncodedBytes()
+			if !d.core.config.Log.Allows(r) {
+				t.Fatalf("record %s of %d bytes", r.Key, r.ContentBytes())
+			}
+			if _, err := d.core.book.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if size > d.core.config.Log.Request || len(write.Records) > maxRecordsPerWrite {
+			t.Fatalf("write of %d records, %d bytes", len(write.Records), size)
+		}
+		out = append(out, write)
+		effects = slices.Clone(d.step(WriteDone{Seq: write.Seq}))
+	}
+	return out
+}
+
+func newLimited() *direct {
+	d := newDirect(safeguards{})
+	d.core.config.Log = platformLimits
+	return d
+}
+
+// Guards against one record of all workers: it outgrows the log's limit, and a
+// change of one worker writes all of them again.
+func TestWorkersAreRecordedOneByOne(t *testing.T) {
+	c := qt.New(t)
+	d := newLimited()
+	infos := manyWorkers(3000)
+	d.record(t, slices.Clone(d.step(WorkersChanged{Workers: infos})))
+	c.Assert(d.core.book.Workers, qt.HasLen, 3000)
+
+	infos[17].Address = "10.9.9.9:8547"
+	writes := d.record(t, slices.Clone(d.step(WorkersChanged{Workers: infos})))
+	c.Assert(writes, qt.HasLen, 1)
+	c.Assert(writes[0].Records, qt.HasLen, 1)
+
+	next := New(d.core.config, d.core.book, 2, d.time())
+	c.Assert(next.order, qt.HasLen, 0, qt.Commentf("a first term inherits nothing"))
+	config := d.core.config
+	config.FirstTerm = false
+	next = New(config, d.core.book, 2, d.time())
+	c.Assert(next.order, qt.HasLen, 3000)
+	c.Assert(next.workers[infos[17].ID].info.Address, qt.Equals, "10.9.9.9:8547")
+
+	d.now += 10 * silentMS
+	d.record(t, slices.Clone(d.step(WorkersChanged{Workers: infos[:2990]})))
+	c.Assert(d.core.book.Workers, qt.HasLen, 2990)
+}
+
+// Guards the upgrade from a release that recorded all workers in one record.
+func TestWorkersOfEarlierReleaseAreInherited(t *testing.T) {
+	c := qt.New(t)
+	book := jobs.NewBook()
+	_, err := book.Apply(jobs.Record{Key: "workers", Value: []byte(`[{"i":"a","a":"1:1","s":"s","c":{}},{"i":"b","a":"1:2","s":"s","c":{}}]`)})
+	c.Assert(err, qt.IsNil)
+	d := newLimited()
+	config := d.core.config
+	config.FirstTerm = false
+	d.core = New(config, book, 2, d.time())
+	c.Assert(d.core.order, qt.HasLen, 2)
+	d.record(t, slices.Clone(d.step(Tick{})))
+	c.Assert(book.Workers, qt.HasLen, 2)
+	c.Assert(book.AllWorkers, qt.HasLen, 0)
+}
+
+// Guards against submissions that exceed the limits of an append together:
+// the log would refuse all of them.
+func TestSubmissionsAreDividedIntoWrites(t *testing.T) {
+	c := qt.New(t)
+	d := newLimited()
+	for i := range 1000 {
+		encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Payload: strings.Repeat("\x01", jobs.MaxPayloadBytes), Steps: []jobs.Step{{Count: 1}}})
+		c.Assert(err, qt.IsNil)
+		d.step(SubmitRequested{Ticket: uint64(i), ID: jobs.ID(fmt.Sprintf("job-%d", i)), Encoded: encoded})
+	}
+	d.now += writeGapMS
+	effects := append([]Effect{Write{Seq: d.core.journal.seq, Records: d.core.journal.sent}}, d.step(Tick{})...)
+	d.record(t, effects)
+	for i := range 1000 {
+		c.Assert(d.core.book.Known(jobs.ID(fmt.Sprintf("job-%d", i))), qt.IsNotNil)
+	}
+}
+
+// Guards against a rejected record that holds back the answers, progress and
+// acknowledgements of all other jobs.
+func TestRejectedWriteIsDivided(t *testing.T) {
+	c := qt.New(t)
+	d := newLimited()
+	d.join(testWorker)
+	d.now += writeGapMS
+	d.step(Tick{})
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: 1}}})
+	c.Assert(err, qt.IsNil)
+	answers := map[uint64]Reply{}
+	given := 0
+	var follow func(effects []Effect)
+	follow = func(effects []Effect) {
+		for _, e := range slices.Clone(effects) {
+			switch e := e.(type) {
+			case Reply:
+				answers[e.Ticket] = e
+			case NotRecorded:
+				given++
+			case Write:
+				bad := slices.ContainsFunc(e.Records, func(r jobs.Record) bool { return jobs.Submitted(r) == "job-3" || jobs.Submitted(r) == "job-6" })
+				if bad {
+					follow(d.step(WriteRejected{Seq: e.Seq}))
+					continue
+				}
+				for _, r := range e.Records {
+					_, err := d.core.book.Apply(r)
+					c.Assert(err, qt.IsNil)
+				}
+				follow(d.step(WriteDone{Seq: e.Seq}))
+			}
+		}
+	}
+	first := slices.Clone(d.step(SubmitRequested{Ticket: 0, ID: "job-0", Encoded: encoded}))
+	for i := 1; i < 10; i++ {
+		d.step(SubmitRequested{Ticket: uint64(i), ID: jobs.ID(fmt.Sprintf("job-%d", i)), Encoded: encoded})
+	}
+	follow(first)
+	for range 10 {
+		d.now += writeGapMS
+		follow(d.step(Tick{}))
+	}
+	c.Assert(answers, qt.HasLen, 10)
+	for i := range uint64(10) {
+		bad := i == 3 || i == 6
+		c.Check(answers[i].Rejected, qt.Equals, bad, qt.Commentf("job-%d", i))
+		c.Check(answers[i].Accepted, qt.Equals, !bad, qt.Commentf("job-%d", i))
+	}
+	c.Assert(given, qt.Equals, 2)
+	for _, id := range []jobs.ID{"job-3", "job-6"} {
+		c.Check(d.core.jobs[id], qt.IsNil)
+		c.Check(d.core.book.Known(id), qt.IsNil)
+	}
+}
+
+// Guards against a progress that outgrows a record: it is recorded without its
+// checkpoints, and a job whose failures do not fit ends instead of waiting.
+func TestLargeProgressIsShortened(t *testing.T) {
+	c := qt.New(t)
+	d := newLimited()
+	d.core.config.Log.Record = 16 << 10
+	effects := slices.Clone(d.submit(t, "job", jobs.Step{Count: 2000, Checkpointing: true}))
+	d.record(t, effects)
+	j := d.core.jobs["job"]
+	for i := range 1000 {
+		j.progress.SetCheckpoint(jobs.Task{Job: "job", Index: i}, "0123456789abcdef")
+	}
+	d.core.markDirty(j)
+	d.record(t, slices.Clone(d.step(Tick{})))
+	c.Assert(j.dirty, qt.IsFalse)
+	c.Assert(j.state.Final(), qt.IsFalse)
+	for i := range 2000 {
+		j.progress.AddFailure(jobs.Task{Job: "job", Index: i}, 1_000_001)
+	}
+	d.core.markDirty(j)
+	d.record(t, slices.Clone(d.step(Tick{})))
+	state, ok := d.core.State("job")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(state, qt.Equals, jobs.Failed)
+}
+
+// Guards against a job of unbounded size: the planner would hold all its tasks.
+func TestOversizeSubmissionIsRefused(t *testing.T) {
+	c := qt.New(t)
+	d := newLimited()
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Repeat: 1 << 30, Steps: []jobs.Step{{Count: 1000}}})
+	c.Assert(err, qt.IsNil)
+	reply, ok := find[Reply](d.step(SubmitRequested{Ticket: 1, ID: "job", Encoded: encoded}))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(reply, qt.Equals, Reply{Ticket: 1, TooLarge: true})
+	c.Assert(d.core.jobs, qt.HasLen, 0)
+}
