Refuse a submission that was never sent anywhere

A submission for which no leader and no log could be reached until its time limit was answered 504, outcome unknown, although nothing of it had left the instance. Callers may not repeat such a request. It is answered 503 with Retry-After now, as long as no attempt got a connection to the leader or left the log's answer open.

--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -24,6 +24,10 @@
 // maxRetryPause bounds the pause between two attempts of one request.
 const maxRetryPause = 60 * time.Millisecond
 
+// retryAfter is when a caller may try again whose request was not taken in: a
+// takeover takes about a second.
+const retryAfter = time.Second
+
 // Route returns the queue that a request is for and the rest of its path. The
 // code is OK, UnknownResource, or ConfigUnread: a configuration that was not
 // read within its bound cannot say that there is no such queue.
@@ -84,8 +88,9 @@
 // submit asks the leader, and records the job itself when the leader cannot
 // be reached. Both are idempotent, so an unsure attempt is simply repeated.
 func (n *Node) submit(ctx context.Context, id jobs.ID, encoded []byte) Result {
-	// unsure is set once the leader may have taken the job in.
+	// unsure is set once the leader or the log may have taken the job in.
 	unsure := false
+	refused := Result{Code: code.OwnerUnknown, RetryAfter: retryAfter}
 	for ctx.Err() == nil {
 		got := n.submitToLeader(ctx, id, encoded)
 		unsure = unsure || got.Code == code.AcceptanceUnsure
@@ -100,8 +105,13 @@
 		if errors.Is(err, ErrRejected) && !unsure {
 			return Result{Code: code.RecordRejected}
 		}
+		unsure = unsure || errors.Is(err, ErrUnknown)
+		refused.Code = got.Code
 		pause(ctx, maxRetryPause)
 	}
+	if !unsure {
+		return refused
+	}
 	return Result{Code: code.AcceptanceUnsure}
 }
 
@@ -115,7 +125,11 @@
 	if l.self {
 		return n.submitHere(ctx, id, encoded)
 	}
+	ctx, sent := traceSent(ctx)
 	answer, err := n.peer(l.peer).SubmitJob(ctx, connect.NewRequest(&nodev1.SubmitJobRequest{Id: string(id), Job: encoded}))
+	if err != nil && !sent.Load() {
+		return Result{Code: code.OwnerUnknown}
+	}
 	if err != nil {
 		return Result{Code: code.AcceptanceUnsure}
 	}
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,6 +25,14 @@
 	}}
 }
 
+// traceSent returns a context for a call, and what tells whether the call has
+// got a connection: until then nothing of it has been sent.
+func traceSent(ctx context.Context) (context.Context, *atomic.Bool) {
+	sent := &atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	return httptrace.WithClientTrace(ctx, trace), sent
+}
+
 func (n *Node) peer(address string) nodev1connect.NodeServiceClient {
 	return nodev1connect.NewNodeServiceClient(n.peers, "http://"+address)
 }
