Elect nobody when the log is just back after an outage for all

Cause: a leader whose write is unconfirmed says so in its heartbeats. A member that the log answers took that word as "cut off", although it dates from the time when the log answered nobody; and since the members' turns count from the leader's first word, all turns had passed. The first member that the log served again claimed, whatever its strength. The value was older than its bound.

Where the log turns away the leader alone nothing changes: it has served the others all along.

TestNobodyStandsWhenTheLogIsJustBack failed before (due 50 ms after the log was back).

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -182,6 +182,10 @@
 	// logFast bounds the time of a read of a log that serves well; an ordinary
 	// one takes some 10 ms.
 	logFast = 120 * time.Millisecond
+	// logBackAfter is how long a log that was out must serve an instance before
+	// that takes the leader for cut off: the leader repeats its append meanwhile
+	// and says so in a heartbeat.
+	logBackAfter = appendTimeout + retryPause + 2*heartbeatInterval
 	// followInterval is the pause between a follower's reads of the log.
 	followInterval = time.Second
 	// leaderReadInterval is the pause between the leader's reads, which find
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -103,7 +103,7 @@
 		out.now, out.reason = true, "leader silent"
 	case asked && n.heard.stopping:
 		out.now, out.check, out.reason = true, false, "leader stopping"
-	case asked && !n.heard.logAvailable && n.logServes():
+	case asked && !n.heard.logAvailable && n.logServes() && now-n.logSinceMS.Load() >= milliseconds(logBackAfter)+stagger:
 		// The log serves this instance but not the leader.
 		out.now, out.check, out.reason = true, false, "leader cut off from the log"
 	}
--- a/internal/node/election_test.go
+++ b/internal/node/election_test.go
@@ -89,3 +89,30 @@
 	n := electing(t, "i", strengths, started)
 	c.Assert(n.electionDue().others, qt.HasLen, standbys)
 }
+
+// Guards against a stampede when the log is back after an outage for all: the
+// leader, whose last word is older, needs no successor, and the first instance
+// that the log serves may be the weakest.
+func TestNobodyStandsWhenTheLogIsJustBack(t *testing.T) {
+	c := qt.New(t)
+	strengths := map[string]int{"leader": 800, "strong": 800, "weak": 110}
+	due := func(self string, backMS int64) bool {
+		n := electing(t, self, strengths, nil)
+		now := n.now().MS
+		n.heard.atMS, n.heard.logAvailable, n.heard.askedMS = now-100, false, now-4000
+		n.logReadMS.Store(now)
+		n.logSinceMS.Store(now - backMS)
+		return n.electionDue().now
+	}
+	// An append that the leader sent just before the log was back is given up
+	// after appendTimeout, repeated after retryPause, and told by a heartbeat.
+	repeated := (appendTimeout + retryPause + heartbeatInterval).Milliseconds()
+	for _, self := range []string{"strong", "weak"} {
+		c.Check(due(self, 50), qt.IsFalse)
+		c.Check(due(self, repeated), qt.IsFalse)
+	}
+	// The leader is cut off: the strongest goes first.
+	c.Check(due("strong", logBackAfter.Milliseconds()+50), qt.IsTrue)
+	c.Check(due("weak", logBackAfter.Milliseconds()+50), qt.IsFalse)
+	c.Check(due("weak", logBackAfter.Milliseconds()+300), qt.IsTrue)
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -144,9 +144,12 @@
 // logState notes whether the log serves this instance and logs each change.
 func (n *Node) logState(err error) {
 	if err == nil {
-		if n.logReadMS.Swap(n.now().MS) == 0 {
+		now := n.now().MS
+		if n.logReadMS.Load() == 0 {
+			n.logSinceMS.Store(now)
 			n.log("log_reached")
 		}
+		n.logReadMS.Store(now)
 		return
 	}
 	n.stats.logErrors.Inc(1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,8 @@
 	caughtUp atomic.Bool
 	// logReadMS is when the log was last read, on the node's clock.
 	logReadMS atomic.Int64
+	// logSinceMS is since when the log has served this instance without a break.
+	logSinceMS atomic.Int64
 	// logTookMS is how long that read took.
 	logTookMS atomic.Int64
 
