Decide a key that is sent on while its home restarts

Cause, from a trace of one key: the stopping home e0 sends its uses on to e2 and tells the others one after the other that it has handed over. A caller's use reaches e2 when e2 has heard that and has already learned of the new e0. By its own list e2 is not the home any more, so it took the key for moved at this moment and asked the new e0 to vouch for it. The new e0 is younger than the key and never vouches, so ten questions in 1.6 s ended as Unsure. Ruled out by the same trace: a hand-over that was lost (both arrived), a use carried out twice, a home that did not answer.

Nothing was lost in this case: e2 knew of no loss since the key was made, and every member answered that it knew nothing. This is now enough, if each answer comes from a process that has run for as long as the asker has listed it (process_age_ms of AskKeyResponse): a process that replaced another one under the same listing cannot speak for it. The answer RW3007 also says why.

--- a/internal/dedupe/asked.go
+++ b/internal/dedupe/asked.go
@@ -18,6 +18,8 @@
 	Authoritative []spec.InstanceID
 	// Silent lists the entries that did not answer.
 	Silent []spec.InstanceID
+	// Ages is how long the process of each entry that answered has run.
+	Ages map[spec.InstanceID]time.Duration
 }
 
 // Asked takes the findings about a key in.
@@ -50,7 +52,7 @@
 		return false
 	}
 	if r.need == undecidable {
-		return r.former != "" && slices.Contains(f.Authoritative, r.former) || c.vouched(now, r, f)
+		return r.former != "" && slices.Contains(f.Authoritative, r.former) || c.vouched(now, r, f) || c.accounted(now, r, f)
 	}
 	return true
 }
@@ -72,16 +74,55 @@
 	return len(vouching) > 0 && c.needAfterTakeover(now, r.key, vouching...) != undecidable
 }
 
+// accounted reports whether this instance knows of no loss since the key was
+// made and every member has answered from the process that this instance has
+// known all the time. Then nobody can have forgotten a use, even when no single
+// former home vouches for the key: one that has just joined never does.
+func (c *Core) accounted(now time.Duration, r *record, f Findings) bool {
+	if r.former == "" || c.needAfterTakeover(now, r.key) == undecidable {
+		return false
+	}
+	for _, m := range c.others() {
+		age, answered := f.Ages[m.Instance]
+		if !answered || age < c.lengthened(c.listedFor(r.askedAt, m)) {
+			return false
+		}
+	}
+	return true
+}
+
+// listedFor returns how long this instance has known the member at time at,
+// at most the age up to which a loss matters.
+func (c *Core) listedFor(at time.Duration, m Member) time.Duration {
+	for i := len(c.changes) - 1; i >= 0; i-- {
+		ch := c.changes[i]
+		if slices.Contains(ch.after, m) && !slices.Contains(ch.before, m) {
+			return min(max(at-ch.at, 0), c.horizon())
+		}
+	}
+	return c.horizon()
+}
+
+// lengthened returns a duration of this clock as the largest one that another
+// process's clock can show for it.
+func (c *Core) lengthened(d time.Duration) time.Duration {
+	return d + d/1_000_000*time.Duration(c.settings.ClockRatePPM)
+}
+
+// Age returns how long this process has run.
+func (c *Core) Age(now time.Duration) time.Duration { return now - c.settings.Born }
+
 // undecided ends the uses of a key that cannot be decided. When only an answer
 // is missing, nothing is remembered and the caller may repeat the request.
 func (c *Core) undecided(now time.Duration, r *record, f Findings) []Effect {
 	if r.former != "" && r.tries < askTries {
-		return c.askAgain(r)
+		return c.askAgain(now, r)
 	}
 	if r.need != undecidable || (c.missing(r, f) && r.former != "") {
 		return c.giveUp(r, Reply{Kind: Refuse, Code: code.HomeUnreachable, Detail: "an entry that may know the key does not answer"})
 	}
 	r.state = Unsure
+	r.why = ": no entry that would know of it has answered"
 	c.setEnd(r, now+c.settings.Retention)
 	return c.replyAll(r)
 }
@@ -90,10 +131,10 @@
 // the members may differ, as during a hand-over.
 const askTries = 10
 
-func (c *Core) askAgain(r *record) []Effect {
+func (c *Core) askAgain(now time.Duration, r *record) []Effect {
 	r.tries++
 	r.asking = true
-	return []Effect{{Key: r.key, Ask: c.toAsk(r), Again: true}}
+	return []Effect{{Key: r.key, Ask: c.toAsk(now, r), Again: true}}
 }
 
 // giveUp forgets the key and sends all waiters the reply.
--- a/internal/dedupe/complete.go
+++ b/internal/dedupe/complete.go
@@ -50,6 +50,7 @@
 		return c.nextWaiter(now, r)
 	}
 	r.state = Unsure
+	r.why = ": its outcome is unknown"
 	if done.Outcome == code.Ran {
 		r.state = RanOnly
 		c.keepAnswer(r, done.Answer)
@@ -97,6 +98,7 @@
 			continue
 		}
 		r.state = Unsure
+		r.why = ": its end was not reported in time"
 		c.setEnd(r, now+c.settings.Retention)
 		effects = append(effects, c.replyAll(r)...)
 	}
--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -33,6 +33,10 @@
 	// started counts the uses that were told to proceed and have not ended as
 	// not run.
 	started int
+	// askedAt is when the question under way was sent.
+	askedAt time.Duration
+	// why says how a use in the state Unsure got there.
+	why string
 }
 
 // Core is the state of the idempotency keys at one instance.
@@ -111,11 +115,12 @@
 	}
 	r.asking = true
 	r.waiters = append(r.waiters, u)
-	return []Effect{{Key: u.Key, Ask: c.toAsk(r)}}
+	return []Effect{{Key: u.Key, Ask: c.toAsk(now, r)}}
 }
 
 // toAsk notes the key's former homes and returns whom to ask about it.
-func (c *Core) toAsk(r *record) []spec.InstanceID {
+func (c *Core) toAsk(now time.Duration, r *record) []spec.InstanceID {
+	r.askedAt = now
 	r.former = c.formerHome(r.key)
 	r.lost = c.lostHomes(r.key)
 	return append(instances(c.others()), r.lost...)
@@ -180,7 +185,7 @@
 	case RanOnly:
 		return Reply{Kind: AlreadyRan}
 	default:
-		return Reply{Kind: Refuse, Code: code.KeyUndecidable, Detail: "an earlier use of the key may have run"}
+		return Reply{Kind: Refuse, Code: code.KeyUndecidable, Detail: "an earlier use of the key may have run" + r.why}
 	}
 }
 
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -112,7 +112,7 @@
 	i := &instance{self: Member{id, c.inc}, alive: true, replies: map[WaiterID]func(Reply){}}
 	i.offset = c.delay(4*time.Second) - 2*time.Second
 	i.core = New(Settings{
-		Self: i.self, Retention: 5 * time.Minute, TakeoverWindow: time.Minute, ClockGuard: 5 * time.Second,
+		Self: i.self, Born: c.now, Retention: 5 * time.Minute, TakeoverWindow: time.Minute, ClockGuard: 5 * time.Second,
 		MaxKeys: 1 << 20, MaxBytes: 1 << 16, MaxAnswer: 1 << 10, MaxWaiters: 8,
 	})
 	i.core.faults = c.faults
@@ -165,7 +165,7 @@
 }
 
 func (c *cluster) ask(i *instance, e Effect) {
-	findings := &Findings{}
+	findings := &Findings{Ages: map[spec.InstanceID]time.Duration{}}
 	open := len(e.Ask)
 	done := func() {
 		if open--; open <= 0 && i.alive {
@@ -179,7 +179,9 @@
 		c.call(id, func(to *instance) {
 			found, moved, authoritative, effects := to.core.Ask(c.now, c.wall(to), e.Key, i.self)
 			c.carryOut(to, effects)
+			age := to.core.Age(c.now)
 			c.after(c.delay(10*time.Millisecond), func() {
+				findings.Ages[id] = age
 				findings.Records = append(findings.Records, compact(found)...)
 				if moved != "" {
 					findings.MovedTo = moved
--- a/internal/dedupe/local.go
+++ b/internal/dedupe/local.go
@@ -126,7 +126,7 @@
 	if e.record.State == RanOnly {
 		return Reply{Kind: AlreadyRan}
 	}
-	return Reply{Kind: Refuse, Code: code.KeyUndecidable, Detail: "an earlier use of the key may have run"}
+	return Reply{Kind: Refuse, Code: code.KeyUndecidable, Detail: "an earlier use of the key may have run: this instance carried it out"}
 }
 
 // Executed notes how a use ended that this instance carried out.
--- a/internal/dedupe/serve.go
+++ b/internal/dedupe/serve.go
@@ -53,7 +53,11 @@
 	key := keyFromWire(req.Msg.GetKey())
 	found, movedTo, authoritative, effects := s.core.Ask(s.timing.Now(), s.timing.Wall(), key, asker)
 	s.deliver(effects)
-	out := &entryv1.AskKeyResponse{Authoritative: authoritative, MovedTo: string(movedTo)}
+	out := &entryv1.AskKeyResponse{
+		Authoritative: authoritative,
+		MovedTo:       string(movedTo),
+		ProcessAgeMs:  uint64(s.core.Age(s.timing.Now()) / time.Millisecond),
+	}
 	if found != nil {
 		out.Record = recordToWire(*found)
 	}
--- a/internal/dedupe/service.go
+++ b/internal/dedupe/service.go
@@ -42,6 +42,7 @@
 
 // NewService returns a service without members.
 func NewService(settings Settings, timing Timing, peer Peer) *Service {
+	settings.Born = timing.Now()
 	return &Service{
 		timing:  timing,
 		peer:    peer,
@@ -161,8 +162,11 @@
 }
 
 func findingsOf(entries []spec.InstanceID, answers []*entryv1.AskKeyResponse) Findings {
-	var f Findings
+	f := Findings{Ages: make(map[spec.InstanceID]time.Duration, len(entries))}
 	for i, answer := range answers {
+		if answer != nil {
+			f.Ages[entries[i]] = time.Duration(answer.GetProcessAgeMs()) * time.Millisecond
+		}
 		switch {
 		case answer == nil:
 			f.Silent = append(f.Silent, entries[i])
--- a/internal/dedupe/types.go
+++ b/internal/dedupe/types.go
@@ -142,6 +142,11 @@
 // Settings are the constants of the core.
 type Settings struct {
 	Self Member
+	// Born is the monotonic time at which this process started.
+	Born time.Duration
+	// ClockRatePPM bounds the difference of the rates of two processes' clocks,
+	// in parts per million.
+	ClockRatePPM int64
 	// Retention is how long the end of a use is remembered.
 	Retention time.Duration
 	// TakeoverWindow is how long after a takeover keys are asked about, and
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -151,6 +151,7 @@
 func (e *Entry) keySettings() dedupe.Settings {
 	return dedupe.Settings{
 		Self:           e.self(),
+		ClockRatePPM:   int64(e.config.ClockRatePPM),
 		Retention:      ms(e.config.KeyRetentionMS),
 		TakeoverWindow: ms(e.config.KeyTakeoverMS),
 		ClockGuard:     ms(e.config.KeyClockGuardMS),
