Say that the services are not known yet instead of that they don't exist

Callers of an instance that has just started saw RW1003 or RW1009 (404) for teams and services that exist: a final answer, so the caller does not repeat.

An empty list counted as the whole list, and the entry was ready as soon as it was a member.

A view now says whether its rwsched has read the configuration to the tail once (services_known). The directory takes only such views, and answers RW6004 (config_unread, 503, not run) until it has one; a later view of an rwsched that has just started takes nothing away. The entry is not ready before that. Submissions get RW6004 for the same reason (RW5002 before).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,6 +20,9 @@
 }
 
 type contents struct {
+	// known states that the whole configuration was read once. Until then
+	// nothing is said not to exist.
+	known    bool
 	names    *document.Directory
 	services map[config.Key]entry.ServiceSettings
 	revision map[config.Key]uint64
@@ -32,15 +35,17 @@
 	return d
 }
 
-// Update takes the services of a view over. A service whose revision in the
+// Update takes the services of a view over, unless the view comes from an
+// rwsched that has not read the whole configuration. A service whose revision in the
 // view is older than the known one keeps the known one, so that a view from
 // another instance that lags cannot bring an older document back.
 func (d *Directory) Update(view *schedv1.GetViewResponse) {
 	known := d.current.Load()
-	if d.lags(known, view) {
+	if !view.GetServicesKnown() || d.lags(known, view) {
 		return
 	}
 	next := &contents{
+		known:    true,
 		services: make(map[config.Key]entry.ServiceSettings),
 		revision: make(map[config.Key]uint64),
 	}
@@ -87,12 +92,20 @@
 
 // Resolve implements entry.Services.
 func (d *Directory) Resolve(name string) (spec.TeamID, error) {
-	return d.current.Load().names.Resolve(name)
+	current := d.current.Load()
+	if !current.known {
+		return "", code.New(code.ConfigUnread, "the teams are not known yet")
+	}
+	return current.names.Resolve(name)
 }
 
 // Service implements entry.Services.
 func (d *Directory) Service(team spec.TeamID, service spec.ServiceID) (entry.ServiceSettings, error) {
-	settings, ok := d.current.Load().services[config.Key{Team: team, Service: service}]
+	current := d.current.Load()
+	if !current.known {
+		return entry.ServiceSettings{}, code.New(code.ConfigUnread, "the services are not known yet")
+	}
+	settings, ok := current.services[config.Key{Team: team, Service: service}]
 	if !ok {
 		return settings, code.New(code.UnknownService, "team %s has no service %s", team, service)
 	}
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -35,10 +35,10 @@
 // called from many goroutines and must not block.
 type Services interface {
 	// Resolve returns the team with this name or account code. Errors:
-	// code.UnknownTeam, code.AmbiguousAlias.
+	// code.UnknownTeam, code.AmbiguousAlias, code.ConfigUnread.
 	Resolve(name string) (spec.TeamID, error)
-	// Service returns the settings of a service of the team. Error:
-	// code.UnknownService.
+	// Service returns the settings of a service of the team. Errors:
+	// code.UnknownService, code.ConfigUnread.
 	Service(team spec.TeamID, service spec.ServiceID) (ServiceSettings, error)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,7 +189,8 @@
 func (e *Entry) PeerAddr() string { return e.peerListen.Addr().String() }
 
 // Ready reports whether the balancer may send callers here. It is false while
-// the instance is no active member, for example after its rwsched has left.
+// the instance is no active member, for example after its rwsched has left, and
+// before it knows the services.
 func (e *Entry) Ready() bool { return e.phase.Load() == serving && e.views.active() }
 
 // Run serves until ctx ends or Drain has returned. At the end of ctx it stops
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -135,6 +135,8 @@
 		Members: append([]*recordv1.Member(nil), w.members...),
 		Groups:  []*schedv1.GroupView{{Id: "g1", Owner: "owner", Epoch: 1}},
 		Workers: append([]*schedv1.WorkerView(nil), w.workers...),
+
+		ServicesKnown: true,
 	}
 }
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -39,6 +39,8 @@
 	has      bool
 	// member states that the last view lists this instance as active.
 	member bool
+	// services states that a view came from an rwsched that knows all services.
+	services bool
 	// source is the rwsched that the version comes from: "" is the own one.
 	source string
 }
@@ -52,12 +54,13 @@
 	}
 }
 
-// active reports whether the instance is an active member. Owners grant slots
-// to active members only, so callers are better served elsewhere otherwise.
+// active reports whether the instance is an active member and knows the
+// services. Owners grant slots to active members only, so callers are better
+// served elsewhere otherwise.
 func (v *viewKeeper) active() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.has && v.member
+	return v.has && v.member && v.services
 }
 
 // run follows the view of the own rwsched, or of another member's while the
@@ -164,6 +167,7 @@
 	v.version = view.GetVersion()
 	v.source = source
 	v.has = true
+	v.services = v.services || view.GetServicesKnown()
 	v.mu.Unlock()
 	v.entry.dispatch.setWorkers(workers)
 	if v.entry.deps.OnView != nil {
--- a/internal/sched/complete.go
+++ b/internal/sched/complete.go
@@ -35,7 +35,7 @@
 func (s *Sched) complete(sent *recordv1.JobSpec) (*recordv1.JobSpec, error) {
 	index := s.documents.Load()
 	if index == nil {
-		return nil, code.New(code.OwnerUnknown, "the configuration is not read yet")
+		return nil, code.New(code.ConfigUnread, "the configuration is not read yet")
 	}
 	key := config.Key{
 		Team:    spec.TeamID(sent.GetId().GetTeam()),
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -43,6 +43,7 @@
 	removals     map[spec.InstanceID]operatorWord
 
 	// configRead states that a read has reached the tail of the config stream.
+	// Until it is set, nothing is decided from the absence of a document.
 	configRead bool
 
 	lastLogTail   time.Duration
--- a/internal/sched/streams.go
+++ b/internal/sched/streams.go
@@ -116,6 +116,7 @@
 	}
 	if e.result.AtTail && !d.configRead {
 		d.configRead = true
-		d.publishDocuments()
+		d.log("config_known", zap.Int64("offset", d.config.InForceOffset()))
+		d.onConfigChanged(now)
 	}
 }
--- a/internal/sched/view.go
+++ b/internal/sched/view.go
@@ -44,6 +44,8 @@
 		Version:  view.current.Load().GetVersion() + 1,
 		Members:  d.ownership.Members(),
 		Services: d.config.State().Revisions(),
+
+		ServicesKnown: d.configRead,
 	}
 	for _, owner := range d.ownership.Owners() {
 		next.Groups = append(next.Groups, &schedv1.GroupView{
