Don't count a configuration with missing records as read

Cause: reaching the tail was taken for knowing the whole configuration.

The configuration counts as read when a read reaches the tail and no record is missing. A gap that opens later leaves the known documents in force, as before.

TestServicesAreUnknownWhileRecordsAreMissing failed before (RW1009 instead of RW6004), passes now.

--- a/internal/sched/configuration_test.go
+++ b/internal/sched/configuration_test.go
@@ -7,11 +7,14 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"redwingvale/internal/code"
 	"redwingvale/internal/platform"
 	"redwingvale/internal/spec"
 	"redwingvale/internal/telemetry"
+
+	recordv1 "redwingvale/internal/gen/redwingvale/record/v1"
 )
 
 // newTestDecision returns a decision duty that has read nothing.
@@ -27,6 +30,44 @@
 	return newDecision(context.Background(), s)
 }
 
+// snapshotRecord returns a whole snapshot of the night document.
+func snapshotRecord(c *qt.C, offset, through int64) platform.LogRecord {
+	snapshot := &recordv1.ConfigSnapshot{ThroughOffset: through, Part: 0, Parts: 1, Services: []*recordv1.ServiceRevision{
+		{Team: "desk", Service: "drafts", Revision: 3, Document: []byte(nightDocument)},
+	}}
+	data, err := proto.Marshal(&recordv1.Envelope{Instance: "i1", Incarnation: 1, Sequence: 1, Body: &recordv1.Envelope_Config{
+		Config: &recordv1.ConfigRecord{Kind: &recordv1.ConfigRecord_Snapshot{Snapshot: snapshot}},
+	}})
+	c.Assert(err, qt.IsNil)
+	return platform.LogRecord{Offset: offset, Data: data}
+}
+
+// Guards against a service that is said not to exist (404) because records of
+// the configuration have expired unread: a read that reaches the tail does not
+// make the configuration known while a snapshot is missing.
+func TestServicesAreUnknownWhileRecordsAreMissing(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDecision(c)
+	job := sentJob(spec.Deadline, "revision")
+	_, err := d.sched.complete(job)
+	c.Assert(code.Of(err), qt.Equals, code.ConfigUnread)
+
+	d.onConfigRead(0, configRead{result: platform.ReadResult{First: 10, Next: 10, AtTail: true}})
+	_, err = d.sched.complete(job)
+	c.Assert(code.Of(err), qt.Equals, code.ConfigUnread)
+	c.Assert(d.sched.view.current.Load().GetServicesKnown(), qt.IsFalse)
+
+	d.onConfigRead(0, configRead{result: platform.ReadResult{
+		First: 10, Next: 11, AtTail: true, Records: []platform.LogRecord{snapshotRecord(c, 10, 9)},
+	}})
+	_, err = d.sched.complete(job)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.sched.view.current.Load().GetServicesKnown(), qt.IsTrue)
+	job.Service = "other"
+	_, err = d.sched.complete(job)
+	c.Assert(code.Of(err), qt.Equals, code.UnknownService)
+}
+
 // Guards against an empty configuration that is never known.
 func TestEmptyConfigurationIsKnown(t *testing.T) {
 	c := qt.New(t)
--- a/internal/sched/decision.go
+++ b/internal/sched/decision.go
@@ -42,8 +42,9 @@
 	knownMembers map[string]uint64
 	removals     map[spec.InstanceID]operatorWord
 
-	// configRead states that a read has reached the tail of the config stream.
-	// Until it is set, nothing is decided from the absence of a document.
+	// configRead states that a read has reached the tail of the config stream
+	// and that no record was missing then. Until it is set, nothing is decided
+	// from the absence of a document.
 	configRead bool
 
 	lastLogTail   time.Duration
--- a/internal/sched/streams.go
+++ b/internal/sched/streams.go
@@ -114,7 +114,7 @@
 			Envelope: envelope,
 		})
 	}
-	if e.result.AtTail && !d.configRead {
+	if e.result.AtTail && d.config.Whole() && !d.configRead {
 		d.configRead = true
 		d.log("config_known", zap.Int64("offset", d.config.InForceOffset()))
 		d.onConfigChanged(now)
