Place no task before the configuration is known

A batch task could start beyond its team's quota or in a data centre that its service's document forbids, and a job could be handed to a group there, on an owner that had taken its group over before it had read the configuration.

SetServices says whether the whole configuration has been read. Until then the owner places nothing and hands nothing off; leases, ends and cancellations go on.

TestNothingIsPlacedBeforeTheServicesAreKnown failed before (one intent, without any document), passes now. The stand-ins of the group's tests now say that their empty configuration is known, as a running rwsched does.

--- a/internal/group/allowed.go
+++ b/internal/group/allowed.go
@@ -23,6 +23,7 @@
 		s := &e.Services[i]
 		c.services[serviceKey{s.Team, s.ID}] = s
 	}
+	c.servicesKnown = e.Known
 	c.decider.Configure(c.now, e.Services)
 }
 
--- a/internal/group/bench_test.go
+++ b/internal/group/bench_test.go
@@ -109,6 +109,7 @@
 	opts.Instance = "i1"
 	opts.Incarnation = 1
 	core := New(opts, firstfit.New())
+	core.Step(0, SetServices{Known: true})
 	core.Step(0, SetWorkers{Workers: workersFor(tasks + tasks/10)})
 	for i, data := range records {
 		env := new(recordv1.Envelope)
--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -28,6 +28,8 @@
 	departed map[spec.InstanceID]time.Duration
 	peers    []Peer
 	services map[serviceKey]*policy.Service
+	// servicesKnown states that a service without an entry has no document.
+	servicesKnown bool
 
 	// owner is set while this instance owns the group and has had a right.
 	owner *owner
--- a/internal/group/documents_test.go
+++ b/internal/group/documents_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"redwingvale/internal/code"
+	"redwingvale/internal/platform"
 	"redwingvale/internal/policy"
 	"redwingvale/internal/spec"
 
@@ -18,7 +19,7 @@
 func (l *singleOwner) allow(ceiling spec.Resources, names ...string) {
 	l.step(SetServices{Services: []policy.Service{
 		{Team: "desk", ID: "s", Ceiling: ceiling, DataCentres: policy.NewDataCentres(names)},
-	}})
+	}, Known: true})
 }
 
 func serviceJob(name string, cores int64) *recordv1.JobSpec {
@@ -99,3 +100,50 @@
 	t1.finish(code.JobOutcomeUnknown)
 	c.Assert(l.core.Troubles()[0].UnknownOutcome, qt.IsTrue)
 }
+
+// answerWorkers answers the open batches; what is started runs on.
+func (l *singleOwner) answerWorkers() {
+	sends := l.sends
+	l.sends = nil
+	for _, e := range sends {
+		for _, command := range e.Batch.Commands {
+			if command.Kind == platform.CommandStart {
+				started := platform.TaskReport{Task: command.Task, Attempt: command.Attempt, State: platform.TaskRunning}
+				l.running = append(l.running, started)
+			}
+		}
+		report := &platform.WorkerReport{Worker: e.Worker.ID, Boot: "b", Epoch: e.Batch.Epoch, Clock: l.now, Tasks: l.running}
+		l.step(RightChanged{Epoch: 1, Until: l.now + time.Second})
+		l.step(WorkerAnswered{Serial: e.Serial, Report: report, SentAt: l.now, ReceivedAt: l.now})
+	}
+}
+
+// Guards against a task that starts without its quota or outside its data
+// centres, and a job that is handed to a group outside of them, because an owner
+// decides before it has read the service's document.
+func TestNothingIsPlacedBeforeTheServicesAreKnown(t *testing.T) {
+	c := qt.New(t)
+	large := spec.Resources{MilliCPU: 32000, MemoryMiB: 1000}
+	l := newSingleOwner("rack1", 8, Peer{Group: "rack2", Largest: large, DataCentre: "dc2"})
+	l.step(SetServices{})
+	l.pass(time.Second)
+	l.step(Submit{Request: 1, Job: serviceJob("small", 1)})
+	l.step(Submit{Request: 2, Job: serviceJob("large", 16)})
+	c.Assert(l.replies[1].Code, qt.Equals, code.OK)
+	c.Assert(l.replies[2].Code, qt.Equals, code.OK)
+	intents := func() int {
+		return l.count(func(r *recordv1.GroupRecord) bool { return r.GetTaskIntent() != nil })
+	}
+	// Ten seconds with a worker that answers.
+	for range 10 {
+		l.answerWorkers()
+		l.pass(time.Second)
+	}
+	c.Assert(intents(), qt.Equals, 0)
+	c.Assert(l.handOffs, qt.HasLen, 0)
+	l.allow(spec.Resources{})
+	l.answerWorkers()
+	l.pass(2 * time.Second)
+	c.Assert(intents(), qt.Equals, 1)
+	c.Assert(len(l.handOffs) > 0, qt.IsTrue)
+}
--- a/internal/group/events.go
+++ b/internal/group/events.go
@@ -136,8 +136,14 @@
 	Largest spec.Resources
 }
 
-// SetServices replaces the services.
-type SetServices struct{ Services []policy.Service }
+// SetServices replaces the services. Known states that the whole configuration
+// has been read, so that a service that is not among them has no document.
+// Until then no task is placed and no job is handed off: without its document a
+// job would have no quota and be allowed in every data centre.
+type SetServices struct {
+	Services []policy.Service
+	Known    bool
+}
 
 // SetEntries replaces the active entry instances.
 type SetEntries struct{ Entries []spec.InstanceID }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"redwingvale/internal/code"
+	"redwingvale/internal/platform"
 	"redwingvale/internal/policy/firstfit"
 	"redwingvale/internal/spec"
 
@@ -29,6 +30,8 @@
 	now      time.Duration
 	replies  map[Request]Reply
 	handOffs []HandOff
+	sends    []Send
+	running  []platform.TaskReport
 	releases []ReleaseMoved
 }
 
@@ -50,6 +53,7 @@
 	capacity := spec.Resources{MilliCPU: l.cores * 1000, MemoryMiB: 1000}
 	l.step(SetWorkers{Workers: []WorkerInfo{{Worker: spec.Worker{ID: "w", Capacity: capacity}}}})
 	l.step(SetPeers{Peers: l.peers})
+	l.step(SetServices{Known: true})
 	for i, env := range l.log {
 		l.step(RecordRead{Offset: int64(i), Envelope: env})
 	}
@@ -68,6 +72,8 @@
 			l.write(e.Envelope)
 		case Reply:
 			l.replies[e.Request] = e
+		case Send:
+			l.sends = append(l.sends, e)
 		case HandOff:
 			l.handOffs = append(l.handOffs, e)
 		case ReleaseMoved:
--- a/internal/group/handoff.go
+++ b/internal/group/handoff.go
@@ -16,7 +16,7 @@
 // maybeHandOff records that a job moves to another group when none of its
 // tasks could be placed here for some time.
 func (c *Core) maybeHandOff(j *job) {
-	if !j.open() || j.movePending || j.endPending || j.active > 0 || j.pendingIntents > 0 {
+	if !c.servicesKnown || !j.open() || j.movePending || j.endPending || j.active > 0 || j.pendingIntents > 0 {
 		return
 	}
 	if j.hop >= c.opts.MaxHops || j.finished == len(j.tasks) || c.owner.cancels[j.id] != nil {
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -47,6 +47,7 @@
 	n.queue = nil
 	n.flight = nil
 	n.step(SetEntries{Entries: n.sim.entryNames()})
+	n.step(SetServices{Known: true})
 	n.step(SetWorkers{Workers: n.sim.workerInfos()})
 }
 
--- a/internal/group/owner.go
+++ b/internal/group/owner.go
@@ -70,7 +70,8 @@
 		c.owner.ledger.TakeOver(c.oldRightEnd(), c.departedLately())
 	}
 	c.owner.nextSnapshot = c.firstSnapshot()
-	c.note("group_taken_over", "epoch", itoa(c.owner.epoch), "jobs", itoa(len(c.state().jobs)))
+	c.note("group_taken_over", "epoch", itoa(c.owner.epoch), "jobs", itoa(len(c.state().jobs)),
+		"services_known", boolText(c.servicesKnown))
 	c.contactAll()
 }
 
--- a/internal/group/schedule.go
+++ b/internal/group/schedule.go
@@ -36,7 +36,7 @@
 // schedule lets the decider place waiting tasks and writes their intents.
 func (c *Core) schedule() {
 	room := c.opts.MaxPendingIntents - c.owner.intents
-	if room <= 0 || c.now < c.owner.holdIntents {
+	if room <= 0 || c.now < c.owner.holdIntents || !c.servicesKnown {
 		return
 	}
 	for _, p := range c.decider.Schedule(c.now, room) {
--- a/internal/sched/configuration.go
+++ b/internal/sched/configuration.go
@@ -59,7 +59,7 @@
 	}
 	services := d.policyServices()
 	for _, g := range d.sortedGroups() {
-		d.stepGroup(now, g, group.SetServices{Services: services})
+		d.stepGroup(now, g, group.SetServices{Services: services, Known: d.configRead})
 	}
 	d.publishView()
 }
--- a/internal/sched/groups.go
+++ b/internal/sched/groups.go
@@ -46,7 +46,7 @@
 	g := &followedGroup{id: id, core: d.newGroupCore(id), stop: stop, verdicts: make(map[spec.WorkerID]string)}
 	d.groups[id] = g
 	d.sched.startReader(ctx, platform.GroupStream(id))
-	d.stepGroup(now, g, group.SetServices{Services: d.policyServices()})
+	d.stepGroup(now, g, group.SetServices{Services: d.policyServices(), Known: d.configRead})
 	d.stepGroup(now, g, group.SetEntries{Entries: d.activeMembers()})
 	d.tellWorkers(now, g)
 }
