Don't stop the tasks of a worker that the list has not shown yet

A running task was stopped to be moved ("worker leaves") right after a takeover, although its worker was healthy.

A new owner knows the worker from the task's record only, and an absent worker counted as one that leaves.

Only a worker that the list has shown to this owner, and that leaves now, has its tasks stopped. One that was never shown gets nothing new; its tasks run on until the list shows it or their leases end, which bounds the wait.

TestUnlistedWorkerKeepsItsTasks failed before (the task was stopping), passes now. It also checks that a listed worker that leaves loses its tasks.

--- a/internal/group/contact.go
+++ b/internal/group/contact.go
@@ -14,8 +14,12 @@
 type contact struct {
 	worker  spec.Worker
 	leaving bool
-	// listed states that the platform still lists the worker.
+	// listed states that the platform still lists the worker; seen that it has
+	// listed it in this ownership. The list may be older than the worker, so one
+	// that was never seen gets no new work, and its tasks run until their leases
+	// end.
 	listed bool
+	seen   bool
 	// answered states that the worker reported in this epoch; offered that the
 	// decider knows it.
 	answered bool
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -25,6 +25,7 @@
 	group    spec.GroupID
 	cores    int64
 	peers    []Peer
+	workers  []WorkerInfo
 	core     *Core
 	log      []*recordv1.Envelope
 	now      time.Duration
@@ -51,7 +52,10 @@
 	opts.Group, opts.Instance, opts.Incarnation = l.group, "i0", 1
 	l.core = New(opts, firstfit.New())
 	capacity := spec.Resources{MilliCPU: l.cores * 1000, MemoryMiB: 1000}
-	l.step(SetWorkers{Workers: []WorkerInfo{{Worker: spec.Worker{ID: "w", Capacity: capacity}}}})
+	if l.workers == nil {
+		l.workers = []WorkerInfo{{Worker: spec.Worker{ID: "w", Capacity: capacity}}}
+	}
+	l.step(SetWorkers{Workers: l.workers})
 	l.step(SetPeers{Peers: l.peers})
 	l.step(SetServices{Known: true})
 	for i, env := range l.log {
@@ -236,3 +240,34 @@
 		c.Assert(reader.complete, qt.Equals, missing == 0)
 	}
 }
+
+// Guards against a running task that a new owner stops because the instance list
+// that it has read is older than the task's worker. A worker that the list shows
+// as leaving is another matter.
+func TestUnlistedWorkerKeepsItsTasks(t *testing.T) {
+	c := qt.New(t)
+	l := newSingleOwner("rack1", 4)
+	l.pass(time.Second)
+	l.step(Submit{Request: 1, Job: smallJob("j", 1, 1)})
+	for range 3 {
+		l.answerWorkers()
+		l.pass(time.Second)
+	}
+	task := func() *task { return &l.core.state().jobs[spec.JobID{Team: "desk", Name: "j"}].tasks[0] }
+	c.Assert(task().state, qt.Equals, taskRunning)
+	stops := func() int {
+		return l.count(func(r *recordv1.GroupRecord) bool { return r.GetTaskStopping() != nil })
+	}
+	listed := l.workers
+	l.workers = []WorkerInfo{{Worker: spec.Worker{ID: "other", Capacity: listed[0].Worker.Capacity}}}
+	l.boot()
+	l.pass(5 * time.Second)
+	c.Assert(task().state, qt.Equals, taskRunning)
+	c.Assert(stops(), qt.Equals, 0)
+
+	leaving := listed[0]
+	leaving.Leaving = true
+	l.step(SetWorkers{Workers: append(l.workers, leaving)})
+	l.pass(5 * time.Second)
+	c.Assert(stops(), qt.Equals, 1)
+}
--- a/internal/group/owner.go
+++ b/internal/group/owner.go
@@ -206,6 +206,7 @@
 		w.worker = info.Worker
 		w.leaving = info.Leaving
 		w.listed = true
+		w.seen = true
 		c.owner.ledger.SetWorker(info.Worker, info.Leaving)
 		for _, t := range w.ordered() {
 			c.owner.ledger.Restore(t.id(), t.worker, t.job.resources())
--- a/internal/group/schedule.go
+++ b/internal/group/schedule.go
@@ -159,8 +159,8 @@
 		if !w.leaving {
 			continue
 		}
-		for _, t := range w.ordered() {
-			c.stopTask(t, reasonLeaving, "worker leaves")
+		if w.seen {
+			c.stopAll(w)
 		}
 		if !w.listed {
 			gone = append(gone, w)
@@ -171,6 +171,13 @@
 	}
 }
 
+// stopAll moves the tasks of a worker that leaves.
+func (c *Core) stopAll(w *contact) {
+	for _, t := range w.ordered() {
+		c.stopTask(t, reasonLeaving, "worker leaves")
+	}
+}
+
 // reportOverdue tells about tasks that can no longer meet their deadline.
 func (c *Core) reportOverdue() {
 	late := make(map[spec.TaskID]bool)
