Forget entries that left too long ago to know a key

An entry kept the client of each entry that had ever left the members, and offered it for questions about keys: no bound on its age or number.

An entry that has left is asked for at most the retention of keys or the takeover window, whichever is longer, plus the clock guard. After that no key that it may know of can still be used.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,7 +80,7 @@
 	e := &Entry{config: config, deps: deps, start: time.Now(), drained: make(chan struct{})}
 	e.halted, e.halt = context.WithCancel(context.Background())
 	e.metrics = newMetrics(deps.Scope)
-	e.peers = newPeerSet()
+	e.peers = newPeerSet(e.departedKeep(), e.now)
 	e.pool = connpool.New(e.poolSettings(), e.targetEvent)
 	e.dispatch = newDispatcher(e.newRouter(), e.now, config)
 	e.keys = dedupe.NewService(e.keySettings(), e.keyTiming(), e.peers.client)
@@ -162,6 +162,13 @@
 	}
 }
 
+// departedKeep is how long an entry that has left may be asked about keys: no
+// key outlives the retention, and no change of a home matters for longer than
+// the takeover window; the clock guard covers keys made just after the change.
+func (e *Entry) departedKeep() time.Duration {
+	return ms(max(e.config.KeyRetentionMS, e.config.KeyTakeoverMS) + e.config.KeyClockGuardMS)
+}
+
 func (e *Entry) keyTiming() dedupe.Timing {
 	return dedupe.Timing{Now: e.now, Wall: time.Now, Call: ms(e.config.KeyHomeTimeoutMS)}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -30,17 +30,26 @@
 // peerSet holds the clients of the other entries.
 type peerSet struct {
 	transport *http.Transport
+	now       func() time.Duration
+	// keep is how long an entry that has left can know of a key that matters.
+	keep time.Duration
 
 	mu    sync.Mutex
 	peers map[spec.InstanceID]*peer
 	// departed entries have left the members; they may still be asked about
 	// idempotency keys.
-	departed map[spec.InstanceID]*peer
+	departed map[spec.InstanceID]departedPeer
 	order    []*peer
 	next     int
 }
 
-func newPeerSet() *peerSet {
+// departedPeer is an entry that has left the members, and when.
+type departedPeer struct {
+	*peer
+	at time.Duration
+}
+
+func newPeerSet(keep time.Duration, now func() time.Duration) *peerSet {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &peerSet{
 		transport: &http.Transport{
@@ -49,8 +58,10 @@
 			IdleConnTimeout:     peerIdleTimeout,
 			DisableCompression:  true,
 		},
+		now:      now,
+		keep:     keep,
 		peers:    make(map[spec.InstanceID]*peer),
-		departed: make(map[spec.InstanceID]*peer),
+		departed: make(map[spec.InstanceID]departedPeer),
 	}
 }
 
@@ -74,9 +85,10 @@
 	}
 	for id, known := range old {
 		if p.peers[id] == nil {
-			p.departed[id] = known
+			p.departed[id] = departedPeer{peer: known, at: p.now()}
 		}
 	}
+	p.forgetDeparted()
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].id < p.order[j].id })
 }
 
@@ -84,14 +96,23 @@
 func (p *peerSet) client(id spec.InstanceID) entryv1connect.EntryServiceClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.peers[id]
-	if known == nil {
-		known = p.departed[id]
+	if known := p.peers[id]; known != nil {
+		return known.client
 	}
-	if known == nil {
-		return nil
+	p.forgetDeparted()
+	if left, ok := p.departed[id]; ok {
+		return left.client
+	}
+	return nil
+}
+
+// forgetDeparted drops the entries that left too long ago, with the lock held.
+func (p *peerSet) forgetDeparted() {
+	for id, left := range p.departed {
+		if p.now()-left.at > p.keep {
+			delete(p.departed, id)
+		}
 	}
-	return known.client
 }
 
 // candidate returns the next peer that may have spare grants, or nil.
