Count the soak's pauses in one step with its signals

One cause in the harness is possible: another series may pause the process between the signals of a stop and the count of its pauses, and the stop then takes the paused process for one that hangs. The signals and the count are now one step. This was found by reading; the report could not be repeated, so whether it was the cause is not known.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -116,31 +116,33 @@
 	return nil
 }
 
-// signal sends a signal to the process if it runs.
-func (in *instance) signal(s syscall.Signal) {
+// signal sends signals to the process if it runs. It returns what tells when the
+// process ends, and how often it had been paused before.
+func (in *instance) signal(signals ...syscall.Signal) (ended chan struct{}, pauses int) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.process == nil {
-		return
+		return nil, 0
 	}
+	pauses = in.pauses
 	select {
 	case <-in.ended:
 	default:
-		_ = in.process.Process.Signal(s)
-		if s == syscall.SIGSTOP {
-			in.pauses++
+		for _, s := range signals {
+			_ = in.process.Process.Signal(s)
+			if s == syscall.SIGSTOP {
+				in.pauses++
+			}
 		}
 	}
+	return in.ended, pauses
 }
 
 // stop ends the process and waits for it. A graceful stop that takes longer
 // than the grace time is a finding.
 func (in *instance) stop(s syscall.Signal, grace time.Duration) error {
-	in.signal(syscall.SIGCONT)
-	in.signal(s)
-	in.mu.Lock()
-	ended, pauses := in.ended, in.pauses
-	in.mu.Unlock()
+	// No pause of another fault comes between the signals and the count.
+	ended, pauses := in.signal(syscall.SIGCONT, s)
 	select {
 	case <-ended:
 		return nil
