Let the soak start leaders that cannot read the manifest

New faults: for up to 5 s after an instance starts, the stand-in's store refuses, delays or does not answer its reads of the operators' topic; a stated share of the runs fails (-fail-share); versions of the manifest change the bound of attempts; all processes are killed right after a manifest or a submission was accepted, or after the store has refused appends for 1 s, so that runs of unrecorded jobs stay behind; a quarter of the callers give up after one attempt. Faults come in rounds, each followed by calm, with submissions throughout.

New checks: a job is shown as failed only when one of its tasks has failed on workers as often as the lowest bound of all versions; an end is acknowledged 4 s (ackMs) after it at most, from 3 s (contactMs) after the last fault on, whether or not the manifest can be read. Accepted jobs never answered 410 and the end of every accepted job were checked before. A job that has failed does not count as open any more, since runs may fail now.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,7 +28,9 @@
 	Dir       string
 	Instances int
 	Workers   int
-	// Faults is how long faults are injected; Calm follows it.
+	// Rounds is how often faults are injected, each time for Faults and
+	// followed by calm.
+	Rounds int
 	Faults time.Duration
 	// Calm bounds the time from the last fault until all jobs have ended.
 	Calm time.Duration
@@ -36,8 +38,15 @@
 	JobsPerS float64
 	// Series is how many series of faults go on at once.
 	Series int
-	// KillAll kills all instances at once at the end of the faults.
+	// FailShare is the share of the runs that fail by their own fault.
+	FailShare float64
+	// KillAll kills all instances at once at the end of each round, right after a
+	// manifest or a submission was accepted or while the store refuses appends.
 	KillAll bool
+	// WorkerFaults break the workers' contract: the checks must notice.
+	WorkerFaults standin.WorkerFaults
+	// EndWhenBroken ends the run once a promise is broken.
+	EndWhenBroken bool
 	// ForgetWrites lets the store lose what it has acknowledged, which no store
 	// may do: the checks must notice.
 	ForgetWrites bool
@@ -48,24 +57,39 @@
 const (
 	callerLimit = 3 * time.Second
 	callerTries = 5
+	// impatience is one in how many callers gives up after the first attempt.
+	impatience  = 4
 	retryPause  = 300 * time.Millisecond
 	pollPause   = 400 * time.Millisecond
 	startLimit  = 15 * time.Second
 	workerCores = 16_000
 )
 
+// Bounds of the users for the acknowledgement of ends.
+const (
+	// contactBound is how long after a disturbance a machine counts as in touch
+	// again (contactMs), ackBound how long an end then waits at most (ackMs).
+	contactBound = 3 * time.Second
+	ackBound     = 4 * time.Second
+	// ackWatch is how long the ends are watched after that.
+	ackWatch = 2 * time.Second
+	ackPoll  = 100 * time.Millisecond
+)
+
 // Result is what a run has seen.
 type Result struct {
 	Seed                           uint64
 	Submitted, Accepted, Completed int
 	Starts, Faults                 int
-	Broken                         []string
+	// FailedJobs were shown as failed, FailedRuns have failed on workers.
+	FailedJobs, FailedRuns int
+	Broken                 []string
 }
 
 // String is the result in one line.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d starts=%d faults=%d broken=%d",
-		r.Seed, r.Submitted, r.Accepted, r.Completed, r.Starts, r.Faults, len(r.Broken))
+	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d faults=%d broken=%d",
+		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.Faults, len(r.Broken))
 }
 
 type run struct {
@@ -81,6 +105,8 @@
 	faults    atomic.Int64
 	completed atomic.Int64
 	version   int
+	// accepted gets a value when a submission was answered as accepted.
+	accepted chan struct{}
 
 	mu   sync.Mutex
 	next int
@@ -91,38 +117,41 @@
 func Run(ctx context.Context, options Options) (*Result, error) {
 	r := &run{
 		options: options, store: standin.NewStore(), truth: standin.NewTruth(), stop: make(chan struct{}),
-		probe: &http.Client{Timeout: time.Second},
+		accepted: make(chan struct{}, 1),
+		probe:    &http.Client{Timeout: time.Second},
 	}
 	defer r.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if options.EndWhenBroken {
+		go r.endWhenBroken(ctx, cancel)
+	}
 	if err := r.begin(ctx); err != nil {
 		return nil, err
 	}
 	var callers sync.WaitGroup
 	rng := rand.New(rand.NewPCG(options.Seed, 1))
-	faulting, cancel := context.WithTimeout(ctx, options.Faults)
-	defer cancel()
-	var trouble sync.WaitGroup
-	for i := range options.Series {
-		trouble.Add(1)
-		go func() {
-			defer trouble.Done()
-			r.harm(faulting, rand.New(rand.NewPCG(options.Seed, uint64(100+i))))
-		}()
-	}
-	for faulting.Err() == nil {
-		id := r.newJob(rng)
-		callers.Add(1)
-		go func(seed uint64) {
-			defer callers.Done()
-			r.caller(ctx, id, rand.New(rand.NewPCG(options.Seed, seed)))
-		}(rng.Uint64())
-		sleep(faulting, time.Duration(rng.ExpFloat64()/options.JobsPerS*float64(time.Second)))
-	}
-	trouble.Wait()
-	if options.KillAll {
-		r.killAll()
+	submitting, endSubmissions := context.WithCancel(ctx)
+	defer endSubmissions()
+	callers.Add(1)
+	go func() {
+		defer callers.Done()
+		for submitting.Err() == nil {
+			id := r.newJob(rng)
+			callers.Add(1)
+			go func(seed uint64) {
+				defer callers.Done()
+				r.caller(ctx, id, rand.New(rand.NewPCG(options.Seed, seed)))
+			}(rng.Uint64())
+			sleep(submitting, time.Duration(rng.ExpFloat64()/options.JobsPerS*float64(time.Second)))
+		}
+	}()
+	for round := range options.Rounds {
+		r.round(ctx, uint64(round))
+		calm := time.Now().Add(contactBound)
+		r.watchAcks(ctx, calm, calm.Add(ackBound+ackWatch))
 	}
-	r.heal()
+	endSubmissions()
 	limited, cancelCalm := context.WithTimeout(ctx, options.Calm)
 	defer cancelCalm()
 	ended := make(chan struct{})
@@ -130,9 +159,13 @@
 	select {
 	case <-ended:
 	case <-limited.Done():
-		r.truth.Report("jobs have not ended %s after the last fault: %v", options.Calm, r.open())
+		if ctx.Err() == nil {
+			r.truth.Report("jobs have not ended %s after the last fault: %v", options.Calm, r.open())
+		}
 	}
+	r.watchAcks(ctx, time.Now(), time.Now().Add(ackBound+2*ackPoll))
 	result := &Result{Seed: options.Seed, Submitted: len(r.ids), Starts: r.truth.Starts(), Faults: int(r.faults.Load()), Completed: int(r.completed.Load())}
+	result.FailedJobs, result.FailedRuns = r.truth.Failed()
 	caller := standin.NewCaller(r.truth, callerLimit)
 	for _, id := range r.ids {
 		caller.Refused(id)
@@ -144,6 +177,57 @@
 	return result, nil
 }
 
+// round injects faults for a while and ends them all.
+func (r *run) round(ctx context.Context, round uint64) {
+	faulting, cancel := context.WithTimeout(ctx, r.options.Faults)
+	defer cancel()
+	var trouble sync.WaitGroup
+	for i := range r.options.Series {
+		trouble.Add(1)
+		go func() {
+			defer trouble.Done()
+			r.harm(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+uint64(i))))
+		}()
+	}
+	trouble.Wait()
+	if r.options.KillAll {
+		rng := rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+99))
+		switch rng.IntN(3) {
+		case 0:
+			r.putManifest(rng)
+			r.restartAll(rng)
+		case 1:
+			r.awaitAcceptance(ctx)
+			r.restartAll(rng)
+		case 2:
+			r.restartUnrecorded(ctx, rng)
+		}
+	}
+	r.heal()
+}
+
+// endWhenBroken calls cancel once a promise is broken.
+func (r *run) endWhenBroken(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil && len(r.truth.Broken()) == 0 {
+		sleep(ctx, ackPoll)
+	}
+	cancel()
+}
+
+// watchAcks checks that ends are acknowledged within the bound of calm. The
+// manifest may not be readable yet.
+func (r *run) watchAcks(ctx context.Context, calm, until time.Time) {
+	reported := map[*standin.Worker]bool{}
+	for ; time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, ackPoll) {
+		for _, w := range r.workers {
+			if overdue := w.Overdue(calm, ackBound); len(overdue) > 0 && !reported[w] {
+				reported[w] = true
+				r.truth.Report("%s, and %d more", overdue[0], len(overdue)-1)
+			}
+		}
+	}
+}
+
 // begin starts the stand-ins and the instances and waits until all are ready.
 func (r *run) begin(ctx context.Context) error {
 	for i := range r.options.Workers {
@@ -156,6 +240,8 @@
 			return err
 		}
 		w := standin.NewWorker(fmt.Sprintf("w%02d", i), link.address(), workerCores, r.store, r.truth)
+		w.FailRuns(r.options.FailShare)
+		w.SetFaults(r.options.WorkerFaults)
 		server := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: time.Minute}
 		go func() { _ = server.Serve(socket) }()
 		go w.Run(r.stop)
@@ -163,7 +249,7 @@
 	}
 	r.store.ForgetWrites(r.options.ForgetWrites)
 	r.version = 1
-	standin.PutManifest(r.store, r.version)
+	standin.PutManifest(r.store, r.truth, r.version, leastAttempts+1)
 	for i := range r.options.Instances {
 		in, err := newInstance(r.options.Dir, r.options.Binary, i, r.store, &r.servers)
 		if err != nil {
@@ -245,10 +331,11 @@
 }
 
 func (r *run) open() []jobs.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var out []jobs.ID
-	caller := standin.NewCaller(r.truth, callerLimit)
 	for _, id := range r.ids {
-		if caller.Accepted(id) && !r.truth.AllDone(id) {
+		if r.truth.Open(id) {
 			out = append(out, id)
 		}
 	}
@@ -258,8 +345,11 @@
 // caller submits one job, now and then twice, and follows it to its end.
 func (r *run) caller(ctx context.Context, id jobs.ID, rng *rand.Rand) {
 	c := standin.NewCaller(r.truth, callerLimit)
-	accepted := false
-	for try := 0; try < callerTries && !accepted && ctx.Err() == nil; try++ {
+	accepted, tries := false, callerTries
+	if rng.IntN(impatience) == 0 {
+		tries = 1
+	}
+	for try := 0; try < tries && !accepted && ctx.Err() == nil; try++ {
 		accepted = c.Submit(ctx, r.pick(rng), id)
 		if !accepted {
 			sleep(ctx, retryPause)
@@ -268,6 +358,10 @@
 	if !accepted {
 		return
 	}
+	select {
+	case r.accepted <- struct{}{}:
+	default:
+	}
 	if rng.IntN(8) == 0 {
 		// The same submission arrives once more, seconds after its answer.
 		sleep(ctx, time.Duration(rng.IntN(4000))*time.Millisecond)
@@ -286,7 +380,7 @@
 			r.completed.Add(1)
 			return
 		case "failed", "aborted":
-			r.truth.Report("%s has failed although its tasks cannot fail", id)
+			// The caller has checked the cause.
 			return
 		}
 		sleep(ctx, pollPause)
