Read the workers' list after the claim again

A claimant that loses the race would read the list for nothing, and the longer time before the append lets more members claim the same epoch; all instances of a large deployment may stand at the same moment. The time that a new claim is given (3 s) covers the read.

--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -36,12 +36,11 @@
 	if c.Epoch == 0 {
 		return n.claimLost(ctx)
 	}
-	// The workers' list is long; read before the claim it delays no heartbeat.
-	infos, from, err := n.deps.Directory.Workers(ctx)
-	if err != nil {
+	if err := n.sendClaim(ctx, c, e.reason); err != nil {
 		return err
 	}
-	if err := n.sendClaim(ctx, c, e.reason); err != nil {
+	infos, from, err := n.deps.Directory.Workers(ctx)
+	if err != nil {
 		return err
 	}
 	won, err := ask(ctx, n, func() bool {
