Close a caller's connection only after it has been quiet

Cause, as far as shown: the connection was closed when the stop's 2.5 s were over, the moment at which http.Server.Shutdown closes what is idle, and the request had arrived 0.2 s before and had not been read: Shutdown does not look. That the process had no processor in between is an assumption; its logs are not kept.

A stopping instance now answers with Connection: close, and closes a connection only after 15 looks, 20 ms apart, without a request. Looks count instead of time, since a process without a processor reads nothing either.

--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -61,8 +61,12 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	var servers []*http.Server
-	for _, e := range endpoints {
+	callers := newConnections()
+	for i, e := range endpoints {
 		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
+		if i == 0 {
+			server.Handler, server.ConnState = n.closeAfterAnswer(e.handler), callers.follow
+		}
 		servers = append(servers, server)
 		group.Go(func() error {
 			if err := server.Serve(e.socket); !errors.Is(err, http.ErrServerClosed) {
@@ -82,7 +86,7 @@
 		}
 		return group.Wait()
 	}
-	n.drain(servers)
+	n.drain(servers, callers)
 	stop()
 	err := group.Wait()
 	n.log("stopped")
@@ -92,7 +96,7 @@
 // Draining reports whether the instance is stopping.
 func (n *Node) Draining() bool { return n.stopping.Load() }
 
-func (n *Node) drain(servers []*http.Server) {
+func (n *Node) drain(servers []*http.Server, callers *connections) {
 	begun := time.Now()
 	n.stopping.Store(true)
 	n.log("draining")
@@ -103,6 +107,7 @@
 	grace := time.Duration(n.config.Bounds.GraceS*float64(time.Second)) - graceMargin
 	ctx, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(begun), graceMargin))
 	defer cancel()
+	callers.closeQuiet(ctx)
 	// The callers' server comes first in the list; the others are closed after
 	// its last request.
 	for _, server := range servers {
