Backfill best-effort jobs of which nothing runs while the service has room

With serving tasks on all workers the predicted interference rules out nearly every worker; the few margins go to newer jobs, since overdue jobs come last. At the end some 90 overdue jobs stand still although less than half of the processors are reserved. Ruled out: waits for memory (1 to 4 workers of 48), a takeover (the term had lasted 31 s), suspect workers.

Change: while at most half of a service's processors are reserved, a job of which nothing runs gets one run on the worker that tolerates it best. It takes the margin that other best-effort tasks leave and is paced as soon as its start is confirmed; a job older than 30 s comes first.

--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -49,6 +49,7 @@
 	// for in this pass; previouslyReserved is the same for the previous pass.
 	reserved, previouslyReserved map[*worker]*step
 
+	serviceLoad  serviceLoad
 	durations    durationModel
 	interference *interferenceModel
 	journal      journal
@@ -112,6 +113,7 @@
 		workers:      map[WorkerID]*worker{},
 		jobs:         map[jobs.ID]*job{},
 		earlyEnds:    map[jobs.ID][]jobs.EarlyEnd{},
+		serviceLoad:  serviceLoad{byService: map[string]processorLoad{}},
 		durations:    durationModel{byQueue: map[string]*estimate{}},
 		interference: newInterferenceModel(),
 
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -182,7 +182,7 @@
 }
 
 // setPaces gives each best-effort task the highest pace that the serving tasks
-// tolerate: on-time tasks first, then those that interfere least.
+// tolerate, by their rank and then those that interfere least first.
 func (c *Core) setPaces(w *worker) {
 	var bestEffort []*run
 	for _, r := range w.runs {
@@ -195,7 +195,7 @@
 	}
 	margins := c.margins(w)
 	slices.SortStableFunc(bestEffort, func(a, b *run) int {
-		if d := cmp.Compare(c.lateness(a.task.step), c.lateness(b.task.step)); d != 0 {
+		if d := cmp.Compare(c.paceRank(a), c.paceRank(b)); d != 0 {
 			return d
 		}
 		return cmp.Compare(c.worstCoefficient(w, a.task.step), c.worstCoefficient(w, b.task.step))
@@ -286,7 +286,7 @@
 		t := &w.planned[i]
 		for _, r := range w.runs {
 			if r.task.step.spec.BestEffort && r.phase != stopping {
-				t.rise += t.model.coefficient(c.modelColumn(r.task.step)) * c.fullPaceUse(w, r)
+				t.rise += t.model.coefficient(c.modelColumn(r.task.step)) * c.plannedUse(w, r)
 			}
 		}
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -139,6 +139,7 @@
 			c.reserve(s)
 			s.noFitPass = c.pass
 			c.explainWait(s)
+			c.backfill(s)
 			return
 		}
 		c.start(t, w, t.lastRun+1, "placed")
@@ -224,6 +225,12 @@
 
 // feasible reports whether the worker may run the task now.
 func (c *Core) feasible(t *task, w *worker) bool {
+	return c.hasRoom(t, w) && (!t.step.spec.BestEffort || c.mayRunBestEffort(w, t.step))
+}
+
+// hasRoom reports whether the worker may run the task now, leaving aside the
+// interference between best-effort and serving tasks.
+func (c *Core) hasRoom(t *task, w *worker) bool {
 	s := t.step
 	if holder := c.reserved[w]; holder != nil && holder != s && s.resources().CPUMilli > 0 {
 		return false
@@ -234,8 +241,7 @@
 		!s.resources().fits(w.info.Capacity.minus(w.used)),
 		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
 		s.spec.MaxPerWorker > 0 && s.perWorker[w] >= s.spec.MaxPerWorker,
-		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS),
-		s.spec.BestEffort && !c.mayRunBestEffort(w, s):
+		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS):
 		return false
 	}
 	return w.health.admits(c.now.MS, w.runs)
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -39,6 +39,10 @@
 		if r.phase == starting {
 			r.phase = running
 		}
+		if r.backfill {
+			// It must not interfere at full pace until the next report.
+			c.setPaces(w)
+		}
 		return
 	}
 	d := c.decision("start_failed", r, e.Outcome.String())
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -86,6 +86,9 @@
 	// adopted is set for a run that a predecessor started, whose start time is
 	// unknown.
 	adopted bool
+	// backfill is set for a best-effort run that was started although its
+	// predicted interference ruled out every worker.
+	backfill bool
 	// speedCheckedMS is the time of the report by which the run's speed was
 	// last measured.
 	speedCheckedMS int64
