Let other instances call the workers for the leader

Cause: on the large site one process plans 3,000 starts a second and makes all calls to 1,100 workers.

Change: from delegation_min_workers (600) workers on, the leader passes its calls in batches to the strongest members that respond. A failed delegate's calls have unknown outcomes, which the fencing tokens settle as before. Delegates decline calls of lower epochs, while stopping and after a suspension.

--- a/internal/gen/redwingvale/node/v1/nodev1connect/node.connect.go
+++ b/internal/gen/redwingvale/node/v1/nodev1connect/node.connect.go
@@ -48,6 +48,10 @@
 	// NodeServiceCountWaitingProcedure is the fully-qualified name of the NodeService's CountWaiting
 	// RPC.
 	NodeServiceCountWaitingProcedure = "/redwingvale.node.v1.NodeService/CountWaiting"
+	// NodeServiceCallWorkersProcedure is the fully-qualified name of the NodeService's CallWorkers RPC.
+	NodeServiceCallWorkersProcedure = "/redwingvale.node.v1.NodeService/CallWorkers"
+	// NodeServiceReportCallsProcedure is the fully-qualified name of the NodeService's ReportCalls RPC.
+	NodeServiceReportCallsProcedure = "/redwingvale.node.v1.NodeService/ReportCalls"
 )
 
 // NodeServiceClient is a client for the redwingvale.node.v1.NodeService service.
@@ -62,6 +66,14 @@
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
 	GetJob(context.Context, *connect.Request[v1.GetJobRequest]) (*connect.Response[v1.GetJobResponse], error)
 	CountWaiting(context.Context, *connect.Request[v1.CountWaitingRequest]) (*connect.Response[v1.CountWaitingResponse], error)
+	// CallWorkers is sent by the leader to a delegate, which makes the calls and
+	// returns their outcomes by ReportCalls. A delegate that has accepted a batch
+	// reports each of its calls once; the leader treats calls without a report
+	// like calls without a response.
+	CallWorkers(context.Context, *connect.Request[v1.CallWorkersRequest]) (*connect.Response[v1.CallWorkersResponse], error)
+	// ReportCalls is sent by a delegate to the leader that requested the calls.
+	// Repeats are harmless.
+	ReportCalls(context.Context, *connect.Request[v1.ReportCallsRequest]) (*connect.Response[v1.ReportCallsResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the redwingvale.node.v1.NodeService service. By
@@ -111,6 +123,18 @@
 			connect.WithSchema(nodeServiceMethods.ByName("CountWaiting")),
 			connect.WithClientOptions(opts...),
 		),
+		callWorkers: connect.NewClient[v1.CallWorkersRequest, v1.CallWorkersResponse](
+			httpClient,
+			baseURL+NodeServiceCallWorkersProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("CallWorkers")),
+			connect.WithClientOptions(opts...),
+		),
+		reportCalls: connect.NewClient[v1.ReportCallsRequest, v1.ReportCallsResponse](
+			httpClient,
+			baseURL+NodeServiceReportCallsProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("ReportCalls")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -122,6 +146,8 @@
 	cancelJob    *connect.Client[v1.CancelJobRequest, v1.CancelJobResponse]
 	getJob       *connect.Client[v1.GetJobRequest, v1.GetJobResponse]
 	countWaiting *connect.Client[v1.CountWaitingRequest, v1.CountWaitingResponse]
+	callWorkers  *connect.Client[v1.CallWorkersRequest, v1.CallWorkersResponse]
+	reportCalls  *connect.Client[v1.ReportCallsRequest, v1.ReportCallsResponse]
 }
 
 // Heartbeat calls redwingvale.node.v1.NodeService.Heartbeat.
@@ -154,6 +180,16 @@
 	return c.countWaiting.CallUnary(ctx, req)
 }
 
+// CallWorkers calls redwingvale.node.v1.NodeService.CallWorkers.
+func (c *nodeServiceClient) CallWorkers(ctx context.Context, req *connect.Request[v1.CallWorkersRequest]) (*connect.Response[v1.CallWorkersResponse], error) {
+	return c.callWorkers.CallUnary(ctx, req)
+}
+
+// ReportCalls calls redwingvale.node.v1.NodeService.ReportCalls.
+func (c *nodeServiceClient) ReportCalls(ctx context.Context, req *connect.Request[v1.ReportCallsRequest]) (*connect.Response[v1.ReportCallsResponse], error) {
+	return c.reportCalls.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the redwingvale.node.v1.NodeService service.
 type NodeServiceHandler interface {
 	// Heartbeat is sent by the leader to each member.
@@ -166,6 +202,14 @@
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
 	GetJob(context.Context, *connect.Request[v1.GetJobRequest]) (*connect.Response[v1.GetJobResponse], error)
 	CountWaiting(context.Context, *connect.Request[v1.CountWaitingRequest]) (*connect.Response[v1.CountWaitingResponse], error)
+	// CallWorkers is sent by the leader to a delegate, which makes the calls and
+	// returns their outcomes by ReportCalls. A delegate that has accepted a batch
+	// reports each of its calls once; the leader treats calls without a report
+	// like calls without a response.
+	CallWorkers(context.Context, *connect.Request[v1.CallWorkersRequest]) (*connect.Response[v1.CallWorkersResponse], error)
+	// ReportCalls is sent by a delegate to the leader that requested the calls.
+	// Repeats are harmless.
+	ReportCalls(context.Context, *connect.Request[v1.ReportCallsRequest]) (*connect.Response[v1.ReportCallsResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -211,6 +255,18 @@
 		connect.WithSchema(nodeServiceMethods.ByName("CountWaiting")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceCallWorkersHandler := connect.NewUnaryHandler(
+		NodeServiceCallWorkersProcedure,
+		svc.CallWorkers,
+		connect.WithSchema(nodeServiceMethods.ByName("CallWorkers")),
+		connect.WithHandlerOptions(opts...),
+	)
+	nodeServiceReportCallsHandler := connect.NewUnaryHandler(
+		NodeServiceReportCallsProcedure,
+		svc.ReportCalls,
+		connect.WithSchema(nodeServiceMethods.ByName("ReportCalls")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/redwingvale.node.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceHeartbeatProcedure:
@@ -225,6 +281,10 @@
 			nodeServiceGetJobHandler.ServeHTTP(w, r)
 		case NodeServiceCountWaitingProcedure:
 			nodeServiceCountWaitingHandler.ServeHTTP(w, r)
+		case NodeServiceCallWorkersProcedure:
+			nodeServiceCallWorkersHandler.ServeHTTP(w, r)
+		case NodeServiceReportCallsProcedure:
+			nodeServiceReportCallsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -257,3 +317,11 @@
 func (UnimplementedNodeServiceHandler) CountWaiting(context.Context, *connect.Request[v1.CountWaitingRequest]) (*connect.Response[v1.CountWaitingResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.node.v1.NodeService.CountWaiting is not implemented"))
 }
+
+func (UnimplementedNodeServiceHandler) CallWorkers(context.Context, *connect.Request[v1.CallWorkersRequest]) (*connect.Response[v1.CallWorkersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.node.v1.NodeService.CallWorkers is not implemented"))
+}
+
+func (UnimplementedNodeServiceHandler) ReportCalls(context.Context, *connect.Request[v1.ReportCallsRequest]) (*connect.Response[v1.ReportCallsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.node.v1.NodeService.ReportCalls is not implemented"))
+}
--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -20,3 +20,5 @@
 }
 
 func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
+
+func millisecondsDuration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -40,6 +40,9 @@
 	Cores float64 `toml:"cores"`
 	// LeaseMS is how long a worker continues its runs without a renewal.
 	LeaseMS int64 `toml:"lease_ms"`
+	// DelegationMinWorkers is the number of workers from which on the leader
+	// calls them through other instances.
+	DelegationMinWorkers int `toml:"delegation_min_workers"`
 	// OptimisticStart starts tasks while their submission is being recorded.
 	OptimisticStart bool `toml:"optimistic_start"`
 }
@@ -60,9 +63,11 @@
 // DefaultConfig returns the settings that apply unless the file overrides them.
 func DefaultConfig() Config {
 	return Config{
-		Cores:           1,
-		LeaseMS:         4000,
-		OptimisticStart: true,
+		Cores:   1,
+		LeaseMS: 4000,
+		// One processor bears the calls to some 500 workers.
+		DelegationMinWorkers: 600,
+		OptimisticStart:      true,
 		// The limits that the platform states for its store.
 		RecordBytes:  256 << 10,
 		RequestBytes: 2 << 20,
@@ -86,6 +91,7 @@
 	if c.PeerAdvertisedAddr != "" {
 		problems.Address("peer_advertised_addr", c.PeerAdvertisedAddr)
 	}
+	problems.Range("delegation_min_workers", int64(c.DelegationMinWorkers), 1, math.MaxInt32)
 	problems.Range("lease_ms", c.LeaseMS, 500, math.MaxInt32)
 	problems.Range("store_record_bytes", c.RecordBytes, minRecordBytes, math.MaxInt32)
 	problems.Range("store_request_bytes", c.RequestBytes, c.RecordBytes, math.MaxInt32)
@@ -104,6 +110,9 @@
 	return c.PeerAddr
 }
 
+// milliCPU returns this instance's processor capacity in thousandths of a core.
+func (c *Config) milliCPU() int { return int(c.CPUShare * c.Cores * 1000) }
+
 // manifestMaxAge returns the age up to which the configuration is proof that
 // something does not exist: the time within which a change must be in force.
 func (c *Config) manifestMaxAge() time.Duration {
--- /dev/null
+++ b/internal/node/delegate.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+	"redwingvale/internal/planner"
+	"redwingvale/internal/ring"
+	"redwingvale/internal/telemetry"
+)
+
+const (
+	// resumeQuarantine is how long after a suspension an instance declines calls:
+	// they may have waited in its connections meanwhile.
+	resumeQuarantine = time.Second
+	// reportAttempts is how often the outcomes of calls are sent.
+	reportAttempts = 2
+	// outcomeRingSize bounds the outcomes that wait to be sent.
+	outcomeRingSize = 4096
+)
+
+// delegatedTerm is the part of a leader's term in which this instance calls
+// workers for it.
+type delegatedTerm struct {
+	epoch    uint64
+	leader   string
+	ctx      context.Context
+	stop     context.CancelFunc
+	outcomes *ring.Ring[*nodev1.CallOutcome]
+}
+
+// CallWorkers makes calls to workers for the leader.
+func (s *peerServer) CallWorkers(ctx context.Context, r *connect.Request[nodev1.CallWorkersRequest]) (*connect.Response[nodev1.CallWorkersResponse], error) {
+	type result struct {
+		term  *delegatedTerm
+		epoch uint64
+	}
+	n, m := s.n, r.Msg
+	got, err := runInLoop(ctx, n, func() result {
+		t, epoch := n.delegatedTermOf(m.GetEpoch(), m.GetPeerAddress())
+		return result{t, epoch}
+	})
+	if err != nil {
+		return nil, err
+	}
+	response := &nodev1.CallWorkersResponse{Epoch: got.epoch, Accepted: got.term != nil}
+	if got.term != nil {
+		for _, call := range m.GetCalls() {
+			go n.makeDelegatedCall(got.term, call)
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// delegatedTermOf returns the delegated term of an epoch, or nil if this
+// instance does not make calls for it, and the highest epoch that it knows. The
+// calls of an earlier epoch are abandoned. It runs in the event loop.
+func (n *Node) delegatedTermOf(epoch uint64, leader string) (*delegatedTerm, uint64) {
+	highest := max(epoch, n.claim.Epoch, n.lastHeartbeat.epoch)
+	if n.delegated != nil {
+		highest = max(highest, n.delegated.epoch)
+	}
+	if epoch < highest || n.term != nil || n.stopping.Load() || n.runCtx == nil ||
+		n.resumedMS > 0 && n.now().MS-n.resumedMS < milliseconds(resumeQuarantine) {
+		return nil, highest
+	}
+	if n.delegated == nil || n.delegated.epoch < epoch {
+		if n.delegated != nil {
+			n.delegated.stop()
+		}
+		ctx, stop := context.WithCancel(n.runCtx)
+		n.delegated = &delegatedTerm{epoch: epoch, leader: leader, ctx: ctx, stop: stop, outcomes: ring.New[*nodev1.CallOutcome](outcomeRingSize)}
+		n.log("delegation_begins", zap.Uint64("epoch", epoch), zap.String("leader", leader))
+		go n.reportOutcomes(n.delegated)
+	}
+	return n.delegated, highest
+}
+
+// makeDelegatedCall makes one call for the leader and queues its outcome.
+func (n *Node) makeDelegatedCall(t *delegatedTerm, call *nodev1.WorkerCall) {
+	outcome, report := planner.Invalid, planner.Report{}
+	if command, ok := decodeCall(call); ok {
+		outcome, report = makeCall(t.ctx, n.deps.Workers, command)
+	}
+	n.stats.delegatedCalls.Inc(1)
+	// Put fails only once the term is over.
+	_ = t.outcomes.Put(t.ctx, encodeOutcome(call.GetId(), outcome, report))
+}
+
+// reportOutcomes sends the outcomes of calls to the leader in batches until the
+// delegated term ends.
+func (n *Node) reportOutcomes(t *delegatedTerm) {
+	client := n.peerClient(t.leader)
+	for {
+		var batch []*nodev1.CallOutcome
+		select {
+		case <-t.ctx.Done():
+			return
+		case first := <-t.outcomes.Receive():
+			batch = drainInto([]*nodev1.CallOutcome{first}, t.outcomes, maxCallsPerBatch)
+		}
+		var err error
+		for range reportAttempts {
+			ctx, cancel := context.WithTimeout(t.ctx, batchTimeout)
+			_, err = client.ReportCalls(ctx, connect.NewRequest(&nodev1.ReportCallsRequest{Epoch: t.epoch, Outcomes: batch}))
+			cancel()
+			if err == nil {
+				break
+			}
+		}
+		if err != nil && t.ctx.Err() == nil {
+			// The leader treats the calls like calls without a response.
+			n.tele.Log.Warn("outcomes_not_reported", append(telemetry.ErrorFields(err), zap.Uint64("epoch", t.epoch), zap.Int("calls", len(batch)))...)
+		}
+		pause(t.ctx, callBatchInterval)
+	}
+}
+
+// ReportCalls passes the outcomes of delegated calls to the planner.
+func (s *peerServer) ReportCalls(ctx context.Context, r *connect.Request[nodev1.ReportCallsRequest]) (*connect.Response[nodev1.ReportCallsResponse], error) {
+	n, m := s.n, r.Msg
+	n.post(ctx, func() {
+		for _, o := range m.GetOutcomes() {
+			if n.term == nil || n.term.epoch != m.GetEpoch() {
+				return
+			}
+			if outcome, report, ok := decodeOutcome(o); ok {
+				n.term.delegation.complete(o.GetId(), outcome, report)
+			}
+		}
+	})
+	return connect.NewResponse(&nodev1.ReportCallsResponse{}), nil
+}
--- /dev/null
+++ b/internal/node/delegation.go
@@ -0,0 +1,342 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+	"redwingvale/internal/gen/redwingvale/node/v1/nodev1connect"
+	"redwingvale/internal/planner"
+	"redwingvale/internal/ring"
+)
+
+// Limits and intervals of delegation.
+const (
+	// maxDelegates bounds the instances that call workers for the leader: each
+	// costs the leader a request and a response per callBatchInterval.
+	maxDelegates = 8
+	// minDelegateShare is the smallest share of the leader's processor capacity
+	// that a delegate has.
+	minDelegateShare = 0.5
+	// delegateSilence is the time since the last response to a heartbeat after
+	// which an instance gets no calls: two rounds of the members that are no
+	// standbys.
+	delegateSilence = 2 * nonStandbyRounds * heartbeatInterval
+	// delegatePause is how long a failed delegate gets no calls.
+	delegatePause = 3 * time.Second
+	// callBatchInterval is the minimum time between two batches to a delegate,
+	// or from it.
+	callBatchInterval = 15 * time.Millisecond
+	maxCallsPerBatch  = 512
+	// batchTimeout limits the request that passes a batch on; its receiver only
+	// queues the batch.
+	batchTimeout = 400 * time.Millisecond
+	// delegateQueueLimit is the age from which a queued call is no longer sent:
+	// the leader may have been suspended in between.
+	delegateQueueLimit = 300 * time.Millisecond
+	// outcomeTimeout is how long after a call's own wait its outcome must have
+	// arrived: the timeout of the call itself and two batches.
+	outcomeTimeout = 1500 * time.Millisecond
+	// delegateCheckInterval is the interval at which overdue outcomes are
+	// noticed.
+	delegateCheckInterval = 100 * time.Millisecond
+)
+
+// delegation distributes the leader's calls to workers over other instances, so
+// that the leader only plans. Each worker has one delegate at a time. The
+// planner does not depend on it: a call of a failed delegate has an unknown
+// outcome, and the worker's fencing token decides whether it can still have an
+// effect. The event loop owns it.
+type delegation struct {
+	node *Node
+	term *term
+	// delegates holds every instance that has been a delegate in this term, by
+	// peer address; active are those that get calls.
+	delegates map[string]*delegate
+	active    []*delegate
+	// respondedMS is when each instance last responded to a heartbeat.
+	respondedMS map[string]int64
+	byWorker    map[planner.WorkerID]*delegate
+	pending     map[uint64]delegatedCall
+	lastID      uint64
+	checkedMS   int64
+	// enabled is set while there are enough workers for delegation to pay.
+	enabled bool
+}
+
+// delegate is an instance that calls workers for the leader.
+type delegate struct {
+	name   string
+	client nodev1connect.NodeServiceClient
+	calls  *ring.Ring[queuedCall]
+	// workers is the number of workers assigned to it.
+	workers int
+	// failedMS is when it last failed, or 0.
+	failedMS int64
+}
+
+// queuedCall is a call that waits for the next batch.
+type queuedCall struct {
+	id   uint64
+	call workerCall
+}
+
+// delegatedCall is a call whose outcome has not arrived.
+type delegatedCall struct {
+	workerCall
+	delegate   *delegate
+	deadlineMS int64
+}
+
+func newDelegation(n *Node, t *term) *delegation {
+	return &delegation{
+		node: n, term: t,
+		delegates: map[string]*delegate{}, respondedMS: map[string]int64{},
+		byWorker: map[planner.WorkerID]*delegate{}, pending: map[uint64]delegatedCall{},
+	}
+}
+
+// setWorkers enables delegation for a large number of workers and releases the
+// assignments of workers that have left.
+func (d *delegation) setWorkers(infos []planner.WorkerInfo) {
+	d.enabled = len(infos) >= d.node.config.DelegationMinWorkers
+	listed := make(map[planner.WorkerID]bool, len(infos))
+	for i := range infos {
+		listed[infos[i].ID] = true
+	}
+	for id := range d.byWorker {
+		if !listed[id] {
+			d.release(id)
+		}
+	}
+}
+
+// responded notes that an instance has responded to a heartbeat.
+func (d *delegation) responded(peer string) { d.respondedMS[peer] = d.node.now().MS }
+
+// update chooses the delegates: the strongest members that respond to
+// heartbeats. members is sorted by strength.
+func (d *delegation) update(members []candidate) {
+	now := d.node.now().MS
+	var active []*delegate
+	for _, m := range members {
+		if len(active) == maxDelegates || !d.enabled {
+			break
+		}
+		responded, ok := d.respondedMS[m.Peer]
+		if !ok || now-responded > milliseconds(delegateSilence) || float64(m.MilliCPU) < minDelegateShare*float64(d.node.config.milliCPU()) {
+			continue
+		}
+		if g := d.delegateAt(m); g.failedMS == 0 || now-g.failedMS > milliseconds(delegatePause) {
+			active = append(active, g)
+		}
+	}
+	slices.SortFunc(active, func(a, b *delegate) int { return cmp.Compare(a.name, b.name) })
+	d.setActive(active)
+}
+
+// setActive replaces the delegates that get calls. If they have changed, the
+// workers are distributed again.
+func (d *delegation) setActive(active []*delegate) {
+	if slices.Equal(d.active, active) {
+		return
+	}
+	d.active = active
+	for id := range d.byWorker {
+		d.release(id)
+	}
+	d.node.log("delegates_changed", zap.Uint64("epoch", d.term.epoch), zap.Int("delegates", len(active)))
+}
+
+func (d *delegation) delegateAt(m candidate) *delegate {
+	g := d.delegates[m.Peer]
+	if g == nil {
+		g = &delegate{name: m.name, client: d.node.peerClient(m.Peer), calls: ring.New[queuedCall](ringSize)}
+		d.delegates[m.Peer] = g
+		go d.sendCalls(g)
+	}
+	return g
+}
+
+func (d *delegation) release(id planner.WorkerID) {
+	if g := d.byWorker[id]; g != nil {
+		g.workers--
+		delete(d.byWorker, id)
+	}
+}
+
+// delegateOf returns the delegate of a worker. A worker without one gets the
+// delegate with the fewest workers.
+func (d *delegation) delegateOf(id planner.WorkerID) *delegate {
+	if g := d.byWorker[id]; g != nil {
+		return g
+	}
+	if len(d.active) == 0 {
+		return nil
+	}
+	g := slices.MinFunc(d.active, func(a, b *delegate) int { return cmp.Compare(a.workers, b.workers) })
+	g.workers++
+	d.byWorker[id] = g
+	return g
+}
+
+// offer passes a call to the worker's delegate. It returns false if the leader
+// has to make the call itself.
+func (d *delegation) offer(call workerCall) bool {
+	g := d.delegateOf(call.worker())
+	if g == nil {
+		return false
+	}
+	d.lastID++
+	if !g.calls.Offer(queuedCall{d.lastID, call}) {
+		return false
+	}
+	deadlineMS := call.sentMS + milliseconds(outcomeTimeout)
+	if hold, ok := call.command.(planner.Hold); ok {
+		deadlineMS += hold.WaitMS
+	}
+	d.pending[d.lastID] = delegatedCall{call, g, deadlineMS}
+	return true
+}
+
+// complete reports the outcome of a call to the planner, unless the call has
+// been given up.
+func (d *delegation) complete(id uint64, outcome planner.Outcome, report planner.Report) {
+	call, ok := d.pending[id]
+	if !ok {
+		return
+	}
+	delete(d.pending, id)
+	d.node.countCall(call.workerCall, outcome)
+	d.node.step(call.done(outcome, report))
+}
+
+// fail takes a delegate out of use. The outcomes of its calls are unknown.
+func (d *delegation) fail(g *delegate, reason string) {
+	if !slices.Contains(d.active, g) {
+		return
+	}
+	g.failedMS = d.node.now().MS
+	d.setActive(slices.DeleteFunc(slices.Clone(d.active), func(other *delegate) bool { return other == g }))
+	var lost []uint64
+	for id, call := range d.pending {
+		if call.delegate == g {
+			lost = append(lost, id)
+		}
+	}
+	slices.Sort(lost)
+	d.node.stats.delegatesFailed.Inc(1)
+	d.node.log("delegate_failed", zap.Uint64("epoch", d.term.epoch), zap.String("delegate", g.name), zap.String("reason", reason), zap.Int("calls", len(lost)))
+	for _, id := range lost {
+		d.complete(id, planner.OutcomeUnknown, planner.Report{})
+	}
+}
+
+// tick fails the delegates whose outcomes are overdue.
+func (d *delegation) tick() {
+	now := d.node.now().MS
+	if now-d.checkedMS < milliseconds(delegateCheckInterval) {
+		return
+	}
+	d.checkedMS = now
+	for id, call := range d.pending {
+		switch {
+		case now <= call.deadlineMS:
+		case slices.Contains(d.active, call.delegate):
+			d.fail(call.delegate, "outcome overdue")
+		default:
+			d.complete(id, planner.OutcomeUnknown, planner.Report{})
+		}
+	}
+}
+
+// sendCalls sends the calls of a delegate in batches until the term ends.
+func (d *delegation) sendCalls(g *delegate) {
+	t := d.term
+	for {
+		var batch []queuedCall
+		select {
+		case <-t.ctx.Done():
+			return
+		case first := <-g.calls.Receive():
+			batch = drainInto([]queuedCall{first}, g.calls, maxCallsPerBatch)
+		}
+		d.sendBatch(g, batch)
+		pause(t.ctx, callBatchInterval)
+	}
+}
+
+// sendBatch passes calls to a delegate and handles its response.
+func (d *delegation) sendBatch(g *delegate, batch []queuedCall) {
+	n, t := d.node, d.term
+	request := &nodev1.CallWorkersRequest{Epoch: t.epoch, PeerAddress: n.config.advertisedPeerAddr()}
+	oldestMS := n.now().MS - milliseconds(delegateQueueLimit)
+	for _, q := range batch {
+		if q.call.sentMS < oldestMS {
+			// The leader was suspended, or the delegate is slow.
+			d.post(func() { d.failBatch(g, batch, "calls too old") })
+			return
+		}
+		request.Calls = append(request.Calls, encodeCall(q.id, q.call.command))
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, batchTimeout)
+	defer cancel()
+	response, err := g.client.CallWorkers(ctx, connect.NewRequest(request))
+	switch {
+	case err != nil:
+		d.post(func() { d.failBatch(g, batch, err.Error()) })
+	case response.Msg.GetEpoch() > t.epoch:
+		d.post(func() { n.resign("a delegate reported a newer leader") })
+	case !response.Msg.GetAccepted():
+		d.post(func() { d.reroute(g, batch) })
+	}
+}
+
+// post runs fn in the event loop unless the term is over.
+func (d *delegation) post(fn func()) {
+	d.node.post(d.term.ctx, func() {
+		if d.node.term == d.term {
+			fn()
+		}
+	})
+}
+
+// failBatch fails a delegate that has not confirmed a batch.
+func (d *delegation) failBatch(g *delegate, batch []queuedCall, reason string) {
+	d.fail(g, reason)
+	for _, q := range batch {
+		d.complete(q.id, planner.OutcomeUnknown, planner.Report{})
+	}
+}
+
+// reroute takes a delegate that has declined a batch out of use and passes its
+// calls on. The outcomes of its earlier calls still arrive.
+func (d *delegation) reroute(g *delegate, batch []queuedCall) {
+	g.failedMS = d.node.now().MS
+	d.setActive(slices.DeleteFunc(slices.Clone(d.active), func(other *delegate) bool { return other == g }))
+	for _, q := range batch {
+		if _, ok := d.pending[q.id]; ok {
+			delete(d.pending, q.id)
+			d.node.callWorker(d.term, q.call.command)
+		}
+	}
+}
+
+// drainInto appends the queued items of a ring to a batch, up to a total of max
+// items.
+func drainInto[T any](batch []T, r *ring.Ring[T], max int) []T {
+	for len(batch) < max {
+		select {
+		case item := <-r.Receive():
+			batch = append(batch, item)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/internal/node/delegation_codec.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+	"redwingvale/internal/jobs"
+	"redwingvale/internal/planner"
+)
+
+// encodeCall encodes a command for a delegate.
+func encodeCall(id uint64, command planner.Effect) *nodev1.WorkerCall {
+	call := &nodev1.WorkerCall{Id: id}
+	switch e := command.(type) {
+	case planner.Hold:
+		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
+		call.Command = &nodev1.WorkerCall_Hold{Hold: &nodev1.HoldCommand{AckNumber: e.AckNumber, LeaseEndMs: e.LeaseEndMS, WaitMs: e.WaitMS}}
+	case planner.Start:
+		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
+		call.Command = &nodev1.WorkerCall_Start{Start: &nodev1.StartCommand{
+			Task: encodeTask(e.Task), Run: uint32(e.Run), Payload: e.Payload,
+			LeaseEndMs: e.LeaseEndMS, Checkpoint: e.Checkpoint, Ticket: e.Ticket,
+		}}
+	case planner.Stop:
+		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
+		call.Command = &nodev1.WorkerCall_Stop{Stop: &nodev1.StopCommand{Task: encodeTask(e.Task), Run: uint32(e.Run)}}
+	case planner.Pace:
+		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
+		call.Command = &nodev1.WorkerCall_Pace{Pace: &nodev1.PaceCommand{Task: encodeTask(e.Task), Run: uint32(e.Run), Percent: uint32(e.Percent)}}
+	}
+	return call
+}
+
+// decodeCall returns the command of a call; ok is false if it is unknown.
+func decodeCall(call *nodev1.WorkerCall) (command planner.Effect, ok bool) {
+	worker, address, token := planner.WorkerID(call.GetWorker()), call.GetAddress(), call.GetToken()
+	switch m := call.GetCommand().(type) {
+	case *nodev1.WorkerCall_Hold:
+		return planner.Hold{
+			Worker: worker, Address: address, Token: token,
+			AckNumber: m.Hold.GetAckNumber(), LeaseEndMS: m.Hold.GetLeaseEndMs(), WaitMS: m.Hold.GetWaitMs(),
+		}, true
+	case *nodev1.WorkerCall_Start:
+		return planner.Start{
+			Worker: worker, Address: address, Token: token,
+			Task: decodeTask(m.Start.GetTask()), Run: int(m.Start.GetRun()), Payload: m.Start.GetPayload(),
+			LeaseEndMS: m.Start.GetLeaseEndMs(), Checkpoint: m.Start.GetCheckpoint(), Ticket: m.Start.GetTicket(),
+		}, true
+	case *nodev1.WorkerCall_Stop:
+		return planner.Stop{Worker: worker, Address: address, Token: token, Task: decodeTask(m.Stop.GetTask()), Run: int(m.Stop.GetRun())}, true
+	case *nodev1.WorkerCall_Pace:
+		return planner.Pace{
+			Worker: worker, Address: address, Token: token,
+			Task: decodeTask(m.Pace.GetTask()), Run: int(m.Pace.GetRun()), Percent: int(m.Pace.GetPercent()),
+		}, true
+	}
+	return nil, false
+}
+
+func encodeTask(t jobs.Task) *nodev1.TaskName {
+	return &nodev1.TaskName{Job: string(t.Job), Occurrence: uint32(t.Occurrence), Step: uint32(t.Step), Index: uint32(t.Index)}
+}
+
+func decodeTask(m *nodev1.TaskName) jobs.Task {
+	return jobs.Task{Job: jobs.ID(m.GetJob()), Occurrence: int(m.GetOccurrence()), Step: int(m.GetStep()), Index: int(m.GetIndex())}
+}
+
+// encodeOutcome encodes the outcome of a call for the leader.
+func encodeOutcome(id uint64, outcome planner.Outcome, report planner.Report) *nodev1.CallOutcome {
+	out := &nodev1.CallOutcome{Id: id, Outcome: uint32(outcome)}
+	if report.StartedMS == 0 && report.ClockMS == 0 {
+		return out
+	}
+	out.Report = &nodev1.WorkerReport{StartedMs: report.StartedMS, ClockMs: report.ClockMS}
+	for i := range report.Running {
+		r := &report.Running[i]
+		out.Report.Running = append(out.Report.Running, &nodev1.RunningTask{
+			Task: encodeTask(r.Task), Run: uint32(r.Run), Checkpoint: r.Checkpoint, Percent: uint32(max(r.Percent, 0)), Usage: int64(r.Usage),
+		})
+	}
+	for i := range report.Ended {
+		e := &report.Ended[i]
+		out.Report.Ended = append(out.Report.Ended, &nodev1.EndedTask{
+			Number: e.Number, Task: encodeTask(e.Task), Run: uint32(e.Run), Kind: string(e.Kind), Checkpoint: e.Checkpoint,
+		})
+	}
+	return out
+}
+
+// decodeOutcome returns the outcome of a call; ok is false if it is unknown.
+func decodeOutcome(m *nodev1.CallOutcome) (outcome planner.Outcome, report planner.Report, ok bool) {
+	outcome = planner.Outcome(m.GetOutcome())
+	if !outcome.Valid() {
+		return 0, planner.Report{}, false
+	}
+	w := m.GetReport()
+	report.StartedMS, report.ClockMS = w.GetStartedMs(), w.GetClockMs()
+	for _, r := range w.GetRunning() {
+		report.Running = append(report.Running, planner.RunningTask{
+			Task: decodeTask(r.GetTask()), Run: int(r.GetRun()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent()), Usage: int(r.GetUsage()),
+		})
+	}
+	for _, e := range w.GetEnded() {
+		report.Ended = append(report.Ended, planner.EndedTask{
+			Number: e.GetNumber(), Task: decodeTask(e.GetTask()), Run: int(e.GetRun()), Kind: planner.EndKind(e.GetKind()), Checkpoint: e.GetCheckpoint(),
+		})
+	}
+	return outcome, report, true
+}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"redwingvale/internal/planner"
@@ -13,14 +11,8 @@
 // the planner as events. It runs in the event loop and does not block.
 func (n *Node) execute(t *term, effect planner.Effect) {
 	switch e := effect.(type) {
-	case planner.Hold:
-		go n.callHold(t, e)
-	case planner.Start:
-		go n.callStart(t, e)
-	case planner.Stop:
-		go n.callStop(t, e)
-	case planner.Pace:
-		go n.callPace(t, e)
+	case planner.Hold, planner.Start, planner.Stop, planner.Pace:
+		n.callWorker(t, effect)
 	case planner.Advise:
 		go func() { n.postEvent(t, n.deps.Adviser.Advise(t.ctx, e)) }()
 	case planner.Write:
@@ -39,36 +31,6 @@
 	}
 }
 
-func (n *Node) callHold(t *term, e planner.Hold) {
-	n.stats.holds.Inc(1)
-	sentMS := n.now().MS
-	report, outcome := n.deps.Workers.Hold(t.ctx, e)
-	n.stats.countCall(outcome)
-	n.postEvent(t, planner.HoldDone{Worker: e.Worker, Address: e.Address, Token: e.Token, SentMS: sentMS, Outcome: outcome, Report: report})
-}
-
-func (n *Node) callStart(t *term, e planner.Start) {
-	n.stats.starts.Inc(1)
-	start := time.Now()
-	outcome := n.deps.Workers.Start(t.ctx, e)
-	n.stats.countCall(outcome)
-	n.stats.startTime.RecordDuration(time.Since(start))
-	n.postEvent(t, planner.StartDone{Worker: e.Worker, Address: e.Address, Task: e.Task, Run: e.Run, Token: e.Token, Outcome: outcome})
-}
-
-func (n *Node) callStop(t *term, e planner.Stop) {
-	n.stats.stops.Inc(1)
-	outcome := n.deps.Workers.Stop(t.ctx, e)
-	n.stats.countCall(outcome)
-	n.postEvent(t, planner.StopDone{Worker: e.Worker, Address: e.Address, Task: e.Task, Run: e.Run, Outcome: outcome})
-}
-
-func (n *Node) callPace(t *term, e planner.Pace) {
-	outcome := n.deps.Workers.Pace(t.ctx, e)
-	n.stats.countCall(outcome)
-	n.postEvent(t, planner.PaceDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Percent: e.Percent, Outcome: outcome})
-}
-
 // confirmLeadership reads the log until a read succeeds. If it holds a newer
 // claim, this instance resigns; otherwise the planner resumes its commands.
 func (n *Node) confirmLeadership(t *term) {
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -244,8 +244,11 @@
 
 // startInstance runs a node on free ports of the loopback interface.
 func startInstance(t *testing.T, name string, log *memoryLog, manifests ManifestSource, workers fakeWorkers) *instance {
+	return startInstanceWith(t, name, log, manifests, workers, DefaultConfig())
+}
+
+func startInstanceWith(t *testing.T, name string, log *memoryLog, manifests ManifestSource, workers fakeWorkers, config Config) *instance {
 	c := qt.New(t)
-	config := DefaultConfig()
 	config.Instance, config.FirstStart = name, true
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -230,7 +230,7 @@
 
 // register appends the instance's member record if the log does not hold it.
 func (n *Node) register(ctx context.Context) error {
-	want := member{Peer: n.config.advertisedPeerAddr(), DataCentre: n.config.DataCentre, StartedMS: n.startedUnixMS, MilliCPU: int(n.config.CPUShare * n.config.Cores * 1000)}
+	want := member{Peer: n.config.advertisedPeerAddr(), DataCentre: n.config.DataCentre, StartedMS: n.startedUnixMS, MilliCPU: n.config.milliCPU()}
 	missing, err := runInLoop(ctx, n, func() bool { return n.members[n.config.Instance] != want })
 	if err != nil || !missing || n.stopping.Load() {
 		return err
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -140,6 +140,8 @@
 		// The claim has been read back, so every append of the term comes after it.
 		lastAppendEnd: n.claimEndOffset,
 	}
+	t.delegation = newDelegation(n, t)
+	t.delegation.setWorkers(infos)
 	n.term = t
 	n.stats.elections.Inc(1)
 	n.leader.Store(&leaderInfo{epoch: c.Epoch, peer: c.Peer, self: true})
@@ -196,7 +198,12 @@
 			continue
 		}
 		if next != from {
-			n.postEvent(t, planner.WorkersChanged{Workers: infos})
+			n.post(t.ctx, func() {
+				if n.term == t {
+					t.delegation.setWorkers(infos)
+					n.step(planner.WorkersChanged{Workers: infos})
+				}
+			})
 		}
 		from = next
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,17 +67,27 @@
 	lastRequestID  uint64
 	replies        map[uint64]chan planner.Reply
 	lastHeartbeat  heartbeatState
+	// delegated is the newest term in which this instance calls workers for the
+	// leader, or nil.
+	delegated *delegatedTerm
+	// runCtx ends when Run returns.
+	runCtx context.Context
+	// resumedMS is when the instance last resumed from a suspension, or 0.
+	resumedMS int64
 	// lastActiveMS is when the event loop last handled an event or a tick.
 	lastActiveMS int64
 }
 
 // term is the state of a period in which this instance leads.
 type term struct {
-	epoch  uint64
-	core   *planner.Core
-	ctx    context.Context
-	stop   context.CancelFunc
-	writes *ring.Ring[planner.Write]
+	epoch uint64
+	core  *planner.Core
+	// delegation passes calls to workers on to other instances. It is owned by
+	// the event loop.
+	delegation *delegation
+	ctx        context.Context
+	stop       context.CancelFunc
+	writes     *ring.Ring[planner.Write]
 	// appends counts the confirmed appends of the term; the sequence numbers
 	// derive from it. It is owned by the log writer.
 	appends uint64
@@ -132,6 +142,7 @@
 	n.startedMS = n.now().MS
 	n.lastHeartbeat.receivedMS, n.lastActiveMS = n.startedMS, n.startedMS
 	group, ctx := errgroup.WithContext(ctx)
+	n.runCtx = ctx
 	group.Go(func() error { n.loop(ctx); return nil })
 	group.Go(func() error { n.followManifest(ctx); return nil })
 	group.Go(func() error { n.followLog(ctx); return nil })
@@ -155,6 +166,9 @@
 		case <-ticker.C:
 			n.detectSuspension()
 			n.step(planner.Tick{})
+			if n.term != nil {
+				n.term.delegation.tick()
+			}
 		}
 	}
 }
@@ -168,6 +182,7 @@
 	if gap < milliseconds(suspensionThreshold) {
 		return
 	}
+	n.resumedMS = now
 	n.log("resumed", zap.Int64("gap_ms", gap))
 	if n.term != nil {
 		n.step(planner.Suspended{})
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -43,7 +43,13 @@
 func (n *Node) sendHeartbeats(t *term) {
 	clients := map[string]nodev1connect.NodeServiceClient{}
 	for round := 0; t.ctx.Err() == nil; round++ {
-		peers, err := runInLoop(t.ctx, n, func() []candidate { return n.candidates(n.config.Instance) })
+		peers, err := runInLoop(t.ctx, n, func() []candidate {
+			members := n.candidates(n.config.Instance)
+			if n.term == t {
+				t.delegation.update(members)
+			}
+			return members
+		})
 		if err != nil {
 			return
 		}
@@ -54,13 +60,13 @@
 			if clients[m.Peer] == nil {
 				clients[m.Peer] = n.peerClient(m.Peer)
 			}
-			go n.sendHeartbeat(t, clients[m.Peer])
+			go n.sendHeartbeat(t, m.Peer, clients[m.Peer])
 		}
 		pause(t.ctx, heartbeatInterval)
 	}
 }
 
-func (n *Node) sendHeartbeat(t *term, client nodev1connect.NodeServiceClient) {
+func (n *Node) sendHeartbeat(t *term, peer string, client nodev1connect.NodeServiceClient) {
 	ctx, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
 	defer cancel()
 	response, err := client.Heartbeat(ctx, connect.NewRequest(&nodev1.HeartbeatRequest{
@@ -71,13 +77,15 @@
 		// Members that have gone stay in the list until their record is deleted.
 		return
 	}
-	if response.Msg.GetEpoch() > t.epoch {
-		n.post(t.ctx, func() {
-			if n.term == t {
-				n.resign("a member reported a newer leader")
-			}
-		})
-	}
+	n.post(t.ctx, func() {
+		switch {
+		case n.term != t:
+		case response.Msg.GetEpoch() > t.epoch:
+			n.resign("a member reported a newer leader")
+		default:
+			t.delegation.responded(peer)
+		}
+	})
 }
 
 func (n *Node) checkLeader(ctx context.Context, peer string, epoch uint64) bool {
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -27,9 +27,13 @@
 	stops       tally.Counter
 	holds       tally.Counter
 	callsFailed tally.Counter
-	acceptTime  tally.Histogram
-	appendTime  tally.Histogram
-	startTime   tally.Histogram
+	// delegatedCalls counts the calls made for a leader, delegatesFailed the
+	// delegates that failed during this instance's terms.
+	delegatedCalls  tally.Counter
+	delegatesFailed tally.Counter
+	acceptTime      tally.Histogram
+	appendTime      tally.Histogram
+	startTime       tally.Histogram
 }
 
 func newStats(scope tally.Scope) stats {
@@ -50,9 +54,12 @@
 		stops:          scope.Counter("task_stops"),
 		holds:          scope.Counter("worker_looks"),
 		callsFailed:    scope.Counter("worker_calls_failed"),
-		acceptTime:     scope.Histogram("accept_seconds", buckets),
-		appendTime:     scope.Histogram("append_seconds", buckets),
-		startTime:      scope.Histogram("start_seconds", buckets),
+
+		delegatedCalls:  scope.Counter("delegated_calls"),
+		delegatesFailed: scope.Counter("delegates_failed"),
+		acceptTime:      scope.Histogram("accept_seconds", buckets),
+		appendTime:      scope.Histogram("append_seconds", buckets),
+		startTime:       scope.Histogram("start_seconds", buckets),
 	}
 }
 
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -194,6 +194,9 @@
 
 var outcomeNames = [...]string{"done", "unsure", "fenced", "old_run", "late", "no_room", "no_ticket", "refused", "invalid", "other_worker", "unreached"}
 
+// Valid reports whether o is one of the outcomes.
+func (o Outcome) Valid() bool { return o >= 0 && int(o) < len(outcomeNames) }
+
 // String returns the outcome's name in log lines.
 func (o Outcome) String() string { return outcomeNames[o] }
 
