State dropped log lines in the log

Cause: lines that the log buffer drops were counted and never reported, and a second Close panicked. Change: a line states how many were dropped since the last one; Close may be called again. Two comments of the planner said what the code does not do (clockSlack) or left out why (a failed hold call and a requested one). The test of the buffer checks the line.

--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -46,8 +46,8 @@
 	// writeGapMS is the minimum time between two writes. It groups the ends of
 	// jobs into some 40 appends a second.
 	writeGapMS = 25
-	// clockSlack is the factor by which a worker's clock may run slow (2%),
-	// plus about as much again for rounding.
+	// clockSlack is the factor by which a lease may outlast its length: a worker's
+	// clock may run 2% slow. The rest covers rounding.
 	clockSlack = 1.03
 	// deposedLeaderMS is how long a deposed predecessor may continue to renew
 	// leases until a worker rejects its calls: each worker gets a hold call
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -291,10 +291,10 @@
 		w.nextHoldMS = c.now.MS + holdRetryMS
 	default:
 		w.unverified = true
+		// The retry serves a requested hold call too: without the pause a worker
+		// that does not respond would get one in each tick.
+		w.holdRequested = false
 		w.nextHoldMS = c.now.MS + holdRetryMS
-		if w.holdRequested {
-			w.holdRequested = false
-		}
 	}
 	if e.Outcome == Done && w.holdsInFlight == 0 {
 		switch {
--- a/internal/telemetry/buffer.go
+++ b/internal/telemetry/buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -20,13 +21,17 @@
 )
 
 // Buffer is a log output that never blocks its callers. A goroutine writes the
-// buffered lines; lines that do not fit into the buffer are dropped and counted.
+// buffered lines; lines that do not fit into the buffer are dropped and counted,
+// and a line of the log states how many.
 type Buffer struct {
-	out         io.Writer
-	mu          sync.Mutex
-	pending     []byte
-	spare       []byte
-	dropped     atomic.Int64
+	out     io.Writer
+	mu      sync.Mutex
+	pending []byte
+	spare   []byte
+	dropped atomic.Int64
+	// reported is the part of dropped that the log states.
+	reported    int64
+	closeOnce   sync.Once
 	flushNeeded chan struct{}
 	stop        chan struct{}
 	stopped     chan struct{}
@@ -63,9 +68,10 @@
 // Dropped returns the number of lines that were dropped.
 func (b *Buffer) Dropped() int64 { return b.dropped.Load() }
 
-// Close writes the buffered lines and stops the goroutine.
+// Close writes the buffered lines and stops the goroutine. Further calls do
+// nothing.
 func (b *Buffer) Close() {
-	close(b.stop)
+	b.closeOnce.Do(func() { close(b.stop) })
 	<-b.stopped
 }
 
@@ -110,4 +116,8 @@
 		_, _ = b.out.Write(lines[:size])
 		lines = lines[size:]
 	}
+	if dropped := b.dropped.Load(); dropped > b.reported {
+		_, _ = fmt.Fprintf(b.out, "time=%s level=warn event=log_lines_dropped lines=%d\n", time.Now().UTC().Format(time.RFC3339Nano), dropped-b.reported)
+		b.reported = dropped
+	}
 }
--- a/internal/telemetry/buffer_test.go
+++ b/internal/telemetry/buffer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -49,4 +50,7 @@
 	out.mu.Lock()
 	defer out.mu.Unlock()
 	c.Assert(int64(out.got.Len()/len(line))+b.Dropped(), qt.Equals, int64(2000))
+	// The log states the loss, and a second Close is harmless.
+	c.Assert(out.got.String(), qt.Contains, fmt.Sprintf("event=log_lines_dropped lines=%d\n", b.Dropped()))
+	b.Close()
 }
