Give each of up to 64 best-effort images its own interference coefficients

Cause: the large site has 30 images; from the 24th on they shared one column of the model, so a harmless image was held back for a harmful one.

--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -24,7 +24,7 @@
 const (
 	// maxBestEffortImages bounds the size of the model; further images share
 	// the last column.
-	maxBestEffortImages = 24
+	maxBestEffortImages = 64
 	// priorCoef is assumed for a pair of images without readings: the tail
 	// rises by half when half of the processors go to best-effort tasks.
 	// priorVar allows for harmful pairs, whose coefficients are 5 to 10.
