Begin a term's calls to many workers through delegates

Cause: a new leader sends its first call to each worker before any member has responded to a heartbeat, so it makes a thousand connections of its own just when all work waits for it. Change: its calls wait up to 150 ms for the first delegates. The test fails without it when the new leader makes the calls.

--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -42,6 +42,9 @@
 	// outcomeTimeout is how long after a call's own wait its outcome must have
 	// arrived: the timeout of the call itself and two batches.
 	outcomeTimeout = 1500 * time.Millisecond
+	// gatherTime is how long a new leader waits for delegates before it calls
+	// workers itself. Its first calls go to all workers at once.
+	gatherTime = 150 * time.Millisecond
 	// delegateCheckInterval is the interval at which overdue outcomes are
 	// noticed.
 	delegateCheckInterval = 100 * time.Millisecond
@@ -65,6 +68,9 @@
 	pending     map[uint64]delegatedCall
 	lastID      uint64
 	checkedMS   int64
+	startedMS   int64
+	// waiting holds the calls of a new leader that has no delegates yet.
+	waiting []workerCall
 	// enabled is set while there are enough workers for delegation to pay.
 	enabled bool
 }
@@ -95,7 +101,7 @@
 
 func newDelegation(n *Node, t *term) *delegation {
 	return &delegation{
-		node: n, term: t,
+		node: n, term: t, startedMS: n.now().MS,
 		delegates: map[string]*delegate{}, respondedMS: map[string]int64{},
 		byWorker: map[planner.WorkerID]*delegate{}, pending: map[uint64]delegatedCall{},
 	}
@@ -117,7 +123,29 @@
 }
 
 // responded notes that an instance has responded to a heartbeat.
-func (d *delegation) responded(peer string) { d.respondedMS[peer] = d.node.now().MS }
+func (d *delegation) responded(peer string) {
+	d.respondedMS[peer] = d.node.now().MS
+	if len(d.waiting) > 0 {
+		d.update(d.node.candidates(d.node.config.Instance))
+	}
+}
+
+// gathering reports whether calls wait for the first delegates.
+func (d *delegation) gathering() bool {
+	return d.enabled && len(d.active) < maxDelegates && d.node.now().MS-d.startedMS < milliseconds(gatherTime)
+}
+
+// flushWaiting makes the calls that have waited for delegates.
+func (d *delegation) flushWaiting() {
+	if len(d.waiting) == 0 || d.gathering() {
+		return
+	}
+	waiting := d.waiting
+	d.waiting = nil
+	for _, call := range waiting {
+		d.node.dispatch(d.term, call)
+	}
+}
 
 // update chooses the delegates: the strongest members that respond to
 // heartbeats. members is sorted by strength.
@@ -188,6 +216,10 @@
 // offer passes a call to the worker's delegate. It returns false if the leader
 // has to make the call itself.
 func (d *delegation) offer(call workerCall) bool {
+	if d.gathering() {
+		d.waiting = append(d.waiting, call)
+		return true
+	}
 	g := d.delegateOf(call.worker())
 	if g == nil {
 		return false
@@ -237,8 +269,10 @@
 	}
 }
 
-// tick fails the delegates whose outcomes are overdue.
+// tick makes the calls that no longer wait for delegates, and fails the
+// delegates whose outcomes are overdue.
 func (d *delegation) tick() {
+	d.flushWaiting()
 	now := d.node.now().MS
 	if now-d.checkedMS < milliseconds(delegateCheckInterval) {
 		return
@@ -322,7 +356,7 @@
 	for _, q := range batch {
 		if _, ok := d.pending[q.id]; ok {
 			delete(d.pending, q.id)
-			d.node.callWorker(d.term, q.call.command)
+			d.node.dispatch(d.term, workerCall{command: q.call.command, sentMS: d.node.now().MS})
 		}
 	}
 }
--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -14,10 +14,15 @@
 	"redwingvale/internal/planner"
 )
 
-// countedWorkers counts the starts that one instance sends.
+// countedWorkers counts the calls that one instance makes.
 type countedWorkers struct {
 	*instantWorkers
-	starts atomic.Int64
+	starts, holds atomic.Int64
+}
+
+func (w *countedWorkers) Hold(ctx context.Context, h planner.Hold) (planner.Report, planner.Outcome) {
+	w.holds.Add(1)
+	return w.instantWorkers.Hold(ctx, h)
 }
 
 func (w *countedWorkers) Start(ctx context.Context, s planner.Start) planner.Outcome {
@@ -95,6 +100,31 @@
 	c.Assert(shared.runs, qt.HasLen, 8*4)
 }
 
+// TestTakeoverCallsThroughDelegates guards against a new leader that begins with
+// a call of its own to every worker, which takes it a second at a thousand
+// workers.
+func TestTakeoverCallsThroughDelegates(t *testing.T) {
+	c := qt.New(t)
+	leader, all, workers := delegatingInstances(t, 3)
+	ids := submitAll(t, all[leader], "a", 3)
+	waitFor(t, "the first jobs are done", func() bool { return completed(all[leader], ids) })
+	for _, w := range workers {
+		w.holds.Store(0)
+		w.starts.Store(0)
+	}
+	all[leader].stop()
+	next := -1
+	waitFor(t, "another instance leads", func() bool {
+		next = slices.IndexFunc(all, func(in *instance) bool { return in != all[leader] && in.isLeader() })
+		return next >= 0
+	})
+	ids = append(ids, submitAll(t, all[next], "b", 3)...)
+	waitFor(t, "the jobs are done", func() bool { return completed(all[next], ids) })
+	other := 3 - leader - next
+	c.Assert(workers[other].holds.Load() > 0, qt.IsTrue)
+	c.Assert(workers[next].starts.Load(), qt.Equals, int64(0))
+}
+
 // TestDelegateDeclines guards against calls that are made on a permission that
 // has run out: those of a deposed leader, those that have waited in a
 // connection while the delegate was suspended, and those that reach a stopping
--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -60,8 +60,8 @@
 	return planner.Invalid, planner.Report{}
 }
 
-// callWorker makes a call or passes it to a delegate. It runs in the event loop
-// and does not block.
+// callWorker makes the call that the planner has requested. It runs in the event
+// loop.
 func (n *Node) callWorker(t *term, command planner.Effect) {
 	call := workerCall{command: command, sentMS: n.now().MS}
 	switch command.(type) {
@@ -72,11 +72,17 @@
 	case planner.Stop:
 		n.stats.stops.Inc(1)
 	}
+	n.dispatch(t, call)
+}
+
+// dispatch passes a call to a delegate, or makes it in a goroutine. It runs in
+// the event loop.
+func (n *Node) dispatch(t *term, call workerCall) {
 	if t.delegation.offer(call) {
 		return
 	}
 	go func() {
-		outcome, report := makeCall(t.ctx, n.deps.Workers, command)
+		outcome, report := makeCall(t.ctx, n.deps.Workers, call.command)
 		n.countCall(call, outcome)
 		n.postEvent(t, call.done(outcome, report))
 	}()
