Check the first calls of a takeover, not its starts

Change: it counts the hold calls under the new leader's token, of the new leader (none) and of its delegate (some).

--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -17,11 +17,16 @@
 // countedWorkers counts the calls that one instance makes.
 type countedWorkers struct {
 	*instantWorkers
-	starts, holds atomic.Int64
+	starts atomic.Int64
+	// holds counts the hold calls whose token is at least minToken.
+	holds    atomic.Int64
+	minToken atomic.Uint64
 }
 
 func (w *countedWorkers) Hold(ctx context.Context, h planner.Hold) (planner.Report, planner.Outcome) {
-	w.holds.Add(1)
+	if h.Token >= w.minToken.Load() {
+		w.holds.Add(1)
+	}
 	return w.instantWorkers.Hold(ctx, h)
 }
 
@@ -108,9 +113,13 @@
 	leader, all, workers := delegatingInstances(t, 3)
 	ids := submitAll(t, all[leader], "a", 3)
 	waitFor(t, "the first jobs are done", func() bool { return completed(all[leader], ids) })
+	shared := workers[0].instantWorkers
+	shared.mu.Lock()
+	nextToken := shared.token + 1
+	shared.mu.Unlock()
 	for _, w := range workers {
+		w.minToken.Store(nextToken)
 		w.holds.Store(0)
-		w.starts.Store(0)
 	}
 	all[leader].stop()
 	next := -1
@@ -122,7 +131,7 @@
 	waitFor(t, "the jobs are done", func() bool { return completed(all[next], ids) })
 	other := 3 - leader - next
 	c.Assert(workers[other].holds.Load() > 0, qt.IsTrue)
-	c.Assert(workers[next].starts.Load(), qt.Equals, int64(0))
+	c.Assert(workers[next].holds.Load(), qt.Equals, int64(0))
 }
 
 // TestDelegateDeclines guards against calls that are made on a permission that
