--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -140,6 +140,7 @@
 	if len(d.waiting) == 0 || d.gathering() {
 		return
 	}
+	d.logActive()
 	waiting := d.waiting
 	d.waiting = nil
 	for _, call := range waiting {
@@ -178,7 +179,13 @@
 	for id := range d.byWorker {
 		d.release(id)
 	}
-	d.node.log("delegates_changed", zap.Uint64("epoch", d.term.epoch), zap.Int("delegates", len(active)))
+	if len(d.waiting) == 0 {
+		d.logActive()
+	}
+}
+
+func (d *delegation) logActive() {
+	d.node.log("delegates_changed", zap.Uint64("epoch", d.term.epoch), zap.Int("delegates", len(d.active)))
 }
 
 func (d *delegation) delegateAt(m candidate) *delegate {
