Count the silence of a leader from the first read of the log on weak members

All instances lose power at 34.2 s. The leader of epoch 4 begins its term at 40.3 s and has settled all workers at 41.5 s; at 41.57 s an instance of 0.11 cores that had just reached the log claims epoch 5, since it had heard no leader in the 5.8 s since its start, and is then deposed itself at 44.4 s: four seconds without a leader that can lead. A claim that the log held before an instance started does not count as a heartbeat. Change: members other than the standbys count from when they reached the log. The test fails before.

--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -89,11 +89,14 @@
 		}
 	}
 	now := n.now().MS
-	sinceLastSeenMS := now - n.leaderLastSeenMS()
+	lastSeenMS := n.leaderLastSeenMS()
 	stagger := int64(min(rank, maxStaggerRank)) * milliseconds(electionStagger)
 	limit := milliseconds(electionTimeout)
 	if rank >= standbyCount {
 		limit = milliseconds(nonStandbyElectionTimeout)
+		// After a restart of all instances the strongest reach the log first. The
+		// others learn of the leader only then, and it of them.
+		lastSeenMS = max(lastSeenMS, n.caughtUpMS)
 	}
 	// A leader that is to be replaced reports so in its heartbeats.
 	handOverDue := n.lastHeartbeat.epoch == n.claim.Epoch && n.lastHeartbeat.replaceableSinceMS > 0 && now-n.lastHeartbeat.replaceableSinceMS >= stagger
@@ -103,7 +106,7 @@
 		decision.due, decision.confirm, decision.reason = true, false, "own claim"
 	case n.claim.Epoch == 0 && n.config.FirstStart:
 		decision.due, decision.confirm, decision.reason = now-n.startedMS >= milliseconds(firstClaimDelay)+stagger, false, "first start"
-	case sinceLastSeenMS > limit+stagger:
+	case now-lastSeenMS > limit+stagger:
 		decision.due, decision.reason = true, "leader unresponsive"
 	case handOverDue && n.lastHeartbeat.stopping:
 		decision.due, decision.confirm, decision.reason = true, false, "leader stopping"
--- a/internal/node/election_test.go
+++ b/internal/node/election_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"testing"
 
@@ -152,3 +153,30 @@
 		c.Check(n.evaluateElection().due, qt.Equals, test.due, qt.Commentf("%+v", test))
 	}
 }
+
+// Guards against a weak member that deposes the leader as soon as it has reached
+// the log: after a loss of power on the large site the weak instances took seven
+// seconds to read the log, longer than their election timeout, and one claimed
+// leadership right after the strongest member had settled.
+func TestNoClaimRightAfterCatchUp(t *testing.T) {
+	c := qt.New(t)
+	milliCPU := map[string]int{"leader": 800, "weak": 110}
+	for i := range standbyCount {
+		milliCPU[fmt.Sprint("strong-", i)] = 800
+	}
+	for _, test := range []struct {
+		self       string
+		caughtUpMS int64
+		due        bool
+	}{
+		{"weak", 100, false},
+		{"weak", 5000, true},
+		// A standby claims as soon as it can.
+		{"strong-1", 100, true},
+	} {
+		n := newElectionNode(t, test.self, milliCPU, nil)
+		n.lastHeartbeat.receivedMS = n.now().MS - 8000
+		n.caughtUpMS = n.now().MS - test.caughtUpMS
+		c.Check(n.evaluateElection().due, qt.Equals, test.due, qt.Commentf("%+v", test))
+	}
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -193,10 +193,16 @@
 	if err != nil {
 		return err
 	}
-	_, err = n.catchUp(ctx)
-	if err == nil {
-		n.caughtUp.Store(true)
+	if _, err = n.catchUp(ctx); err != nil {
+		return err
 	}
+	_, err = runInLoop(ctx, n, func() struct{} {
+		if n.caughtUpMS == 0 {
+			n.caughtUpMS = n.now().MS
+		}
+		n.caughtUp.Store(true)
+		return struct{}{}
+	})
 	return err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,8 @@
 	// claimReadMS is when claim was read, or 0 if the log held it before this
 	// instance started.
 	claimReadMS int64
+	// caughtUpMS is when this instance first reached the end of the log, or 0.
+	caughtUpMS int64
 	// claimEndOffset is the end of the log just after claim.
 	claimEndOffset int64
 	term           *term
