Let much weaker instances read the log after the strong ones

Change: an instance reads the members first; one that at least twelve others surpass twice over waits 1.5 s or until a leader sends it a heartbeat. Where instances are equal nothing changes.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -180,6 +180,11 @@
 	firstClaimDelay = 600 * time.Millisecond
 	// electionStagger is the delay between the claims of two successive members.
 	electionStagger = 120 * time.Millisecond
+	// earlyLoaders is the number of instances that read the whole log at once
+	// after a restart of all: enough to elect a leader and its delegates. Weaker
+	// ones wait up to lateLoadDelay, in which the log serves the stronger ones.
+	earlyLoaders  = 2 * standbyCount
+	lateLoadDelay = 1500 * time.Millisecond
 	// claimGracePeriod is how long a claimant may take to send its first
 	// heartbeat: it reads the workers' entries first, which took 2.4 s with 3,000
 	// workers while 300 instances started.
--- a/internal/node/deps.go
+++ b/internal/node/deps.go
@@ -65,6 +65,9 @@
 	// ReadLatest returns the newest record of each key and an offset from which
 	// Read continues.
 	ReadLatest(ctx context.Context) (Batch, error)
+	// ReadPrefix returns the newest record of each key that begins with the
+	// prefix.
+	ReadPrefix(ctx context.Context, prefix string) ([]jobs.Record, error)
 }
 
 // QueueRoute is a queue and the host and path prefix at which callers reach it.
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,6 +122,17 @@
 
 func (v *instanceLog) ReadLatest(ctx context.Context) (Batch, error) { return v.Read(ctx, 0) }
 
+func (v *instanceLog) ReadPrefix(ctx context.Context, prefix string) ([]jobs.Record, error) {
+	batch, err := v.Read(ctx, 0)
+	newest := map[string]jobs.Record{}
+	for _, r := range batch.Records {
+		if strings.HasPrefix(r.Key, prefix) {
+			newest[r.Key] = r
+		}
+	}
+	return slices.Collect(maps.Values(newest)), err
+}
+
 // writeBeforeAppendsOf writes another record before each append of an instance.
 func (l *memoryLog) writeBeforeAppendsOf(instance string) {
 	l.mu.Lock()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -116,6 +116,7 @@
 // instance registered as a member.
 func (n *Node) followLog(ctx context.Context) {
 	loaded := false
+	n.awaitLoadTurn(ctx, lateLoadDelay)
 	for ctx.Err() == nil {
 		var err error
 		if !loaded {
@@ -146,6 +147,41 @@
 	}
 }
 
+// awaitLoadTurn delays the first read of the log on an instance that is much
+// weaker than many others, until a leader has sent a heartbeat or delay is
+// over. After a restart of all instances the log's bandwidth would otherwise
+// be shared by reads of its whole content, and nobody could lead meanwhile.
+func (n *Node) awaitLoadTurn(ctx context.Context, delay time.Duration) {
+	records, err := n.deps.Log.ReadPrefix(ctx, memberPrefix)
+	if err != nil {
+		// The first read of the whole log reports the same problem.
+		return
+	}
+	if !n.loadsLate(records) {
+		return
+	}
+	n.log("load_delayed")
+	for start := time.Now(); ctx.Err() == nil && time.Since(start) < delay; pause(ctx, tickInterval) {
+		led, err := runInLoop(ctx, n, func() bool { return n.lastHeartbeat.epoch > 0 })
+		if err != nil || led {
+			return
+		}
+	}
+}
+
+// loadsLate reports whether enough of the members have at least twice this
+// instance's processor capacity.
+func (n *Node) loadsLate(members []jobs.Record) bool {
+	stronger := 0
+	for _, r := range members {
+		var m member
+		if json.Unmarshal(r.Value, &m) == nil && m.MilliCPU >= 2*n.config.milliCPU() {
+			stronger++
+		}
+	}
+	return stronger >= earlyLoaders && n.config.milliCPU() > 0
+}
+
 // noteLogResult records whether the last read of the log succeeded, and logs
 // each change between success and failure.
 func (n *Node) noteLogResult(err error) {
--- a/internal/node/load_log_test.go
+++ b/internal/node/load_log_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -122,3 +124,39 @@
 	_, err = n.catchUp(ctx)
 	c.Assert(err, qt.ErrorIs, ErrUnavailable)
 }
+
+// Guards against a restart of all instances in which the weak ones read the whole
+// log before any strong one has: on the large site the first leader began its
+// term four seconds after the instances were back.
+func TestWeakInstanceLoadsLate(t *testing.T) {
+	c := qt.New(t)
+	log := newMemoryLog()
+	for i := range earlyLoaders {
+		value, err := json.Marshal(member{Peer: "p", MilliCPU: 800})
+		c.Assert(err, qt.IsNil)
+		log.records = append(log.records, jobs.Record{Key: fmt.Sprint(memberPrefix, "strong-", i), Value: value})
+	}
+	members := func() []jobs.Record {
+		records, err := log.forInstance("a").ReadPrefix(context.Background(), memberPrefix)
+		c.Assert(err, qt.IsNil)
+		return records
+	}
+	n := startLoop(t, log.forInstance("a"))
+	n.config.CPUShare = 0.8
+	c.Assert(n.loadsLate(members()), qt.IsFalse)
+	n.config.CPUShare = 0.1
+	c.Assert(n.loadsLate(members()), qt.IsTrue)
+
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	start := time.Now()
+	n.awaitLoadTurn(ctx, 100*time.Millisecond)
+	c.Assert(time.Since(start) >= 100*time.Millisecond, qt.IsTrue)
+	// While a leader sends heartbeats, the log is not short of bandwidth.
+	_, err := runInLoop(ctx, n, func() bool { n.lastHeartbeat.epoch = 1; return true })
+	c.Assert(err, qt.IsNil)
+	n.awaitLoadTurn(ctx, time.Hour)
+
+	log.records = log.records[1:]
+	c.Assert(n.loadsLate(members()), qt.IsFalse)
+}
