Send heartbeats without waiting for the event loop

The leader that begins its term at 37.05 s and has settled all workers at 37.96 s is deposed at 38.64 s as unresponsive: it works off its backlog, and each round of heartbeats waited in its event loop for the list of members. Its successor is ready at 40.98 s. Change: heartbeats go to the members that the loop has listed in the last 3 s. A leader whose loop has stopped is still replaced. The test fails before (the epoch changes while the loop is busy).

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -165,6 +165,9 @@
 	heartbeatInterval = 200 * time.Millisecond
 	heartbeatTimeout  = 400 * time.Millisecond
 	electionTimeout   = 700 * time.Millisecond
+	// loopStallLimit is how long the event loop of a leader may take to respond
+	// before the leader sends no more heartbeats and is replaced.
+	loopStallLimit = 3 * time.Second
 	// standbyCount is the number of members that get a heartbeat in every round and
 	// take over first. The others get one every nonStandbyRounds rounds and have
 	// a longer election timeout: three of their heartbeats and the time that the
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -231,3 +231,32 @@
 	waitFor(t, "the jobs are done", func() bool { return completed(other, ids) })
 	c.Assert(first.isLeader(), qt.IsFalse)
 }
+
+// TestBusyLeaderStays guards against the replacement of a leader whose event loop
+// is busy for a second, as after a restart of all instances on the large site:
+// each successor would be as busy. A leader whose event loop has stopped must
+// still be replaced.
+func TestBusyLeaderStays(t *testing.T) {
+	c := qt.New(t)
+	log, manifest, workers := newMemoryLog(), &fixedManifest{version: 1}, newInstantWorkers()
+	a := startInstance(t, "a", log, manifest, workers)
+	b := startInstance(t, "b", log, manifest, workers)
+	waitFor(t, "both are ready", func() bool { return a.Ready() && b.Ready() && leaderOf(a, b) != nil })
+	first, other := a, b
+	if b.isLeader() {
+		first, other = b, a
+	}
+	heard := func() int64 {
+		receivedMS, err := runInLoop(context.Background(), other.Node, func() int64 { return other.lastHeartbeat.receivedMS })
+		c.Assert(err, qt.IsNil)
+		return receivedMS
+	}
+	waitFor(t, "the other instance hears the leader", func() bool { return heard() > 0 && other.leader.Load().epoch == 1 })
+	release := make(chan struct{})
+	first.post(context.Background(), func() { <-release })
+	blockedMS := first.now().MS
+	waitFor(t, "heartbeats go on beyond the election timeout", func() bool { return heard() > blockedMS+milliseconds(electionTimeout) })
+	c.Assert(other.leader.Load().epoch, qt.Equals, uint64(1))
+	waitFor(t, "a leader whose event loop has stopped is replaced", func() bool { return other.isLeader() })
+	close(release)
+}
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -40,20 +40,20 @@
 // sendHeartbeats sends the leader's heartbeats until the term ends: to the
 // standbys in each round, to the other members in turn, so that the cost hardly
 // grows with the number of members.
+//
+// They do not wait for the event loop, which a new leader of many workers keeps
+// busy for a second, but stop when it has not responded for loopStallLimit.
 func (n *Node) sendHeartbeats(t *term) {
+	var latest atomic.Pointer[heartbeatTargets]
+	go n.refreshTargets(t, &latest)
 	clients := map[string]nodev1connect.NodeServiceClient{}
 	for round := 0; t.ctx.Err() == nil; round++ {
-		peers, err := runInLoop(t.ctx, n, func() []candidate {
-			members := n.candidates(n.config.Instance)
-			if n.term == t {
-				t.delegation.update(members)
-			}
-			return members
-		})
-		if err != nil {
-			return
+		targets := latest.Load()
+		if targets == nil || n.now().MS-targets.readMS > milliseconds(loopStallLimit) {
+			pause(t.ctx, tickInterval)
+			continue
 		}
-		for i, m := range peers {
+		for i, m := range targets.members {
 			if i >= standbyCount && (round+i)%nonStandbyRounds != 0 {
 				continue
 			}
@@ -66,6 +66,32 @@
 	}
 }
 
+// heartbeatTargets are the members that get heartbeats, strongest first, as of
+// the time when the event loop listed them.
+type heartbeatTargets struct {
+	members []candidate
+	readMS  int64
+}
+
+// refreshTargets keeps the targets of heartbeats and the delegates current until
+// the term ends.
+func (n *Node) refreshTargets(t *term, latest *atomic.Pointer[heartbeatTargets]) {
+	for t.ctx.Err() == nil {
+		members, err := runInLoop(t.ctx, n, func() []candidate {
+			members := n.candidates(n.config.Instance)
+			if n.term == t {
+				t.delegation.update(members)
+			}
+			return members
+		})
+		if err != nil {
+			return
+		}
+		latest.Store(&heartbeatTargets{members, n.now().MS})
+		pause(t.ctx, heartbeatInterval)
+	}
+}
+
 func (n *Node) sendHeartbeat(t *term, peer string, client nodev1connect.NodeServiceClient) {
 	ctx, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
 	defer cancel()
