--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -307,3 +307,17 @@
 	}
 	return nil
 }
+
+// leaderAndFollower starts two instances and waits until one of them leads.
+func leaderAndFollower(t *testing.T) (log *memoryLog, leader, follower *instance) {
+	t.Helper()
+	log = newMemoryLog()
+	manifest, workers := &fixedManifest{version: 1}, newInstantWorkers()
+	a := startInstance(t, "a", log, manifest, workers)
+	b := startInstance(t, "b", log, manifest, workers)
+	waitFor(t, "both are ready", func() bool { return a.Ready() && b.Ready() && leaderOf(a, b) != nil })
+	if b.isLeader() {
+		return log, b, a
+	}
+	return log, a, b
+}
