--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -181,3 +182,122 @@
 		r.breach("LOST: %s was accepted, is %q 14 s after the end of the traffic and has had nothing running for 3 s, with all 48 workers idle", s.id, state)
 	}
 }
+
+// suspect: four workers of one rack fail all that they start for 6.5 s. After
+// that, submissions that last come for that rack.
+func suspect(r *rig, trouble bool) {
+	q := &queueSpec{name: "r-invoice", host: "nony24.example", prefix: "/invoice/", service: "svc", priority: 2, attempts: 4}
+	watch := &queueSpec{name: "r-watch", host: "nony24.example", prefix: "/watch/", service: "svc", priority: 0, attempts: 2}
+	r.queues = []*queueSpec{q, watch}
+	for i := range 48 {
+		r.newWorker(fmt.Sprintf("w%02d", i), "svc", []string{"a", rack(i)}, 32000, 128000)
+	}
+	var mu sync.Mutex
+	grey := false
+	r.fails = func(w *worker, t *taskRun) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return grey && w.id >= "w12" && w.id <= "w15"
+	}
+	set := func(on bool) {
+		mu.Lock()
+		grey = on && trouble
+		mu.Unlock()
+		note("w12 to w15 fail all that they start: %v", on && trouble)
+	}
+	r.putManifest()
+	r.startWorkers()
+	r.newNodes(7)
+	r.awaitReady()
+	sleepMS(1000)
+	set(true)
+	for i := range 60 {
+		s := r.newSubmission(q, &stepSpec{Count: 8, CPU: 2300, MemMB: 1000, EstimateMS: 500, Requirements: "r-2"})
+		r.submit(s, i)
+		sleepMS(90)
+	}
+	sleepMS(500)
+	set(false)
+	sleepMS(2000)
+	// 8 submissions of 6 tasks that last, 6.4 cores each: the rack holds 40 tasks.
+	var subs []*submission
+	for i := range 6 {
+		s := r.newSubmission(watch, &stepSpec{Count: 6, CPU: 6400, MemMB: 13000, EstimateMS: 300, Requirements: "r-2", LongRunning: true, Image: "i1"})
+		r.submit(s, i)
+		subs = append(subs, s)
+		sleepMS(300)
+	}
+	sleepMS(14000)
+	for i, s := range subs {
+		if r.running(s) > 0 || s.accepted.IsZero() {
+			continue
+		}
+		sleepMS(3000)
+		_, state := r.state(s, i)
+		free, fits := 0, 0
+		for _, w := range r.workers[8:16] {
+			w.mu.Lock()
+			left := w.cpu
+			for _, t := range w.runs {
+				left -= t.step.CPU
+			}
+			w.mu.Unlock()
+			free += left
+			fits += left / 6400
+		}
+		if r.running(s) == 0 && fits >= 12 {
+			r.breach("LOST: %s was accepted, is %q after 14 s and has had nothing running for 3 s, while its rack has %d of 256000 free: room for %d such tasks", s.id, state, free, fits)
+		}
+	}
+}
+
+// pending: one rack is cut off; submissions that need it wait.
+func pending(r *rig, trouble bool) {
+	q := &queueSpec{name: "r-invoice", host: "nony24.example", prefix: "/invoice/", service: "svc", priority: 2, attempts: 4}
+	r.queues = []*queueSpec{q}
+	for i := range 48 {
+		r.newWorker(fmt.Sprintf("w%02d", i), "svc", []string{"a", rack(i)}, 32000, 128000)
+	}
+	r.putManifest()
+	r.startWorkers()
+	r.newNodes(7)
+	r.awaitReady()
+	sleepMS(1000)
+	cutAt := time.Now()
+	if trouble {
+		note("rack r-2 is cut off")
+		for _, w := range r.workers[8:16] {
+			w.setLink(workerDark, false)
+		}
+	}
+	var subs []*submission
+	for i := range 8 {
+		s := r.newSubmission(q, &stepSpec{Count: 4, CPU: 2300, MemMB: 1000, EstimateMS: 500, Requirements: "r-2"})
+		r.submit(s, i)
+		subs = append(subs, s)
+	}
+	// visible_ms + 2 s after they were accepted, while the cut lasts.
+	for time.Since(cutAt) < 5420*time.Millisecond {
+		waiting := 0
+		asked := time.Now()
+		for _, s := range subs {
+			if !s.accepted.IsZero() && asked.Sub(s.accepted) > 5*time.Second && r.starts(s) == 0 {
+				waiting++
+			}
+		}
+		if waiting > 0 {
+			status, answer := r.request(r.nodes[3], q, "GET", "", nil)
+			given, _ := answer["pendingJobs"].(float64)
+			if status == 200 && int(given)*2 < waiting {
+				r.breach("MIXED: pendingJobs is %d, and %d submissions were accepted over 5 s before and haven't begun", int(given), waiting)
+			}
+		}
+		sleepMS(20)
+	}
+	if trouble {
+		note("rack r-2 is back")
+		for _, w := range r.workers[8:16] {
+			w.setLink(workerServes, true)
+		}
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,7 +39,9 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(r *rig, trouble bool){
-	"ends":   ends,
-	"advice": advice,
-	"token":  token,
+	"ends":    ends,
+	"advice":  advice,
+	"token":   token,
+	"suspect": suspect,
+	"pending": pending,
 }
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -80,7 +80,7 @@
 	nodes     []*nodeProcess
 	queues    []*queueSpec
 	guards    bool
-	fails     func(*taskRun) bool
+	fails     func(*worker, *taskRun) bool
 	stop      chan struct{}
 
 	mu       sync.Mutex
@@ -99,7 +99,7 @@
 	check(err)
 	r := &rig{
 		root: root, dir: dir, store: newStore(), guards: true, stop: make(chan struct{}),
-		subs: map[string]*submission{}, seen: map[string]*taskSeen{}, fails: func(*taskRun) bool { return false },
+		subs: map[string]*submission{}, seen: map[string]*taskSeen{}, fails: func(*worker, *taskRun) bool { return false },
 	}
 	theRig = r
 	return r
@@ -348,6 +348,13 @@
 func (n *nodeProcess) launch() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.process != nil {
+		select {
+		case <-n.ended:
+		default:
+			return
+		}
+	}
 	log, err := os.OpenFile(n.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	command := exec.Command(filepath.Join(n.rig.root, "target/rwnode"), "run", "-config", n.settings)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -435,7 +435,7 @@
 		if t == nil {
 			continue
 		}
-		if !t.step.LongRunning && (!t.step.Gang || w.rig.gangTogether(t)) {
+		if !t.step.Gang || w.rig.gangTogether(t) {
 			t.worked += ms
 		}
 		if t.step.Checkpointing {
@@ -448,7 +448,7 @@
 			w.end(t, "lapsed")
 		case !t.stopAt.IsZero() && time.Now().After(t.stopAt):
 			w.end(t, "stopped")
-		case !t.step.LongRunning && t.worked >= t.need && w.rig.fails(t):
+		case t.worked >= t.need && w.rig.fails(w, t):
 			w.end(t, "failed")
 		case !t.step.LongRunning && t.worked >= t.need:
 			w.end(t, "done")
