--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,7 +14,11 @@
 	q := &queueSpec{name: "r-invoice", host: "nony24.example", prefix: "/invoice/", service: "svc", priority: 2, attempts: 4}
 	r.queues = []*queueSpec{q}
 	for i := range 48 {
-		r.newWorker(fmt.Sprintf("w%02d", i), "svc", []string{"a", rack(i)}, 32000, 128000)
+		kind := "a"
+		if i >= 44 {
+			kind = "b"
+		}
+		r.newWorker(fmt.Sprintf("w%02d", i), "svc", []string{kind, rack(i)}, 32000, 128000)
 	}
 	r.putManifest()
 	r.startWorkers()
@@ -22,8 +26,8 @@
 	r.awaitReady()
 	sleepMS(1000)
 	var subs []*submission
-	for i := range 48 {
-		s := r.newSubmission(q, &stepSpec{Count: 250, CPU: 1000, MemMB: 100, EstimateMS: 100, Requirements: "r-2"})
+	for i := range 32 {
+		s := r.newSubmission(q, &stepSpec{Count: 250, CPU: 1000, MemMB: 100, EstimateMS: 100, Requirements: "b"})
 		if !r.submit(s, i) {
 			couldNotRun("a submission was not accepted")
 		}
@@ -53,7 +57,7 @@
 		starts += r.starts(s)
 	}
 	sleepMS(1000)
-	say("%d tasks, %d starts", 48*250, starts)
+	say("%d tasks, %d starts", 32*250, starts)
 }
 
 // advice: the workers that may run a step are lost, and the adviser allows no
@@ -251,33 +255,44 @@
 	}
 }
 
-// pending: one rack is cut off; submissions that need it wait.
+// pending: the workers of one kind are lost for good; submissions that need it
+// wait.
 func pending(r *rig, trouble bool) {
 	q := &queueSpec{name: "r-invoice", host: "nony24.example", prefix: "/invoice/", service: "svc", priority: 2, attempts: 4}
 	r.queues = []*queueSpec{q}
 	for i := range 48 {
-		r.newWorker(fmt.Sprintf("w%02d", i), "svc", []string{"a", rack(i)}, 32000, 128000)
+		kind := "a"
+		if i >= 42 {
+			kind = "b"
+		}
+		r.newWorker(fmt.Sprintf("w%02d", i), "svc", []string{kind, rack(i)}, 32000, 128000)
 	}
 	r.putManifest()
 	r.startWorkers()
 	r.newNodes(7)
 	r.awaitReady()
+	sleepMS(2000)
+	// The leader has used these workers before.
+	for i := range 8 {
+		s := r.newSubmission(q, &stepSpec{Count: 6, CPU: 2300, MemMB: 1000, EstimateMS: 300, Requirements: "b"})
+		r.submit(s, i)
+	}
 	sleepMS(1000)
-	cutAt := time.Now()
 	if trouble {
-		note("rack r-2 is cut off")
-		for _, w := range r.workers[8:16] {
-			w.setLink(workerDark, false)
+		for _, w := range r.workers[42:] {
+			w.crash()
 		}
 	}
 	var subs []*submission
 	for i := range 8 {
-		s := r.newSubmission(q, &stepSpec{Count: 4, CPU: 2300, MemMB: 1000, EstimateMS: 500, Requirements: "r-2"})
+		s := r.newSubmission(q, &stepSpec{Count: 4, CPU: 2300, MemMB: 1000, EstimateMS: 500, Requirements: "b"})
 		r.submit(s, i)
 		subs = append(subs, s)
+		sleepMS(100)
 	}
-	// visible_ms + 2 s after they were accepted, while the cut lasts.
-	for time.Since(cutAt) < 5420*time.Millisecond {
+	// visible_ms + 2 s after they were accepted.
+	for i := range 20 {
+		sleepMS(500)
 		waiting := 0
 		asked := time.Now()
 		for _, s := range subs {
@@ -285,19 +300,10 @@
 				waiting++
 			}
 		}
-		if waiting > 0 {
-			status, answer := r.request(r.nodes[3], q, "GET", "", nil)
-			given, _ := answer["pendingJobs"].(float64)
-			if status == 200 && int(given)*2 < waiting {
-				r.breach("MIXED: pendingJobs is %d, and %d submissions were accepted over 5 s before and haven't begun", int(given), waiting)
-			}
-		}
-		sleepMS(20)
-	}
-	if trouble {
-		note("rack r-2 is back")
-		for _, w := range r.workers[8:16] {
-			w.setLink(workerServes, true)
+		status, answer := r.request(r.nodes[i%7], q, "GET", "", nil)
+		given, _ := answer["pendingJobs"].(float64)
+		if status == 200 && int(given)*2 < waiting {
+			r.breach("MIXED: pendingJobs is %d, and %d submissions were accepted over 5 s before and haven't begun", int(given), waiting)
 		}
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,9 +6,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// caseLimit bounds the length of a case.
+const caseLimit = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 4 {
 		fmt.Println("usage: standin CASE ROOT FOLDER")
@@ -24,6 +30,16 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	note("case %s, with the disruption: %v", os.Args[1], trouble)
 	r := newRig(os.Args[2])
+	go func() {
+		ended := make(chan os.Signal, 1)
+		signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+		select {
+		case <-ended:
+			couldNotRun("ended by a signal")
+		case <-time.After(caseLimit):
+			couldNotRun("longer than " + caseLimit.String())
+		}
+	}()
 	play(r, trouble)
 	r.close()
 	for _, n := range r.nodes {
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -348,6 +348,12 @@
 func (n *nodeProcess) launch() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.rig.mu.Lock()
+	closing := n.rig.closing
+	n.rig.mu.Unlock()
+	if closing {
+		return
+	}
 	if n.process != nil {
 		select {
 		case <-n.ended:
