Review: build the stand-ins without paths of the machine

The built program, which git ignores, named the folder it was built in. Built with -trimpath it names none.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts start: one program, without dependencies.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-go build -buildvcs=false -o ../bin/standin .
+go build -trimpath -buildvcs=false -o ../bin/standin .
