Keep a step's denials in a map of their own

Cause: requestAdvice set the map of denials to nil when it started over, and adviceDone made it only together with the tickets. "panic: assignment to entry in nil map" at advice.go:138 ended the leader, and each successor read the same job from the log. Ruled out: the loss of the workers itself; a ticket that expires while they are full does the same.

Change: each map is made where it is written. A denial belongs to an incarnation of a worker and lasts 10 s, so the step does not have to forget all of them and ask about every worker again each 300 ms. Random runs get an adviser that denies everything for a while, is busy and gives tickets that expire.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -91,6 +91,11 @@
 // Occurrences returns the number of times that the steps run.
 func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
 
+// HasStep reports whether the job has the step of the occurrence.
+func (j *Job) HasStep(occurrence, step int) bool {
+	return occurrence >= 0 && occurrence < j.Occurrences() && step >= 0 && step < len(j.Steps)
+}
+
 // LongRunning reports whether the job runs until it is cancelled.
 func (j *Job) LongRunning() bool {
 	for i := range j.Steps {
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -6,16 +6,29 @@
 )
 
 // adviceState holds the placement adviser's responses for a step. Its response
-// for a worker does not change, but a ticket expires.
+// for one incarnation of a worker does not change, but a ticket expires.
 type adviceState struct {
 	tickets map[WorkerID]ticket
 	// denied are the workers that may not run the step.
-	denied map[WorkerID]bool
+	denied map[WorkerID]denial
 	// requested are the workers of the outstanding request.
-	requested   []WorkerID
+	requested   []adviceQuery
 	requestedMS int64
 }
 
+// adviceQuery is an incarnation of a worker about which advice is requested.
+type adviceQuery struct {
+	worker    WorkerID
+	startedMS int64
+}
+
+// denial is the adviser's response that an incarnation of a worker may not run
+// the step.
+type denial struct {
+	startedMS int64
+	untilMS   int64
+}
+
 // ticket is the permission to start the step's tasks on one worker.
 type ticket struct {
 	value   string
@@ -29,6 +42,11 @@
 	// adviceRetryMS is the pause between two requests: no response means that
 	// the adviser was busy.
 	adviceRetryMS = 300
+	// adviceRecheckMS is how long a denial is kept, in case the adviser's policy
+	// has changed.
+	adviceRecheckMS = 10_000
+	// maxValidityMS bounds the validity of a ticket against overflow.
+	maxValidityMS = 24 * 60 * 60 * 1000
 	// adviceMarginMS is the time reserved for a start to arrive before its
 	// ticket expires.
 	adviceMarginMS = 100
@@ -39,6 +57,32 @@
 	return t.value != "" && nowMS < t.untilMS
 }
 
+// denies reports whether the adviser has denied the worker's current
+// incarnation.
+func (a *adviceState) denies(w *worker, nowMS int64) bool {
+	d, ok := a.denied[w.info.ID]
+	return ok && d.startedMS == w.startedMS && nowMS < d.untilMS
+}
+
+// record stores the adviser's response to the outstanding request.
+func (a *adviceState) record(e AdviceDone, nowMS int64) {
+	if a.tickets == nil {
+		a.tickets = map[WorkerID]ticket{}
+	}
+	if a.denied == nil {
+		a.denied = map[WorkerID]denial{}
+	}
+	untilMS := nowMS + min(e.ValidityMS, maxValidityMS) - adviceMarginMS
+	for _, q := range a.requested {
+		if value := e.Tickets[q.worker]; value != "" {
+			a.tickets[q.worker] = ticket{value, untilMS}
+			delete(a.denied, q.worker)
+		} else {
+			a.denied[q.worker] = denial{q.startedMS, nowMS + adviceRecheckMS}
+		}
+	}
+}
+
 // ensureAdvice reports whether some worker with room may run the step's tasks;
 // if not, it requests advice about further workers.
 func (c *Core) ensureAdvice(s *step) bool {
@@ -52,8 +96,7 @@
 }
 
 // requestAdvice requests advice about the next workers that might run the
-// step's tasks. Once the adviser has denied all of them, it starts over: a
-// worker may have restarted under its ID.
+// step's tasks.
 func (c *Core) requestAdvice(s *step) {
 	a := &s.advice
 	if a.requested != nil || c.now.MS-a.requestedMS < adviceRetryMS {
@@ -61,27 +104,17 @@
 	}
 	candidates := c.adviceCandidates(s)
 	if len(candidates) == 0 {
-		if len(a.denied) > 0 && !c.allowedAnywhere(s) {
-			a.denied, a.requestedMS = nil, c.now.MS
-		}
 		return
 	}
 	a.requestedMS = c.now.MS
 	for _, w := range candidates[:min(len(candidates), adviceBatch)] {
-		a.requested = append(a.requested, w.info.ID)
+		a.requested = append(a.requested, adviceQuery{w.info.ID, w.startedMS})
 	}
-	c.emit(Advise{Step: s.id(), Workers: slices.Clone(a.requested)})
-}
-
-// allowedAnywhere reports whether some worker may run the step's tasks, whether
-// it has room now or not.
-func (c *Core) allowedAnywhere(s *step) bool {
-	for id := range s.advice.tickets {
-		if w := c.workers[id]; w != nil && w.listed && s.advice.allows(id, c.now.MS) {
-			return true
-		}
+	workers := make([]WorkerID, 0, len(a.requested))
+	for _, q := range a.requested {
+		workers = append(workers, q.worker)
 	}
-	return false
+	c.emit(Advise{Step: s.id(), Workers: workers})
 }
 
 // adviceCandidates returns the workers that have room now and whose permission
@@ -91,7 +124,7 @@
 	var out []*worker
 	for _, w := range c.sortedWorkers {
 		if w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
-			s.advice.denied[w.info.ID] || s.advice.allows(w.info.ID, c.now.MS) ||
+			s.advice.denies(w, c.now.MS) || s.advice.allows(w.info.ID, c.now.MS) ||
 			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) ||
 			!s.resources().fits(w.info.Capacity.minus(w.used)) {
 			continue
@@ -112,32 +145,16 @@
 }
 
 func (c *Core) adviceDone(e AdviceDone) {
-	j := c.jobs[e.Step.Job]
-	if j == nil {
-		return
-	}
-	i := e.Step.Occurrence*len(j.spec.Steps) + e.Step.Step
-	if i >= len(j.steps) {
+	s := c.stepOf(e.Step)
+	if s == nil {
 		return
 	}
-	s := j.steps[i]
-	a := &s.advice
-	requested := a.requested
-	a.requested = nil
 	if e.Outcome != Done {
+		s.advice.requested = nil
 		return
 	}
-	if a.tickets == nil {
-		a.tickets, a.denied = map[WorkerID]ticket{}, map[WorkerID]bool{}
-	}
-	until := c.now.MS + e.ValidityMS - adviceMarginMS
-	for _, id := range requested {
-		if value := e.Tickets[id]; value != "" {
-			a.tickets[id] = ticket{value, until}
-		} else {
-			a.denied[id] = true
-		}
-	}
+	s.advice.record(e, c.now.MS)
+	s.advice.requested = nil
 	s.noFitPass = 0
 	c.placementDue = true
 }
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -124,3 +124,55 @@
 	}
 	c.Assert(starts, qt.HasLen, 2)
 }
+
+// TestAdviserThatDeniesEveryWorkerTwice guards against a panic of the leader
+// when the adviser denies all workers, is asked again and denies them again.
+// The job is in the log, so every later leader would end in the same way.
+func TestAdviserThatDeniesEveryWorkerTwice(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true}}}})
+	infos := h.joinMany(4)
+	a := &fakeAdviser{}
+	starts := a.respond(h, h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	play := func(ms int64) {
+		for endMS := h.now + ms; h.now < endMS && len(starts) == 0; {
+			for _, info := range infos {
+				starts = append(starts, a.respond(h, h.report(info, Report{StartedMS: info.StartedMS, ClockMS: h.now}))...)
+			}
+			starts = append(starts, a.respond(h, h.advance(100))...)
+		}
+	}
+	play(2 * adviceRecheckMS)
+	c.Assert(starts, qt.HasLen, 0)
+	c.Assert(a.requests >= 2, qt.IsTrue, qt.Commentf("%d requests", a.requests))
+	c.Assert(a.requests <= 3, qt.IsTrue, qt.Commentf("%d requests although the adviser's answer does not change", a.requests))
+	a.allowed = []WorkerID{"w002"}
+	play(2 * adviceRecheckMS)
+	c.Assert(starts, qt.HasLen, 1)
+}
+
+// TestRestartedWorkerIsAdvisedAgain guards against a step that never starts
+// because the adviser denied the previous incarnation of a worker, which may
+// have been of a different kind.
+func TestRestartedWorkerIsAdvisedAgain(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true}}}})
+	infos := h.joinMany(1)
+	a := &fakeAdviser{}
+	starts := a.respond(h, h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	for range 10 {
+		starts = append(starts, a.respond(h, h.report(infos[0], Report{StartedMS: 7, ClockMS: h.now}))...)
+		starts = append(starts, a.respond(h, h.advance(100))...)
+	}
+	c.Assert(starts, qt.HasLen, 0)
+	a.allowed = []WorkerID{"w000"}
+	infos[0].StartedMS = 8
+	starts = append(starts, a.respond(h, h.step(WorkersChanged{Workers: infos}))...)
+	for range 10 {
+		starts = append(starts, a.respond(h, h.report(infos[0], Report{StartedMS: 8, ClockMS: 100}))...)
+		starts = append(starts, a.respond(h, h.advance(100))...)
+	}
+	c.Assert(len(starts) > 0, qt.IsTrue)
+}
--- a/internal/planner/fake_worker_test.go
+++ b/internal/planner/fake_worker_test.go
@@ -158,6 +158,9 @@
 		return LeaseExpired
 	}
 	f.token = s.Token
+	if !f.sim.ticketValid(f, s) {
+		return NoTicket
+	}
 	spec := f.sim.spec(s.Task)
 	room := Resources{CPUMilli: spec.CPUMilli, MemoryMB: spec.MemoryMB}
 	if spec.BestEffort {
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -86,6 +86,7 @@
 		job.Repeat, job.StartAtMS, job.IntervalMS = 2, sim.now+1000, 3000
 	}
 	sim.jobs[id] = &submittedJob{job: job}
+	sim.adviseSubmission(job)
 	sim.randomizeSubmission(sim.jobs[id])
 	sim.ids = append(sim.ids, id)
 	sim.submit(id)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -159,6 +159,15 @@
 	return &j.steps[i].tasks[ref.Index]
 }
 
+// stepOf returns a step by its ID, or nil if no current job has it.
+func (c *Core) stepOf(id StepID) *step {
+	j := c.jobs[id.Job]
+	if j == nil || !j.spec.HasStep(id.Occurrence, id.Step) {
+		return nil
+	}
+	return j.steps[id.Occurrence*len(j.spec.Steps)+id.Step]
+}
+
 // attach adds a run to its worker and task and reserves its room.
 func (c *Core) attach(r *run) {
 	s := r.task.step
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -49,7 +49,9 @@
 	versions []version
 	// configRNG drives the random choices of injectConfigFaults; nil without
 	// it.
-	configRNG  *rand.Rand
+	configRNG *rand.Rand
+	// adviser answers advice requests; nil without advised queues.
+	adviser    *simAdviser
 	violations []string
 	starts     int
 	// plannerTime is the processor time of the planner.
@@ -290,6 +292,8 @@
 		sim.call(e.Worker, func(f *fakeWorker) Outcome { return f.setPace(e) }, func(o Outcome) {
 			sim.step(l, PaceDone{e.Worker, e.Task, e.Run, e.Percent, o})
 		})
+	case Advise:
+		sim.advise(l, e)
 	case Decision:
 		sim.checkFailedJob(l, e)
 	case Write:
