Check every number of a task's name against its job

Seen by callers: nothing starts any more once one worker lists a task with a huge occurrence of a known job.

Cause: taskOf multiplied the occurrence by the number of steps before it compared the result with the number of the job's steps. 2^62 times two overflows to a negative index, and the leader ends; the worker lists the task to the next leader too. Early ends had the same bounds without a lower one.

Change: taskOf and the early ends check occurrence and step by themselves (jobs.Job.HasStep).

--- a/internal/jobs/early_ends.go
+++ b/internal/jobs/early_ends.go
@@ -29,7 +29,7 @@
 // the job does not have are ignored.
 func (p *Progress) AddEarlyEnds(id ID, job *Job, ends []EarlyEnd) {
 	for _, e := range ends {
-		if e.Occurrence >= job.Occurrences() || e.Step >= len(job.Steps) || e.Index >= job.Steps[e.Step].Count {
+		if !job.HasStep(e.Occurrence, e.Step) || e.Index < 0 || e.Index >= job.Steps[e.Step].Count {
 			continue
 		}
 		p.LastRun = max(p.LastRun, e.Run)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -147,16 +147,13 @@
 	return r
 }
 
+// taskOf returns the task that a worker names, or nil if no current job has it.
 func (c *Core) taskOf(ref jobs.Task) *task {
-	j := c.jobs[ref.Job]
-	if j == nil {
+	s := c.stepOf(StepID{ref.Job, ref.Occurrence, ref.Step})
+	if s == nil || ref.Index < 0 || ref.Index >= len(s.tasks) {
 		return nil
 	}
-	i := ref.Occurrence*len(j.spec.Steps) + ref.Step
-	if ref.Step >= len(j.spec.Steps) || i >= len(j.steps) || ref.Index >= len(j.steps[i].tasks) {
-		return nil
-	}
-	return &j.steps[i].tasks[ref.Index]
+	return &s.tasks[ref.Index]
 }
 
 // stepOf returns a step by its ID, or nil if no current job has it.
