Fit recorded progress to the submission that the log keeps

Seen by callers: two different submissions with one ID, sent through two instances at once, end every later leader in turn, and nothing starts any more.

Cause: the leader plans by the submission that it received and records progress of that shape. The log keeps the first submission of an ID, which may be the one that another instance has recorded directly. The next leader sets bits of one shape in rows of the other: "index out of range [2] with length 1".

Change: progress that is read from the log gets the shape of its submission; missing rows are not done.

Measured: TestProgressOfDifferentShape ends with that panic without the change and passes with it. Which of two different submissions with one ID runs until the next takeover is unchanged: the one that the leader received.

--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -42,12 +42,32 @@
 // NewProgress returns the progress of a job that has not started.
 func NewProgress(job *Job) *Progress {
 	p := &Progress{State: Queued}
-	for range job.Occurrences() {
-		for i := range job.Steps {
-			p.Done = append(p.Done, make([]byte, (job.Steps[i].Count+7)/8))
+	p.Fit(job)
+	return p
+}
+
+// Fit gives the progress the shape of the job: one row for each step of each
+// occurrence, with a bit for each task. The record of the progress may belong to
+// another submission with the same ID, of which the log keeps the first.
+func (p *Progress) Fit(job *Job) {
+	rows := job.Occurrences() * len(job.Steps)
+	p.Done = slices.Grow(p.Done[:min(rows, len(p.Done))], rows-min(rows, len(p.Done)))
+	for i := range rows {
+		count := job.Steps[i%len(job.Steps)].Count
+		width := (count + 7) / 8
+		if i == len(p.Done) {
+			p.Done = append(p.Done, make([]byte, width))
+			continue
+		}
+		row := p.Done[i]
+		if len(row) != width {
+			row = append(make([]byte, 0, width), row[:min(width, len(row))]...)[:width]
+			p.Done[i] = row
+		}
+		if spare := width*8 - count; spare > 0 {
+			row[width-1] &= 0xff >> spare
 		}
 	}
-	return p
 }
 
 // Clone returns a deep copy.
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -198,10 +198,12 @@
 }
 
 func progressOf(entry *jobs.Entry) *jobs.Progress {
-	if entry.Progress != nil {
-		return entry.Progress.Clone()
+	if entry.Progress == nil {
+		return jobs.NewProgress(entry.Job)
 	}
-	return jobs.NewProgress(entry.Job)
+	progress := entry.Progress.Clone()
+	progress.Fit(entry.Job)
+	return progress
 }
 
 func (c *Core) newJob(id jobs.ID, spec *jobs.Job, progress *jobs.Progress, inherited bool) *job {
--- a/internal/planner/odd_input_test.go
+++ b/internal/planner/odd_input_test.go
@@ -42,3 +42,44 @@
 		})
 	}
 }
+
+// TestProgressOfDifferentShape guards against a panic of every leader after two
+// different submissions with one ID: the log keeps the first of them, but the
+// progress may have been recorded for the other.
+func TestProgressOfDifferentShape(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		recorded jobs.Step
+	}{
+		{"fewer tasks", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}},
+		{"more tasks", jobs.Step{Count: 90, CPUMilli: 1, EstimateMS: 900}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			first := newHarness(safeguards{})
+			first.join(testWorker)
+			direct, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: 20, CPUMilli: 100, EstimateMS: 900}, {Count: 1, CPUMilli: 100, After: []int{0}}}})
+			c.Assert(err, qt.IsNil)
+			effects := append([]Effect(nil), first.submit(t, "j", test.recorded)...)
+			// Another instance records the other submission before the leader's
+			// write is carried out.
+			_, err = first.core.stateMachine.Apply(jobs.SubmissionRecord("j", direct))
+			c.Assert(err, qt.IsNil)
+			first.confirmWrites(effects)
+			first.confirmWrites(first.advance(100))
+			first.confirmWrites(first.report(testWorker, Report{StartedMS: 7, ClockMS: 300, Ended: []EndedTask{
+				{Number: 1, Task: jobs.Task{Job: "j"}, Run: 1, Kind: EndFailed},
+			}}))
+			first.confirmWrites(first.advance(100))
+
+			h := first.nextLeader()
+			h.step(QueuesChanged{Queues: []Queue{testQueue}})
+			h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 2000, Ended: []EndedTask{
+				{Number: 2, Task: jobs.Task{Job: "j", Index: 19}, Run: 1, Kind: EndDone},
+			}}))
+			h.confirmWrites(h.advance(8000))
+			state, _ := h.core.State("j")
+			c.Assert(state, qt.Equals, jobs.Active)
+		})
+	}
+}
