Bound the numbers that workers, callers and operators send

Cause: the sums and conversions on these numbers overflow. A run number above what delegates can carry was learned from any report.

The planner neither adopts nor learns run numbers above 2^30, and a task whose number a worker refuses as old prefers other workers.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -4,6 +4,7 @@
 package jobs
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
@@ -112,6 +113,9 @@
 	if j.Repeat == 0 {
 		return 0
 	}
+	if j.IntervalMS > 0 && int64(occurrence) > (math.MaxInt64-j.StartAtMS)/j.IntervalMS {
+		return math.MaxInt64
+	}
 	return j.StartAtMS + int64(occurrence)*j.IntervalMS
 }
 
@@ -195,7 +199,7 @@
 	var numbers [3]int
 	for i := range numbers {
 		n, err := strconv.Atoi(parts[i+1])
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > math.MaxInt32 {
 			return Task{}, false
 		}
 		numbers[i] = n
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -35,6 +35,25 @@
 	}
 }
 
+// TestDueTimes guards against occurrences that start before they are due because
+// their time overflows.
+func TestDueTimes(t *testing.T) {
+	for _, test := range []struct {
+		job        Job
+		occurrence int
+		want       int64
+	}{
+		{Job{}, 0, 0},
+		{Job{Repeat: 3, StartAtMS: 1000, IntervalMS: 50}, 2, 1100},
+		{Job{Repeat: 3, StartAtMS: 1000}, 2, 1000},
+		{Job{Repeat: 3, StartAtMS: 1000, IntervalMS: 1 << 62}, 1, 1000 + 1<<62},
+		{Job{Repeat: 3, StartAtMS: 1000, IntervalMS: 1 << 62}, 2, math.MaxInt64},
+		{Job{Repeat: 3, StartAtMS: math.MaxInt64, IntervalMS: 1}, 2, math.MaxInt64},
+	} {
+		qt.New(t).Check(test.job.DueMS(test.occurrence), qt.Equals, test.want, qt.Commentf("%+v, occurrence %d", test.job, test.occurrence))
+	}
+}
+
 // TestTaskNames guards the round trip of a task's name and the rejection of names
 // in any other format.
 func TestTaskNames(t *testing.T) {
@@ -45,7 +64,7 @@
 	got, ok := ParseTask(task.String())
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(got, qt.Equals, task)
-	for _, bad := range []string{"", "a.b", "a.0.0", "a.0.0.x", "a.0.0.-1", "a.0.0.0.0"} {
+	for _, bad := range []string{"", "a.b", "a.0.0", "a.0.0.x", "a.0.0.-1", "a.0.0.0.0", "a.4294967296.0.0", "a.0.0.9223372036854775807"} {
 		_, ok := ParseTask(bad)
 		c.Check(ok, qt.IsFalse, qt.Commentf("%s", bad))
 	}
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -58,6 +58,10 @@
 	// runsPerTerm is the distance between the first run numbers of two terms: a
 	// new leader does not know the last numbers of its predecessor.
 	runsPerTerm = 1000
+	// maxRun is the highest run number that a worker's row may have to count as
+	// a run of this system; it leaves room for further runs below the limit of
+	// the delegates' messages.
+	maxRun = 1 << 30
 	// tokenShift leaves room to raise a worker's token 2^20 times in one term.
 	tokenShift = 20
 	// deadHoldIntervalMS is the pause between hold calls to a worker that the
--- a/internal/planner/early_ends.go
+++ b/internal/planner/early_ends.go
@@ -32,7 +32,7 @@
 // isEarlyEnd reports whether an end has to be kept for a job that is not known
 // yet.
 func (c *Core) isEarlyEnd(end *EndedTask) bool {
-	return !c.disabled.earlyEnds && (end.Kind == EndDone || end.Kind == EndFailed) &&
+	return !c.disabled.earlyEnds && (end.Kind == EndDone || end.Kind == EndFailed) && end.Run <= maxRun &&
 		c.jobs[end.Task.Job] == nil && c.stateMachine.SubmittedEntry(end.Task.Job) == nil
 }
 
--- a/internal/planner/odd_input_test.go
+++ b/internal/planner/odd_input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -83,3 +84,40 @@
 		})
 	}
 }
+
+// injectOddReports lets one worker add rows to its reports that no planner has
+// asked for: tasks outside of their job, of unknown jobs and of other steps,
+// with extreme run numbers, kinds of end that do not exist and extreme readings.
+func (sim *simulation) injectOddReports() {
+	rng := rand.New(rand.NewPCG(sim.seed, 4))
+	extremes := []int{0, 1, 2, 3, 99, 1000, 1 << 20, math.MaxInt32}
+	pick := func() int { return extremes[rng.IntN(len(extremes))] }
+	sim.oddRows = func(f *fakeWorker, r *Report) {
+		if f != sim.workers[0] || rng.IntN(3) > 0 || len(sim.ids) == 0 {
+			return
+		}
+		ref := jobs.Task{Job: sim.ids[rng.IntN(len(sim.ids))], Occurrence: pick(), Step: pick(), Index: pick()}
+		if rng.IntN(4) == 0 {
+			ref = jobs.Task{Job: "unknown", Occurrence: pick(), Step: pick(), Index: pick()}
+		}
+		r.Running = append(r.Running, RunningTask{Task: ref, Run: max(pick(), 1), Percent: pick() % 101, Usage: pick()})
+		if len(r.Ended) == 0 {
+			// The kinds that decide about a job are left out: they would be true.
+			kinds := []EndKind{EndStopped, EndLapsed, EndBroken, EndAlone, "odd", ""}
+			r.Ended = append(r.Ended, EndedTask{Number: f.lastEnd + 1, Task: ref, Run: max(pick(), 1), Kind: kinds[rng.IntN(len(kinds))]})
+			f.lastEnd++
+		}
+	}
+}
+
+// TestRandomRunsWithOddReports guards against one worker whose reports end the
+// leader, or keep the jobs on other workers from ending.
+func TestRandomRunsWithOddReports(t *testing.T) {
+	c := qt.New(t)
+	// A run with the largest number left no room for the next one.
+	c.Assert(runSeed(35, (*simulation).injectOddReports).violations, qt.HasLen, 0)
+	for i := range *seedCount / 3 {
+		sim := runSeed(*firstSeed+uint64(i), (*simulation).injectOddReports)
+		c.Assert(sim.violations, qt.HasLen, 0)
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -129,7 +129,7 @@
 // earlier steps that are not recorded and that this leader has not seen yet.
 func (c *Core) adoptRun(w *worker, rt *RunningTask) *run {
 	t := c.taskOf(rt.Task)
-	if t == nil || t.done || t.step.job.state.Final() {
+	if t == nil || t.done || t.step.job.state.Final() || rt.Run > maxRun {
 		return nil
 	}
 	if len(t.runs) > 0 {
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -74,6 +74,9 @@
 	case StaleRun:
 		// A predecessor has used a higher number there.
 		r.task.lastRun = max(r.task.lastRun, int(c.epoch-1)*runsPerTerm)
+		if !slices.Contains(r.task.avoided, w) {
+			r.task.avoided = append(r.task.avoided, w)
+		}
 	case Refused, Unreachable:
 		w.health.refused(c.now.MS)
 	case Invalid:
@@ -100,7 +103,7 @@
 	if r != nil {
 		t = r.task
 	}
-	if t == nil {
+	if t == nil || end.Run > maxRun {
 		return
 	}
 	t.lastRun = max(t.lastRun, end.Run)
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -51,7 +51,9 @@
 	// it.
 	configRNG *rand.Rand
 	// adviser answers advice requests; nil without advised queues.
-	adviser    *simAdviser
+	adviser *simAdviser
+	// oddRows adds rows to a worker's report; nil to leave reports as they are.
+	oddRows    func(*fakeWorker, *Report)
 	violations []string
 	starts     int
 	// plannerTime is the processor time of the planner.
@@ -314,6 +316,9 @@
 	var report Report
 	sim.call(h.Worker, func(f *fakeWorker) Outcome {
 		r, o := f.hold(h)
+		if sim.oddRows != nil && o == Done {
+			sim.oddRows(f, &r)
+		}
 		report = r
 		return o
 	}, func(o Outcome) {
