Queue a task again only once its occurrence is due

Seen by back ends: an occurrence starts up to an interval early when a worker lists one of its runs before it is due and then no longer lists it.

Cause: requeue asked whether the step's predecessors are done (queued), not whether the occurrence is due.

Change: a step is released when it is due, and requeue asks for that.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -45,7 +45,9 @@
 	pending []*task
 	// pendingSinceMS is when the first of them started to wait.
 	pendingSinceMS int64
-	queued         bool
+	// queued is set once the predecessors are done, released once the
+	// occurrence is also due.
+	queued, released bool
 	// perWorker counts the active runs on each worker, for MaxPerWorker.
 	perWorker map[*worker]int
 	gang      gangState
@@ -287,6 +289,7 @@
 }
 
 func (c *Core) queueTasks(s *step) {
+	s.released = true
 	s.deadlineMS, s.remainingMS = c.deadline(s.job), c.remainingWork(s)
 	for i := range s.tasks {
 		if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
@@ -337,7 +340,7 @@
 // requeue adds a task to those that wait for a worker.
 func (c *Core) requeue(t *task) {
 	s := t.step
-	if t.waiting || t.done || s.job.state.Final() || !s.queued || c.exhausted(t) {
+	if t.waiting || t.done || s.job.state.Final() || !s.released || c.exhausted(t) {
 		return
 	}
 	t.waiting = true
--- a/internal/planner/odd_input_test.go
+++ b/internal/planner/odd_input_test.go
@@ -116,6 +116,8 @@
 	c := qt.New(t)
 	// A run with the largest number left no room for the next one.
 	c.Assert(runSeed(35, (*simulation).injectOddReports).violations, qt.HasLen, 0)
+	// A run that was listed before it was due was started again at once.
+	c.Assert(runSeed(83, (*simulation).injectOddReports).violations, qt.HasLen, 0)
 	for i := range *seedCount / 3 {
 		sim := runSeed(*firstSeed+uint64(i), (*simulation).injectOddReports)
 		c.Assert(sim.violations, qt.HasLen, 0)
