Wait for the ends that a worker does not list yet

Cause: a worker lists at most 500 ends until the first are acknowledged. A run that is neither running nor among them counted as lost, and its task started again; a new leader did the same with the first page. Evidence: run_lost with "not listed by its worker" for runs that had ended done.

Change: a report says whether it may lack ends, through delegates too. A run that it does not mention gives its room back and waits for its end. A term counts a worker as reported only with its last page, also when the lease of the predecessor would be over. Orphans are kept meanwhile.

--- a/internal/node/delegation_codec.go
+++ b/internal/node/delegation_codec.go
@@ -69,7 +69,7 @@
 	if report.StartedMS == 0 && report.ClockMS == 0 {
 		return out
 	}
-	out.Report = &nodev1.WorkerReport{StartedMs: report.StartedMS, ClockMs: report.ClockMS}
+	out.Report = &nodev1.WorkerReport{StartedMs: report.StartedMS, ClockMs: report.ClockMS, MoreEnded: report.MoreEnded}
 	for i := range report.Running {
 		r := &report.Running[i]
 		out.Report.Running = append(out.Report.Running, &nodev1.RunningTask{
@@ -92,7 +92,7 @@
 		return 0, planner.Report{}, false
 	}
 	w := m.GetReport()
-	report.StartedMS, report.ClockMS = w.GetStartedMs(), w.GetClockMs()
+	report.StartedMS, report.ClockMS, report.MoreEnded = w.GetStartedMs(), w.GetClockMs(), w.GetMoreEnded()
 	for _, r := range w.GetRunning() {
 		report.Running = append(report.Running, planner.RunningTask{
 			Task: decodeTask(r.GetTask()), Run: int(r.GetRun()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent()), Usage: int(r.GetUsage()),
--- a/internal/planner/fake_worker_test.go
+++ b/internal/planner/fake_worker_test.go
@@ -130,8 +130,13 @@
 }
 
 func (f *fakeWorker) report() Report {
-	out := Report{StartedMS: f.startedMS, ClockMS: f.clock() + 1, Ended: append([]EndedTask(nil), f.ended...)}
-	f.sim.onListed(f.ended)
+	ended := f.ended
+	if limit := f.sim.endsPerReport; limit > 0 {
+		ended = ended[:min(len(ended), limit)]
+	}
+	out := Report{StartedMS: f.startedMS, ClockMS: f.clock() + 1, Ended: append([]EndedTask(nil), ended...)}
+	out.MoreEnded = len(ended) == f.sim.endsPerReport && f.sim.endsPerReport > 0
+	f.sim.onListed(ended)
 	for _, task := range sortedTasks(f.runs) {
 		r := f.runs[task]
 		percent := 100
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -28,6 +28,7 @@
 	}
 	w.reported, w.reportedMS, w.unverified = true, c.now.MS, false
 	w.confirmed = max(w.confirmed, e.Token)
+	w.moreEnded = e.Report.MoreEnded
 	for i := range e.Report.Ended {
 		end := &e.Report.Ended[i]
 		if end.Number <= w.processedEnd {
@@ -40,16 +41,18 @@
 		}
 		c.handleEnd(w, end)
 	}
-	w.dropOrphans(e.Report.Running)
+	if !w.moreEnded {
+		w.dropOrphans(e.Report.Running)
+	}
 	listed := make(map[*run]bool, len(e.Report.Running))
 	for i := range e.Report.Running {
 		if r := c.handleListed(w, &e.Report.Running[i], e.SentMS); r != nil {
 			listed[r] = true
 		}
 	}
-	for _, r := range slices.Clone(w.runs) {
+	for _, r := range slices.Concat(w.runs, w.ended) {
 		if !listed[r] {
-			c.handleMissing(w, r, e)
+			c.handleMissing(r, e)
 		}
 	}
 	c.controlInterference(w)
@@ -60,25 +63,42 @@
 // pass.
 func (c *Core) markChanged(w *worker) { w.changedPass = c.pass + 1 }
 
-// handleMissing resolves a run that a report does not list.
-func (c *Core) handleMissing(w *worker, r *run, e HoldDone) {
+// handleMissing resolves a run that a report does not list. If the report may
+// lack ends, the run is over, but not lost: its end may follow.
+func (c *Core) handleMissing(r *run, e HoldDone) {
+	// A run is over if it was confirmed before the hold call was sent, or if the
+	// call had a higher token, so that the start can no longer be carried out.
+	fenced := r.confirmedMS == 0 && e.Token > r.token
 	switch {
-	case r.phase == starting:
-	case r.phase == startUnknown:
-		// The hold call had a higher token, so the start can no longer be
-		// carried out.
-		if e.Token > r.token {
-			c.emit(c.decision("start_settled", r, "not carried out"))
-			c.loseRun(r)
-		}
-	case r.confirmedMS > 0 && r.confirmedMS < e.SentMS:
+	case r.phase == starting, !fenced && (r.confirmedMS == 0 || r.confirmedMS >= e.SentMS):
+	case e.Report.MoreEnded:
+		c.awaitEnd(r)
+	case !fenced:
 		c.emit(c.decision("run_lost", r, "not listed by its worker"))
 		c.loseRun(r)
-	case r.confirmedMS == 0 && e.Token > r.token:
+	default:
+		if r.phase == startUnknown {
+			c.emit(c.decision("start_settled", r, "not carried out"))
+		}
 		c.loseRun(r)
 	}
 }
 
+// awaitEnd releases the room of a run that its worker no longer runs. The task
+// does not start again before the worker has listed all of its ends.
+func (c *Core) awaitEnd(r *run) {
+	w := r.worker
+	i := slices.Index(w.runs, r)
+	if i < 0 {
+		return
+	}
+	w.runs = slices.Delete(w.runs, i, i+1)
+	w.ended = append(w.ended, r)
+	r.phase = awaitingEnd
+	c.releaseRoom(r)
+	c.emit(c.decision("end_awaited", r, "the worker has more ends than it lists"))
+}
+
 // handleListed updates the core's run that matches one that a worker lists, or
 // adopts it. A run that should not exist is stopped; a run of an unknown job is
 // kept as an orphan for a while.
@@ -186,17 +206,15 @@
 // detach removes a run from its worker and task and releases its room.
 func (c *Core) detach(r *run) {
 	s := r.task.step
-	i := slices.Index(r.worker.runs, r)
-	if i < 0 {
+	w := r.worker
+	if i := slices.Index(w.runs, r); i >= 0 {
+		w.runs = slices.Delete(w.runs, i, i+1)
+		c.releaseRoom(r)
+	} else if i := slices.Index(w.ended, r); i >= 0 {
+		w.ended = slices.Delete(w.ended, i, i+1)
+	} else {
 		return
 	}
-	r.worker.runs = slices.Delete(r.worker.runs, i, i+1)
-	r.worker.plannedValid, r.worker.demandValid = false, false
-	r.worker.used = r.worker.used.minus(s.resources())
-	if s.spec.LongRunning {
-		r.worker.longRunning = r.worker.longRunning.minus(s.resources())
-	}
-	c.markChanged(r.worker)
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
 	}
@@ -206,11 +224,25 @@
 	c.placementDue = true
 }
 
+// releaseRoom returns the room of a run to its worker.
+func (c *Core) releaseRoom(r *run) {
+	w, s := r.worker, r.task.step
+	w.plannedValid, w.demandValid = false, false
+	w.used = w.used.minus(s.resources())
+	if s.spec.LongRunning {
+		w.longRunning = w.longRunning.minus(s.resources())
+	}
+	c.markChanged(w)
+	c.placementDue = true
+}
+
 func (w *worker) findRun(ref jobs.Task, number int) *run {
-	for _, r := range w.runs {
-		if r.number == number && r.task.index == ref.Index && r.task.step.index == ref.Step &&
-			r.task.step.occurrence == ref.Occurrence && r.task.step.job.id == ref.Job {
-			return r
+	for _, runs := range [2][]*run{w.runs, w.ended} {
+		for _, r := range runs {
+			if r.number == number && r.task.index == ref.Index && r.task.step.index == ref.Step &&
+				r.task.step.occurrence == ref.Occurrence && r.task.step.job.id == ref.Job {
+				return r
+			}
 		}
 	}
 	return nil
@@ -234,7 +266,7 @@
 }
 
 func (c *Core) loseRuns(w *worker, reason string) {
-	for _, r := range slices.Clone(w.runs) {
+	for _, r := range slices.Concat(w.runs, w.ended) {
 		d := c.decision("run_lost", r, reason)
 		d.AgeMS = c.now.MS - w.reportedMS
 		c.emit(d)
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -178,7 +178,7 @@
 // stopRun sends a stop for a run. The run occupies its room until the worker
 // lists its end.
 func (c *Core) stopRun(r *run, reason string) {
-	if r.phase == stopping {
+	if r.phase == stopping || r.phase == awaitingEnd {
 		return
 	}
 	r.phase, r.stopReason = stopping, reason
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -52,6 +52,8 @@
 	configRNG *rand.Rand
 	// adviser answers advice requests; nil without advised queues.
 	adviser *simAdviser
+	// endsPerReport is the number of ends that a worker lists; 0 for all.
+	endsPerReport int
 	// oddRows adds rows to a worker's report; nil to leave reports as they are.
 	oddRows    func(*fakeWorker, *Report)
 	violations []string
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -10,18 +10,24 @@
 )
 
 // checkReconciled ends the first phase of a term. Once every listed or
-// inherited worker has reported, or the leases of the predecessor must have
-// expired, a task that no worker has reported is not running anywhere.
+// inherited worker has reported all of its runs and ends, or the leases of the
+// predecessor must have expired, a task that no worker has reported is not
+// running anywhere and has not ended. A worker that responds but has more ends
+// than it lists is waited for, however long that takes.
 func (c *Core) checkReconciled() {
 	unreported := false
 	if c.disabled.reconcileWorkers && !c.reconciled && len(c.sortedWorkers) > 0 {
 		c.reconciled = true
 		c.markReconciled()
 	}
+	endsMissing := false
 	for _, w := range c.sortedWorkers {
-		if (w.listed || w.inherited) && !w.dead && !w.reported {
+		if (w.listed || w.inherited) && !w.dead && (!w.reported || w.moreEnded) {
 			unreported = true
 		}
+		if w.moreEnded && !w.dead && !c.leaseExpired(w) {
+			endsMissing = true
+		}
 	}
 	switch {
 	case c.reconciled && !unreported:
@@ -29,7 +35,7 @@
 	case !unreported && len(c.sortedWorkers) > 0:
 		c.reconciled = true
 		c.markReconciled()
-	case !c.reconciled && c.now.MS-c.termStartMS > c.inheritedLeaseMS():
+	case !c.reconciled && !endsMissing && c.now.MS-c.termStartMS > c.inheritedLeaseMS():
 		c.reconciled = true
 		c.markReconciled()
 	}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -219,6 +219,9 @@
 	ClockMS   int64
 	Running   []RunningTask
 	Ended     []EndedTask
+	// MoreEnded states that Ended may lack further ends: workers list a limited
+	// number of them until the first ones are acknowledged.
+	MoreEnded bool
 }
 
 // RunningTask is one run on a worker.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -43,9 +43,15 @@
 	// predecessor, on the worker's clock.
 	inheritedLeaseEndMS int64
 
-	runs    []*run
-	orphans []orphan
-	used    Resources
+	runs []*run
+	// ended are the runs that the worker no longer runs and whose ends it has
+	// not listed yet. They hold no room, but their tasks must not start again.
+	ended []*run
+	// moreEnded is set while the worker may have ends that its last report does
+	// not list.
+	moreEnded bool
+	orphans   []orphan
+	used      Resources
 	// longRunning is the part of used that long-running tasks hold.
 	longRunning Resources
 	// changedPass is the first pass that has to consider the worker again,
@@ -121,6 +127,8 @@
 	// stopping: a stop has been sent; the run occupies its room until the
 	// worker lists its end.
 	stopping
+	// awaitingEnd: the worker no longer runs it, but may list its end later.
+	awaitingEnd
 )
 
 // setWorkers applies the directory's current list of workers.
@@ -173,7 +181,7 @@
 		if w.inherited && !w.reported && !w.dead {
 			departed = c.now.MS-c.termStartMS > c.inheritedLeaseMS()
 		}
-		if !w.listed && len(w.runs) == 0 && departed {
+		if !w.listed && len(w.runs) == 0 && len(w.ended) == 0 && departed {
 			delete(c.workers, w.info.ID)
 			c.markWorkerDirty(w.info.ID)
 			continue
@@ -196,7 +204,7 @@
 	if w.holdsInFlight == 0 && (w.holdRequested || c.now.MS >= w.nextHoldMS) {
 		c.sendHold(w)
 	}
-	if len(w.runs) > 0 && c.leaseExpired(w) {
+	if len(w.runs)+len(w.ended) > 0 && c.leaseExpired(w) {
 		c.loseRuns(w, "lease_over")
 	}
 	c.checkAckDelay(w)
