Call a returning worker with a token above its former one

Cause: removeDeparted dropped the raised token with the worker; setWorkers made it anew with the first token of the term, and the worker answered 409 fence four times a second. At each refusal the leader suspended all commands.

Change: a worker that is not known starts above every token of the workers that were removed in this term. A worker that refuses a token although the log holds no newer claim gets a higher one. Tasks remember the workers to avoid by ID.

--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -204,8 +204,8 @@
 		c.Assert(got, qt.Equals, command)
 	}
 	report := planner.Report{StartedMS: 1, ClockMS: 2,
-		Running: []planner.RunningTask{{Task: task, Run: 3, Checkpoint: "c", Percent: 50, Usage: 60}},
-		Ended:   []planner.EndedTask{{Number: 4, Task: task, Run: 3, Kind: planner.EndLapsed, Checkpoint: "d"}},
+		Running:   []planner.RunningTask{{Task: task, Run: 3, Checkpoint: "c", Percent: 50, Usage: 60}},
+		Ended:     []planner.EndedTask{{Number: 4, Task: task, Run: 3, Kind: planner.EndLapsed, Checkpoint: "d"}},
 		MoreEnded: true,
 	}
 	outcome, got, ok := decodeOutcome(encodeOutcome(1, planner.Done, report))
--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -84,9 +84,7 @@
 // taskFailed counts a failure and fails the job if the task has used up its
 // attempts.
 func (c *Core) taskFailed(t *task, w *worker, number int) {
-	if !slices.Contains(t.avoided, w) {
-		t.avoided = append(t.avoided, w)
-	}
+	t.avoid(w)
 	if t.step.spec.LongRunning {
 		// Attempts of long-running tasks are unlimited, so a list of their
 		// failures would grow without bound.
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -27,6 +27,9 @@
 	// configured is set once the configuration has been read in this term.
 	configured bool
 	workers    map[WorkerID]*worker
+	// tokenFloor is above every token of the workers that were removed in this
+	// term: one of them may return and must not be called with a lower token.
+	tokenFloor uint64
 	// sortedWorkers holds the workers sorted by id.
 	sortedWorkers []*worker
 	jobs          map[jobs.ID]*job
@@ -185,6 +188,7 @@
 		c.suspended = true
 	case LeadershipConfirmed:
 		c.suspended, c.deposed, c.placementDue = false, false, true
+		c.raiseFencedTokens()
 	case HoldDone:
 		c.holdDone(e)
 	case StartDone:
@@ -203,6 +207,39 @@
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
+// fencedBy handles the refusal of a call because the worker has seen a higher
+// token.
+func (c *Core) fencedBy(w *worker, token uint64) {
+	if token < w.token {
+		// The token has been raised since the call was sent.
+		return
+	}
+	w.fenced = true
+	c.depose(w)
+}
+
+// raiseFencedTokens raises the tokens of the workers that have refused one,
+// after the log has shown that no newer leader has: otherwise such a worker would
+// be of no use until the term ends. The steps grow, and the token stays below the
+// next term's.
+func (c *Core) raiseFencedTokens() {
+	for _, w := range c.sortedWorkers {
+		if !w.fenced {
+			continue
+		}
+		w.fenced = false
+		highest := (c.epoch+1)<<tokenShift - 1
+		if w.token >= highest {
+			// The worker refuses every token of this term.
+			w.nextHoldMS = c.now.MS + deadHoldIntervalMS
+			continue
+		}
+		w.token = min(w.token+1<<min(w.fencedCount, tokenShift), highest)
+		w.fencedCount++
+		c.emit(Decision{Event: "token_raised", Worker: w.info.ID, Reason: "refused without a newer claim in the log"})
+	}
+}
+
 // depose stops all commands after a worker has rejected one because it has seen
 // a newer token.
 func (c *Core) depose(w *worker) {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"redwingvale/internal/jobs"
 )
 
@@ -91,11 +93,20 @@
 	// replaced counts the runs that were replaced because they were slow.
 	replaced int
 	// avoided are the workers on which a run of the task failed or stalled.
-	avoided []*worker
+	avoided []WorkerID
 	// notBeforeMS is the earliest time of the next start.
 	notBeforeMS int64
 }
 
+// avoid ranks a worker behind all others for the task.
+func (t *task) avoid(w *worker) {
+	if !t.avoids(w) {
+		t.avoided = append(t.avoided, w.info.ID)
+	}
+}
+
+func (t *task) avoids(w *worker) bool { return slices.Contains(t.avoided, w.info.ID) }
+
 func (s *step) id() StepID { return StepID{s.job.id, s.occurrence, s.index} }
 
 func (t *task) ref() jobs.Task {
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -324,9 +324,7 @@
 			continue
 		}
 		w.interference.lastMoveMS = c.now.MS
-		if !slices.Contains(r.task.avoided, w) {
-			r.task.avoided = append(r.task.avoided, w)
-		}
+		r.task.avoid(w)
 		c.stopRun(r, "interferes with serving tasks")
 		return
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -288,7 +288,7 @@
 	default:
 		score = float64(free.CPUMilli)/32_000 - 2*w.interference.pressure()
 	}
-	if slices.Contains(t.avoided, w) {
+	if t.avoids(w) {
 		score -= avoidedPenalty
 	}
 	if s.spec.Rack != "" && !slices.Contains(w.info.Labels, s.spec.Rack) {
--- /dev/null
+++ b/internal/planner/returning_worker_test.go
@@ -0,0 +1,111 @@
+package planner
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/jobs"
+)
+
+// forget removes a worker from the directory for long enough that the leader
+// drops its state, and lists it again.
+func (h *harness) forget(c *qt.C, info WorkerInfo) []Effect {
+	h.confirmWrites(h.step(WorkersChanged{}))
+	h.confirmWrites(h.advance(10_000))
+	c.Assert(h.core.workers, qt.HasLen, 0)
+	return h.step(WorkersChanged{Workers: []WorkerInfo{info}})
+}
+
+// TestReturningWorkerAcceptsItsLeader guards against a worker that refuses its
+// leader until the term ends: it was called with a raised token, was removed from
+// the directory during a cut, and is listed again.
+func TestReturningWorkerAcceptsItsLeader(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	s, _ := findEffect[Start](h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	h.step(StartDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: OutcomeUnknown})
+	raised := h.core.workers["w"].token
+	c.Assert(raised > s.Token, qt.IsTrue)
+	hold, ok := findEffect[Hold](h.forget(c, testWorker))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(hold.Token > raised, qt.IsTrue, qt.Commentf("hold with token %d after %d", hold.Token, raised))
+}
+
+// TestFencedWorkerIsCalledWithHigherToken guards against a leader that one
+// worker refuses for the rest of its term, although the log holds no newer claim.
+// The token stays below that of the next term.
+func TestFencedWorkerIsCalledWithHigherToken(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	w := h.core.workers["w"]
+	seen := w.token + 1000
+	rounds := 0
+	for ; w.token < seen && rounds < 20; rounds++ {
+		h.step(HoldDone{Worker: "w", Token: w.token, Outcome: Fenced})
+		h.step(LeadershipConfirmed{})
+	}
+	c.Assert(w.token >= seen, qt.IsTrue, qt.Commentf("token %d after %d rounds", w.token, rounds))
+	for range 100 {
+		h.step(HoldDone{Worker: "w", Token: w.token, Outcome: Fenced})
+		h.step(LeadershipConfirmed{})
+	}
+	c.Assert(w.token < (h.core.epoch+1)<<tokenShift, qt.IsTrue)
+}
+
+// TestAvoidedWorkerStaysAvoided guards against a task that is placed again on the
+// worker on which it failed, because the worker was away for a while.
+func TestAvoidedWorkerStaysAvoided(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	other := testWorker
+	other.ID, other.Address, other.Capacity.CPUMilli = "w2", "a2", 16_000
+	h.join(testWorker)
+	s, _ := findEffect[Start](h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	h.step(StartDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: Done})
+	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 200, Ended: []EndedTask{ended(1, 0, s.Run, EndFailed)}}))
+	h.confirmWrites(h.advance(40))
+	again := h.core.workers["w"].runs
+	c.Assert(again, qt.HasLen, 1)
+	h.step(StartDone{Worker: "w", Task: s.Task, Run: again[0].number, Token: s.Token, Outcome: NoRoom})
+	h.forget(c, testWorker)
+	h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}})
+	h.report(other, Report{StartedMS: 7, ClockMS: 100})
+	h.core.workers["w"].noRoomUntilMS = 0
+	h.core.workers["w2"].noRoomUntilMS = h.now + 20
+	h.report(testWorker, Report{StartedMS: 7, ClockMS: 100})
+	task := &h.core.jobs["j"].steps[0].tasks[0]
+	c.Assert(h.core.score(task, h.core.workers["w"]) < h.core.score(task, h.core.workers["w2"]), qt.IsTrue)
+}
+
+// forgetWorkers cuts off workers for longer than their directory entries last,
+// more than once.
+func (sim *simulation) forgetWorkers() {
+	for range 6 {
+		f := sim.workers[sim.rng.IntN(len(sim.workers))]
+		sim.at(sim.rng.Int64N(faultsSeconds*1000), func() {
+			f.cutOffUntil = sim.now + 2000 + sim.rng.Int64N(9000)
+			sim.at(2500, func() {
+				f.unlistedUntil = f.cutOffUntil + sim.rng.Int64N(1000)
+				sim.step(sim.leader, WorkersChanged{Workers: sim.directory()})
+				sim.at(f.unlistedUntil-sim.now+1, func() { sim.step(sim.leader, WorkersChanged{Workers: sim.directory()}) })
+			})
+		})
+	}
+}
+
+// TestRandomRunsWithForgottenWorkers guards against workers that stay unusable
+// after they were cut off and forgotten.
+func TestRandomRunsWithForgottenWorkers(t *testing.T) {
+	c := qt.New(t)
+	for i := range *seedCount / 3 {
+		sim := runSeed(*firstSeed+uint64(i), (*simulation).forgetWorkers)
+		c.Assert(sim.violations, qt.HasLen, 0)
+		for id, w := range sim.leader.core.workers {
+			c.Assert(w.usable(sim.now), qt.IsTrue, qt.Commentf("seed %d: %s is unusable: %+v", sim.seed, id, w.info))
+		}
+		c.Assert(sim.leader.core.workers, qt.HasLen, len(sim.workers))
+	}
+}
--- a/internal/planner/run_check.go
+++ b/internal/planner/run_check.go
@@ -36,9 +36,7 @@
 		case w.info.Draining && c.mustMove(w, r):
 			c.stopRun(r, "worker is draining")
 		case c.stalled(r):
-			if !slices.Contains(r.task.avoided, w) {
-				r.task.avoided = append(r.task.avoided, w)
-			}
+			r.task.avoid(w)
 			if w.health.failure(r.task.step.job.id, c.now.MS) {
 				c.emit(Decision{Event: "worker_suspect", Worker: w.info.ID, Reason: "run makes no progress"})
 			}
@@ -148,7 +146,7 @@
 		}
 	case s.spec.Checkpointing && remaining > slowFactor*fresh, remaining > restartFactor*fresh+float64(c.config.StopTimeoutMS):
 		if c.pick(r.task, w) != nil {
-			r.task.avoided = append(r.task.avoided, w)
+			r.task.avoid(w)
 			r.task.replaced++
 			c.stopRun(r, "slow")
 		}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -64,9 +64,7 @@
 			return
 		}
 	case Fenced:
-		if e.Token >= w.token {
-			c.depose(w)
-		}
+		c.fencedBy(w, e.Token)
 	case NoRoom, LeaseExpired:
 		w.noRoomUntilMS = c.now.MS + noRoomPauseMS
 	case NoTicket:
@@ -74,9 +72,7 @@
 	case StaleRun:
 		// A predecessor has used a higher number there.
 		r.task.lastRun = max(r.task.lastRun, int(c.epoch-1)*runsPerTerm)
-		if !slices.Contains(r.task.avoided, w) {
-			r.task.avoided = append(r.task.avoided, w)
-		}
+		r.task.avoid(w)
 	case Refused, Unreachable:
 		w.health.refused(c.now.MS)
 	case Invalid:
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -19,6 +19,10 @@
 	// confirmed is the highest token of a hold call that returned a report:
 	// calls with a lower token can no longer be carried out.
 	confirmed uint64
+	// fenced is set while the worker has refused the current token and the
+	// leadership has not been confirmed since; fencedCount counts these refusals.
+	fenced      bool
+	fencedCount int
 
 	// processedEnd is the number of the last end that was processed, ackableEnd
 	// that of the last one that may be acknowledged.
@@ -140,7 +144,7 @@
 		info := infos[i]
 		w := c.workers[info.ID]
 		if w == nil {
-			w = &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS}
+			w = &worker{token: max(c.epoch<<tokenShift, c.tokenFloor), nextHoldMS: c.now.MS}
 			w.health.reset()
 			c.workers[info.ID] = w
 			c.sortedWorkers = append(c.sortedWorkers, w)
@@ -183,6 +187,7 @@
 		}
 		if !w.listed && len(w.runs) == 0 && len(w.ended) == 0 && departed {
 			delete(c.workers, w.info.ID)
+			c.tokenFloor = max(c.tokenFloor, w.token+1)
 			c.markWorkerDirty(w.info.ID)
 			continue
 		}
@@ -293,9 +298,7 @@
 		c.markDead(w, "other_worker")
 		return
 	case Fenced:
-		if e.Token >= w.token {
-			c.depose(w)
-		}
+		c.fencedBy(w, e.Token)
 		w.nextHoldMS = c.now.MS + holdRetryMS
 	default:
 		w.unverified = true
