Let a serving task end the suspicion of a worker, and bound every trial

Cause: a suspect worker gets one task at a time until one ends as done, which a task that runs until its job is cancelled never does. Long tasks, waiting gangs and paused best-effort tasks block the worker for as long as they last.

Change: a long-running task that has served for 1 s counts as a success. A trial keeps others away for 2 s at most.

--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -8,7 +8,7 @@
 	// failed lists the jobs of the failures since the last success.
 	failed []jobs.ID
 	// suspectUntilMS is the time until which the worker gets no tasks. From
-	// then on it gets one task at a time until one succeeds.
+	// then on it is tried with one task at a time until one succeeds.
 	suspectUntilMS int64
 	suspect        bool
 	// relativeSpeed is the smoothed ratio of measured to expected speed; 1 is
@@ -23,6 +23,13 @@
 	failuresToSuspect = 3
 	// suspectMS is how long a suspect worker gets no tasks.
 	suspectMS = 1500
+	// trialMS is how long a trial keeps further tasks from a suspect worker. A
+	// long task, a gang that waits for its members or a paused best-effort task
+	// would otherwise keep the worker idle for as long as it lasts.
+	trialMS = 2000
+	// servingTrialMS is how long a long-running task must have served to count as
+	// a success: it never ends as done.
+	servingTrialMS = 1000
 	// speedDecayMS is how long a slow worker without runs takes to return to
 	// normal speed.
 	speedDecayMS = 8000
@@ -41,7 +48,7 @@
 		return false
 	}
 	for _, r := range runs {
-		if r.sentMS >= h.suspectUntilMS {
+		if r.sentMS >= h.suspectUntilMS && nowMS-r.sentMS < trialMS {
 			return false
 		}
 	}
@@ -79,6 +86,16 @@
 	return false
 }
 
+// observeServing ends the suspicion of a worker whose trial is a long-running task
+// that has served for a while.
+func (c *Core) observeServing(r *run) {
+	h := &r.worker.health
+	if h.suspect && r.task.step.spec.LongRunning && r.sentMS >= h.suspectUntilMS && r.percent >= 100 && c.now.MS-r.progressMS >= servingTrialMS {
+		h.success()
+		c.placementDue = true
+	}
+}
+
 // observeEnd updates the health of a worker and the duration estimates with the
 // end of a run.
 func (c *Core) observeEnd(w *worker, r *run, kind EndKind) {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -131,6 +131,7 @@
 	if rt.Percent > r.percent {
 		r.percent, r.progressMS = rt.Percent, c.now.MS
 	}
+	c.observeServing(r)
 	r.usage, r.usageMS = rt.Usage, c.now.MS
 	if r.smoothedUsage == 0 {
 		r.smoothedUsage = float64(rt.Usage)
