Prefer other workers after one rejects a start as invalid

Seen by callers: a task never starts although other workers have room.

Cause: a start that a worker rejects as invalid was sent again every 250 ms to the worker with the best score, which was the same one.

Change: the task avoids that worker, as after a failed run.

Measured: TestInvalidStartPrefersOthers fails before and passes.

--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -77,6 +77,7 @@
 		w.health.refused(c.now.MS)
 	case Invalid:
 		r.task.notBeforeMS = c.now.MS + holdRetryMS
+		r.task.avoid(w)
 	}
 	c.loseRun(r)
 }
--- a/internal/planner/suspect_test.go
+++ b/internal/planner/suspect_test.go
@@ -69,3 +69,23 @@
 		c.Assert(h.core.workers["w"].health.suspect, qt.IsTrue)
 	}
 }
+
+// TestInvalidStartPrefersOthers guards against a task that never starts because
+// one worker rejects it as invalid and is chosen again each time.
+func TestInvalidStartPrefersOthers(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	infos := h.joinMany(2)
+	starts := allStarts(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	c.Assert(starts, qt.HasLen, 1)
+	h.step(StartDone{Worker: starts[0].Worker, Task: starts[0].Task, Run: starts[0].Run, Token: starts[0].Token, Outcome: Invalid})
+	var again []Start
+	for range 5 {
+		for _, info := range infos {
+			again = append(again, allStarts(h.report(info, Report{StartedMS: 7, ClockMS: h.now}))...)
+		}
+		again = append(again, allStarts(h.advance(100))...)
+	}
+	c.Assert(len(again) > 0, qt.IsTrue)
+	c.Assert(again[0].Worker, qt.Not(qt.Equals), starts[0].Worker)
+}
