Lead on evidence that no successor has begun its term

Seen by back ends: two runs of one task, by an old leader and its successor, and starts after an acknowledged end.

Cause: a leader took "I have not renewed this lease" for "nobody has". Cut off from the log and most members it cannot know: its successor may have adopted the runs. It also renewed leases on workers that its successor waits for. A leader that waited for its predecessor's lease did the same when a third one was elected meanwhile, as in the users' record of three epochs within six seconds.

Change: the planner gets evidence (LeadershipAsOf) from reads of the log, appends and a majority of heartbeats. One second after the last it renews and starts nothing; a lease or the wait of a new term is over only by evidence from after its end. A claimant announces its claim to a majority first, for 300 ms at most.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -147,6 +147,7 @@
 		Log:               c.limits(),
 		OptimisticStart:   c.OptimisticStart,
 		FirstTerm:         firstTerm,
+		LeadershipLeaseMS: milliseconds(leadershipLease),
 	}
 }
 
@@ -172,9 +173,12 @@
 	// take over first. The others get one every nonStandbyRounds rounds and have
 	// a longer election timeout: three of their heartbeats and the time that the
 	// standbyCount need.
-	standbyCount              = 6
-	nonStandbyRounds          = 5
-	nonStandbyElectionTimeout = 3500 * time.Millisecond
+	standbyCount     = 6
+	nonStandbyRounds = 5
+	// nonStandbyRoundsWithoutLog is the same while the log does not confirm the
+	// leadership.
+	nonStandbyRoundsWithoutLog = 2
+	nonStandbyElectionTimeout  = 3500 * time.Millisecond
 	// maxStaggerRank is the rank beyond which the stagger no longer grows.
 	maxStaggerRank = 20
 	// firstClaimDelay lets all instances of a new deployment register, which
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -259,6 +259,9 @@
 			if changed := n.apply(batch); len(changed) > 0 {
 				n.step(planner.RecordsRead{Jobs: changed})
 			}
+			if n.appliedEnd >= batch.End {
+				n.noteLogEvidence(startMS)
+			}
 			return n.appliedEnd
 		})
 		if err != nil || end >= batch.End {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -40,6 +40,12 @@
 	if err := n.sendClaim(ctx, c, e.reason); err != nil {
 		return err
 	}
+	if claimed, err := runInLoop(ctx, n, n.ownClaimPending); err != nil || !claimed {
+		return errors.CombineErrors(err, n.claimLostError(ctx))
+	}
+	if err := n.announceClaim(ctx, c); err != nil {
+		return err
+	}
 	infos, from, err := n.deps.Directory.Workers(ctx)
 	if err != nil {
 		return err
@@ -139,6 +145,10 @@
 		writes: ring.New[planner.Write](1),
 		// The claim has been read back, so every append of the term comes after it.
 		lastAppendEnd: n.claimEndOffset,
+
+		startedMS:          n.now().MS,
+		heartbeatsAnswered: map[string]int64{},
+		inactive:           map[string]bool{},
 	}
 	t.delegation = newDelegation(n, t)
 	t.delegation.setWorkers(infos)
@@ -154,6 +164,7 @@
 	if !t.configured {
 		n.log("configuration_awaited", zap.Uint64("epoch", c.Epoch), zap.Int64("version", version))
 	}
+	n.step(planner.LeadershipAsOf{MS: n.logEvidenceMS.Load()})
 	n.step(planner.WorkersChanged{Workers: infos})
 	go n.runLogWriter(t)
 	go n.sendHeartbeats(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,10 @@
 	// logReadDurationMS is how long the last read of the log took.
 	logReadDurationMS atomic.Int64
 
+	// logEvidenceMS is the latest time at which the log is known to have held no
+	// newer claim than this instance has read.
+	logEvidenceMS atomic.Int64
+
 	startedUnixMS int64
 	// startedMS is the start on the clock of now.
 	startedMS int64
@@ -96,6 +100,14 @@
 	// lastAppendEnd is the end of this term's last append. It is owned by the
 	// log writer.
 	lastAppendEnd int64
+	// startedMS is when the term began. heartbeatsAnswered maps the address of a
+	// member to the time at which the last heartbeat was sent that it has answered,
+	// inactive the members that do not count towards a majority. They are owned by
+	// the event loop.
+	startedMS          int64
+	heartbeatsAnswered map[string]int64
+	inactive           map[string]bool
+	inactiveCheckedMS  int64
 	// configured is set once the planner has the configuration. It is owned by
 	// the event loop.
 	configured bool
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		for i, m := range targets.members {
-			if i >= standbyCount && (round+i)%nonStandbyRounds != 0 {
+			if i >= standbyCount && (round+i)%n.nonStandbyInterval() != 0 {
 				continue
 			}
 			if clients[m.Peer] == nil {
@@ -66,6 +66,16 @@
 	}
 }
 
+// nonStandbyInterval returns how many rounds pass between two heartbeats to a
+// member that is not a standby. While the log does not confirm the leadership, all
+// members have to.
+func (n *Node) nonStandbyInterval() int {
+	if n.now().MS-n.logEvidenceMS.Load() > milliseconds(2*heartbeatInterval) {
+		return nonStandbyRoundsWithoutLog
+	}
+	return nonStandbyRounds
+}
+
 // heartbeatTargets are the members that get heartbeats, strongest first, as of
 // the time when the event loop listed them.
 type heartbeatTargets struct {
@@ -81,6 +91,7 @@
 			members := n.candidates(n.config.Instance)
 			if n.term == t {
 				t.delegation.update(members)
+				n.noteMajority(t)
 			}
 			return members
 		})
@@ -95,6 +106,7 @@
 func (n *Node) sendHeartbeat(t *term, peer string, client nodev1connect.NodeServiceClient) {
 	ctx, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
 	defer cancel()
+	sentMS := n.now().MS
 	response, err := client.Heartbeat(ctx, connect.NewRequest(&nodev1.HeartbeatRequest{
 		Epoch: t.epoch, Leader: n.config.Instance, PeerAddress: n.config.advertisedPeerAddr(),
 		LogAvailable: n.logAvailable(t), Stopping: n.stopping.Load(),
@@ -110,6 +122,9 @@
 			n.resign("a member reported a newer leader")
 		default:
 			t.delegation.responded(peer)
+			if response.Msg.GetKnowsLog() {
+				n.noteHeartbeatResponse(t, peer, sentMS)
+			}
 		}
 	})
 }
@@ -136,7 +151,7 @@
 func (s *peerServer) Heartbeat(ctx context.Context, r *connect.Request[nodev1.HeartbeatRequest]) (*connect.Response[nodev1.HeartbeatResponse], error) {
 	m := r.Msg
 	epoch, err := runInLoop(ctx, s.n, func() uint64 { return s.n.handleHeartbeat(m) })
-	return connect.NewResponse(&nodev1.HeartbeatResponse{Epoch: epoch}), err
+	return connect.NewResponse(&nodev1.HeartbeatResponse{Epoch: epoch, KnowsLog: s.n.caughtUp.Load()}), err
 }
 
 // handleHeartbeat processes a leader's heartbeat and returns the highest epoch
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -138,6 +138,9 @@
 			}
 			n.apply(Batch{From: offset, Records: w.Records})
 			if n.term == t {
+				// The log has accepted the write from this term's writer after it was
+				// first sent.
+				n.noteLogEvidence(t.pendingSinceMS.Load())
 				n.step(planner.WriteDone{Seq: w.Seq})
 			}
 			return true
--- a/internal/planner/acks.go
+++ b/internal/planner/acks.go
@@ -40,6 +40,8 @@
 	switch {
 	case c.suspended:
 		return "leadership unconfirmed" + waiting
+	case c.doubted:
+		return "leadership in doubt" + waiting
 	case c.journal.outstanding:
 		return "write outstanding for " + strconv.FormatInt(c.now.MS-c.journal.lastWriteMS, 10) + " ms, dirty jobs " + strconv.Itoa(len(c.journal.dirty)) + waiting
 	default:
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -12,6 +12,10 @@
 	// PriorLeaseMS is the longest lease that a predecessor has requested; 0 if
 	// unknown, in which case MaxLeaseMS applies.
 	PriorLeaseMS int64
+	// LeadershipLeaseMS is how long the leader may renew leases and start tasks
+	// after the last time at which it is known that no newer leader had begun its
+	// term; 0 means without limit.
+	LeadershipLeaseMS int64
 	// GangTimeoutMS is how long a gang member waits for the others.
 	GangTimeoutMS int64
 	// InterferenceMS is how long a serving task may exceed its target because
@@ -49,10 +53,9 @@
 	// clockSlack is the factor by which a lease may outlast its length: a worker's
 	// clock may run 2% slow. The rest covers rounding.
 	clockSlack = 1.03
-	// deposedLeaderMS is how long a deposed predecessor may continue to renew
-	// leases until a worker rejects its calls: each worker gets a hold call
-	// once a second.
-	deposedLeaderMS = 1200
+	// DeposedLeaderMS is how long a deposed predecessor may continue to renew
+	// leases. Its LeadershipLeaseMS must be shorter.
+	DeposedLeaderMS = 1200
 	// leaseMarginMS is added to the computed end of a lease.
 	leaseMarginMS = 60
 	// runsPerTerm is the distance between the first run numbers of two terms: a
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -42,6 +42,10 @@
 	// suspended is set while the leadership is unconfirmed; commands are
 	// withheld.
 	suspended bool
+	// leadershipMS is the latest time at which no newer leader had begun its
+	// term; doubted is set while it is too long ago.
+	leadershipMS int64
+	doubted      bool
 	// deposed is set once a worker has rejected a command because it has seen a
 	// newer token.
 	deposed bool
@@ -97,6 +101,8 @@
 	stopOrphans bool
 	// ackUnrecorded: ends that change nothing are acknowledged without a write.
 	ackUnrecorded bool
+	// leadershipLease: the leader acts on evidence of its leadership only.
+	leadershipLease bool
 	// verifyIncarnation: no end is acknowledged to a worker that may have
 	// restarted since its last report.
 	verifyIncarnation bool
@@ -189,6 +195,9 @@
 	case LeadershipConfirmed:
 		c.suspended, c.deposed, c.placementDue = false, false, true
 		c.raiseFencedTokens()
+	case LeadershipAsOf:
+		c.leadershipMS = max(c.leadershipMS, e.MS)
+		c.checkLeadership()
 	case HoldDone:
 		c.holdDone(e)
 	case StartDone:
@@ -251,6 +260,7 @@
 }
 
 func (c *Core) tick() {
+	c.checkLeadership()
 	if c.deposed {
 		return
 	}
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -309,7 +309,7 @@
 // moveBestEffort stops a slowed best-effort task that another worker can run at
 // full pace; it resumes there from its checkpoint.
 func (c *Core) moveBestEffort(w *worker) {
-	if c.now.MS-w.interference.lastMoveMS < moveIntervalMS {
+	if c.commandsWithheld() || c.now.MS-w.interference.lastMoveMS < moveIntervalMS {
 		return
 	}
 	for _, r := range w.runs {
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -276,6 +276,12 @@
 			requireViolation(t, test.first, maxSeeds, "", func(sim *simulation) { sim.disable(test.disabled) })
 		})
 	}
+	t.Run("leadership lease", func(t *testing.T) {
+		requireViolation(t, 1, maxSeeds, "TWICE", func(sim *simulation) {
+			sim.disable(safeguards{leadershipLease: true})
+			sim.divideWorkers()
+		})
+	})
 }
 
 func (sim *simulation) disable(off safeguards) { sim.disabled, sim.leader.core.disabled = off, off }
--- a/internal/planner/run_check.go
+++ b/internal/planner/run_check.go
@@ -128,9 +128,9 @@
 		r.speedCheckedMS = r.usageMS
 		w.health.observeSpeed(expected*rate/100, c.now.MS)
 	}
-	if c.suspended || c.exhausted(r.task) {
-		// No other run may start while suspended, or once the attempts are used
-		// up.
+	if c.commandsWithheld() || c.exhausted(r.task) {
+		// No other run may start while commands are withheld, or once the attempts
+		// are used up.
 		return
 	}
 	remaining := float64(100-r.percent) / rate
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -20,10 +20,11 @@
 		c.reconciled = true
 		c.markReconciled()
 	}
-	endsMissing := false
+	endsMissing, inheritedLease := false, c.maxInheritedLeaseMS(c.priorLeaseMS)
 	for _, w := range c.sortedWorkers {
 		if (w.listed || w.inherited) && !w.dead && (!w.reported || w.moreEnded) {
 			unreported = true
+			inheritedLease = max(inheritedLease, c.inheritedLeaseMS(w))
 		}
 		if w.moreEnded && !w.dead && !c.leaseExpired(w) {
 			endsMissing = true
@@ -35,16 +36,24 @@
 	case !unreported && len(c.sortedWorkers) > 0:
 		c.reconciled = true
 		c.markReconciled()
-	case !c.reconciled && !endsMissing && c.now.MS-c.termStartMS > c.inheritedLeaseMS():
+	case !c.reconciled && !endsMissing && c.ledUntilMS()-c.termStartMS > inheritedLease:
 		c.reconciled = true
 		c.markReconciled()
 	}
 }
 
-// inheritedLeaseMS returns how long a run started by a predecessor may continue
-// on a worker that does not respond.
-func (c *Core) inheritedLeaseMS() int64 {
-	return int64(float64(c.priorLeaseMS+deposedLeaderMS)*clockSlack) + leaseMarginMS
+// inheritedLeaseMS returns how long after the beginning of the term a run started
+// by a predecessor may continue on a worker that does not respond. A worker that
+// restarted recently may have got the longest lease; see noteInheritedLease.
+func (c *Core) inheritedLeaseMS(w *worker) int64 {
+	if c.now.UnixMS-w.restartedMS < lateCallMS+c.config.MaxLeaseMS {
+		return c.maxInheritedLeaseMS(c.config.MaxLeaseMS)
+	}
+	return c.maxInheritedLeaseMS(c.priorLeaseMS)
+}
+
+func (c *Core) maxInheritedLeaseMS(lease int64) int64 {
+	return int64(float64(lease+DeposedLeaderMS)*clockSlack) + leaseMarginMS
 }
 
 // markReconciled allows tasks to start that were held back for possible runs of
@@ -72,6 +81,10 @@
 	DataCentre string    `json:"d,omitempty"`
 	Capacity   Resources `json:"c"`
 	Labels     []string  `json:"l,omitempty"`
+	// StartedMS is the start of the worker's incarnation, RestartedMS the same if
+	// an earlier incarnation was known.
+	StartedMS   int64 `json:"t,omitempty"`
+	RestartedMS int64 `json:"r,omitempty"`
 }
 
 // markWorkerDirty schedules an update of a worker's record.
@@ -105,7 +118,7 @@
 	var value []byte
 	if w := c.workers[id]; w != nil {
 		var err error
-		value, err = json.Marshal(recordedWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels})
+		value, err = json.Marshal(recordedWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels, w.info.StartedMS, w.restartedMS})
 		if err != nil {
 			c.emit(Decision{Event: "worker_not_encoded", Worker: id, Reason: err.Error()})
 			return jobs.Record{}, false
@@ -142,9 +155,9 @@
 		if c.workers[k.ID] != nil {
 			continue
 		}
-		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true}
+		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS}
 		w.health.reset()
-		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels}
+		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels, StartedMS: k.StartedMS}
 		c.workers[k.ID] = w
 		c.sortedWorkers = append(c.sortedWorkers, w)
 		c.markWorkerDirty(k.ID)
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -101,6 +101,9 @@
 	Suspended struct{}
 	// LeadershipConfirmed reports that the log holds no newer claim.
 	LeadershipConfirmed struct{}
+	// LeadershipAsOf reports evidence that no newer leader had begun its term at
+	// the given time.
+	LeadershipAsOf struct{ MS int64 }
 	// HoldDone is the outcome of a Hold.
 	HoldDone struct {
 		Worker  WorkerID
@@ -154,6 +157,7 @@
 func (WriteRejected) event()       {}
 func (Suspended) event()           {}
 func (LeadershipConfirmed) event() {}
+func (LeadershipAsOf) event()      {}
 func (HoldDone) event()            {}
 func (StartDone) event()           {}
 func (StopDone) event()            {}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -19,6 +19,9 @@
 	// confirmed is the highest token of a hold call that returned a report:
 	// calls with a lower token can no longer be carried out.
 	confirmed uint64
+	// restartedMS is the Unix time at which an incarnation replaced an earlier
+	// one that a leader knew; 0 if there is none.
+	restartedMS int64
 	// restartToken is the token that fences the calls from before the last
 	// restart of the worker that this leader has noticed; 0 if there was none.
 	restartToken uint64
@@ -153,7 +156,7 @@
 			c.workers[info.ID] = w
 			c.sortedWorkers = append(c.sortedWorkers, w)
 		}
-		if w.info.ID != info.ID || w.info.Address != info.Address || w.info.Service != info.Service || w.info.Capacity != info.Capacity {
+		if w.info.ID != info.ID || w.info.Address != info.Address || w.info.Service != info.Service || w.info.Capacity != info.Capacity || w.info.StartedMS != info.StartedMS {
 			c.markWorkerDirty(info.ID)
 		}
 		if info.Draining && !w.info.Draining {
@@ -163,6 +166,9 @@
 		if info.Draining && info.RemainingMS != w.info.RemainingMS {
 			w.drain.departureMS = c.now.MS + info.RemainingMS
 		}
+		if w.info.StartedMS != 0 && info.StartedMS > w.info.StartedMS {
+			w.restartedMS = info.StartedMS
+		}
 		if w.startedMS != 0 && info.StartedMS > w.startedMS {
 			// The worker has restarted with the same ID: its report shows which
 			// runs are left.
@@ -187,7 +193,7 @@
 	for _, w := range c.sortedWorkers {
 		departed := w.dead || c.now.MS-w.reportedMS > unresponsiveMS
 		if w.inherited && !w.reported && !w.dead {
-			departed = c.now.MS-c.termStartMS > c.inheritedLeaseMS()
+			departed = c.now.MS-c.termStartMS > c.inheritedLeaseMS(w)
 		}
 		if !w.listed && len(w.runs) == 0 && len(w.ended) == 0 && departed {
 			delete(c.workers, w.info.ID)
@@ -213,7 +219,7 @@
 	if w.holdsInFlight == 0 && (w.holdRequested || c.now.MS >= w.nextHoldMS) {
 		c.sendHold(w)
 	}
-	if len(w.runs)+len(w.ended) > 0 && c.leaseExpired(w) {
+	if len(w.runs)+len(w.ended) > 0 && c.leaseOverUnrenewed(w) {
 		c.loseRuns(w, "lease_over")
 	}
 	c.checkAckDelay(w)
@@ -264,23 +270,33 @@
 // nextLeaseEnd returns the lease end to request now, on the worker's clock. It
 // returns 0 if that clock is not known yet or the worker is unresponsive.
 func (c *Core) nextLeaseEnd(w *worker) int64 {
-	if w.clockMS == 0 || c.now.MS-w.reportedMS > unresponsiveMS {
-		// A worker that is gone must not keep its runs: leases that were sent
-		// stay valid, but none is extended.
+	if w.clockMS == 0 || c.now.MS-w.reportedMS > unresponsiveMS || c.inDoubt() {
+		// A worker that is gone must not keep its runs, nor one that a successor
+		// may wait for: leases that were sent stay valid, but none is extended.
 		return 0
 	}
 	w.leaseEndMS = max(w.leaseEndMS, w.clockMS+(c.now.MS-w.clockReadMS)+c.config.LeaseMS)
 	return w.leaseEndMS
 }
 
-// leaseExpired reports whether every run on the worker must have ended, even if
-// the worker's clock is slow.
-func (c *Core) leaseExpired(w *worker) bool {
+// leaseExpired reports whether the leases that this leader and its predecessors
+// have requested are over, even if the worker's clock is slow.
+func (c *Core) leaseExpired(w *worker) bool { return c.now.MS > c.leaseOverMS(w) }
+
+// leaseOverUnrenewed reports whether every run on the worker must have ended: the
+// leases are over, and no successor had begun its term by then that could have
+// renewed them.
+func (c *Core) leaseOverUnrenewed(w *worker) bool {
 	if c.disabled.leaseWait {
 		return c.now.MS-w.reportedMS > unresponsiveMS
 	}
+	return c.ledUntilMS() > c.leaseOverMS(w)
+}
+
+// leaseOverMS returns when the leases of a worker are over by this clock.
+func (c *Core) leaseOverMS(w *worker) int64 {
 	remaining := float64(max(w.leaseEndMS, w.inheritedLeaseEndMS)-w.clockMS) * clockSlack
-	return c.now.MS > w.clockReadMS+int64(remaining)+leaseMarginMS
+	return w.clockReadMS + int64(remaining) + leaseMarginMS
 }
 
 func (c *Core) holdDone(e HoldDone) {
@@ -351,7 +367,8 @@
 	w.orphans, w.ackDelay = nil, ackDelay{}
 	w.health.reset()
 	w.token++
-	w.restartToken = w.token
+	w.restartToken, w.restartedMS = w.token, startedMS
+	c.markWorkerDirty(w.info.ID)
 }
 
 // noteInheritedLease bounds the leases that a worker may have granted for calls
@@ -359,7 +376,7 @@
 // incarnation. It is called with the first report that fences those calls.
 func (c *Core) noteInheritedLease(w *worker) {
 	lease := c.priorLeaseMS
-	if w.restartToken > 0 || w.clockMS < lateCallMS || c.now.UnixMS-w.startedMS < lateCallMS {
+	if w.restartToken > 0 || c.now.UnixMS-w.restartedMS < lateCallMS {
 		// A lease end on the former clock lies far in the future, and the worker
 		// shortens it to the longest lease.
 		lease = c.config.MaxLeaseMS
