--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -195,6 +195,11 @@
 			r.injectFaults(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+uint64(i))))
 		}()
 	}
+	injectors.Add(1)
+	go func() {
+		defer injectors.Done()
+		r.writeOddEntries(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+98)))
+	}()
 	injectors.Wait()
 	if r.options.KillAll {
 		rng := rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+99))
