Count a job as started once a start is confirmed

Cause: a job was marked as started, and recorded as active, when a start was sent, and stayed so when the start was not carried out.

Change: a job has started when a worker has confirmed a start, listed a run or listed an end. That a start was sent is kept apart, for refusals that say that nothing has run.

--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -282,10 +282,10 @@
 		h.advance(40)
 	}
 	end(1, "b1")
-	c.Assert(h.core.jobs["b3"].started, qt.IsFalse)
+	c.Assert(h.core.jobs["b3"].startSent, qt.IsFalse)
 	end(2, "b2")
-	c.Assert(h.core.jobs["wide"].started, qt.IsTrue)
-	c.Assert(h.core.jobs["b3"].started, qt.IsFalse)
+	c.Assert(h.core.jobs["wide"].startSent, qt.IsTrue)
+	c.Assert(h.core.jobs["b3"].startSent, qt.IsFalse)
 }
 
 // TestTakeoverQueriesUnlistedWorker guards against a second start of a task
@@ -313,7 +313,7 @@
 	recordWrites(first.report(testWorker, Report{StartedMS: 7, ClockMS: 100}))
 	recordWrites(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 9000}))
 	recordWrites(first.advance(200))
-	c.Assert(first.core.jobs["j"].started, qt.IsTrue)
+	c.Assert(first.core.jobs["j"].startSent, qt.IsTrue)
 
 	stateMachine := jobs.NewStateMachine()
 	for _, r := range records {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -17,9 +17,10 @@
 	state    jobs.State
 	// recorded is set once the submission is in the log.
 	recorded bool
-	// started is set once a start has been sent for one of its tasks.
-	started bool
-	dirty   bool
+	// startSent is set once a start has been sent for one of its tasks, which may
+	// have been carried out; started once one is known to have been.
+	startSent, started bool
+	dirty              bool
 	// submitRequests and cancelRequests are the ids of the requests that get
 	// a Reply after the next write.
 	submitRequests []uint64
--- a/internal/planner/odd_input_test.go
+++ b/internal/planner/odd_input_test.go
@@ -37,9 +37,10 @@
 				Ended:   []EndedTask{{Number: 1, Task: task, Run: 8, Kind: EndDone}},
 			}))
 			h.confirmWrites(h.advance(100))
+			// No start was confirmed, and no listed task was one of the job's.
 			state, known := h.core.State("j")
 			c.Assert(known, qt.IsTrue)
-			c.Assert(state, qt.Equals, jobs.Active)
+			c.Assert(state, qt.Equals, jobs.Queued)
 		})
 	}
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -118,6 +118,7 @@
 	if r.confirmedMS == 0 {
 		r.confirmedMS = c.now.MS
 		r.progressMS = c.now.MS
+		c.confirmStarted(r.task.step.job)
 	}
 	if r.phase == starting || r.phase == startUnknown {
 		r.phase = running
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -8,12 +8,7 @@
 	t.lastRun = max(t.lastRun, number)
 	j := t.step.job
 	c.attach(r)
-	if !j.started {
-		j.started = true
-		if j.recorded {
-			c.markDirty(j)
-		}
-	}
+	j.startSent = true
 	c.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: t.ref(), Run: number,
 		Payload: j.spec.Payload, LeaseEndMS: c.nextLeaseEnd(w), Checkpoint: t.checkpoint,
@@ -25,6 +20,17 @@
 	return r
 }
 
+// confirmStarted notes that a task of a job has started.
+func (c *Core) confirmStarted(j *job) {
+	if j.started {
+		return
+	}
+	j.started = true
+	if j.recorded && !j.state.Final() {
+		c.markDirty(j)
+	}
+}
+
 func (c *Core) startDone(e StartDone) {
 	w := c.workers[e.Worker]
 	if w == nil {
@@ -36,6 +42,7 @@
 	}
 	if e.Outcome == Done {
 		r.confirmedMS, r.progressMS = c.now.MS, c.now.MS
+		c.confirmStarted(r.task.step.job)
 		if r.phase == starting {
 			r.phase = running
 		}
--- a/internal/planner/write.go
+++ b/internal/planner/write.go
@@ -86,7 +86,7 @@
 func (c *Core) rejectSubmission(j *job) {
 	c.endJob(j, jobs.Cancelled, "the log rejects the submission")
 	for _, requestID := range j.submitRequests {
-		c.emit(Reply{RequestID: requestID, Rejected: true, Started: j.started})
+		c.emit(Reply{RequestID: requestID, Rejected: true, Started: j.startSent || j.started})
 	}
 	c.refuseCancellations(j)
 	jnl := &c.journal
