Set a pace again after a command without a response

Seen by callers: a best-effort task may stay slowed although nothing needs it.

Cause: a pace command without a response left the pace that the leader knew. If the worker had carried it out, or did so seconds later, the two differed until the wanted pace changed by a step.

Change: the pace counts as unknown and is set again; the worker's token is raised, which fences the late call, as for a start.

Measured: TestLostPaceIsSentAgain fails before and passes.

--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -39,7 +39,7 @@
 	case planner.Stop:
 		return planner.StopDone{Worker: e.Worker, Address: e.Address, Task: e.Task, Run: e.Run, Outcome: outcome}
 	case planner.Pace:
-		return planner.PaceDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Percent: e.Percent, Outcome: outcome}
+		return planner.PaceDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Token: e.Token, Percent: e.Percent, Outcome: outcome}
 	}
 	return planner.Tick{}
 }
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -214,7 +214,7 @@
 			margins[i].remaining -= margins[i].model.coefficient(column) * use * share
 		}
 		r.targetPace = int(100 * share)
-		if change := r.targetPace - r.pace; !r.paceInFlight && (change <= -paceStepMin || change >= paceStepMin || change != 0 && r.targetPace == 100) {
+		if change := r.targetPace - r.pace; !r.paceInFlight && (r.paceUnknown || change <= -paceStepMin || change >= paceStepMin || change != 0 && r.targetPace == 100) {
 			w.interference.paceChangedMS = c.now.MS
 			c.sendPace(r)
 		}
@@ -340,8 +340,14 @@
 		return
 	}
 	r.paceInFlight = false
-	if e.Outcome == Done {
-		r.pace = e.Percent
+	switch e.Outcome {
+	case OutcomeUnknown:
+		// The worker may have carried it out, or may still do so: the pace is set
+		// again, with a token that fences the late call.
+		r.paceUnknown = true
+		c.raiseToken(w, e.Token)
+	case Done:
+		r.pace, r.paceUnknown = e.Percent, false
 		r.progressMS, r.firstReportMS = c.now.MS, 0
 		w.demandValid = false
 	}
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -302,7 +302,7 @@
 		})
 	case Pace:
 		sim.call(l, e.Worker, func(f *fakeWorker) Outcome { return f.setPace(e) }, func(o Outcome) {
-			sim.step(l, PaceDone{e.Worker, e.Task, e.Run, e.Percent, o})
+			sim.step(l, PaceDone{e.Worker, e.Task, e.Run, e.Token, e.Percent, o})
 		})
 	case Advise:
 		sim.advise(l, e)
--- a/internal/planner/started_test.go
+++ b/internal/planner/started_test.go
@@ -60,3 +60,26 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(reply.Rejected && reply.Started, qt.IsTrue)
 }
+
+// TestLostPaceIsSentAgain guards against a best-effort run that stays slowed: a
+// pace command without a response may have been carried out, so the pace that the
+// leader knows may be wrong. A late call must not change it afterwards.
+func TestLostPaceIsSentAgain(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	s, ok := findEffect[Start](h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 4000, EstimateMS: 9000, BestEffort: true, Image: "b"}))
+	c.Assert(ok, qt.IsTrue)
+	h.step(StartDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: Done})
+	h.now += 1000
+	h.step(PaceDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Percent: 10, Outcome: OutcomeUnknown})
+	c.Assert(h.core.workers["w"].token > s.Token, qt.IsTrue)
+	report := Report{StartedMS: 7, ClockMS: 1200, Running: []RunningTask{{Task: s.Task, Run: s.Run, Percent: 5}}}
+	pace, ok := findEffect[Pace](h.report(testWorker, report))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(pace.Percent, qt.Equals, 100)
+	h.step(PaceDone{Worker: "w", Task: s.Task, Run: s.Run, Token: pace.Token, Percent: 100, Outcome: Done})
+	h.now += 1000
+	_, ok = findEffect[Pace](h.report(testWorker, report))
+	c.Assert(ok, qt.IsFalse)
+}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -135,6 +135,7 @@
 		Worker  WorkerID
 		Task    jobs.Task
 		Run     int
+		Token   uint64
 		Percent int
 		Outcome Outcome
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -122,8 +122,10 @@
 	pace          int
 	targetPace    int
 	paceInFlight  bool
-	stopSentMS    int64
-	stopReason    string
+	// paceUnknown is set while the last pace command had no response.
+	paceUnknown bool
+	stopSentMS  int64
+	stopReason  string
 }
 
 type runPhase int
