Hand keys over only to members that the others list

Seen by callers of rwentry: a repeated request with one idempotency key ran twice.

Cause, from a trace of: an instance joins; the stopping home lists it and hands the key over to it; another instance, which does not list it yet, takes the hand-over as complete and itself as the next home, finds no record at the members that it knows and lets the second request proceed.

Change: a hand-over names its recipients. An instance that has not listed all of them goes on listing the stopping one, which redirects requests; if that leaves first, its keys are undecidable.

--- a/internal/dedupe/core.go
+++ b/internal/dedupe/core.go
@@ -54,6 +54,9 @@
 	// handedOverMembers holds every member that did so; its departure loses
 	// no state.
 	handedOverMembers map[Member]bool
+	// unresolvedHandOvers are the hand-overs with a recipient that this instance
+	// has not listed yet.
+	unresolvedHandOvers []handOver
 	// handedOver is set when this instance has handed over its own keys.
 	handedOver bool
 
@@ -73,6 +76,7 @@
 type mutations struct {
 	ignoreTakeover   bool
 	ignoreExecutions bool
+	ignoreRecipients bool
 }
 
 // New returns a core without keys and members.
--- a/internal/dedupe/handover.go
+++ b/internal/dedupe/handover.go
@@ -1,6 +1,7 @@
 package dedupe
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -19,9 +20,15 @@
 	}
 }
 
+// handOver states that from has handed over all its keys to the recipients.
+type handOver struct {
+	from       Member
+	recipients []Member
+}
+
 // HandOver ends the role of this instance as a home. It returns the records
 // by their next home, ordered by key; waiting requests are redirected to the
-// next home.
+// next home. The recipients are the other members.
 func (c *Core) HandOver(now time.Duration) (map[spec.InstanceID][]Record, []Effect) {
 	c.handedOver = true
 	out := make(map[spec.InstanceID][]Record)
@@ -65,7 +72,12 @@
 
 // AcceptHandOver adopts the records of a stopping instance. complete is set
 // when from has handed over all its keys.
-func (c *Core) AcceptHandOver(now time.Duration, wall time.Time, from Member, records []Record, complete bool) []Effect {
+//
+// If this instance does not list one of the recipients yet, it goes on listing
+// from: the records of some keys are at a home that it does not know, so it must
+// not decide on these keys as their home. Requests reach that home through from,
+// which redirects them.
+func (c *Core) AcceptHandOver(now time.Duration, wall time.Time, from Member, records []Record, complete bool, recipients []Member) []Effect {
 	var effects []Effect
 	for _, incoming := range records {
 		r := c.records[incoming.Key]
@@ -79,13 +91,37 @@
 		effects = append(effects, c.adopt(now, r, incoming)...)
 	}
 	if complete {
-		c.handedOverIncarnations[from.Instance] = from.Incarnation
-		c.handedOverMembers[from] = true
+		c.unresolvedHandOvers = append(c.unresolvedHandOvers, handOver{from, recipients})
 		c.SetMembers(now, wall, c.members)
 	}
 	return effects
 }
 
+// resolveHandOvers completes the hand-overs whose recipients have all been listed,
+// now or earlier.
+func (c *Core) resolveHandOvers(members []Member) {
+	c.unresolvedHandOvers = slices.DeleteFunc(c.unresolvedHandOvers, func(h handOver) bool {
+		for _, m := range h.recipients {
+			if !c.mutations.ignoreRecipients && m != c.settings.Self && !slices.Contains(members, m) && !c.everListed(m) {
+				return false
+			}
+		}
+		c.handedOverIncarnations[h.from.Instance] = h.from.Incarnation
+		c.handedOverMembers[h.from] = true
+		return true
+	})
+}
+
+// everListed reports whether the changes that are still kept contain the member.
+func (c *Core) everListed(m Member) bool {
+	for _, ch := range c.changes {
+		if slices.Contains(ch.before, m) || slices.Contains(ch.after, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // Keys returns the number of keys that have a record at this instance as
 // home.
 func (c *Core) Keys() int { return len(c.records) }
--- a/internal/dedupe/rpc.go
+++ b/internal/dedupe/rpc.go
@@ -75,7 +75,7 @@
 	from := Member{Instance: spec.InstanceID(m.GetFrom()), Incarnation: spec.Incarnation(m.GetFromIncarnation())}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.applyEffects(s.core.AcceptHandOver(s.timing.Now(), s.timing.Wall(), from, records, m.GetLast()))
+	s.applyEffects(s.core.AcceptHandOver(s.timing.Now(), s.timing.Wall(), from, records, m.GetLast(), membersFromWire(m.GetRecipients())))
 	return connect.NewResponse(&entryv1.HandOverKeysResponse{}), nil
 }
 
@@ -88,7 +88,7 @@
 func (s *Service) HandOver(ctx context.Context) (moved int, unreached []spec.InstanceID) {
 	s.mu.Lock()
 	byHome, effects := s.core.HandOver(s.timing.Now())
-	from := s.core.selfMember()
+	from, recipients := s.core.selfMember(), membersToWire(s.core.otherMembers())
 	s.applyEffects(effects)
 	s.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
@@ -99,7 +99,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			n, ok := s.handOverTo(limited, from, home, records)
+			n, ok := s.handOverTo(limited, from, recipients, home, records)
 			mu.Lock()
 			defer mu.Unlock()
 			moved += n
@@ -115,13 +115,14 @@
 
 // handOverTo sends one member its records, even if there are none: the last
 // message states that no state is lost when this instance stops.
-func (s *Service) handOverTo(ctx context.Context, from Member, home spec.InstanceID, records []Record) (moved int, reached bool) {
+func (s *Service) handOverTo(ctx context.Context, from Member, recipients []*entryv1.MemberName, home spec.InstanceID, records []Record) (moved int, reached bool) {
 	for first := true; first || len(records) > 0; first = false {
 		n := min(len(records), handOverBatchSize)
 		req := &entryv1.HandOverKeysRequest{
 			From:            string(from.Instance),
 			FromIncarnation: uint64(from.Incarnation),
 			Last:            n == len(records),
+			Recipients:      recipients,
 		}
 		for _, r := range records[:n] {
 			req.Records = append(req.Records, recordToWire(r))
--- a/internal/dedupe/simulation_test.go
+++ b/internal/dedupe/simulation_test.go
@@ -323,11 +323,12 @@
 	}
 	removalDelay := time.Second
 	if c.random.IntN(2) == 0 {
+		recipients := i.core.otherMembers()
 		records, effects := i.core.HandOver(c.now)
 		c.applyEffects(i, effects)
 		for _, m := range c.membersWithout(id) {
 			c.call(m.Instance, func(to *simInstance) {
-				c.applyEffects(to, to.core.AcceptHandOver(c.now, c.wall(to), i.self, records[m.Instance], true))
+				c.applyEffects(to, to.core.AcceptHandOver(c.now, c.wall(to), i.self, records[m.Instance], true, recipients))
 			}, func() {})
 		}
 		removalDelay = 3 * time.Second
@@ -445,6 +446,7 @@
 		keys  int
 	}{
 		{"a home whose key another instance had taken over recorded itself as the home again when its own query ended", 424242421, 103_000},
+		{"a hand-over went to an instance that the next home did not list yet", 9_999_991, 79_000},
 	} {
 		t.Run(test.cause, func(t *testing.T) {
 			got := violationOf(func() { newCluster(test.seed).simulate(test.keys) })
--- a/internal/dedupe/takeover.go
+++ b/internal/dedupe/takeover.go
@@ -23,6 +23,7 @@
 
 // SetMembers sets the active members. wall is the wall clock.
 func (c *Core) SetMembers(now time.Duration, wall time.Time, members []Member) {
+	c.resolveHandOvers(members)
 	active := c.withoutHandedOver(members)
 	if c.membersKnown && slices.Equal(active, c.members) {
 		return
--- a/internal/dedupe/wire.go
+++ b/internal/dedupe/wire.go
@@ -131,3 +131,19 @@
 	}
 	return out
 }
+
+func membersToWire(members []Member) []*entryv1.MemberName {
+	out := make([]*entryv1.MemberName, 0, len(members))
+	for _, m := range members {
+		out = append(out, &entryv1.MemberName{Instance: string(m.Instance), Incarnation: uint64(m.Incarnation)})
+	}
+	return out
+}
+
+func membersFromWire(names []*entryv1.MemberName) []Member {
+	out := make([]Member, 0, len(names))
+	for _, m := range names {
+		out = append(out, Member{Instance: spec.InstanceID(m.GetInstance()), Incarnation: spec.Incarnation(m.GetIncarnation())})
+	}
+	return out
+}
