Record the cancellation of a job that the log does not hold

Seen by back ends: work starts after its cancelling was answered with "unknown job", and runs of a dead leader go on. Whether it is what the users saw as UNASKED is not shown; it is a way to it that is certain.

Cause: such a cancellation changed nothing. The submission's append may be carried out late, or the caller's request arrives again; then the job is recorded and its tasks start. Runs that a leader had started before the record were left alone for 1.5 s, for a caller that has just cancelled them.

Change: the leader records the cancellation before it answers and stops such runs at once. The record applies to a later submission, also under the next leader, and is dropped after the retention of a job's state.

--- a/internal/jobs/statemachine.go
+++ b/internal/jobs/statemachine.go
@@ -224,7 +224,7 @@
 func DropRecords(id ID) []Record {
 	return []Record{
 		{Key: submissionPrefix + string(id)},
-		{Key: cancellationPrefix + string(id)},
+		DropCancellation(id),
 		{Key: progressPrefix + string(id)},
 		DropEarlyEnds(id),
 	}
@@ -233,6 +233,9 @@
 // DropEarlyEnds returns the record that deletes a job's early ends.
 func DropEarlyEnds(id ID) Record { return Record{Key: earlyEndsPrefix + string(id)} }
 
+// DropCancellation returns the record that deletes a job's cancellation.
+func DropCancellation(id ID) Record { return Record{Key: cancellationPrefix + string(id)} }
+
 // WorkerRecord returns the record of a worker; a nil value deletes it.
 func WorkerRecord(worker string, value []byte) Record {
 	return Record{Key: workerPrefix + worker, Value: value}
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -253,13 +253,16 @@
 }
 
 func (n *Node) cancelLocal(ctx context.Context, id jobs.ID) code.Code {
-	for range 2 {
+	for _, caughtUp := range []bool{false, true} {
 		reply, status := n.requestPlanner(ctx, func(requestID uint64) planner.Event {
-			return planner.CancelRequested{RequestID: requestID, ID: id}
+			return planner.CancelRequested{RequestID: requestID, ID: id, RecordUnknown: caughtUp}
 		})
 		if status != code.OK || reply.Known {
 			return status
 		}
+		if caughtUp {
+			break
+		}
 		// Another instance may have recorded the job a moment ago.
 		if _, err := n.catchUp(ctx); err != nil {
 			return code.LogUnavailable
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -161,7 +161,7 @@
 	case entry.Progress != nil:
 		age := max(0, c.now.UnixMS-entry.Progress.EndedMS)
 		c.journal.purgeQueue = append(c.journal.purgeQueue, purgeEntry{id, c.now.MS - age})
-	case len(entry.EarlyEnds) > 0:
+	case len(entry.EarlyEnds) > 0, entry.Cancelled:
 		c.journal.purgeQueue = append(c.journal.purgeQueue, purgeEntry{id, c.now.MS})
 	}
 }
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -147,6 +147,10 @@
 	j.submitRequests = []uint64{e.RequestID}
 	j.encoded = e.Encoded
 	c.journal.submissions = append(c.journal.submissions, j)
+	if c.cancelledUnknown(e.ID) {
+		c.endJob(j, jobs.Cancelled, "cancelled before its submission was recorded")
+		return
+	}
 	c.adoptOrphans(e.ID)
 	if c.config.OptimisticStart {
 		c.openSteps(j)
@@ -166,8 +170,14 @@
 // cancel stops a job and records its cancellation.
 func (c *Core) cancel(e CancelRequested) {
 	j := c.jobs[e.ID]
-	if j == nil {
-		c.emit(Reply{RequestID: e.RequestID, Accepted: true, Known: c.stateMachine.SubmittedEntry(e.ID) != nil})
+	known := c.stateMachine.SubmittedEntry(e.ID) != nil
+	switch {
+	case j != nil:
+	case !known && e.RecordUnknown:
+		c.cancelUnknown(e)
+		return
+	default:
+		c.emit(Reply{RequestID: e.RequestID, Accepted: true, Known: known})
 		return
 	}
 	if !j.state.Final() {
@@ -184,6 +194,9 @@
 	case entry == nil:
 	case j == nil:
 		c.adoptJob(id, !c.reconciled)
+		if j = c.jobs[id]; j != nil && !j.state.Final() && c.cancelledUnknown(id) {
+			c.endJob(j, jobs.Cancelled, "cancelled before its submission was recorded")
+		}
 	case entry.Cancelled && !j.state.Final():
 		c.endJob(j, jobs.Cancelled, "cancelled through another instance")
 	}
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -17,6 +17,9 @@
 	workers     []WorkerID
 	submissions []*job
 	dirty       []*job
+	// cancellations are those of unknown jobs that have to be recorded,
+	// inFlightCancellations those that the outstanding write contains.
+	cancellations, inFlightCancellations []unknownCancellation
 	// dirtyEarlyEnds are the jobs whose early ends have to be recorded.
 	dirtyEarlyEnds []jobs.ID
 	// nextAcks is the batch of ends to acknowledge next.
@@ -83,6 +86,7 @@
 	b := &batch{limits: c.config.Log}
 	c.appendDrops(b)
 	c.appendWorkers(b)
+	c.appendCancellations(b)
 	c.appendSubmissions(b)
 	c.appendEarlyEnds(b)
 	c.appendProgress(b)
@@ -230,6 +234,7 @@
 		c.jobRecorded(j)
 	}
 	jnl.inFlightJobs = jnl.inFlightJobs[:0]
+	c.cancellationsRecorded()
 	for _, m := range jnl.inFlightAcks {
 		c.ack(m)
 	}
@@ -288,10 +293,10 @@
 		case slices.Contains(jnl.dirtyEarlyEnds, id):
 			jnl.purgeQueue = append(jnl.purgeQueue, purgeEntry{id, c.now.MS})
 		case c.stateMachine.SubmittedEntry(id) == nil:
-			// Another instance may be recording the submission, so only the
-			// early ends are dropped.
+			// Another instance may be recording the submission, so that is not
+			// dropped.
 			delete(c.earlyEnds, id)
-			b.add(jobs.DropEarlyEnds(id))
+			b.add(jobs.DropEarlyEnds(id), jobs.DropCancellation(id))
 		default:
 			delete(c.earlyEnds, id)
 			b.add(jobs.DropRecords(id)...)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -107,12 +107,12 @@
 	if r == nil {
 		r = c.adoptRun(w, rt)
 	}
-	if r == nil && c.jobs[rt.Task.Job] == nil && c.stateMachine.SubmittedEntry(rt.Task.Job) == nil && (w.keepOrphan(rt, c.now.MS) || c.disabled.stopOrphans) {
+	if r == nil && c.jobs[rt.Task.Job] == nil && c.stateMachine.SubmittedEntry(rt.Task.Job) == nil &&
+		(w.keepOrphan(rt, c.now.MS) && !c.cancelledUnknown(rt.Task.Job) || c.disabled.stopOrphans) {
 		return nil
 	}
 	if r == nil {
-		c.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: rt.Task, Run: rt.Run})
-		c.emit(Decision{Event: "stop_sent", Job: rt.Task.Job, Task: rt.Task.String(), Run: rt.Run, Worker: w.info.ID, Reason: "run is not expected on this worker"})
+		c.stopUnexpected(w, rt, "run is not expected on this worker")
 		return nil
 	}
 	if r.confirmedMS == 0 {
@@ -144,6 +144,12 @@
 	return r
 }
 
+// stopUnexpected stops a run that belongs to no current task.
+func (c *Core) stopUnexpected(w *worker, rt *RunningTask, reason string) {
+	c.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: rt.Task, Run: rt.Run})
+	c.emit(Decision{Event: "stop_sent", Job: rt.Task.Job, Task: rt.Task.String(), Run: rt.Run, Worker: w.info.ID, Reason: reason})
+}
+
 // adoptRun takes over a run that a predecessor started, if the task still needs
 // one.
 //
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -393,7 +393,7 @@
 	sim.lastRequestID++
 	sim.cancelRequests[sim.lastRequestID] = id
 	sim.jobs[id].cancelSent = true
-	sim.step(sim.leader, CancelRequested{RequestID: sim.lastRequestID, ID: id})
+	sim.step(sim.leader, CancelRequested{RequestID: sim.lastRequestID, ID: id, RecordUnknown: true})
 	sim.at(1000, func() {
 		if !sim.jobs[id].cancelDone {
 			sim.cancel(id)
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -86,6 +86,9 @@
 	CancelRequested struct {
 		RequestID uint64
 		ID        jobs.ID
+		// RecordUnknown records the cancellation also if no such job is known: its
+		// submission may still be recorded.
+		RecordUnknown bool
 	}
 	// RecordsRead reports records of the log that another instance wrote; the
 	// state machine has applied them already.
