Report what keeps the event loop busy and what the collector costs

Cause: on the large site the most urgent jobs come late, and neither logs nor metrics could tell whether the leader plans, collects garbage, encodes calls or waits for its share of the processor.

Change: each event of the event loop carries its duty and the time at which it was posted. The leader logs a line event=load every 5 s with the delay, the time by duty, the planner's part of it, and the collector's cycles, time and assists; other instances log it when an event has waited for 200 ms. The same figures are metrics.

--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -157,7 +157,7 @@
 // for its reply.
 func (n *Node) requestPlanner(ctx context.Context, event func(requestID uint64) planner.Event) (planner.Reply, code.Code) {
 	result := make(chan planner.Reply, 1)
-	posted := n.post(ctx, func() {
+	posted := n.post(ctx, dutyRequests, func() {
 		if n.term == nil {
 			close(result)
 			return
@@ -273,7 +273,7 @@
 
 // hasJob reports whether this instance's state machine holds the job.
 func (n *Node) hasJob(ctx context.Context, id jobs.ID) bool {
-	known, err := runInLoop(ctx, n, func() bool { return n.stateMachine.SubmittedEntry(id) != nil })
+	known, err := runInLoop(ctx, n, dutyRequests, func() bool { return n.stateMachine.SubmittedEntry(id) != nil })
 	return err == nil && known
 }
 
@@ -285,7 +285,7 @@
 		if status == code.OK || status == code.UnknownJob {
 			return state, status
 		}
-		state, err := runInLoop(ctx, n, func() jobs.State {
+		state, err := runInLoop(ctx, n, dutyRequests, func() jobs.State {
 			if entry := n.stateMachine.SubmittedEntry(id); entry != nil {
 				return entry.State()
 			}
@@ -323,7 +323,7 @@
 			ok      bool
 			leading bool
 		}
-		got, err := runInLoop(ctx, n, func() lookup {
+		got, err := runInLoop(ctx, n, dutyRequests, func() lookup {
 			if n.term == nil {
 				return lookup{}
 			}
@@ -376,7 +376,7 @@
 }
 
 func (n *Node) waitingLocal(ctx context.Context, queue string) (int, code.Code) {
-	waiting, err := runInLoop(ctx, n, func() int {
+	waiting, err := runInLoop(ctx, n, dutyRequests, func() int {
 		if n.term == nil {
 			return -1
 		}
--- a/internal/node/delegate.go
+++ b/internal/node/delegate.go
@@ -40,7 +40,7 @@
 		epoch uint64
 	}
 	n, m := s.n, r.Msg
-	got, err := runInLoop(ctx, n, func() result {
+	got, err := runInLoop(ctx, n, dutyReports, func() result {
 		t, epoch := n.delegatedTermOf(m.GetEpoch(), m.GetPeerAddress())
 		return result{t, epoch}
 	})
@@ -123,7 +123,7 @@
 // ReportCalls passes the outcomes of delegated calls to the planner.
 func (s *peerServer) ReportCalls(ctx context.Context, r *connect.Request[nodev1.ReportCallsRequest]) (*connect.Response[nodev1.ReportCallsResponse], error) {
 	n, m := s.n, r.Msg
-	n.post(ctx, func() {
+	n.post(ctx, dutyReports, func() {
 		for _, o := range m.GetOutcomes() {
 			if n.term == nil || n.term.epoch != m.GetEpoch() {
 				return
--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -340,7 +340,7 @@
 
 // post runs fn in the event loop unless the term is over.
 func (d *delegation) post(fn func()) {
-	d.node.post(d.term.ctx, func() {
+	d.node.post(d.term.ctx, dutyMembers, func() {
 		if d.node.term == d.term {
 			fn()
 		}
--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -55,7 +55,7 @@
 }
 
 func activeDelegates(in *instance) int {
-	n, err := runInLoop(context.Background(), in.Node, func() int {
+	n, err := runInLoop(context.Background(), in.Node, dutyRequests, func() int {
 		if in.term == nil {
 			return 0
 		}
@@ -147,7 +147,7 @@
 		highest  uint64
 	}
 	ask := func(epoch uint64, prepare func()) result {
-		got, err := runInLoop(context.Background(), in.Node, func() result {
+		got, err := runInLoop(context.Background(), in.Node, dutyRequests, func() result {
 			prepare()
 			term, highest := in.delegatedTermOf(epoch, "127.0.0.1:1")
 			return result{term != nil, highest}
@@ -165,7 +165,7 @@
 	waitFor(t, "the leader makes its calls itself", func() bool { return activeDelegates(all[leader]) == 0 })
 	in.stopping.Store(false)
 	// The calls of an abandoned term end.
-	old, err := runInLoop(context.Background(), in.Node, func() *delegatedTerm { return in.delegated })
+	old, err := runInLoop(context.Background(), in.Node, dutyRequests, func() *delegatedTerm { return in.delegated })
 	c.Assert(err, qt.IsNil)
 	c.Assert(ask(epoch+1, func() {}), qt.Equals, result{true, epoch + 1})
 	c.Assert(old.ctx.Err(), qt.IsNotNil)
@@ -179,7 +179,7 @@
 	in := all[leader]
 	d := in.term.delegation
 	call := workerCall{command: planner.Start{Worker: "w", Task: jobs.Task{Job: "stale"}, Run: 1, Token: 1 << 60}, sentMS: in.now().MS - milliseconds(delegateQueueLimit) - 1}
-	_, err := runInLoop(context.Background(), in.Node, func() bool { return d.offer(call) })
+	_, err := runInLoop(context.Background(), in.Node, dutyRequests, func() bool { return d.offer(call) })
 	c.Assert(err, qt.IsNil)
 	waitFor(t, "the delegate is out of use", func() bool { return activeDelegates(in) == 0 })
 	time.Sleep(5 * callBatchInterval)
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -43,12 +43,12 @@
 		if !n.caughtUp.Load() || n.stopping.Load() || n.isLeader() {
 			continue
 		}
-		decision, err := runInLoop(ctx, n, n.evaluateElection)
+		decision, err := runInLoop(ctx, n, dutyMembers, n.evaluateElection)
 		if err == nil && decision.due && decision.epoch == 0 {
 			// Other instances of a new deployment may have registered since the
 			// last read.
 			if _, err = n.catchUp(ctx); err == nil {
-				decision, err = runInLoop(ctx, n, n.evaluateElection)
+				decision, err = runInLoop(ctx, n, dutyMembers, n.evaluateElection)
 			}
 		}
 		if err != nil || !decision.due {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -162,7 +162,7 @@
 	}
 	n.log("load_delayed")
 	for start := time.Now(); ctx.Err() == nil && time.Since(start) < delay; pause(ctx, tickInterval) {
-		led, err := runInLoop(ctx, n, func() bool { return n.lastHeartbeat.epoch > 0 })
+		led, err := runInLoop(ctx, n, dutyLog, func() bool { return n.lastHeartbeat.epoch > 0 })
 		if err != nil || led {
 			return
 		}
@@ -208,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = runInLoop(ctx, n, func() struct{} {
+	_, err = runInLoop(ctx, n, dutyLog, func() struct{} {
 		if n.appliedEnd > batch.End {
 			return struct{}{}
 		}
@@ -232,7 +232,7 @@
 	if _, err = n.catchUp(ctx); err != nil {
 		return err
 	}
-	_, err = runInLoop(ctx, n, func() struct{} {
+	_, err = runInLoop(ctx, n, dutyLog, func() struct{} {
 		if n.caughtUpMS == 0 {
 			n.caughtUpMS = n.now().MS
 		}
@@ -245,7 +245,7 @@
 // catchUp reads and applies the log up to its end and returns that offset.
 func (n *Node) catchUp(ctx context.Context) (int64, error) {
 	for {
-		from, err := runInLoop(ctx, n, func() int64 { return n.appliedEnd })
+		from, err := runInLoop(ctx, n, dutyLog, func() int64 { return n.appliedEnd })
 		if err != nil {
 			return 0, err
 		}
@@ -255,7 +255,7 @@
 			return 0, err
 		}
 		n.logReadDurationMS.Store(n.now().MS - startMS)
-		end, err := runInLoop(ctx, n, func() int64 {
+		end, err := runInLoop(ctx, n, dutyLog, func() int64 {
 			if changed := n.apply(batch); len(changed) > 0 {
 				n.step(planner.RecordsRead{Jobs: changed})
 			}
@@ -276,7 +276,7 @@
 // register appends the instance's member record if the log does not hold it.
 func (n *Node) register(ctx context.Context) error {
 	want := member{Peer: n.config.advertisedPeerAddr(), DataCentre: n.config.DataCentre, StartedMS: n.startedUnixMS, MilliCPU: n.config.milliCPU()}
-	missing, err := runInLoop(ctx, n, func() bool { return n.members[n.config.Instance] != want })
+	missing, err := runInLoop(ctx, n, dutyLog, func() bool { return n.members[n.config.Instance] != want })
 	if err != nil || !missing || n.stopping.Load() {
 		return err
 	}
@@ -330,7 +330,7 @@
 		}
 		if err == nil && loaded {
 			n.manifestCurrentMS.Store(min(currentMS, n.now().MS))
-			n.post(ctx, n.configureTerm)
+			n.post(ctx, dutyLog, n.configureTerm)
 		}
 		if err != nil || !loaded {
 			pause(ctx, retryPause)
@@ -352,7 +352,7 @@
 			n.tele.Log.Warn("attempts_unbounded", zap.Int64("version", m.Version), zap.String("queue", q.Name))
 		}
 	}
-	n.post(ctx, func() {
+	n.post(ctx, dutyLog, func() {
 		n.manifest = m
 		if n.term != nil {
 			n.sendQueues(n.term)
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -30,7 +30,7 @@
 	if _, err := n.catchUp(ctx); err != nil {
 		return err
 	}
-	c, err := runInLoop(ctx, n, func() claim { return n.nextClaim(e.epoch) })
+	c, err := runInLoop(ctx, n, dutyMembers, func() claim { return n.nextClaim(e.epoch) })
 	if err != nil {
 		return err
 	}
@@ -40,7 +40,7 @@
 	if err := n.sendClaim(ctx, c, e.reason); err != nil {
 		return err
 	}
-	if claimed, err := runInLoop(ctx, n, n.ownClaimPending); err != nil || !claimed {
+	if claimed, err := runInLoop(ctx, n, dutyMembers, n.ownClaimPending); err != nil || !claimed {
 		return errors.CombineErrors(err, n.claimLostError(ctx))
 	}
 	if err := n.announceClaim(ctx, c); err != nil {
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	won, err := runInLoop(ctx, n, func() bool {
+	won, err := runInLoop(ctx, n, dutyMembers, func() bool {
 		if n.claim != c || n.term != nil {
 			return false
 		}
@@ -91,7 +91,7 @@
 // log. The log decides which claim has won; two claims of one epoch differ in
 // their nonce.
 func (n *Node) sendClaim(ctx context.Context, c claim, reason string) error {
-	held, err := runInLoop(ctx, n, n.ownClaimPending)
+	held, err := runInLoop(ctx, n, dutyMembers, n.ownClaimPending)
 	if err != nil || held {
 		return err
 	}
@@ -118,7 +118,7 @@
 // instance's claim.
 func (n *Node) claimLostError(ctx context.Context) error {
 	type claims struct{ held, sent claim }
-	c, err := runInLoop(ctx, n, func() claims { return claims{n.claim, n.sentClaim} })
+	c, err := runInLoop(ctx, n, dutyMembers, func() claims { return claims{n.claim, n.sentClaim} })
 	switch {
 	case err != nil:
 		return err
@@ -209,7 +209,7 @@
 			continue
 		}
 		if next != from {
-			n.post(t.ctx, func() {
+			n.post(t.ctx, dutyMembers, func() {
 				if n.term == t {
 					t.delegation.setWorkers(infos)
 					n.step(planner.WorkersChanged{Workers: infos})
--- a/internal/node/leadership.go
+++ b/internal/node/leadership.go
@@ -121,7 +121,7 @@
 	if c.Epoch == 1 {
 		return nil
 	}
-	members, err := runInLoop(ctx, n, func() []candidate { return n.candidates(n.config.Instance) })
+	members, err := runInLoop(ctx, n, dutyMembers, func() []candidate { return n.candidates(n.config.Instance) })
 	if err != nil {
 		return err
 	}
--- a/internal/node/leadership_test.go
+++ b/internal/node/leadership_test.go
@@ -107,7 +107,7 @@
 func TestClaimIsAnnounced(t *testing.T) {
 	serve := func(epoch uint64) string {
 		n := startLoop(t, newMemoryLog().forInstance("m"))
-		_, err := runInLoop(context.Background(), n, func() bool { n.claim.Epoch = epoch; return true })
+		_, err := runInLoop(context.Background(), n, dutyRequests, func() bool { n.claim.Epoch = epoch; return true })
 		qt.New(t).Assert(err, qt.IsNil)
 		server := httptest.NewServer(n.PeerHandler())
 		t.Cleanup(server.Close)
@@ -132,7 +132,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			n := startLoop(t, newMemoryLog().forInstance("a"))
-			_, err := runInLoop(context.Background(), n, func() bool {
+			_, err := runInLoop(context.Background(), n, dutyRequests, func() bool {
 				for i, peer := range test.peers {
 					n.members[fmt.Sprint("m", i)] = member{Peer: peer}
 				}
--- /dev/null
+++ b/internal/node/load.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"redwingvale/internal/planner"
+	"redwingvale/internal/telemetry"
+)
+
+// duty is a kind of work of the event loop.
+type duty int
+
+// The duties. Reports are the outcomes of hold calls, outcomes those of all other
+// calls to workers.
+const (
+	dutyTick duty = iota
+	dutyRequests
+	dutyReports
+	dutyOutcomes
+	dutyLog
+	dutyMembers
+	dutyCount
+)
+
+var dutyNames = [dutyCount]string{"tick", "requests", "reports", "outcomes", "log", "members"}
+
+// loopEvent is an event of the event loop.
+type loopEvent struct {
+	duty     duty
+	postedMS int64
+	run      func()
+}
+
+// dutyOf returns the duty that an event of the planner belongs to.
+func dutyOf(e planner.Event) duty {
+	switch e.(type) {
+	case planner.HoldDone:
+		return dutyReports
+	case planner.StartDone, planner.StopDone, planner.PaceDone, planner.AdviceDone:
+		return dutyOutcomes
+	case planner.Tick:
+		return dutyTick
+	case planner.SubmitRequested, planner.CancelRequested:
+		return dutyRequests
+	case planner.RecordsRead, planner.WriteDone, planner.WriteRejected:
+		return dutyLog
+	}
+	return dutyMembers
+}
+
+const (
+	// loadInterval is the interval at which the load is reported.
+	loadInterval = 5 * time.Second
+	// lagWarning is the delay of an event from which on an instance that does not
+	// lead logs its load too.
+	lagWarning = 200 * time.Millisecond
+)
+
+// loadMeter measures what the event loop does and how far it is behind. The event
+// loop owns it.
+type loadMeter struct {
+	runtime     *telemetry.RuntimeReader
+	last        telemetry.RuntimeUsage
+	lastBusy    [dutyCount]time.Duration
+	lastPlan    [dutyCount]time.Duration
+	lastEffects time.Duration
+	reportedMS  int64
+
+	// busy is the time by duty since the start. planning and effects are the
+	// parts that the planner and the effects of its decisions took; planning is
+	// by the duty of the planner's event.
+	busy     [dutyCount]time.Duration
+	events   [dutyCount]int64
+	planning [dutyCount]time.Duration
+	effects  time.Duration
+	// maxLagMS is the longest delay of an event since the last report.
+	maxLagMS int64
+
+	lag          tally.Histogram
+	busyMicros   [dutyCount]tally.Counter
+	planMicros   [dutyCount]tally.Counter
+	effectMicros tally.Counter
+	collections  tally.Counter
+	collectorUS  tally.Counter
+	assistUS     tally.Counter
+	allocated    tally.Counter
+	liveBytes    tally.Gauge
+	goalBytes    tally.Gauge
+	mappedBytes  tally.Gauge
+}
+
+func newLoadMeter(scope tally.Scope) *loadMeter {
+	m := &loadMeter{
+		runtime:      telemetry.NewRuntimeReader(),
+		lag:          scope.Histogram("loop_lag_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)),
+		effectMicros: scope.Counter("effects_microseconds"),
+		collections:  scope.Counter("gc_collections"),
+		collectorUS:  scope.Counter("gc_microseconds"),
+		assistUS:     scope.Counter("gc_assist_microseconds"),
+		allocated:    scope.Counter("allocated_bytes"),
+		liveBytes:    scope.Gauge("heap_live_bytes"),
+		goalBytes:    scope.Gauge("heap_goal_bytes"),
+		mappedBytes:  scope.Gauge("memory_mapped_bytes"),
+	}
+	for d := range dutyCount {
+		tagged := scope.Tagged(map[string]string{"duty": dutyNames[d]})
+		m.busyMicros[d] = tagged.Counter("loop_busy_microseconds")
+		m.planMicros[d] = tagged.Counter("planner_microseconds")
+	}
+	m.last = m.runtime.Read()
+	return m
+}
+
+// handled notes that an event has been handled.
+func (m *loadMeter) handled(d duty, took time.Duration) {
+	m.busy[d] += took
+	m.events[d]++
+}
+
+// delayed notes how long an event has waited.
+func (m *loadMeter) delayed(lagMS int64) {
+	m.maxLagMS = max(m.maxLagMS, lagMS)
+	m.lag.RecordDuration(millisecondsDuration(lagMS))
+}
+
+// due reports whether the load is to be reported.
+func (m *loadMeter) due(nowMS int64) bool {
+	return nowMS-m.reportedMS >= milliseconds(loadInterval)
+}
+
+// report updates the metrics and returns the fields of the log line that describe
+// the time since the last report.
+func (m *loadMeter) report(nowMS int64, queued int) []zap.Field {
+	usage := m.runtime.Read()
+	m.collections.Inc(int64(usage.Collections - m.last.Collections))
+	m.collectorUS.Inc((usage.Collector - m.last.Collector).Microseconds())
+	m.assistUS.Inc((usage.Assist - m.last.Assist).Microseconds())
+	m.allocated.Inc(int64(usage.AllocatedBytes - m.last.AllocatedBytes))
+	m.liveBytes.Update(float64(usage.LiveBytes))
+	m.goalBytes.Update(float64(usage.GoalBytes))
+	m.mappedBytes.Update(float64(usage.MappedBytes))
+	m.effectMicros.Inc((m.effects - m.lastEffects).Microseconds())
+	fields := []zap.Field{
+		zap.Int64("interval_ms", nowMS-m.reportedMS),
+		zap.Int64("lag_max_ms", m.maxLagMS),
+		zap.Int("queued", queued),
+		zap.Int64("processor_ms", (usage.Processor - m.last.Processor).Milliseconds()),
+	}
+	for d := range dutyCount {
+		took := m.busy[d] - m.lastBusy[d]
+		m.busyMicros[d].Inc(took.Microseconds())
+		planned := m.planning[d] - m.lastPlan[d]
+		m.planMicros[d].Inc(planned.Microseconds())
+		fields = append(fields,
+			zap.Int64(dutyNames[d], m.events[d]),
+			zap.Int64(dutyNames[d]+"_ms", took.Milliseconds()),
+			zap.Int64(dutyNames[d]+"_planner_ms", planned.Milliseconds()))
+		m.events[d] = 0
+	}
+	const mb = 1 << 20
+	fields = append(fields,
+		zap.Int64("effects_ms", (m.effects-m.lastEffects).Milliseconds()),
+		zap.Uint64("gc_cycles", usage.Collections-m.last.Collections),
+		zap.Int64("gc_ms", (usage.Collector-m.last.Collector).Milliseconds()),
+		zap.Int64("gc_assist_ms", (usage.Assist-m.last.Assist).Milliseconds()),
+		zap.Uint64("allocated_mb", (usage.AllocatedBytes-m.last.AllocatedBytes)/mb),
+		zap.Uint64("heap_live_mb", usage.LiveBytes/mb),
+		zap.Uint64("heap_goal_mb", usage.GoalBytes/mb),
+		zap.Uint64("memory_mb", usage.MappedBytes/mb),
+	)
+	m.last, m.lastBusy, m.lastPlan, m.lastEffects = usage, m.busy, m.planning, m.effects
+	m.reportedMS, m.maxLagMS = nowMS, 0
+	return fields
+}
--- a/internal/node/load_log_test.go
+++ b/internal/node/load_log_test.go
@@ -63,7 +63,7 @@
 			racing := &racingLog{Log: log.forInstance("a")}
 			n := startLoop(t, racing)
 			if leading {
-				n.post(ctx, func() {
+				n.post(ctx, dutyRequests, func() {
 					termCtx, stop := context.WithCancel(ctx)
 					n.term = &term{
 						epoch: 1, core: planner.New(n.config.plannerConfig(true), n.stateMachine, 1, n.now()),
@@ -94,7 +94,7 @@
 				c.Check(err, qt.IsNil)
 			}
 			c.Assert(n.loadLog(ctx), qt.IsNil)
-			state, err := runInLoop(ctx, n, func() jobs.State { return n.stateMachine.SubmittedEntry(id).State() })
+			state, err := runInLoop(ctx, n, dutyRequests, func() jobs.State { return n.stateMachine.SubmittedEntry(id).State() })
 			c.Assert(err, qt.IsNil)
 			c.Assert(state, qt.Equals, jobs.Completed)
 		})
@@ -153,7 +153,7 @@
 	n.awaitLoadTurn(ctx, 100*time.Millisecond)
 	c.Assert(time.Since(start) >= 100*time.Millisecond, qt.IsTrue)
 	// While a leader sends heartbeats, the log is not short of bandwidth.
-	_, err := runInLoop(ctx, n, func() bool { n.lastHeartbeat.epoch = 1; return true })
+	_, err := runInLoop(ctx, n, dutyRequests, func() bool { n.lastHeartbeat.epoch = 1; return true })
 	c.Assert(err, qt.IsNil)
 	n.awaitLoadTurn(ctx, time.Hour)
 
--- a/internal/node/manifest_test.go
+++ b/internal/node/manifest_test.go
@@ -90,7 +90,7 @@
 	})
 	c.Assert(err, qt.IsNil)
 	waitFor(t, "the instance leads again", func() bool {
-		epoch, err := runInLoop(ctx, a.Node, func() uint64 {
+		epoch, err := runInLoop(ctx, a.Node, dutyRequests, func() uint64 {
 			if a.term == nil {
 				return 0
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,7 @@
 	deps     Deps
 	tele     *telemetry.Telemetry
 	stats    stats
-	ring     *ring.Ring[func()]
+	ring     *ring.Ring[loopEvent]
 	peerHTTP *http.Client
 
 	// routing is read by the request path without the event loop.
@@ -80,6 +80,8 @@
 	runCtx context.Context
 	// resumedMS is when the instance last resumed from a suspension, or 0.
 	resumedMS int64
+	// load measures the event loop.
+	load *loadMeter
 	// lastActiveMS is when the event loop last handled an event or a tick.
 	lastActiveMS int64
 }
@@ -140,7 +142,8 @@
 		deps:         deps,
 		tele:         tele,
 		stats:        newStats(tele.Scope),
-		ring:         ring.New[func()](ringSize),
+		load:         newLoadMeter(tele.Scope),
+		ring:         ring.New[loopEvent](ringSize),
 		peerHTTP:     newPeerClient(),
 		stateMachine: jobs.NewStateMachine(),
 		members:      map[string]member{},
@@ -174,27 +177,50 @@
 			n.resign("stopped")
 			return
 		case event := <-n.ring.Receive():
+			start := time.Now()
 			// An event may have waited through a suspension.
-			n.detectSuspension()
-			event()
+			now := n.detectSuspension()
+			n.load.delayed(now - event.postedMS)
+			event.run()
+			n.load.handled(event.duty, time.Since(start))
 		case <-ticker.C:
-			n.detectSuspension()
-			n.step(planner.Tick{})
-			if n.term != nil {
-				n.term.delegation.tick()
-			}
+			start := time.Now()
+			n.tick(n.detectSuspension())
+			n.load.handled(dutyTick, time.Since(start))
 		}
 	}
 }
 
+// tick does what is due by time.
+func (n *Node) tick(nowMS int64) {
+	n.step(planner.Tick{})
+	if n.term != nil {
+		n.term.delegation.tick()
+	}
+	if n.load.due(nowMS) {
+		n.reportLoad(nowMS)
+	}
+}
+
+// reportLoad updates the metrics of the load. A leader also logs it, as does any
+// other instance that is behind.
+func (n *Node) reportLoad(nowMS int64) {
+	logged := n.term != nil || n.load.maxLagMS >= milliseconds(lagWarning)
+	fields := n.load.report(nowMS, n.ring.Len())
+	if logged {
+		n.log("load", append(fields, zap.Bool("leading", n.term != nil))...)
+	}
+}
+
 // detectSuspension detects that the process was suspended. Another instance may
-// lead by now, so no commands are sent until the log has been read.
-func (n *Node) detectSuspension() {
+// lead by now, so no commands are sent until the log has been read. It returns
+// the current time.
+func (n *Node) detectSuspension() int64 {
 	now := n.now().MS
 	gap := now - n.lastActiveMS
 	n.lastActiveMS = now
 	if gap < milliseconds(suspensionThreshold) {
-		return
+		return now
 	}
 	n.resumedMS = now
 	n.log("resumed", zap.Int64("gap_ms", gap))
@@ -202,19 +228,20 @@
 		n.step(planner.Suspended{})
 		go n.confirmLeadership(n.term)
 	}
+	return now
 }
 
 // post puts an event into the ring of the event loop and reports whether it did
 // so before ctx ended.
-func (n *Node) post(ctx context.Context, event func()) bool {
-	return n.ring.Put(ctx, event) == nil
+func (n *Node) post(ctx context.Context, d duty, event func()) bool {
+	return n.ring.Put(ctx, loopEvent{duty: d, postedMS: n.now().MS, run: event}) == nil
 }
 
 // runInLoop runs fn in the event loop and returns its result.
-func runInLoop[T any](ctx context.Context, n *Node, fn func() T) (T, error) {
+func runInLoop[T any](ctx context.Context, n *Node, d duty, fn func() T) (T, error) {
 	result := make(chan T, 1)
 	var zero T
-	if !n.post(ctx, func() { result <- fn() }) {
+	if !n.post(ctx, d, func() { result <- fn() }) {
 		return zero, errors.Wrap(ctx.Err(), "ask the loop")
 	}
 	select {
@@ -232,15 +259,20 @@
 		return
 	}
 	t := n.term
-	for _, effect := range t.core.Step(n.now(), e) {
+	start := time.Now()
+	effects := t.core.Step(n.now(), e)
+	planned := time.Now()
+	n.load.planning[dutyOf(e)] += planned.Sub(start)
+	for _, effect := range effects {
 		n.execute(t, effect)
 	}
+	n.load.effects += time.Since(planned)
 }
 
 // postEvent posts a planner event of a term. The event is dropped once the term
 // is over.
 func (n *Node) postEvent(t *term, e planner.Event) {
-	n.post(t.ctx, func() {
+	n.post(t.ctx, dutyOf(e), func() {
 		if n.term == t {
 			n.step(e)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -74,7 +74,7 @@
 	}
 	waitFor(t, "every instance is ready", func() bool { return all[0].Ready() && all[1].Ready() && all[2].Ready() })
 	waitFor(t, "every instance is a member", func() bool {
-		members, err := runInLoop(context.Background(), all[0].Node, func() int { return len(all[0].members) })
+		members, err := runInLoop(context.Background(), all[0].Node, dutyRequests, func() int { return len(all[0].members) })
 		return err == nil && members == 3
 	})
 	first := leaderOf(all...)
@@ -227,7 +227,7 @@
 	c := qt.New(t)
 	_, first, other := leaderAndFollower(t)
 	heard := func() int64 {
-		receivedMS, err := runInLoop(context.Background(), other.Node, func() int64 { return other.lastHeartbeat.receivedMS })
+		receivedMS, err := runInLoop(context.Background(), other.Node, dutyRequests, func() int64 { return other.lastHeartbeat.receivedMS })
 		c.Assert(err, qt.IsNil)
 		return receivedMS
 	}
@@ -235,7 +235,7 @@
 	release := make(chan struct{})
 	unblock := sync.OnceFunc(func() { close(release) })
 	defer unblock()
-	first.post(context.Background(), func() { <-release })
+	first.post(context.Background(), dutyMembers, func() { <-release })
 	blockedMS := first.now().MS
 	waitFor(t, "heartbeats go on beyond the election timeout", func() bool { return heard() > blockedMS+milliseconds(electionTimeout) })
 	c.Assert(other.leader.Load().epoch, qt.Equals, uint64(1))
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -87,7 +87,7 @@
 // the term ends.
 func (n *Node) refreshTargets(t *term, latest *atomic.Pointer[heartbeatTargets]) {
 	for t.ctx.Err() == nil {
-		members, err := runInLoop(t.ctx, n, func() []candidate {
+		members, err := runInLoop(t.ctx, n, dutyMembers, func() []candidate {
 			members := n.candidates(n.config.Instance)
 			if n.term == t {
 				t.delegation.update(members)
@@ -115,7 +115,7 @@
 		// Members that have gone stay in the list until their record is deleted.
 		return
 	}
-	n.post(t.ctx, func() {
+	n.post(t.ctx, dutyMembers, func() {
 		switch {
 		case n.term != t:
 		case response.Msg.GetEpoch() > t.epoch:
@@ -150,7 +150,7 @@
 
 func (s *peerServer) Heartbeat(ctx context.Context, r *connect.Request[nodev1.HeartbeatRequest]) (*connect.Response[nodev1.HeartbeatResponse], error) {
 	m := r.Msg
-	epoch, err := runInLoop(ctx, s.n, func() uint64 { return s.n.handleHeartbeat(m) })
+	epoch, err := runInLoop(ctx, s.n, dutyMembers, func() uint64 { return s.n.handleHeartbeat(m) })
 	return connect.NewResponse(&nodev1.HeartbeatResponse{Epoch: epoch, KnowsLog: s.n.caughtUp.Load()}), err
 }
 
@@ -186,7 +186,7 @@
 
 func (s *peerServer) CheckLeader(ctx context.Context, _ *connect.Request[nodev1.CheckLeaderRequest]) (*connect.Response[nodev1.CheckLeaderResponse], error) {
 	n := s.n
-	response, err := runInLoop(ctx, n, func() *nodev1.CheckLeaderResponse {
+	response, err := runInLoop(ctx, n, dutyMembers, func() *nodev1.CheckLeaderResponse {
 		alive := n.term != nil
 		if n.term == nil && n.lastHeartbeat.epoch > 0 {
 			age := n.now().MS - n.lastHeartbeat.receivedMS
--- a/internal/node/suspension_test.go
+++ b/internal/node/suspension_test.go
@@ -27,7 +27,7 @@
 	defer stop()
 	n.term = &term{epoch: 1, core: planner.New(n.config.plannerConfig(true), n.stateMachine, 1, n.now()), ctx: ctx, stop: stop}
 	seen := make(chan int64, 1)
-	n.post(ctx, func() { seen <- n.now().MS - n.lastActiveMS })
+	n.post(ctx, dutyRequests, func() { seen <- n.now().MS - n.lastActiveMS })
 	done := make(chan struct{})
 	go func() { defer close(done); n.loop(ctx) }()
 	select {
@@ -47,12 +47,12 @@
 	log, first, other := leaderAndFollower(t)
 	// Without an outstanding write, the log has no append of the leader to refuse.
 	waitFor(t, "no write is outstanding", func() bool {
-		idle, err := runInLoop(context.Background(), first.Node, func() bool {
+		idle, err := runInLoop(context.Background(), first.Node, dutyRequests, func() bool {
 			return first.term != nil && first.term.pendingSinceMS.Load() == 0
 		})
 		return err == nil && idle
 	})
 	log.setUnavailable(first.config.Instance, true)
-	first.post(context.Background(), func() { first.lastActiveMS -= 2 * milliseconds(suspensionThreshold) })
+	first.post(context.Background(), dutyMembers, func() { first.lastActiveMS -= 2 * milliseconds(suspensionThreshold) })
 	waitFor(t, "the other instance leads", func() bool { return other.isLeader() && !first.isLeader() })
 }
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -57,7 +57,7 @@
 		case err == nil && offset < t.lastAppendEnd:
 			// The response is that of an older append: nothing was written.
 			n.tele.Log.Error("append_answer_stale", zap.Uint64("seq", w.Seq), zap.Int64("offset", offset), zap.Int64("wrote_to", t.lastAppendEnd))
-			n.post(t.ctx, func() {
+			n.post(t.ctx, dutyLog, func() {
 				if n.term == t {
 					n.resign("the log returned the response of an older append")
 				}
@@ -72,7 +72,7 @@
 			return n.applyAppended(t, w, offset)
 		case errors.Is(err, ErrFenced):
 			n.log("fenced_by_log", zap.Uint64("epoch", t.epoch), zap.String("error", err.Error()))
-			n.post(t.ctx, func() {
+			n.post(t.ctx, dutyLog, func() {
 				if n.term == t {
 					n.resign("fenced by the log")
 				}
@@ -104,7 +104,7 @@
 		n.postEvent(t, planner.WriteRejected{Seq: w.Seq})
 		return
 	}
-	n.post(t.ctx, func() {
+	n.post(t.ctx, dutyLog, func() {
 		if n.term == t {
 			n.resign("the log rejected the retry of an append that may have taken effect")
 		}
@@ -132,7 +132,7 @@
 // log. It returns false when the term is over.
 func (n *Node) applyAppended(t *term, w planner.Write, offset int64) bool {
 	for t.ctx.Err() == nil {
-		applied, err := runInLoop(t.ctx, n, func() bool {
+		applied, err := runInLoop(t.ctx, n, dutyLog, func() bool {
 			if n.appliedEnd < offset {
 				return false
 			}
--- a/internal/node/write_test.go
+++ b/internal/node/write_test.go
@@ -30,7 +30,7 @@
 	c.Assert(submitOne(in, "a000000000000001", job(3)), qt.Equals, code.OK)
 	waitFor(t, "the job is done", func() bool { return completed(in, []jobs.ID{"a000000000000001"}) })
 	waitFor(t, "every worker is recorded", func() bool {
-		recorded, err := runInLoop(context.Background(), in.Node, func() int { return len(in.stateMachine.Workers) })
+		recorded, err := runInLoop(context.Background(), in.Node, dutyRequests, func() int { return len(in.stateMachine.Workers) })
 		return err == nil && recorded == workers.idleWorkers+1
 	})
 }
@@ -99,7 +99,7 @@
 	got := submitOne(in, "a000000000000001", job(3))
 	qt.New(t).Assert(got, qt.Equals, code.OK)
 	waitFor(t, "the next term has begun", func() bool {
-		epoch, err := runInLoop(context.Background(), in.Node, func() uint64 { return in.claim.Epoch })
+		epoch, err := runInLoop(context.Background(), in.Node, dutyRequests, func() uint64 { return in.claim.Epoch })
 		return err == nil && epoch > 1 && in.isLeader()
 	})
 	waitFor(t, "the job is done", func() bool { return completed(in, []jobs.ID{"a000000000000001"}) })
