Plan a start and a report at a cost that the other workers do not add to

Callers saw their most urgent jobs late on the large site: the leader had less processor time than it needed, and most of it went into work that grows with the square of the workers.

Cause: each report went through all workers to see whether the term is reconciled, also long after it was; each task of a step scanned and scored all workers anew, though the tasks of a step have equal requirements and a start changes one worker only; reservations, runs per worker and listed runs were maps, built for each pass or report.

Decisions are the same.

--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -41,10 +41,10 @@
 	var best *worker
 	bestScore := 0.0
 	for _, w := range c.sortedWorkers {
-		if !c.hasRoom(t, w) || c.bestEffortShare(w, t.step.spec.CPUMilli) < 1 {
+		if !c.hasRoom(t.step, w) || c.bestEffortShare(w, t.step.spec.CPUMilli) < 1 {
 			continue
 		}
-		if score := c.score(t, w); best == nil || score > bestScore {
+		if score := c.taskScore(t, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -82,7 +82,7 @@
 // hasRuns reports whether any task of the job has an active run.
 func (j *job) hasRuns() bool {
 	for _, s := range j.steps {
-		if len(s.perWorker) > 0 {
+		if s.activeRuns > 0 {
 			return true
 		}
 	}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -52,9 +52,10 @@
 	// placementDue is set when a waiting task may fit on a worker now.
 	placementDue bool
 	lastPassMS   int64
-	// reserved maps each worker whose free room is kept to the step it is kept
-	// for in this pass; previouslyReserved is the same for the previous pass.
-	reserved, previouslyReserved map[*worker]*step
+	// reservations are the workers whose free room is kept in this pass, with
+	// the step it is kept for; previousReservations is the same for the previous
+	// pass.
+	reservations, previousReservations []reservation
 
 	serviceLoad  serviceLoad
 	durations    durationModel
@@ -62,9 +63,18 @@
 	journal      journal
 	// pass is the number of the current pass over the waiting tasks.
 	pass int64
-	// useBuffer and marginBuffer are scratch buffers of the interference model.
+	// reports counts the reports of workers.
+	reports int64
+	// runBuffer holds the runs of the worker whose report or runs are checked.
+	runBuffer []*run
+	// candidates are the workers that may run a task of the step that is being
+	// placed; pendingBuffer holds its waiting tasks meanwhile.
+	candidates    []candidate
+	pendingBuffer []*task
+	// useBuffer, marginBuffer and paceBuffer are scratch buffers of the interference model.
 	useBuffer    bestEffortUse
 	marginBuffer []margin
+	paceBuffer   []pacedRun
 	// disabled lists the safeguards that a test has turned off.
 	disabled safeguards
 	effects  []Effect
@@ -125,9 +135,6 @@
 		serviceLoad:  serviceLoad{byService: map[string]processorLoad{}},
 		durations:    durationModel{byQueue: map[string]*estimate{}},
 		interference: newInterferenceModel(),
-
-		reserved:           map[*worker]*step{},
-		previouslyReserved: map[*worker]*step{},
 	}
 	c.priorLeaseMS = cmp.Or(config.PriorLeaseMS, config.MaxLeaseMS)
 	ids := make([]jobs.ID, 0, len(stateMachine.Jobs))
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -38,7 +38,7 @@
 // now, or "none".
 func (c *Core) ruledOutBy(s *step, w *worker) string {
 	free, needed := w.info.Capacity.minus(w.used), s.resources()
-	holder := c.reserved[w]
+	holder := c.reservedFor(w)
 	switch {
 	case w.info.Service != s.job.queue.Service:
 		return "service"
@@ -52,7 +52,7 @@
 		return "memory"
 	case needed.GPU > free.GPU:
 		return "accelerators"
-	case s.spec.MaxPerWorker > 0 && s.perWorker[w] >= s.spec.MaxPerWorker:
+	case s.spec.MaxPerWorker > 0 && w.runsOf(s) >= s.spec.MaxPerWorker:
 		return "tasks_per_worker"
 	case s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS):
 		return "advice"
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -101,10 +101,10 @@
 			if rack != "" && !slices.Contains(w.info.Labels, rack) {
 				continue
 			}
-			if !c.feasible(t, w) || !c.fitsCount(s, w, taken[w]+1) {
+			if !c.feasible(s, w) || !c.fitsCount(s, w, taken[w]+1) {
 				continue
 			}
-			if best == nil || c.score(t, w) > c.score(t, best) {
+			if best == nil || c.taskScore(t, w) > c.taskScore(t, best) {
 				best = w
 			}
 		}
@@ -124,7 +124,7 @@
 	for range times {
 		need = need.plus(s.resources())
 	}
-	if s.spec.MaxPerWorker > 0 && s.perWorker[w]+times > s.spec.MaxPerWorker {
+	if s.spec.MaxPerWorker > 0 && w.runsOf(s)+times > s.spec.MaxPerWorker {
 		return false
 	}
 	return need.fits(w.info.Capacity.minus(w.used))
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -61,6 +61,8 @@
 	conservative []float64
 	meanEffect   float64
 	valid        bool
+	// gain is a scratch buffer of observe.
+	gain []float64
 }
 
 func newInterferenceModel() *interferenceModel {
@@ -140,7 +142,8 @@
 		return
 	}
 	n := len(m.mean)
-	gain := make([]float64, n)
+	m.gain = append(m.gain[:0], make([]float64, n)...)
+	gain := m.gain
 	predicted := m.predictedRise(u)
 	innovation, variance := min(rise, maxRise)-math.Log1p(predicted), noiseVar
 	for j, share := range u {
@@ -156,11 +159,15 @@
 	}
 	m.valid = false
 	for i := range m.mean {
-		m.mean[i] = max(m.mean[i]+gain[i]/variance*innovation, 0)
-		for j := range m.mean {
-			m.cov[i][j] -= gain[i] * gain[j] / variance
+		row := m.cov[i]
+		if gain[i] != 0 {
+			scaled := gain[i] / variance
+			m.mean[i] = max(m.mean[i]+scaled*innovation, 0)
+			for j, g := range gain {
+				row[j] -= scaled * g
+			}
 		}
-		m.cov[i][i] = min(m.cov[i][i]+driftVar, priorVar)
+		row[i] = min(row[i]+driftVar, priorVar)
 	}
 }
 
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -51,10 +51,10 @@
 	// queued is set once the predecessors are done, released once the
 	// occurrence is also due.
 	queued, released bool
-	// perWorker counts the active runs on each worker, for MaxPerWorker.
-	perWorker map[*worker]int
-	gang      gangState
-	advice    adviceState
+	// activeRuns is the number of runs that are attached to a worker.
+	activeRuns int
+	gang       gangState
+	advice     adviceState
 	// deadlineMS is when the job's objective ends; remainingMS is how long the
 	// job still needs from the start of the step.
 	deadlineMS, remainingMS int64
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -22,6 +22,9 @@
 	cancellations, inFlightCancellations []unknownCancellation
 	// dirtyEarlyEnds are the jobs whose early ends have to be recorded.
 	dirtyEarlyEnds []jobs.ID
+	// unacknowledged are the workers that have ends to acknowledge, and some that
+	// no longer have any.
+	unacknowledged []*worker
 	// nextAcks is the batch of ends to acknowledge next.
 	nextAcks ackBatch
 	// inFlight holds the records of the outstanding write; remaining holds
@@ -192,21 +195,36 @@
 func (c *Core) collectAcks() ackBatch {
 	jnl := &c.journal
 	b := ackBatch{marks: jnl.nextAcks.marks[:0], dirty: len(jnl.dirty), earlyEnds: len(jnl.dirtyEarlyEnds)}
-	for _, w := range c.sortedWorkers {
-		if w.processedEnd > w.ackableEnd {
-			b.marks = append(b.marks, ackMark{w, w.startedMS, w.processedEnd})
-		}
+	for _, w := range c.unacknowledged() {
+		b.marks = append(b.marks, ackMark{w, w.startedMS, w.processedEnd})
 	}
 	return b
 }
 
+// noteUnacknowledged notes that a worker has ends to acknowledge.
+func (c *Core) noteUnacknowledged(w *worker) {
+	if !w.unacknowledged {
+		w.unacknowledged = true
+		c.journal.unacknowledged = append(c.journal.unacknowledged, w)
+	}
+}
+
+// unacknowledged returns the workers that have ends to acknowledge, sorted by id.
+func (c *Core) unacknowledged() []*worker {
+	jnl := &c.journal
+	jnl.unacknowledged = slices.DeleteFunc(jnl.unacknowledged, func(w *worker) bool {
+		w.unacknowledged = w.processedEnd > w.ackableEnd && c.workers[w.info.ID] == w
+		return !w.unacknowledged
+	})
+	sortWorkers(jnl.unacknowledged)
+	return jnl.unacknowledged
+}
+
 // ackWithoutWrite acknowledges ends that change nothing, such as those of jobs
 // that are already final.
 func (c *Core) ackWithoutWrite() {
-	for _, w := range c.sortedWorkers {
-		if w.processedEnd > w.ackableEnd {
-			c.ack(ackMark{w, w.startedMS, w.processedEnd})
-		}
+	for _, w := range c.unacknowledged() {
+		c.ack(ackMark{w, w.startedMS, w.processedEnd})
 	}
 }
 
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -184,23 +184,25 @@
 // setPaces gives each best-effort task the highest pace that the serving tasks
 // tolerate, by their rank and then those that interfere least first.
 func (c *Core) setPaces(w *worker) {
-	var bestEffort []*run
+	bestEffort := c.paceBuffer[:0]
 	for _, r := range w.runs {
 		if r.task.step.spec.BestEffort && r.phase == running {
-			bestEffort = append(bestEffort, r)
+			bestEffort = append(bestEffort, pacedRun{r, c.paceRank(r), c.worstCoefficient(w, r.task.step)})
 		}
 	}
+	c.paceBuffer = bestEffort
 	if len(bestEffort) == 0 {
 		return
 	}
 	margins := c.margins(w)
-	slices.SortStableFunc(bestEffort, func(a, b *run) int {
-		if d := cmp.Compare(c.paceRank(a), c.paceRank(b)); d != 0 {
+	slices.SortStableFunc(bestEffort, func(a, b pacedRun) int {
+		if d := cmp.Compare(a.rank, b.rank); d != 0 {
 			return d
 		}
-		return cmp.Compare(c.worstCoefficient(w, a.task.step), c.worstCoefficient(w, b.task.step))
+		return cmp.Compare(a.coefficient, b.coefficient)
 	})
-	for _, r := range bestEffort {
+	for i := range bestEffort {
+		r := bestEffort[i].run
 		share := 1.0
 		column := c.modelColumn(r.task.step)
 		use := c.fullPaceUse(w, r)
@@ -221,6 +223,13 @@
 	}
 }
 
+// pacedRun is a best-effort run whose pace is to be set, with what orders it.
+type pacedRun struct {
+	run         *run
+	rank        int
+	coefficient float64
+}
+
 // fullPaceUse returns the share of the worker's processors that the run would
 // use at full pace.
 func (c *Core) fullPaceUse(w *worker, r *run) float64 {
@@ -320,7 +329,7 @@
 		}
 		remaining := c.expectedDuration(s) * float64(100-r.percent) / 100
 		gain := remaining*100/float64(max(r.pace, 1)) - remaining
-		if gain < float64(c.config.StopTimeoutMS+c.config.RestoreMS)+moveGainMS || c.pick(r.task, w) == nil {
+		if gain < float64(c.config.StopTimeoutMS+c.config.RestoreMS)+moveGainMS || !c.fitsElsewhere(s, w) {
 			continue
 		}
 		w.interference.lastMoveMS = c.now.MS
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -42,8 +42,7 @@
 	}
 	c.placementDue, c.lastPassMS = false, c.now.MS
 	c.pass++
-	c.reserved, c.previouslyReserved = c.previouslyReserved, c.reserved
-	clear(c.reserved)
+	c.reservations, c.previousReservations = c.previousReservations[:0], c.reservations
 	slices.SortStableFunc(c.ready, func(a, b *step) int {
 		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
 			return d
@@ -61,13 +60,32 @@
 	}
 	clear(c.ready[len(kept):])
 	c.ready = kept
-	for w, s := range c.previouslyReserved {
-		if c.reserved[w] != s {
-			w.changedPass = c.pass
+	for _, p := range c.previousReservations {
+		if c.reservedFor(p.worker) != p.step {
+			p.worker.changedPass = c.pass
 		}
 	}
 }
 
+// reservation keeps the free room of a worker for a step.
+type reservation struct {
+	worker *worker
+	step   *step
+}
+
+// reservedFor returns the step that a worker's free room is kept for, or nil.
+func (c *Core) reservedFor(w *worker) *step {
+	if w.reservedPass != c.pass {
+		return nil
+	}
+	return w.reservedFor
+}
+
+func (c *Core) reserveWorker(w *worker, s *step) {
+	w.reservedFor, w.reservedPass = s, c.pass
+	c.reservations = append(c.reservations, reservation{w, s})
+}
+
 // Lateness classes of a step, in the order in which they are served.
 const (
 	// onTime: the job can still meet its objective.
@@ -124,11 +142,17 @@
 		}
 		return
 	}
-	for _, t := range slices.Clone(s.pending) {
+	c.pendingBuffer = append(c.pendingBuffer[:0], s.pending...)
+	scanned := false
+	for _, t := range c.pendingBuffer {
 		if !c.mayStart(t) {
 			continue
 		}
-		w := c.pickChanged(t)
+		if !scanned {
+			scanned = true
+			c.scan(s)
+		}
+		w := c.bestCandidate(t)
 		if w == nil {
 			// The step's tasks have equal requirements, so if one does not fit,
 			// none does. They differ only in the workers that they avoid, which
@@ -143,21 +167,63 @@
 			return
 		}
 		c.start(t, w, t.lastRun+1, "placed")
+		c.updateCandidate(s, w)
 	}
 	s.noFitPass = 0
 }
 
-// pickChanged returns the best worker for a task, or nil. If the step's tasks
-// fitted nowhere in a recent pass, it considers only the workers that have
-// changed since: otherwise a pass over a long backlog would check every pair of
-// step and worker.
-func (c *Core) pickChanged(t *task) *worker {
-	s := t.step
+// candidate is a worker that may run a task of the step that is being placed.
+type candidate struct {
+	worker   *worker
+	score    float64
+	feasible bool
+}
+
+// scan finds the candidates for the tasks of a step. The tasks have equal
+// requirements and a start changes only the worker that it is sent to, so one
+// scan serves all of them. If the tasks fitted nowhere in a recent pass, it
+// considers only the workers that have changed since: otherwise a pass over a
+// long backlog would check every pair of step and worker.
+func (c *Core) scan(s *step) {
 	since := s.noFitPass
 	if since == 0 || c.now.MS-s.fullScanMS >= rescanMS {
 		since, s.fullScanMS = 0, c.now.MS
 	}
-	return c.pickSince(t, nil, since)
+	c.candidates = c.candidates[:0]
+	for _, w := range c.sortedWorkers {
+		if w.changedPass >= since && c.feasible(s, w) {
+			c.candidates = append(c.candidates, candidate{w, c.score(s, w), true})
+		}
+	}
+}
+
+// bestCandidate returns the best of the candidates for a task, or nil.
+func (c *Core) bestCandidate(t *task) *worker {
+	var best *worker
+	bestScore := 0.0
+	for i := range c.candidates {
+		candidate := &c.candidates[i]
+		if !candidate.feasible {
+			continue
+		}
+		score := candidate.score - t.avoidance(candidate.worker)
+		if best == nil || score > bestScore {
+			best, bestScore = candidate.worker, score
+		}
+	}
+	return best
+}
+
+// updateCandidate checks a candidate again after a start.
+func (c *Core) updateCandidate(s *step, w *worker) {
+	for i := range c.candidates {
+		if candidate := &c.candidates[i]; candidate.worker == w {
+			if candidate.feasible = c.feasible(s, w); candidate.feasible {
+				candidate.score = c.score(s, w)
+			}
+			return
+		}
+	}
 }
 
 // reserve keeps room that becomes free for the waiting tasks of a step, ahead
@@ -169,33 +235,45 @@
 	}
 	if s.noFitPass > 0 && s.fullScanMS != c.now.MS {
 		for _, w := range s.reservedWorkers {
-			if c.reserved[w] == nil && w.usable(c.now.MS) {
-				c.reserved[w] = s
+			if c.reservedFor(w) == nil && w.usable(c.now.MS) {
+				c.reserveWorker(w, s)
 			}
 		}
 		return
 	}
-	s.reservedWorkers = s.reservedWorkers[:0]
-	for range min(len(s.pending), maxReservedWorkers) {
-		var best *worker
-		for _, w := range c.sortedWorkers {
-			if c.reserved[w] != nil || w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
-				!s.resources().fits(w.info.Capacity.minus(w.longRunning)) ||
-				s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) {
-				continue
-			}
-			if best == nil || w.used.CPUMilli-w.info.Capacity.CPUMilli < best.used.CPUMilli-best.info.Capacity.CPUMilli {
-				best = w
-			}
+	s.reservedWorkers = c.mostFreeWorkers(s, min(len(s.pending), maxReservedWorkers), s.reservedWorkers[:0])
+	for _, w := range s.reservedWorkers {
+		c.reserveWorker(w, s)
+	}
+}
+
+// mostFreeWorkers appends the n workers without a reservation that have the most
+// free processors and would fit a task of the step beside their long-running
+// tasks.
+func (c *Core) mostFreeWorkers(s *step, n int, out []*worker) []*worker {
+	for _, w := range c.sortedWorkers {
+		if c.reservedFor(w) != nil || w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
+			!s.resources().fits(w.info.Capacity.minus(w.longRunning)) ||
+			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) {
+			continue
 		}
-		if best == nil {
-			return
+		i := len(out)
+		for i > 0 && w.freeCPU() > out[i-1].freeCPU() {
+			i--
 		}
-		c.reserved[best] = s
-		s.reservedWorkers = append(s.reservedWorkers, best)
+		if i == n {
+			continue
+		}
+		if len(out) == n {
+			out = out[:n-1]
+		}
+		out = slices.Insert(out, i, w)
 	}
+	return out
 }
 
+func (w *worker) freeCPU() int { return w.info.Capacity.CPUMilli - w.used.CPUMilli }
+
 func (c *Core) mayStart(t *task) bool {
 	if t.unreconciled || len(t.runs) > 0 {
 		return false
@@ -203,19 +281,15 @@
 	return c.now.MS >= t.notBeforeMS
 }
 
-// pick returns the best worker for a task, or nil.
-func (c *Core) pick(t *task, exclude *worker) *worker { return c.pickSince(t, exclude, 0) }
-
-// pickSince is pick restricted to the workers that have changed in the given
-// pass or later.
-func (c *Core) pickSince(t *task, exclude *worker, since int64) *worker {
+// pick returns the best worker for a task other than the given one, or nil.
+func (c *Core) pick(t *task, exclude *worker) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range c.sortedWorkers {
-		if w.changedPass < since || w == exclude || !c.feasible(t, w) {
+		if w == exclude || !c.feasible(t.step, w) {
 			continue
 		}
-		score := c.score(t, w)
+		score := c.taskScore(t, w)
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -223,16 +297,21 @@
 	return best
 }
 
-// feasible reports whether the worker may run the task now.
-func (c *Core) feasible(t *task, w *worker) bool {
-	return c.hasRoom(t, w) && (!t.step.spec.BestEffort || c.mayRunBestEffort(w, t.step))
+// fitsElsewhere reports whether any worker but the given one may run a task of
+// the step now.
+func (c *Core) fitsElsewhere(s *step, exclude *worker) bool {
+	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return w != exclude && c.feasible(s, w) })
+}
+
+// feasible reports whether the worker may run a task of the step now.
+func (c *Core) feasible(s *step, w *worker) bool {
+	return c.hasRoom(s, w) && (!s.spec.BestEffort || c.mayRunBestEffort(w, s))
 }
 
-// hasRoom reports whether the worker may run the task now, leaving aside the
-// interference between best-effort and serving tasks.
-func (c *Core) hasRoom(t *task, w *worker) bool {
-	s := t.step
-	if holder := c.reserved[w]; holder != nil && holder != s && s.resources().CPUMilli > 0 {
+// hasRoom reports whether the worker may run a task of the step now, leaving
+// aside the interference between best-effort and serving tasks.
+func (c *Core) hasRoom(s *step, w *worker) bool {
+	if holder := c.reservedFor(w); holder != nil && holder != s && s.resources().CPUMilli > 0 {
 		return false
 	}
 	switch {
@@ -240,7 +319,7 @@
 		!w.usable(c.now.MS),
 		!s.resources().fits(w.info.Capacity.minus(w.used)),
 		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
-		s.spec.MaxPerWorker > 0 && s.perWorker[w] >= s.spec.MaxPerWorker,
+		s.spec.MaxPerWorker > 0 && w.runsOf(s) >= s.spec.MaxPerWorker,
 		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS):
 		return false
 	}
@@ -270,9 +349,8 @@
 	return placeTailLimit + placeLimitPerSecond*max(waited, 0)
 }
 
-// score ranks a feasible worker; higher is better.
-func (c *Core) score(t *task, w *worker) float64 {
-	s := t.step
+// score ranks a feasible worker for the tasks of a step; higher is better.
+func (c *Core) score(s *step, w *worker) float64 {
 	free := w.info.Capacity.minus(w.used)
 	var score float64
 	switch {
@@ -288,15 +366,23 @@
 	default:
 		score = float64(free.CPUMilli)/32_000 - 2*w.interference.pressure()
 	}
-	if t.avoids(w) {
-		score -= avoidedPenalty
-	}
 	if s.spec.Rack != "" && !slices.Contains(w.info.Labels, s.spec.Rack) {
 		score -= remotePenalty
 	}
 	return score + 4*min(w.health.speed(c.now.MS), 1)
 }
 
+// taskScore ranks a feasible worker for one task; higher is better.
+func (c *Core) taskScore(t *task, w *worker) float64 { return c.score(t.step, w) - t.avoidance(w) }
+
+// avoidance returns what a task's score of a worker is reduced by.
+func (t *task) avoidance(w *worker) float64 {
+	if len(t.avoided) > 0 && t.avoids(w) {
+		return avoidedPenalty
+	}
+	return 0
+}
+
 // servingImages returns the processors reserved by long-running tasks of the
 // given image and of all other images, in thousandths of a core.
 func (w *worker) servingImages(image string) (same, other int) {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -35,6 +35,7 @@
 			continue
 		}
 		w.processedEnd = end.Number
+		c.noteUnacknowledged(w)
 		if c.isEarlyEnd(end) {
 			c.addEarlyEnd(w, end)
 			continue
@@ -44,14 +45,16 @@
 	if !w.moreEnded {
 		w.dropOrphans(e.Report.Running)
 	}
-	listed := make(map[*run]bool, len(e.Report.Running))
+	c.reports++
+	w.findFrom = 0
 	for i := range e.Report.Running {
 		if r := c.handleListed(w, &e.Report.Running[i], e.SentMS); r != nil {
-			listed[r] = true
+			r.listedReport = c.reports
 		}
 	}
-	for _, r := range slices.Concat(w.runs, w.ended) {
-		if !listed[r] {
+	c.runBuffer = append(append(c.runBuffer[:0], w.runs...), w.ended...)
+	for _, r := range c.runBuffer {
+		if r.listedReport != c.reports {
 			c.handleMissing(r, e)
 		}
 	}
@@ -163,7 +166,7 @@
 	if len(t.runs) > 0 {
 		return nil
 	}
-	r := &run{task: t, worker: w, number: rt.Run, phase: running, token: w.token, sentMS: c.now.MS, pace: 100, adopted: true}
+	r := &run{task: t, ref: rt.Task, worker: w, number: rt.Run, phase: running, token: w.token, sentMS: c.now.MS, pace: 100, adopted: true}
 	if t.step.spec.BestEffort {
 		// The pace set by the predecessor is unknown, so it is set again.
 		r.pace = 0
@@ -204,10 +207,7 @@
 	}
 	r.task.runs = append(r.task.runs, r)
 	r.task.unreconciled = false
-	if s.perWorker == nil {
-		s.perWorker = map[*worker]int{}
-	}
-	s.perWorker[r.worker]++
+	s.activeRuns++
 	c.unqueue(r.task)
 }
 
@@ -226,9 +226,7 @@
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
 	}
-	if s.perWorker[r.worker]--; s.perWorker[r.worker] <= 0 {
-		delete(s.perWorker, r.worker)
-	}
+	s.activeRuns--
 	c.placementDue = true
 }
 
@@ -244,18 +242,43 @@
 	c.placementDue = true
 }
 
-func (w *worker) findRun(ref jobs.Task, number int) *run {
+// runsOf counts the worker's runs of a step.
+func (w *worker) runsOf(s *step) int {
+	n := 0
 	for _, runs := range [2][]*run{w.runs, w.ended} {
 		for _, r := range runs {
-			if r.number == number && r.task.index == ref.Index && r.task.step.index == ref.Step &&
-				r.task.step.occurrence == ref.Occurrence && r.task.step.job.id == ref.Job {
-				return r
+			if r.task.step == s {
+				n++
 			}
 		}
 	}
+	return n
+}
+
+// findRun returns the worker's run of a task with a number, or nil. Workers list
+// their runs in the order of their starts, as runs are kept, so the search begins
+// behind the run that was found last.
+func (w *worker) findRun(ref jobs.Task, number int) *run {
+	for i := range w.runs {
+		at := (w.findFrom + i) % len(w.runs)
+		if r := w.runs[at]; r.is(ref, number) {
+			w.findFrom = at + 1
+			return r
+		}
+	}
+	for _, r := range w.ended {
+		if r.is(ref, number) {
+			return r
+		}
+	}
 	return nil
 }
 
+// is reports whether r is the run of a task with a number.
+func (r *run) is(ref jobs.Task, number int) bool {
+	return r.number == number && r.ref == ref
+}
+
 // loseRun releases a run that has ended without being listed as ended.
 func (c *Core) loseRun(r *run) {
 	t := r.task
--- a/internal/planner/returning_worker_test.go
+++ b/internal/planner/returning_worker_test.go
@@ -77,7 +77,7 @@
 	h.core.workers["w2"].noRoomUntilMS = h.now + 20
 	h.report(testWorker, Report{StartedMS: 7, ClockMS: 100})
 	task := &h.core.jobs["j"].steps[0].tasks[0]
-	c.Assert(h.core.score(task, h.core.workers["w"]) < h.core.score(task, h.core.workers["w2"]), qt.IsTrue)
+	c.Assert(h.core.taskScore(task, h.core.workers["w"]) < h.core.taskScore(task, h.core.workers["w2"]), qt.IsTrue)
 }
 
 // forgetWorkers cuts off workers for longer than their directory entries last,
--- a/internal/planner/run_check.go
+++ b/internal/planner/run_check.go
@@ -1,7 +1,5 @@
 package planner
 
-import "slices"
-
 // drainState holds when a worker started to drain and when it departs.
 type drainState struct {
 	sinceMS     int64
@@ -28,7 +26,8 @@
 		return
 	}
 	w.runsCheckedMS = c.now.MS
-	for _, r := range slices.Clone(w.runs) {
+	c.runBuffer = append(c.runBuffer[:0], w.runs...)
+	for _, r := range c.runBuffer {
 		if r.phase != running {
 			continue
 		}
@@ -53,14 +52,15 @@
 // processor time.
 func (c *Core) stalled(r *run) bool {
 	s := r.task.step
-	if r.percent >= 100 || s.spec.Gang || r.confirmedMS == 0 {
+	idleMS := r.worker.reportedMS - r.progressMS
+	if idleMS <= stallMS || r.percent >= 100 || s.spec.Gang || r.confirmedMS == 0 {
 		return false
 	}
 	if s.spec.BestEffort && (r.pace < 100 || c.bestEffortShare(r.worker, 0) < 0.5) {
 		return false
 	}
 	limit := int64(max(stallMS, c.expectedDuration(s)/4))
-	return r.worker.reportedMS-r.progressMS > limit
+	return idleMS > limit
 }
 
 // mustMove reports whether a run has to be moved off a draining worker now.
@@ -145,7 +145,7 @@
 			c.start(r.task, other, r.task.lastRun+1, "speculative copy")
 		}
 	case s.spec.Checkpointing && remaining > slowFactor*fresh, remaining > restartFactor*fresh+float64(c.config.StopTimeoutMS):
-		if c.pick(r.task, w) != nil {
+		if c.fitsElsewhere(s, w) {
 			r.task.avoid(w)
 			r.task.replaced++
 			c.stopRun(r, "slow")
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -4,7 +4,7 @@
 
 // start sends a task to a worker.
 func (c *Core) start(t *task, w *worker, number int, reason string) *run {
-	r := &run{task: t, worker: w, number: number, phase: starting, token: w.token, sentMS: c.now.MS, pace: 100}
+	r := &run{task: t, ref: t.ref(), worker: w, number: number, phase: starting, token: w.token, sentMS: c.now.MS, pace: 100}
 	t.lastRun = max(t.lastRun, number)
 	j := t.step.job
 	c.attach(r)
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -15,11 +15,15 @@
 // running anywhere and has not ended. A worker that responds but has more ends
 // than it lists is waited for, however long that takes.
 func (c *Core) checkReconciled() {
-	unreported := false
-	if c.disabled.reconcileWorkers && !c.reconciled && len(c.sortedWorkers) > 0 {
+	if c.reconciled {
+		return
+	}
+	if c.disabled.reconcileWorkers && len(c.sortedWorkers) > 0 {
 		c.reconciled = true
 		c.markReconciled()
+		return
 	}
+	unreported := false
 	endsMissing, inheritedLease := false, c.maxInheritedLeaseMS(c.priorLeaseMS)
 	for _, w := range c.sortedWorkers {
 		if (w.listed || w.inherited) && !w.dead && (!w.reported || w.moreEnded) {
@@ -31,12 +35,8 @@
 		}
 	}
 	switch {
-	case c.reconciled && !unreported:
-		return
-	case !unreported && len(c.sortedWorkers) > 0:
-		c.reconciled = true
-		c.markReconciled()
-	case !c.reconciled && !endsMissing && c.ledUntilMS()-c.termStartMS > inheritedLease:
+	case !unreported && len(c.sortedWorkers) > 0,
+		!endsMissing && c.ledUntilMS()-c.termStartMS > inheritedLease:
 		c.reconciled = true
 		c.markReconciled()
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -1,5 +1,7 @@
 package planner
 
+import "redwingvale/internal/jobs"
+
 // worker is the leader's view of a worker: its current incarnation, lease and
 // runs.
 type worker struct {
@@ -34,6 +36,8 @@
 	// that of the last one that may be acknowledged.
 	processedEnd, ackableEnd int64
 	ackDelay                 ackDelay
+	// unacknowledged is set while the worker is listed in journal.unacknowledged.
+	unacknowledged bool
 
 	holdsInFlight int
 	holdSentMS    int64
@@ -55,6 +59,8 @@
 	inheritedLeaseEndMS int64
 
 	runs []*run
+	// findFrom is the index in runs at which findRun begins.
+	findFrom int
 	// ended are the runs that the worker no longer runs and whose ends it has
 	// not listed yet. They hold no room, but their tasks must not start again.
 	ended []*run
@@ -65,6 +71,10 @@
 	used      Resources
 	// longRunning is the part of used that long-running tasks hold.
 	longRunning Resources
+	// reservedFor is the step that the worker's free room is kept for in the pass
+	// reservedPass.
+	reservedFor  *step
+	reservedPass int64
 	// changedPass is the first pass that has to consider the worker again,
 	// because more may fit on it than in the passes before.
 	changedPass int64
@@ -85,7 +95,9 @@
 
 // run is one start of a task on a worker.
 type run struct {
-	task   *task
+	task *task
+	// ref is the task's name.
+	ref    jobs.Task
 	worker *worker
 	number int
 	phase  runPhase
@@ -126,6 +138,8 @@
 	paceUnknown bool
 	stopSentMS  int64
 	stopReason  string
+	// listedReport is the number of the last report that lists the run.
+	listedReport int64
 }
 
 type runPhase int
