Pace the garbage collector by the instance's memory limit

Callers saw their most urgent jobs late on the large site.

Cause: a leader with 0.8 of a core allocates far more in a second than it keeps, and at the runtime's default a collection starts whenever the small heap has doubled. The collections follow one another and stand in the way of the event loop. The process did not know its memory limit either.

--- a/cmd/rwnode/main.go
+++ b/cmd/rwnode/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"redwingvale/internal/cli"
+	"redwingvale/internal/memory"
 	"redwingvale/internal/node"
 	"redwingvale/internal/telemetry"
 	"redwingvale/platform"
@@ -29,6 +30,9 @@
 	defer out.Close()
 	tele := telemetry.New("rwnode", config.Instance, out)
 	defer tele.Close()
+	if config.MemoryMB > 0 {
+		go memory.NewPacer(int64(config.MemoryMB * (1 << 20))).Run(ctx)
+	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -38,6 +38,9 @@
 	CPUShare float64 `toml:"cpu_share"`
 	// Cores is the speed of that processor as a multiple of one core.
 	Cores float64 `toml:"cores"`
+	// MemoryMB is the memory beyond which the process is killed, in MB of 2^20
+	// bytes; 0 if there is no limit.
+	MemoryMB float64 `toml:"memory_mb"`
 	// LeaseMS is how long a worker continues its runs without a renewal.
 	LeaseMS int64 `toml:"lease_ms"`
 	// DelegationMinWorkers is the number of workers from which on the leader
@@ -92,6 +95,10 @@
 		problems.Address("peer_advertised_addr", c.PeerAdvertisedAddr)
 	}
 	problems.Range("delegation_min_workers", int64(c.DelegationMinWorkers), 1, math.MaxInt32)
+	problems.Range("memory_mb", int64(c.MemoryMB), 0, math.MaxInt32)
+	if c.MemoryMB > 0 {
+		problems.Range("memory_mb", int64(c.MemoryMB), minMemoryMB, math.MaxInt32)
+	}
 	problems.Range("lease_ms", c.LeaseMS, 500, math.MaxInt32)
 	problems.Range("store_record_bytes", c.RecordBytes, minRecordBytes, math.MaxInt32)
 	problems.Range("store_request_bytes", c.RequestBytes, c.RecordBytes, math.MaxInt32)
@@ -129,6 +136,9 @@
 // and a few steps.
 const minRecordBytes = 16 << 10
 
+// minMemoryMB holds the program and the state of a small site.
+const minMemoryMB = 32
+
 // limits returns the log's limits. The length prefix of a record counts towards
 // the size of an append.
 func (c *Config) limits() jobs.Limits {
