Read the event loop's clock without a system call

Cause: the clock that counts suspensions costs a system call, which the event loop of the leader made several times for each report and each start.

Change: the clock is derived from the monotonic and the wall clock; when one has moved against the other by 2 ms, as in a suspension, the kernel's clock is read again. The result never goes backwards. Calls take the time of the planner's step.

Measured: go test ./internal/node -run Clock passes.

--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -8,17 +10,75 @@
 	"redwingvale/internal/planner"
 )
 
-// now reads the monotonic clock and the wall clock. Unlike the monotonic clock
-// of package time, this one also advances while the process is suspended.
-func (n *Node) now() planner.Time {
+// clock reads a monotonic clock that, unlike that of package time, also advances
+// while the process is suspended. The kernel's clock of this kind costs a system
+// call, which the event loop would make several times for each event, so it is
+// read only when the wall clock has moved against the monotonic one: a suspension
+// moves it.
+type clock struct {
+	start       time.Time
+	calibrating sync.Mutex
+	calibration atomic.Pointer[calibration]
+}
+
+// calibration holds differences between clocks.
+type calibration struct {
+	// wall is the wall clock less the monotonic clock, boot the clock that counts
+	// suspensions less the monotonic clock.
+	wall, boot time.Duration
+}
+
+// maxClockDrift is how far the wall clock may move against the monotonic clock
+// before the kernel's clock is read again; a shorter suspension has no effect that
+// matters.
+const maxClockDrift = 2 * time.Millisecond
+
+func newClock() *clock {
+	c := &clock{start: time.Now()}
+	c.calibrate()
+	return c
+}
+
+// now reads the clock and the wall clock.
+func (c *clock) now() planner.Time {
+	t := time.Now()
+	monotonic := t.Sub(c.start)
+	k := c.calibration.Load()
+	if drift := wallTime(t) - monotonic - k.wall; drift > maxClockDrift || drift < -maxClockDrift {
+		k = c.calibrate()
+	}
+	return planner.Time{MS: (monotonic + k.boot).Milliseconds(), UnixMS: t.UnixMilli()}
+}
+
+// calibrate reads all clocks. The result never moves the clock backwards: only
+// suspensions change the difference, and they increase it.
+func (c *clock) calibrate() *calibration {
+	c.calibrating.Lock()
+	defer c.calibrating.Unlock()
+	t := time.Now()
+	monotonic := t.Sub(c.start)
+	k := &calibration{wall: wallTime(t) - monotonic, boot: bootTime() - monotonic}
+	if last := c.calibration.Load(); last != nil {
+		k.boot = max(k.boot, last.boot)
+	}
+	c.calibration.Store(k)
+	return k
+}
+
+func wallTime(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
+
+func bootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		// The clock exists on every supported kernel.
 		panic("read CLOCK_BOOTTIME: " + err.Error())
 	}
-	return planner.Time{MS: ts.Nano() / int64(time.Millisecond), UnixMS: time.Now().UnixMilli()}
+	return time.Duration(ts.Nano())
 }
 
+// now reads the instance's clocks.
+func (n *Node) now() planner.Time { return n.clock.now() }
+
 func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
 
 func millisecondsDuration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/node/clock_test.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a clock that misses a suspension: the instance would go on as
+// leader with leases that have expired meanwhile.
+func TestClockCountsASuspension(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	before := clock.now().MS
+	// During a suspension the monotonic clock stands still while the wall clock
+	// and the kernel's clock go on.
+	const suspended = 3 * time.Second
+	k := *clock.calibration.Load()
+	k.wall -= suspended
+	k.boot -= suspended
+	clock.calibration.Store(&k)
+	after := clock.now().MS
+	c.Assert(after >= before, qt.IsTrue, qt.Commentf("%d then %d", before, after))
+	c.Assert(bootTime().Milliseconds()-after <= 50, qt.IsTrue)
+}
+
+// Guards against time that runs backwards after the wall clock has been set.
+func TestClockNeverRunsBackwards(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	last := clock.now().MS
+	for i := range 1000 {
+		k := *clock.calibration.Load()
+		k.wall += time.Duration(i%7-3) * time.Hour
+		clock.calibration.Store(&k)
+		now := clock.now().MS
+		c.Assert(now >= last, qt.IsTrue)
+		last = now
+	}
+	c.Assert(bootTime().Milliseconds()-last <= 50, qt.IsTrue)
+}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -29,9 +29,9 @@
 
 // loopEvent is an event of the event loop.
 type loopEvent struct {
-	duty     duty
-	postedMS int64
-	run      func()
+	duty   duty
+	posted time.Time
+	run    func()
 }
 
 // dutyOf returns the duty that an event of the planner belongs to.
@@ -121,9 +121,9 @@
 }
 
 // delayed notes how long an event has waited.
-func (m *loadMeter) delayed(lagMS int64) {
-	m.maxLagMS = max(m.maxLagMS, lagMS)
-	m.lag.RecordDuration(millisecondsDuration(lagMS))
+func (m *loadMeter) delayed(lag time.Duration) {
+	m.maxLagMS = max(m.maxLagMS, lag.Milliseconds())
+	m.lag.RecordDuration(lag)
 }
 
 // due reports whether the load is to be reported.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	deps     Deps
 	tele     *telemetry.Telemetry
 	stats    stats
+	clock    *clock
 	ring     *ring.Ring[loopEvent]
 	peerHTTP *http.Client
 
@@ -80,6 +81,8 @@
 	runCtx context.Context
 	// resumedMS is when the instance last resumed from a suspension, or 0.
 	resumedMS int64
+	// stepTime is the time of the planner's last step.
+	stepTime planner.Time
 	// load measures the event loop.
 	load *loadMeter
 	// lastActiveMS is when the event loop last handled an event or a tick.
@@ -137,12 +140,13 @@
 
 // New returns an instance, which does nothing until Run or Serve.
 func New(config Config, deps Deps, tele *telemetry.Telemetry) *Node {
-	return &Node{
+	n := &Node{
 		config:       config,
 		deps:         deps,
 		tele:         tele,
 		stats:        newStats(tele.Scope),
 		load:         newLoadMeter(tele.Scope),
+		clock:        newClock(),
 		ring:         ring.New[loopEvent](ringSize),
 		peerHTTP:     newPeerClient(),
 		stateMachine: jobs.NewStateMachine(),
@@ -151,6 +155,8 @@
 
 		startedUnixMS: time.Now().UnixMilli(),
 	}
+	n.load.reportedMS = n.now().MS
+	return n
 }
 
 // Run follows the log and the manifest, takes part in elections and leads when
@@ -179,8 +185,8 @@
 		case event := <-n.ring.Receive():
 			start := time.Now()
 			// An event may have waited through a suspension.
-			now := n.detectSuspension()
-			n.load.delayed(now - event.postedMS)
+			n.detectSuspension()
+			n.load.delayed(start.Sub(event.posted))
 			event.run()
 			n.load.handled(event.duty, time.Since(start))
 		case <-ticker.C:
@@ -234,7 +240,7 @@
 // post puts an event into the ring of the event loop and reports whether it did
 // so before ctx ended.
 func (n *Node) post(ctx context.Context, d duty, event func()) bool {
-	return n.ring.Put(ctx, loopEvent{duty: d, postedMS: n.now().MS, run: event}) == nil
+	return n.ring.Put(ctx, loopEvent{duty: d, posted: time.Now(), run: event}) == nil
 }
 
 // runInLoop runs fn in the event loop and returns its result.
@@ -260,7 +266,8 @@
 	}
 	t := n.term
 	start := time.Now()
-	effects := t.core.Step(n.now(), e)
+	n.stepTime = n.now()
+	effects := t.core.Step(n.stepTime, e)
 	planned := time.Now()
 	n.load.planning[dutyOf(e)] += planned.Sub(start)
 	for _, effect := range effects {
--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -63,7 +63,7 @@
 // callWorker makes the call that the planner has requested. It runs in the event
 // loop.
 func (n *Node) callWorker(t *term, command planner.Effect) {
-	call := workerCall{command: command, sentMS: n.now().MS}
+	call := workerCall{command: command, sentMS: n.stepTime.MS}
 	switch command.(type) {
 	case planner.Hold:
 		n.stats.holds.Inc(1)
