Search for another worker once for all runs of a step

Cause: on a full site each slowed best-effort run of a worker searched all workers for a place to move to, with each report.

--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -101,3 +101,79 @@
 		})
 	}
 }
+
+// BenchmarkCostOfAReport measures a report of 25 runs, six of which serve, at a
+// site of 1,100 workers.
+func BenchmarkCostOfAReport(b *testing.B) {
+	h, infos := newIdleSite(1100)
+	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s"}}}})
+	serving := jobs.Step{Count: 6, CPUMilli: 3000, MemoryMB: 1000, LongRunning: true, Image: "serve", TailTargetMS: 20}
+	batch := jobs.Step{Count: 19, CPUMilli: 500, MemoryMB: 1000, EstimateMS: 90_000, Checkpointing: true, BestEffort: true, Image: "fill"}
+	report := Report{StartedMS: 7, ClockMS: 200}
+	for i, step := range []jobs.Step{serving, batch} {
+		id := jobs.ID(fmt.Sprintf("5c0e7a21d94b36f%d", i))
+		encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{step}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		// The job's tasks are adopted by the worker that lists them.
+		h.core.suspended = true
+		h.step(SubmitRequested{RequestID: 1, ID: id, Encoded: encoded})
+		for k := range step.Count {
+			report.Running = append(report.Running, RunningTask{Task: jobs.Task{Job: id, Index: k}, Run: 1, Percent: 50, Usage: 12})
+		}
+	}
+	h.core.suspended = false
+	h.report(infos[0], report)
+	if runs := len(h.core.workers[infos[0].ID].runs); runs != 25 {
+		b.Fatalf("the worker has %d runs", runs)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		h.now += 400
+		report.ClockMS += 400
+		for i := range report.Running {
+			report.Running[i].Usage = 10 + int(h.now+int64(i))%5
+			report.Running[i].Percent = min(report.Running[i].Percent+1, 99)
+		}
+		h.report(infos[0], report)
+	}
+}
+
+// BenchmarkCostOfAStart measures the submission of a job of 16 tasks and their
+// starts at a site of 1,100 workers, for each start.
+func BenchmarkCostOfAStart(b *testing.B) {
+	h, _ := newIdleSite(1100)
+	const tasks = 16
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: tasks, CPUMilli: 1, MemoryMB: 1, EstimateMS: 900}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		h.now += minPassIntervalMS
+		for _, w := range h.core.sortedWorkers {
+			w.reportedMS = h.now
+		}
+		h.step(SubmitRequested{RequestID: 1, ID: jobs.ID(fmt.Sprintf("5c0e%012x", n)), Encoded: encoded})
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(n*tasks), "ns/start")
+}
+
+// BenchmarkCostOfALook measures the state of a job as callers see it.
+func BenchmarkCostOfALook(b *testing.B) {
+	h, _ := newIdleSite(8)
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: 16, CPUMilli: 1, MemoryMB: 1, EstimateMS: 900}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	h.confirmWrites(h.step(SubmitRequested{RequestID: 1, ID: "j", Encoded: encoded}))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := h.core.State("j"); !ok {
+			b.Fatal("unknown job")
+		}
+	}
+}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -309,6 +309,13 @@
 	return state, true
 }
 
+// emitState reports the state of a recorded job as callers see it.
+func (c *Core) emitState(j *job) {
+	if state, ok := c.State(j.id); ok {
+		c.emit(JobStateChanged{Job: j.id, State: state})
+	}
+}
+
 func sortWorkers(workers []*worker) {
 	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
 }
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -71,6 +71,9 @@
 	// if some may fit. fullScanMS is when all workers were last considered.
 	noFitPass  int64
 	fullScanMS int64
+	// crowdedMS is when a search for another worker for one of the step's runs
+	// last found none, or 0.
+	crowdedMS int64
 	// explained is set once the log states why the step waits.
 	explained bool
 	// reservedWorkers are the workers that the step reserved in its last full
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -262,6 +262,7 @@
 func (c *Core) jobRecorded(j *job) {
 	if !j.recorded {
 		j.recorded = true
+		c.emitState(j)
 		j.encoded = nil
 		for _, requestID := range j.submitRequests {
 			c.emit(Reply{RequestID: requestID, Accepted: true, Known: true})
@@ -279,6 +280,7 @@
 		c.emit(Reply{RequestID: requestID, Accepted: true, Known: true})
 	}
 	j.cancelRequests = nil
+	c.emitState(j)
 	delete(c.jobs, j.id)
 	c.journal.purgeQueue = append(c.journal.purgeQueue, purgeEntry{j.id, c.now.MS})
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -298,9 +298,17 @@
 }
 
 // fitsElsewhere reports whether any worker but the given one may run a task of
-// the step now.
+// the step now. After a search without success it does not search again for
+// rescanMS: each run of the step would.
 func (c *Core) fitsElsewhere(s *step, exclude *worker) bool {
-	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return w != exclude && c.feasible(s, w) })
+	if s.crowdedMS > 0 && c.now.MS-s.crowdedMS < rescanMS {
+		return false
+	}
+	if slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return w != exclude && c.feasible(s, w) }) {
+		return true
+	}
+	s.crowdedMS = c.now.MS
+	return false
 }
 
 // feasible reports whether the worker may run a task of the step now.
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -28,6 +28,7 @@
 	j.started = true
 	if j.recorded && !j.state.Final() {
 		c.markDirty(j)
+		c.emitState(j)
 	}
 }
 
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -335,6 +335,11 @@
 		// repeated.
 		RetryAfterMS int64
 	}
+	// JobStateChanged reports a state that callers may see from now on.
+	JobStateChanged struct {
+		Job   jobs.ID
+		State jobs.State
+	}
 	// Deposed reports that a worker has seen the token of a newer leader. The
 	// core sends no commands until LeadershipConfirmed.
 	Deposed struct{ Worker WorkerID }
@@ -357,13 +362,14 @@
 	}
 )
 
-func (Hold) effect()        {}
-func (Start) effect()       {}
-func (Stop) effect()        {}
-func (Pace) effect()        {}
-func (Advise) effect()      {}
-func (Write) effect()       {}
-func (Reply) effect()       {}
-func (Deposed) effect()     {}
-func (Decision) effect()    {}
-func (NotRecorded) effect() {}
+func (Hold) effect()            {}
+func (Start) effect()           {}
+func (Stop) effect()            {}
+func (Pace) effect()            {}
+func (Advise) effect()          {}
+func (Write) effect()           {}
+func (Reply) effect()           {}
+func (Deposed) effect()         {}
+func (JobStateChanged) effect() {}
+func (Decision) effect()        {}
+func (NotRecorded) effect()     {}
