Keep looks at jobs and unchanged rows of reports away from the leader

Callers saw their most urgent jobs late on the large site: the leader's processor time went into work that other instances can do.

Change: the leader passes each change of a job's state on to its delegates in the batches that it sends them anyway; heartbeats name the delegates, and instances look there. A delegate answers only while batches arrive, it has read the log since the first one, and it knows of no newer leader; a final state is answered by any instance that has read it; only the leader says that a job is unknown. A delegate returns a report as the difference to the one that the leader holds, which each hold call names; anything else is a complete report or counts as no response.

Evidence: go test ./internal/node -run xxx -bench 'ReportFromDelegate|Look' -cpu 1. TestLooksDoNotReachTheLeader fails when stateNearby is skipped; TestUnchangedReportCostsFewAllocations allows 8 allocations, a complete report takes 107. TestReportsAsDifferencesMatchTheWorker loses, repeats and reorders reports.

--- a/internal/gen/redwingvale/node/v1/nodev1connect/node.connect.go
+++ b/internal/gen/redwingvale/node/v1/nodev1connect/node.connect.go
@@ -60,8 +60,8 @@
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// CheckLeader asks a member whether it hears a leader, before an election.
 	CheckLeader(context.Context, *connect.Request[v1.CheckLeaderRequest]) (*connect.Response[v1.CheckLeaderResponse], error)
-	// SubmitJob, CancelJob, GetJob and CountWaiting are answered by the leader.
-	// They are idempotent: a job is known by its id.
+	// SubmitJob, CancelJob, GetJob and CountWaiting are answered by the leader,
+	// GetJob also by its delegates. They are idempotent: a job is known by its id.
 	SubmitJob(context.Context, *connect.Request[v1.SubmitJobRequest]) (*connect.Response[v1.SubmitJobResponse], error)
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
 	GetJob(context.Context, *connect.Request[v1.GetJobRequest]) (*connect.Response[v1.GetJobResponse], error)
@@ -196,8 +196,8 @@
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// CheckLeader asks a member whether it hears a leader, before an election.
 	CheckLeader(context.Context, *connect.Request[v1.CheckLeaderRequest]) (*connect.Response[v1.CheckLeaderResponse], error)
-	// SubmitJob, CancelJob, GetJob and CountWaiting are answered by the leader.
-	// They are idempotent: a job is known by its id.
+	// SubmitJob, CancelJob, GetJob and CountWaiting are answered by the leader,
+	// GetJob also by its delegates. They are idempotent: a job is known by its id.
 	SubmitJob(context.Context, *connect.Request[v1.SubmitJobRequest]) (*connect.Response[v1.SubmitJobResponse], error)
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
 	GetJob(context.Context, *connect.Request[v1.GetJobRequest]) (*connect.Response[v1.GetJobResponse], error)
--- a/internal/node/delegate.go
+++ b/internal/node/delegate.go
@@ -31,6 +31,11 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	outcomes *ring.Ring[*nodev1.CallOutcome]
+	// reports are the last reports of the workers.
+	reports *reportBases
+	// mirror holds the states of jobs that the leader has passed on. The event
+	// loop owns it.
+	mirror *stateMirror
 }
 
 // CallWorkers makes calls to workers for the leader.
@@ -42,6 +47,9 @@
 	n, m := s.n, r.Msg
 	got, err := runInLoop(ctx, n, dutyReports, func() result {
 		t, epoch := n.delegatedTermOf(m.GetEpoch(), m.GetPeerAddress())
+		if t != nil {
+			t.mirror.update(n.now().MS, m.GetStates())
+		}
 		return result{t, epoch}
 	})
 	if err != nil {
@@ -73,7 +81,7 @@
 			n.delegated.stop()
 		}
 		ctx, stop := context.WithCancel(n.runCtx)
-		n.delegated = &delegatedTerm{epoch: epoch, leader: leader, ctx: ctx, stop: stop, outcomes: ring.New[*nodev1.CallOutcome](outcomeRingSize)}
+		n.delegated = &delegatedTerm{epoch: epoch, leader: leader, ctx: ctx, stop: stop, outcomes: ring.New[*nodev1.CallOutcome](outcomeRingSize), reports: newReportBases(), mirror: newStateMirror(n.now().MS)}
 		n.log("delegation_begins", zap.Uint64("epoch", epoch), zap.String("leader", leader))
 		go n.reportOutcomes(n.delegated)
 	}
@@ -87,10 +95,22 @@
 		outcome, report = makeCall(t.ctx, n.deps.Workers, command)
 	}
 	n.stats.delegatedCalls.Inc(1)
-	// Put fails only once the term is over.
-	_ = t.outcomes.Put(t.ctx, encodeOutcome(call.GetId(), outcome, report))
+	if hold := call.GetHold(); hold != nil && outcome == planner.Done {
+		base := t.reports.of(planner.WorkerID(call.GetWorker()), n.now().MS)
+		base.mu.Lock()
+		defer base.mu.Unlock()
+		encoded := encodeOutcome(call.GetId(), outcome)
+		encoded.Report = base.encode(call.GetId(), hold.GetKnownReport(), report)
+		t.queueOutcome(encoded)
+		return
+	}
+	t.queueOutcome(encodeOutcome(call.GetId(), outcome))
 }
 
+// queueOutcome queues an outcome for the leader. It waits while the ring is full,
+// and drops the outcome once the term is over.
+func (t *delegatedTerm) queueOutcome(o *nodev1.CallOutcome) { _ = t.outcomes.Put(t.ctx, o) }
+
 // reportOutcomes sends the outcomes of calls to the leader in batches until the
 // delegated term ends.
 func (n *Node) reportOutcomes(t *delegatedTerm) {
@@ -128,9 +148,7 @@
 			if n.term == nil || n.term.epoch != m.GetEpoch() {
 				return
 			}
-			if outcome, report, ok := decodeOutcome(o); ok {
-				n.term.delegation.complete(o.GetId(), outcome, report)
-			}
+			n.term.delegation.outcomeArrived(o)
 		}
 	})
 	return connect.NewResponse(&nodev1.ReportCallsResponse{}), nil
--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,6 +34,7 @@
 	// or from it.
 	callBatchInterval = 15 * time.Millisecond
 	maxCallsPerBatch  = 512
+	maxStatesPerBatch = 512
 	// batchTimeout limits the request that passes a batch on; its receiver only
 	// queues the batch.
 	batchTimeout = 400 * time.Millisecond
@@ -65,12 +67,16 @@
 	// respondedMS is when each instance last responded to a heartbeat.
 	respondedMS map[string]int64
 	byWorker    map[planner.WorkerID]*delegate
-	pending     map[uint64]delegatedCall
-	lastID      uint64
-	checkedMS   int64
-	startedMS   int64
+	// reports holds the newest report of each worker.
+	reports   map[planner.WorkerID]*heldReport
+	pending   map[uint64]delegatedCall
+	lastID    uint64
+	checkedMS int64
+	startedMS int64
 	// waiting holds the calls of a new leader that has no delegates yet.
 	waiting []workerCall
+	// addresses are the peer addresses of the active delegates.
+	addresses atomic.Pointer[[]string]
 	// enabled is set while there are enough workers for delegation to pay.
 	enabled bool
 }
@@ -80,6 +86,8 @@
 	name   string
 	client nodev1connect.NodeServiceClient
 	calls  *ring.Ring[queuedCall]
+	// states are the states of jobs that it has not been sent yet.
+	states *ring.Ring[planner.JobStateChanged]
 	// workers is the number of workers assigned to it.
 	workers int
 	// failedMS is when it last failed, or 0.
@@ -90,6 +98,8 @@
 type queuedCall struct {
 	id   uint64
 	call workerCall
+	// knownReport is the id of the report that the leader holds of the worker.
+	knownReport uint64
 }
 
 // delegatedCall is a call whose outcome has not arrived.
@@ -103,7 +113,7 @@
 	return &delegation{
 		node: n, term: t, startedMS: n.now().MS,
 		delegates: map[string]*delegate{}, respondedMS: map[string]int64{},
-		byWorker: map[planner.WorkerID]*delegate{}, pending: map[uint64]delegatedCall{},
+		byWorker: map[planner.WorkerID]*delegate{}, reports: map[planner.WorkerID]*heldReport{}, pending: map[uint64]delegatedCall{},
 	}
 }
 
@@ -120,6 +130,11 @@
 			d.release(id)
 		}
 	}
+	for id := range d.reports {
+		if !listed[id] {
+			delete(d.reports, id)
+		}
+	}
 }
 
 // responded notes that an instance has responded to a heartbeat.
@@ -130,6 +145,14 @@
 	}
 }
 
+// activeAddresses returns the peer addresses of the active delegates.
+func (d *delegation) activeAddresses() []string {
+	if addresses := d.addresses.Load(); addresses != nil {
+		return *addresses
+	}
+	return nil
+}
+
 // gathering reports whether calls wait for the first delegates.
 func (d *delegation) gathering() bool {
 	return d.enabled && len(d.active) < maxDelegates && d.node.now().MS-d.startedMS < milliseconds(gatherTime)
@@ -176,6 +199,14 @@
 		return
 	}
 	d.active = active
+	addresses := make([]string, 0, len(active))
+	for address, g := range d.delegates {
+		if slices.Contains(active, g) {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	d.addresses.Store(&addresses)
 	for id := range d.byWorker {
 		d.release(id)
 	}
@@ -191,7 +222,7 @@
 func (d *delegation) delegateAt(m candidate) *delegate {
 	g := d.delegates[m.Peer]
 	if g == nil {
-		g = &delegate{name: m.name, client: d.node.peerClient(m.Peer), calls: ring.New[queuedCall](ringSize)}
+		g = &delegate{name: m.name, client: d.node.peerClient(m.Peer), calls: ring.New[queuedCall](ringSize), states: ring.New[planner.JobStateChanged](ringSize)}
 		d.delegates[m.Peer] = g
 		go d.sendCalls(g)
 	}
@@ -232,7 +263,11 @@
 		return false
 	}
 	d.lastID++
-	if !g.calls.Offer(queuedCall{d.lastID, call}) {
+	known := uint64(0)
+	if held := d.reports[call.worker()]; held != nil {
+		known = held.id
+	}
+	if !g.calls.Offer(queuedCall{d.lastID, call, known}) {
 		return false
 	}
 	deadlineMS := call.sentMS + milliseconds(outcomeTimeout)
@@ -243,6 +278,38 @@
 	return true
 }
 
+// outcomeArrived handles an outcome that a delegate has sent. A report that is a
+// difference to one that the leader does not hold counts as none: a run that is
+// missing from a report counts as no longer running.
+func (d *delegation) outcomeArrived(m *nodev1.CallOutcome) {
+	outcome, valid := decodeOutcome(m)
+	call, ok := d.pending[m.GetId()]
+	if !ok || !valid {
+		return
+	}
+	hold, isHold := call.command.(planner.Hold)
+	switch {
+	case !isHold, outcome != planner.Done:
+		d.complete(m.GetId(), outcome, planner.Report{})
+		return
+	case m.GetReport() == nil:
+		d.complete(m.GetId(), planner.OutcomeUnknown, planner.Report{})
+		return
+	}
+	held := d.reports[hold.Worker]
+	if held == nil {
+		held = &heldReport{}
+		d.reports[hold.Worker] = held
+	}
+	report, ok := held.decode(m.GetId(), m.GetReport())
+	if !ok {
+		d.node.stats.reportsUnusable.Inc(1)
+		delete(d.reports, hold.Worker)
+		outcome, report = planner.OutcomeUnknown, planner.Report{}
+	}
+	d.complete(m.GetId(), outcome, report)
+}
+
 // complete reports the outcome of a call to the planner, unless the call has
 // been given up.
 func (d *delegation) complete(id uint64, outcome planner.Outcome, report planner.Report) {
@@ -301,19 +368,32 @@
 	t := d.term
 	for {
 		var batch []queuedCall
+		var states []planner.JobStateChanged
 		select {
 		case <-t.ctx.Done():
 			return
 		case first := <-g.calls.Receive():
-			batch = drainInto([]queuedCall{first}, g.calls, maxCallsPerBatch)
+			batch = append(batch, first)
+		case first := <-g.states.Receive():
+			states = append(states, first)
 		}
-		d.sendBatch(g, batch)
+		batch = drainInto(batch, g.calls, maxCallsPerBatch)
+		states = drainInto(states, g.states, maxStatesPerBatch)
+		d.sendBatch(g, batch, states)
 		pause(t.ctx, callBatchInterval)
 	}
 }
 
-// sendBatch passes calls to a delegate and handles its response.
-func (d *delegation) sendBatch(g *delegate, batch []queuedCall) {
+// publish passes a job's state on to the delegates, which answer callers' looks at
+// it. A delegate whose ring is full learns of it from the log.
+func (d *delegation) publish(change planner.JobStateChanged) {
+	for _, g := range d.active {
+		g.states.Offer(change)
+	}
+}
+
+// sendBatch passes calls and states to a delegate and handles its response.
+func (d *delegation) sendBatch(g *delegate, batch []queuedCall, states []planner.JobStateChanged) {
 	n, t := d.node, d.term
 	request := &nodev1.CallWorkersRequest{Epoch: t.epoch, PeerAddress: n.config.advertisedPeerAddr()}
 	oldestMS := n.now().MS - milliseconds(delegateQueueLimit)
@@ -323,7 +403,10 @@
 			d.post(func() { d.failBatch(g, batch, "calls too old") })
 			return
 		}
-		request.Calls = append(request.Calls, encodeCall(q.id, q.call.command))
+		request.Calls = append(request.Calls, encodeCall(q.id, q.call.command, q.knownReport))
+	}
+	for _, s := range states {
+		request.States = append(request.States, &nodev1.JobState{Id: string(s.Job), State: string(s.State)})
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, batchTimeout)
 	defer cancel()
--- a/internal/node/delegation_codec.go
+++ b/internal/node/delegation_codec.go
@@ -6,13 +6,14 @@
 	"redwingvale/internal/planner"
 )
 
-// encodeCall encodes a command for a delegate.
-func encodeCall(id uint64, command planner.Effect) *nodev1.WorkerCall {
+// encodeCall encodes a command for a delegate. knownReport is the id of the report
+// that the leader holds of the worker, or 0.
+func encodeCall(id uint64, command planner.Effect, knownReport uint64) *nodev1.WorkerCall {
 	call := &nodev1.WorkerCall{Id: id}
 	switch e := command.(type) {
 	case planner.Hold:
 		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
-		call.Command = &nodev1.WorkerCall_Hold{Hold: &nodev1.HoldCommand{AckNumber: e.AckNumber, LeaseEndMs: e.LeaseEndMS, WaitMs: e.WaitMS}}
+		call.Command = &nodev1.WorkerCall_Hold{Hold: &nodev1.HoldCommand{AckNumber: e.AckNumber, LeaseEndMs: e.LeaseEndMS, WaitMs: e.WaitMS, KnownReport: knownReport}}
 	case planner.Start:
 		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
 		call.Command = &nodev1.WorkerCall_Start{Start: &nodev1.StartCommand{
@@ -63,45 +64,36 @@
 	return jobs.Task{Job: jobs.ID(m.GetJob()), Occurrence: int(m.GetOccurrence()), Step: int(m.GetStep()), Index: int(m.GetIndex())}
 }
 
-// encodeOutcome encodes the outcome of a call for the leader.
-func encodeOutcome(id uint64, outcome planner.Outcome, report planner.Report) *nodev1.CallOutcome {
-	out := &nodev1.CallOutcome{Id: id, Outcome: uint32(outcome)}
-	if report.StartedMS == 0 && report.ClockMS == 0 {
-		return out
-	}
-	out.Report = &nodev1.WorkerReport{StartedMs: report.StartedMS, ClockMs: report.ClockMS, MoreEnded: report.MoreEnded}
-	for i := range report.Running {
-		r := &report.Running[i]
-		out.Report.Running = append(out.Report.Running, &nodev1.RunningTask{
-			Task: encodeTask(r.Task), Run: uint32(r.Run), Checkpoint: r.Checkpoint, Percent: uint32(max(r.Percent, 0)), Usage: int64(r.Usage),
-		})
-	}
-	for i := range report.Ended {
-		e := &report.Ended[i]
-		out.Report.Ended = append(out.Report.Ended, &nodev1.EndedTask{
-			Number: e.Number, Task: encodeTask(e.Task), Run: uint32(e.Run), Kind: string(e.Kind), Checkpoint: e.Checkpoint,
-		})
-	}
-	return out
+// encodeOutcome encodes the outcome of a call other than a hold call that has
+// returned a report.
+func encodeOutcome(id uint64, outcome planner.Outcome) *nodev1.CallOutcome {
+	return &nodev1.CallOutcome{Id: id, Outcome: uint32(outcome)}
 }
 
 // decodeOutcome returns the outcome of a call; ok is false if it is unknown.
-func decodeOutcome(m *nodev1.CallOutcome) (outcome planner.Outcome, report planner.Report, ok bool) {
+func decodeOutcome(m *nodev1.CallOutcome) (outcome planner.Outcome, ok bool) {
 	outcome = planner.Outcome(m.GetOutcome())
-	if !outcome.Valid() {
-		return 0, planner.Report{}, false
+	return outcome, outcome.Valid()
+}
+
+func encodeRunning(r *planner.RunningTask) *nodev1.RunningTask {
+	return &nodev1.RunningTask{
+		Task: encodeTask(r.Task), Run: uint32(r.Run), Checkpoint: r.Checkpoint, Percent: uint32(max(r.Percent, 0)), Usage: int64(r.Usage),
 	}
-	w := m.GetReport()
-	report.StartedMS, report.ClockMS, report.MoreEnded = w.GetStartedMs(), w.GetClockMs(), w.GetMoreEnded()
-	for _, r := range w.GetRunning() {
-		report.Running = append(report.Running, planner.RunningTask{
-			Task: decodeTask(r.GetTask()), Run: int(r.GetRun()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent()), Usage: int(r.GetUsage()),
-		})
+}
+
+func decodeRunning(m *nodev1.RunningTask) planner.RunningTask {
+	return planner.RunningTask{
+		Task: decodeTask(m.GetTask()), Run: int(m.GetRun()), Checkpoint: m.GetCheckpoint(), Percent: int(m.GetPercent()), Usage: int(m.GetUsage()),
 	}
-	for _, e := range w.GetEnded() {
-		report.Ended = append(report.Ended, planner.EndedTask{
-			Number: e.GetNumber(), Task: decodeTask(e.GetTask()), Run: int(e.GetRun()), Kind: planner.EndKind(e.GetKind()), Checkpoint: e.GetCheckpoint(),
-		})
+}
+
+func encodeEnded(e *planner.EndedTask) *nodev1.EndedTask {
+	return &nodev1.EndedTask{Number: e.Number, Task: encodeTask(e.Task), Run: uint32(e.Run), Kind: string(e.Kind), Checkpoint: e.Checkpoint}
+}
+
+func decodeEnded(m *nodev1.EndedTask) planner.EndedTask {
+	return planner.EndedTask{
+		Number: m.GetNumber(), Task: decodeTask(m.GetTask()), Run: int(m.GetRun()), Kind: planner.EndKind(m.GetKind()), Checkpoint: m.GetCheckpoint(),
 	}
-	return outcome, report, true
 }
--- a/internal/node/delegation_fuzz_test.go
+++ b/internal/node/delegation_fuzz_test.go
@@ -19,11 +19,16 @@
 		Running: []planner.RunningTask{{Task: task, Run: 1, Percent: 5, Usage: 7}},
 		Ended:   []planner.EndedTask{{Number: 1, Task: task, Run: 1, Kind: planner.EndDone}},
 	}
-	outcomes, err := proto.Marshal(&nodev1.ReportCallsRequest{Epoch: 1, Outcomes: []*nodev1.CallOutcome{encodeOutcome(1, planner.Done, report)}})
+	var base reportBase
+	complete, difference := encodeOutcome(1, planner.Done), encodeOutcome(2, planner.Done)
+	complete.Report = base.encode(1, 0, report)
+	report.Running = append(report.Running, planner.RunningTask{Task: jobs.Task{Job: "j"}, Run: 1})
+	difference.Report = base.encode(2, 1, report)
+	outcomes, err := proto.Marshal(&nodev1.ReportCallsRequest{Epoch: 1, Outcomes: []*nodev1.CallOutcome{complete, difference}})
 	if err != nil {
 		f.Fatal(err)
 	}
-	calls, err := proto.Marshal(&nodev1.CallWorkersRequest{Epoch: 1, Calls: []*nodev1.WorkerCall{encodeCall(1, planner.Start{Worker: "w", Task: task, Run: 1})}})
+	calls, err := proto.Marshal(&nodev1.CallWorkersRequest{Epoch: 1, Calls: []*nodev1.WorkerCall{encodeCall(1, planner.Start{Worker: "w", Task: task, Run: 1}, 0)}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -48,8 +53,10 @@
 		}
 		core.Step(planner.Time{MS: 3}, planner.SubmitRequested{RequestID: 1, ID: "j", Encoded: encoded})
 		core.Step(planner.Time{MS: 4}, planner.WorkersChanged{Workers: []planner.WorkerInfo{{ID: "w", Service: "s", Capacity: planner.Resources{CPUMilli: 8, MemoryMB: 8}}}})
+		var held heldReport
 		for i, o := range reported.GetOutcomes() {
-			if outcome, report, ok := decodeOutcome(o); ok {
+			report, decoded := held.decode(o.GetId(), o.GetReport())
+			if outcome, ok := decodeOutcome(o); ok && (decoded || outcome != planner.Done) {
 				core.Step(planner.Time{MS: int64(5 + i)}, planner.HoldDone{Worker: "w", Token: 1 << 20, Outcome: outcome, Report: report})
 				core.Step(planner.Time{MS: int64(5 + i)}, planner.StartDone{Worker: "w", Task: task, Run: 1, Outcome: outcome})
 			}
--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -199,7 +199,7 @@
 		planner.Stop{Worker: "w", Address: "a", Token: 9, Task: task, Run: 7},
 		planner.Pace{Worker: "w", Address: "a", Token: 9, Task: task, Run: 7, Percent: 40},
 	} {
-		got, ok := decodeCall(encodeCall(1, command))
+		got, ok := decodeCall(encodeCall(1, command, 0))
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(got, qt.Equals, command)
 	}
@@ -208,12 +208,13 @@
 		Ended:     []planner.EndedTask{{Number: 4, Task: task, Run: 3, Kind: planner.EndLapsed, Checkpoint: "d"}},
 		MoreEnded: true,
 	}
-	outcome, got, ok := decodeOutcome(encodeOutcome(1, planner.Done, report))
+	outcome, ok := decodeOutcome(encodeOutcome(1, planner.Done))
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(outcome, qt.Equals, planner.Done)
+	got, ok := new(heldReport).decode(1, new(reportBase).encode(1, 0, report))
+	c.Assert(ok, qt.IsTrue)
 	c.Assert(got, qt.DeepEquals, report)
-	invalid := encodeOutcome(1, planner.Outcome(200), report)
-	_, _, ok = decodeOutcome(invalid)
+	_, ok = decodeOutcome(encodeOutcome(1, planner.Outcome(200)))
 	c.Assert(ok, qt.IsFalse)
 	_, ok = decodeCall(nil)
 	c.Assert(ok, qt.IsFalse)
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -18,6 +18,8 @@
 	case planner.Write:
 		// At most one write is outstanding, so the ring has room.
 		t.writes.Offer(e)
+	case planner.JobStateChanged:
+		t.delegation.publish(e)
 	case planner.Reply:
 		n.deliverReply(e)
 	case planner.Deposed:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,10 @@
 	// manifestCurrentMS is the time until which routing is known to have been
 	// the newest version.
 	manifestCurrentMS atomic.Int64
+	lookups           lookups
+	// leaderLooks counts the looks at jobs that this instance has passed to the
+	// leader.
+	leaderLooks atomic.Int64
 	// leader is the current leader, or nil if none is known.
 	leader   atomic.Pointer[leaderInfo]
 	stopping atomic.Bool
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -109,7 +109,7 @@
 	sentMS := n.now().MS
 	response, err := client.Heartbeat(ctx, connect.NewRequest(&nodev1.HeartbeatRequest{
 		Epoch: t.epoch, Leader: n.config.Instance, PeerAddress: n.config.advertisedPeerAddr(),
-		LogAvailable: n.logAvailable(t), Stopping: n.stopping.Load(),
+		LogAvailable: n.logAvailable(t), Stopping: n.stopping.Load(), Delegates: t.delegation.activeAddresses(),
 	}))
 	if err != nil {
 		// Members that have gone stay in the list until their record is deleted.
@@ -178,6 +178,7 @@
 		}
 	}
 	n.lastHeartbeat = latest
+	n.lookups.setDelegates(n.byNearness(m.GetDelegates()))
 	if l := n.leader.Load(); l == nil || l.epoch <= m.GetEpoch() {
 		n.leader.Store(&leaderInfo{epoch: m.GetEpoch(), peer: m.GetPeerAddress()})
 	}
@@ -208,7 +209,7 @@
 }
 
 func (s *peerServer) GetJob(ctx context.Context, r *connect.Request[nodev1.GetJobRequest]) (*connect.Response[nodev1.GetJobResponse], error) {
-	state, status := s.n.stateLocal(ctx, jobs.ID(r.Msg.GetId()))
+	state, status := s.n.stateForPeer(ctx, jobs.ID(r.Msg.GetId()))
 	return connect.NewResponse(&nodev1.GetJobResponse{Code: uint32(status), State: string(state)}), nil
 }
 
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -31,6 +31,13 @@
 	// delegates that failed during this instance's terms.
 	delegatedCalls  tally.Counter
 	delegatesFailed tally.Counter
+	// reportsUnusable counts the reports that were a difference to another one
+	// than the leader held.
+	reportsUnusable tally.Counter
+	// looksAtDelegate and looksAtLeader count the looks at jobs that this instance
+	// has passed on.
+	looksAtDelegate tally.Counter
+	looksAtLeader   tally.Counter
 	acceptTime      tally.Histogram
 	appendTime      tally.Histogram
 	startTime       tally.Histogram
@@ -57,6 +64,9 @@
 
 		delegatedCalls:  scope.Counter("delegated_calls"),
 		delegatesFailed: scope.Counter("delegates_failed"),
+		reportsUnusable: scope.Counter("reports_unusable"),
+		looksAtDelegate: scope.Counter("looks_at_delegate"),
+		looksAtLeader:   scope.Counter("looks_at_leader"),
 		acceptTime:      scope.Histogram("accept_seconds", buckets),
 		appendTime:      scope.Histogram("append_seconds", buckets),
 		startTime:       scope.Histogram("start_seconds", buckets),
