Take readings for the interference model at a bounded rate

Cause: the filter of each serving image took every reading of every worker, some ten thousand a second at 1,100 workers, each at a cost of the square of the number of images; with 30 images that was a quarter of the planner's time.

Change: the filter of an image takes a reading each 10 ms at most; the baselines of the steps still take all. BenchmarkMonthEnd plays the shape of a large site's load with 30 images.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -76,6 +76,8 @@
 	events   [dutyCount]int64
 	planning [dutyCount]time.Duration
 	effects  time.Duration
+	// steps counts the planner's events by duty since the last report.
+	steps [dutyCount]int64
 	// maxLagMS is the longest delay of an event since the last report.
 	maxLagMS int64
 
@@ -120,6 +122,12 @@
 	m.events[d]++
 }
 
+// planned notes that the planner has handled an event.
+func (m *loadMeter) planned(d duty, took time.Duration) {
+	m.planning[d] += took
+	m.steps[d]++
+}
+
 // delayed notes how long an event has waited.
 func (m *loadMeter) delayed(lag time.Duration) {
 	m.maxLagMS = max(m.maxLagMS, lag.Milliseconds())
@@ -157,8 +165,9 @@
 		fields = append(fields,
 			zap.Int64(dutyNames[d], m.events[d]),
 			zap.Int64(dutyNames[d]+"_ms", took.Milliseconds()),
+			zap.Int64(dutyNames[d]+"_planner", m.steps[d]),
 			zap.Int64(dutyNames[d]+"_planner_ms", planned.Milliseconds()))
-		m.events[d] = 0
+		m.events[d], m.steps[d] = 0, 0
 	}
 	const mb = 1 << 20
 	fields = append(fields,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -273,7 +273,7 @@
 	n.stepTime = n.now()
 	effects := t.core.Step(n.stepTime, e)
 	planned := time.Now()
-	n.load.planning[dutyOf(e)] += planned.Sub(start)
+	n.load.planned(dutyOf(e), planned.Sub(start))
 	for _, effect := range effects {
 		n.execute(t, effect)
 	}
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -177,3 +177,42 @@
 		}
 	}
 }
+
+// submitMonthEnd submits the load of a large site's month end at a rate per
+// second for some seconds: small urgent jobs, and wide best-effort jobs of many
+// images.
+func (sim *simulation) submitMonthEnd(perSecond float64, seconds int) {
+	for i := range int(perSecond * float64(seconds)) {
+		sim.at(int64(float64(i)*1000/perSecond), func() {
+			step := jobs.Step{Count: 40, CPUMilli: 3500, MemoryMB: 6400, EstimateMS: 1700, Checkpointing: true, BestEffort: true, Image: fmt.Sprint("fill", i%30)}
+			job := &jobs.Job{Queue: "batch"}
+			if i%9 < 4 {
+				job.Queue = "urgent"
+				step = jobs.Step{Count: 13, CPUMilli: 6400, MemoryMB: 13_000, EstimateMS: 640}
+			}
+			job.Steps = append(job.Steps, step)
+			step.After = []int{0}
+			job.Steps = append(job.Steps, step)
+			sim.addJob(fmt.Sprintf("month%011d", i), job)
+		})
+	}
+}
+
+// BenchmarkMonthEnd simulates ten seconds of a large site's month end.
+func BenchmarkMonthEnd(b *testing.B) {
+	for _, workers := range []int{490, 1100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				sim := newSiteSimulation(1, workers)
+				before, startMS, starts := sim.plannerTime, sim.now, sim.starts
+				sim.submitMonthEnd(60*float64(workers)/1100, 10)
+				sim.run(sim.now + 10_000)
+				if len(sim.violations) > 0 {
+					b.Fatal(sim.violations)
+				}
+				b.ReportMetric((sim.plannerTime-before).Seconds()/(float64(sim.now-startMS)/1000), "cores")
+				b.ReportMetric(float64(sim.starts-starts), "starts")
+			}
+		})
+	}
+}
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -35,6 +35,10 @@
 	// readings a second.
 	noiseVar = 0.08
 	driftVar = 0.0005
+	// readingIntervalMS is the minimum time between two readings that the filter of
+	// one image takes. A large site has more readings than it needs to follow the
+	// coefficients, each of which costs the square of the number of images.
+	readingIntervalMS = 10
 	// maxRatio caps a single reading as a multiple of its target; maxRise caps
 	// the logarithm of a reading relative to the baseline.
 	maxRatio = 3.0
@@ -61,6 +65,8 @@
 	conservative []float64
 	meanEffect   float64
 	valid        bool
+	// observedMS is when the filter last took a reading.
+	observedMS int64
 	// gain is a scratch buffer of observe.
 	gain []float64
 }
