Bound what a pass over a long backlog costs

Callers of a large site saw everything late while more work was waiting than the workers bear: a burst is when the leader had the least time.

Cause: each pass tried every waiting step against all workers that had changed, and every 250 ms against all workers, so that a pass grew with the backlog times the workers; every start waits for the passes.

Change: the workers that have changed since the last pass are a list; the time after which a step considers all workers again grows with the number of waiting steps beyond 64; a pass tries the 192 most urgent steps, the new ones, and four of the others in turn, so that a step whose tasks fit is reached.

--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -85,7 +85,7 @@
 // BenchmarkBacklog simulates ten seconds of twice the load that the workers can
 // handle; the relevant result is the planner's own processor time, in cores.
 func BenchmarkBacklog(b *testing.B) {
-	for _, workers := range []int{48, 350} {
+	for _, workers := range []int{48, 350, 1100} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			for b.Loop() {
 				sim := newSiteSimulation(1, workers)
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -61,8 +61,12 @@
 	durations    durationModel
 	interference *interferenceModel
 	journal      journal
-	// pass is the number of the current pass over the waiting tasks.
-	pass int64
+	// pass is the number of the current pass over the waiting tasks, rescanMS the
+	// time after which its steps consider all workers again.
+	pass, rescanMS int64
+	// changed are the workers that have changed since the pass before it,
+	// changedNext those that have changed since it began.
+	changed, changedNext []*worker
 	// reports counts the reports of workers.
 	reports int64
 	// runBuffer holds the runs of the worker whose report or runs are checked.
--- a/internal/planner/cost_test.go
+++ b/internal/planner/cost_test.go
@@ -78,3 +78,67 @@
 	one, many := cost(1), cost(40)
 	qt.Check(t, many < 12*one, qt.IsTrue, qt.Commentf("1 task: %v, 40 tasks: %v", one, many))
 }
+
+// waitingSite returns a site on which no more tasks fit, with a number of waiting
+// steps.
+func waitingSite(t *testing.T, steps int) (*harness, []WorkerInfo) {
+	h, infos := newIdleSite(60)
+	for i := range infos {
+		h.core.workers[infos[i].ID].used = Resources{CPUMilli: 31_000}
+	}
+	for i := range steps {
+		h.submit(t, jobs.ID(fmt.Sprintf("wide%06d", i)), jobs.Step{Count: 1, CPUMilli: 2000, EstimateMS: 900})
+	}
+	h.advance(100)
+	return h, infos
+}
+
+// Guards against a pass whose cost grows with the backlog: at twice the load that
+// 1,100 workers bear the planner took more than a core, and every start waited for
+// it.
+func TestPassCostIsBounded(t *testing.T) {
+	cost := func(steps int) time.Duration {
+		h, infos := waitingSite(t, steps)
+		return fastest(30, func() {
+			h.now += minPassIntervalMS
+			h.core.placementDue = true
+			for _, info := range infos {
+				h.core.markChanged(h.core.workers[info.ID])
+			}
+			h.step(RecordsRead{})
+		})
+	}
+	few, many := cost(300), cost(3000)
+	qt.Check(t, many < 4*few, qt.IsTrue, qt.Commentf("300 steps: %v, 3000 steps: %v", few, many))
+}
+
+// Guards against steps behind a long backlog that are never tried although their
+// tasks would fit.
+func TestBacklogDoesNotHideAFittingStep(t *testing.T) {
+	const waiting = 1500
+	h, infos := waitingSite(t, waiting)
+	narrow := jobs.ID("narrow")
+	effects := h.submit(t, narrow, jobs.Step{Count: 1, CPUMilli: 1200, EstimateMS: 60_000})
+	_, early := findEffect[Start](effects)
+	qt.Assert(t, early, qt.IsFalse)
+	h.advance(40)
+	// Room for the narrow step alone becomes free.
+	w := h.core.workers[infos[7].ID]
+	w.used.CPUMilli = 30_500
+	h.core.markChanged(w)
+	h.core.placementDue = true
+	const passes = waiting/otherSteps + 1
+	for range 2 * passes {
+		h.now += minPassIntervalMS
+		h.core.placementDue = true
+		for _, info := range infos {
+			h.core.workers[info.ID].reportedMS = h.now
+		}
+		for _, e := range h.step(RecordsRead{}) {
+			if start, ok := e.(Start); ok && start.Task.Job == narrow {
+				return
+			}
+		}
+	}
+	t.Fatalf("not started within %d passes", 2*passes)
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -22,8 +22,15 @@
 	maxPassIntervalMS = 250
 	// rescanMS is how long a step that fits nowhere considers only workers that
 	// have changed. After that it considers all of them again, because limits
-	// and pauses also change with time.
-	rescanMS = 250
+	// and pauses also change with time. With more than rescanSteps waiting steps
+	// the time grows in proportion to their number, so that a backlog costs no
+	// more than those.
+	rescanMS    = 250
+	rescanSteps = 64
+	// urgentSteps is the number of waiting steps that every pass tries to place,
+	// otherSteps the number of further ones.
+	urgentSteps = 192
+	otherSteps  = 4
 	// maxReservedWorkers is the maximum number of workers that one waiting step
 	// reserves.
 	maxReservedWorkers = 4
@@ -42,6 +49,8 @@
 	}
 	c.placementDue, c.lastPassMS = false, c.now.MS
 	c.pass++
+	c.changed, c.changedNext = c.changedNext, c.changed[:0]
+	c.rescanMS = rescanMS * max(1, int64(len(c.ready))/rescanSteps)
 	c.reservations, c.previousReservations = c.previousReservations[:0], c.reservations
 	slices.SortStableFunc(c.ready, func(a, b *step) int {
 		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
@@ -50,8 +59,8 @@
 		return c.compareUrgency(a, b)
 	})
 	kept := c.ready[:0]
-	for _, s := range c.ready {
-		if !s.job.state.Final() && len(s.pending) > 0 {
+	for i, s := range c.ready {
+		if !s.job.state.Final() && len(s.pending) > 0 && c.considered(s, i) {
 			c.placeStep(s)
 		}
 		if !s.job.state.Final() && len(s.pending) > 0 {
@@ -62,11 +71,24 @@
 	c.ready = kept
 	for _, p := range c.previousReservations {
 		if c.reservedFor(p.worker) != p.step {
-			p.worker.changedPass = c.pass
+			c.markChanged(p.worker)
 		}
 	}
 }
 
+// considered reports whether the pass tries to place a step, given its position
+// among the waiting ones. Of a long backlog a pass tries the most urgent steps, the
+// new ones, and a few of the others in turn: its cost would otherwise grow with the
+// backlog while every start has to wait for it.
+func (c *Core) considered(s *step, position int) bool {
+	if position < urgentSteps || s.noFitPass == 0 {
+		return true
+	}
+	others := int64(len(c.ready) - urgentSteps)
+	turn := c.pass * otherSteps % others
+	return (int64(position-urgentSteps)-turn+others)%others < otherSteps
+}
+
 // reservation keeps the free room of a worker for a step.
 type reservation struct {
 	worker *worker
@@ -185,13 +207,17 @@
 // considers only the workers that have changed since: otherwise a pass over a
 // long backlog would check every pair of step and worker.
 func (c *Core) scan(s *step) {
-	since := s.noFitPass
-	if since == 0 || c.now.MS-s.fullScanMS >= rescanMS {
-		since, s.fullScanMS = 0, c.now.MS
-	}
 	c.candidates = c.candidates[:0]
-	for _, w := range c.sortedWorkers {
-		if w.changedPass >= since && c.feasible(s, w) {
+	workers := c.sortedWorkers
+	switch {
+	case s.noFitPass == 0 || c.now.MS-s.fullScanMS >= c.rescanMS:
+		s.fullScanMS = c.now.MS
+	case s.noFitPass == c.pass-1:
+		workers = c.changed
+	}
+	full := s.fullScanMS == c.now.MS
+	for _, w := range workers {
+		if (full || w.changedPass > s.noFitPass) && c.feasible(s, w) {
 			c.candidates = append(c.candidates, candidate{w, c.score(s, w), true})
 		}
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -64,7 +64,12 @@
 
 // markChanged notes that more tasks may fit on a worker than in the current
 // pass.
-func (c *Core) markChanged(w *worker) { w.changedPass = c.pass + 1 }
+func (c *Core) markChanged(w *worker) {
+	if w.changedPass != c.pass+1 {
+		w.changedPass = c.pass + 1
+		c.changedNext = append(c.changedNext, w)
+	}
+}
 
 // handleMissing resolves a run that a report does not list. If the report may
 // lack ends, the run is over, but not lost: its end may follow.
