Count what placement tries, and read the clock once for each event

Cause: the load line could not tell whether passes over waiting steps or reports take the planner's time, and measuring took five readings of the clock for each event.

Measured: go test ./internal/node -run 'Load|Duty|Clock|Suspen' passes.

--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -40,8 +40,10 @@
 }
 
 // now reads the clock and the wall clock.
-func (c *clock) now() planner.Time {
-	t := time.Now()
+func (c *clock) now() planner.Time { return c.at(time.Now()) }
+
+// at converts a time that has just been read.
+func (c *clock) at(t time.Time) planner.Time {
 	monotonic := t.Sub(c.start)
 	k := c.calibration.Load()
 	if drift := wallTime(t) - monotonic - k.wall; drift > maxClockDrift || drift < -maxClockDrift {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -153,6 +153,7 @@
 	t.delegation = newDelegation(n, t)
 	t.delegation.setWorkers(infos)
 	n.term = t
+	n.load.lastWork = planner.Work{}
 	n.stats.elections.Inc(1)
 	n.leader.Store(&leaderInfo{epoch: c.Epoch, peer: c.Peer, self: true})
 	version := int64(0)
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -62,50 +62,46 @@
 // loadMeter measures what the event loop does and how far it is behind. The event
 // loop owns it.
 type loadMeter struct {
-	runtime     *telemetry.RuntimeReader
-	last        telemetry.RuntimeUsage
-	lastBusy    [dutyCount]time.Duration
-	lastPlan    [dutyCount]time.Duration
-	lastEffects time.Duration
-	reportedMS  int64
-
-	// busy is the time by duty since the start. planning and effects are the
-	// parts that the planner and the effects of its decisions took; planning is
-	// by the duty of the planner's event.
+	runtime    *telemetry.RuntimeReader
+	last       telemetry.RuntimeUsage
+	lastBusy   [dutyCount]time.Duration
+	lastPlan   [dutyCount]time.Duration
+	lastWork   planner.Work
+	reportedMS int64
+
+	// busy is the time by duty since the start, planning the part of it that the
+	// planner took, by the duty of its event.
 	busy     [dutyCount]time.Duration
 	events   [dutyCount]int64
 	planning [dutyCount]time.Duration
-	effects  time.Duration
 	// steps counts the planner's events by duty since the last report.
 	steps [dutyCount]int64
 	// maxLagMS is the longest delay of an event since the last report.
 	maxLagMS int64
 
-	lag          tally.Histogram
-	busyMicros   [dutyCount]tally.Counter
-	planMicros   [dutyCount]tally.Counter
-	effectMicros tally.Counter
-	collections  tally.Counter
-	collectorUS  tally.Counter
-	assistUS     tally.Counter
-	allocated    tally.Counter
-	liveBytes    tally.Gauge
-	goalBytes    tally.Gauge
-	mappedBytes  tally.Gauge
+	lag         tally.Histogram
+	busyMicros  [dutyCount]tally.Counter
+	planMicros  [dutyCount]tally.Counter
+	collections tally.Counter
+	collectorUS tally.Counter
+	assistUS    tally.Counter
+	allocated   tally.Counter
+	liveBytes   tally.Gauge
+	goalBytes   tally.Gauge
+	mappedBytes tally.Gauge
 }
 
 func newLoadMeter(scope tally.Scope) *loadMeter {
 	m := &loadMeter{
-		runtime:      telemetry.NewRuntimeReader(),
-		lag:          scope.Histogram("loop_lag_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)),
-		effectMicros: scope.Counter("effects_microseconds"),
-		collections:  scope.Counter("gc_collections"),
-		collectorUS:  scope.Counter("gc_microseconds"),
-		assistUS:     scope.Counter("gc_assist_microseconds"),
-		allocated:    scope.Counter("allocated_bytes"),
-		liveBytes:    scope.Gauge("heap_live_bytes"),
-		goalBytes:    scope.Gauge("heap_goal_bytes"),
-		mappedBytes:  scope.Gauge("memory_mapped_bytes"),
+		runtime:     telemetry.NewRuntimeReader(),
+		lag:         scope.Histogram("loop_lag_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)),
+		collections: scope.Counter("gc_collections"),
+		collectorUS: scope.Counter("gc_microseconds"),
+		assistUS:    scope.Counter("gc_assist_microseconds"),
+		allocated:   scope.Counter("allocated_bytes"),
+		liveBytes:   scope.Gauge("heap_live_bytes"),
+		goalBytes:   scope.Gauge("heap_goal_bytes"),
+		mappedBytes: scope.Gauge("memory_mapped_bytes"),
 	}
 	for d := range dutyCount {
 		tagged := scope.Tagged(map[string]string{"duty": dutyNames[d]})
@@ -141,7 +137,7 @@
 
 // report updates the metrics and returns the fields of the log line that describe
 // the time since the last report.
-func (m *loadMeter) report(nowMS int64, queued int) []zap.Field {
+func (m *loadMeter) report(nowMS int64, queued int, work planner.Work) []zap.Field {
 	usage := m.runtime.Read()
 	m.collections.Inc(int64(usage.Collections - m.last.Collections))
 	m.collectorUS.Inc((usage.Collector - m.last.Collector).Microseconds())
@@ -150,7 +146,6 @@
 	m.liveBytes.Update(float64(usage.LiveBytes))
 	m.goalBytes.Update(float64(usage.GoalBytes))
 	m.mappedBytes.Update(float64(usage.MappedBytes))
-	m.effectMicros.Inc((m.effects - m.lastEffects).Microseconds())
 	fields := []zap.Field{
 		zap.Int64("interval_ms", nowMS-m.reportedMS),
 		zap.Int64("lag_max_ms", m.maxLagMS),
@@ -169,9 +164,14 @@
 			zap.Int64(dutyNames[d]+"_planner_ms", planned.Milliseconds()))
 		m.events[d], m.steps[d] = 0, 0
 	}
+	fields = append(fields,
+		zap.Int64("passes", work.Passes-m.lastWork.Passes),
+		zap.Int64("steps_tried", work.StepsTried-m.lastWork.StepsTried),
+		zap.Int64("workers_checked", work.WorkersChecked-m.lastWork.WorkersChecked),
+		zap.Int("steps_waiting", work.StepsWaiting))
+	m.lastWork = work
 	const mb = 1 << 20
 	fields = append(fields,
-		zap.Int64("effects_ms", (m.effects-m.lastEffects).Milliseconds()),
 		zap.Uint64("gc_cycles", usage.Collections-m.last.Collections),
 		zap.Int64("gc_ms", (usage.Collector-m.last.Collector).Milliseconds()),
 		zap.Int64("gc_assist_ms", (usage.Assist-m.last.Assist).Milliseconds()),
@@ -180,7 +180,7 @@
 		zap.Uint64("heap_goal_mb", usage.GoalBytes/mb),
 		zap.Uint64("memory_mb", usage.MappedBytes/mb),
 	)
-	m.last, m.lastBusy, m.lastPlan, m.lastEffects = usage, m.busy, m.planning, m.effects
+	m.last, m.lastBusy, m.lastPlan = usage, m.busy, m.planning
 	m.reportedMS, m.maxLagMS = nowMS, 0
 	return fields
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,13 +189,13 @@
 		case event := <-n.ring.Receive():
 			start := time.Now()
 			// An event may have waited through a suspension.
-			n.detectSuspension()
+			n.detectSuspension(start)
 			n.load.delayed(start.Sub(event.posted))
 			event.run()
 			n.load.handled(event.duty, time.Since(start))
 		case <-ticker.C:
 			start := time.Now()
-			n.tick(n.detectSuspension())
+			n.tick(n.detectSuspension(start))
 			n.load.handled(dutyTick, time.Since(start))
 		}
 	}
@@ -216,7 +216,11 @@
 // other instance that is behind.
 func (n *Node) reportLoad(nowMS int64) {
 	logged := n.term != nil || n.load.maxLagMS >= milliseconds(lagWarning)
-	fields := n.load.report(nowMS, n.ring.Len())
+	var work planner.Work
+	if n.term != nil {
+		work = n.term.core.Work()
+	}
+	fields := n.load.report(nowMS, n.ring.Len(), work)
 	if logged {
 		n.log("load", append(fields, zap.Bool("leading", n.term != nil))...)
 	}
@@ -224,9 +228,9 @@
 
 // detectSuspension detects that the process was suspended. Another instance may
 // lead by now, so no commands are sent until the log has been read. It returns
-// the current time.
-func (n *Node) detectSuspension() int64 {
-	now := n.now().MS
+// the time t, which has just been read.
+func (n *Node) detectSuspension(t time.Time) int64 {
+	now := n.clock.at(t).MS
 	gap := now - n.lastActiveMS
 	n.lastActiveMS = now
 	if gap < milliseconds(suspensionThreshold) {
@@ -270,14 +274,12 @@
 	}
 	t := n.term
 	start := time.Now()
-	n.stepTime = n.now()
+	n.stepTime = n.clock.at(start)
 	effects := t.core.Step(n.stepTime, e)
-	planned := time.Now()
-	n.load.planned(dutyOf(e), planned.Sub(start))
+	n.load.planned(dutyOf(e), time.Since(start))
 	for _, effect := range effects {
 		n.execute(t, effect)
 	}
-	n.load.effects += time.Since(planned)
 }
 
 // postEvent posts a planner event of a term. The event is dropped once the term
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -61,6 +61,8 @@
 	durations    durationModel
 	interference *interferenceModel
 	journal      journal
+	// work counts what the passes have done.
+	work Work
 	// pass is the number of the current pass over the waiting tasks, rescanMS the
 	// time after which its steps consider all workers again.
 	pass, rescanMS int64
@@ -313,6 +315,24 @@
 	return state, true
 }
 
+// Work counts what placement has done since the term began.
+type Work struct {
+	// Passes is the number of passes over the waiting steps.
+	Passes int64
+	// StepsTried is the number of attempts to place a step, WorkersChecked that of
+	// the workers considered for them.
+	StepsTried, WorkersChecked int64
+	// StepsWaiting is the number of steps that wait now.
+	StepsWaiting int
+}
+
+// Work returns what placement has done.
+func (c *Core) Work() Work {
+	work := c.work
+	work.Passes, work.StepsWaiting = c.pass, len(c.ready)
+	return work
+}
+
 // emitState reports the state of a recorded job as callers see it.
 func (c *Core) emitState(j *job) {
 	if state, ok := c.State(j.id); ok {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -216,6 +216,8 @@
 		workers = c.changed
 	}
 	full := s.fullScanMS == c.now.MS
+	c.work.StepsTried++
+	c.work.WorkersChecked += int64(len(workers))
 	for _, w := range workers {
 		if (full || w.changedPass > s.noFitPass) && c.feasible(s, w) {
 			c.candidates = append(c.candidates, candidate{w, c.score(s, w), true})
