Leave out what can wait while the leader's events are late

Cause: a leader that gets less processor time than its site needs handles its events late, did as much optional work as ever, and said nothing.

Change: each tick tells the planner how long events wait.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -76,8 +76,9 @@
 	planning [dutyCount]time.Duration
 	// steps counts the planner's events by duty since the last report.
 	steps [dutyCount]int64
-	// maxLagMS is the longest delay of an event since the last report.
-	maxLagMS int64
+	// maxLagMS is the longest delay of an event since the last report, tickLagMS
+	// that since the last tick.
+	maxLagMS, tickLagMS int64
 
 	lag         tally.Histogram
 	busyMicros  [dutyCount]tally.Counter
@@ -127,9 +128,17 @@
 // delayed notes how long an event has waited.
 func (m *loadMeter) delayed(lag time.Duration) {
 	m.maxLagMS = max(m.maxLagMS, lag.Milliseconds())
+	m.tickLagMS = max(m.tickLagMS, lag.Milliseconds())
 	m.lag.RecordDuration(lag)
 }
 
+// lagSinceTick returns the longest delay of an event since the last tick.
+func (m *loadMeter) lagSinceTick() int64 {
+	lagMS := m.tickLagMS
+	m.tickLagMS = 0
+	return lagMS
+}
+
 // due reports whether the load is to be reported.
 func (m *loadMeter) due(nowMS int64) bool {
 	return nowMS-m.reportedMS >= milliseconds(loadInterval)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,7 +203,7 @@
 
 // tick does what is due by time.
 func (n *Node) tick(nowMS int64) {
-	n.step(planner.Tick{})
+	n.step(planner.Tick{LagMS: n.load.lagSinceTick()})
 	if n.term != nil {
 		n.term.delegation.tick()
 	}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -57,6 +57,7 @@
 	// pass.
 	reservations, previousReservations []reservation
 
+	lag          lag
 	serviceLoad  serviceLoad
 	durations    durationModel
 	interference *interferenceModel
@@ -186,6 +187,7 @@
 	c.now = now
 	switch e := e.(type) {
 	case Tick:
+		c.observeLag(e.LagMS)
 		c.tick()
 	case QueuesChanged:
 		c.setQueues(e.Queues)
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -147,7 +147,7 @@
 func (c *Core) observeTail(r *run, u bestEffortUse) {
 	s, ratio := r.task.step, r.tailRatio()
 	m := c.tailModel(s)
-	if s.baseline.known && c.now.MS-m.observedMS >= readingIntervalMS {
+	if s.baseline.known && !c.lag.behind && c.now.MS-m.observedMS >= readingIntervalMS {
 		m.observedMS = c.now.MS
 		m.observe(u, math.Log(max(ratio, minRatio)/s.baseline.current(c.now.MS)))
 	}
@@ -319,7 +319,7 @@
 // moveBestEffort stops a slowed best-effort task that another worker can run at
 // full pace; it resumes there from its checkpoint.
 func (c *Core) moveBestEffort(w *worker) {
-	if c.commandsWithheld() || c.now.MS-w.interference.lastMoveMS < moveIntervalMS {
+	if c.commandsWithheld() || c.lag.behind || c.now.MS-w.interference.lastMoveMS < moveIntervalMS {
 		return
 	}
 	for _, r := range w.runs {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -44,7 +44,7 @@
 
 // schedule starts the waiting tasks that fit, in order of priority and urgency.
 func (c *Core) schedule() {
-	if c.commandsWithheld() || !c.placementDue || len(c.ready) == 0 || c.now.MS-c.lastPassMS < minPassIntervalMS {
+	if c.commandsWithheld() || !c.placementDue || len(c.ready) == 0 || c.now.MS-c.lastPassMS < c.passIntervalMS() {
 		return
 	}
 	c.placementDue, c.lastPassMS = false, c.now.MS
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -69,7 +69,10 @@
 // Events.
 type (
 	// Tick advances the time.
-	Tick struct{}
+	Tick struct {
+		// LagMS is how long events wait at present before the planner gets them.
+		LagMS int64
+	}
 	// QueuesChanged replaces the queues.
 	QueuesChanged struct{ Queues []Queue }
 	// WorkersChanged replaces the directory's entries of all workers.
