Count nothing as over while reports wait to be handled

Run 14001 of a task ended as done at 56.1 s; run 14002 was started at 59.0 s in the same term and stopped at 59.9 s, when the report with the end was handled.

Cause: a leader that handles its events late took the time of handling for the time of a report. The lease of a worker counted as over while its report waited in the ring of the event loop; and the worker's clock seemed to be late by that wait, so that leases were requested too short and lapsed on healthy workers.

Change: ticks say up to when everything received has been handled, and no lease counts as over beyond that; an outcome carries the time of its arrival, which the worker's clock is read with. TestPassCostIsBounded plays 1,100 workers in place of 60, since the bound is now one of pairs; its limit stays.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -252,6 +252,9 @@
 	// graceMargin is how long before the end of the grace period the last
 	// requests are interrupted.
 	graceMargin = 500 * time.Millisecond
+	// postMargin is how long an event may take from its arrival at the instance
+	// into the ring of the event loop.
+	postMargin = 50 * time.Millisecond
 	// ringSize limits the events that are queued for the event loop.
 	ringSize = 4096
 )
--- a/internal/node/delegate.go
+++ b/internal/node/delegate.go
@@ -143,12 +143,13 @@
 // ReportCalls passes the outcomes of delegated calls to the planner.
 func (s *peerServer) ReportCalls(ctx context.Context, r *connect.Request[nodev1.ReportCallsRequest]) (*connect.Response[nodev1.ReportCallsResponse], error) {
 	n, m := s.n, r.Msg
+	receivedMS := n.now().MS
 	n.post(ctx, dutyReports, func() {
 		for _, o := range m.GetOutcomes() {
 			if n.term == nil || n.term.epoch != m.GetEpoch() {
 				return
 			}
-			n.term.delegation.outcomeArrived(o)
+			n.term.delegation.outcomeArrived(o, receivedMS)
 		}
 	})
 	return connect.NewResponse(&nodev1.ReportCallsResponse{}), nil
--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -281,7 +281,7 @@
 // outcomeArrived handles an outcome that a delegate has sent. A report that is a
 // difference to one that the leader does not hold counts as none: a run that is
 // missing from a report counts as no longer running.
-func (d *delegation) outcomeArrived(m *nodev1.CallOutcome) {
+func (d *delegation) outcomeArrived(m *nodev1.CallOutcome, receivedMS int64) {
 	outcome, valid := decodeOutcome(m)
 	call, ok := d.pending[m.GetId()]
 	if !ok || !valid {
@@ -290,10 +290,10 @@
 	hold, isHold := call.command.(planner.Hold)
 	switch {
 	case !isHold, outcome != planner.Done:
-		d.complete(m.GetId(), outcome, planner.Report{})
+		d.complete(m.GetId(), outcome, planner.Report{}, receivedMS)
 		return
 	case m.GetReport() == nil:
-		d.complete(m.GetId(), planner.OutcomeUnknown, planner.Report{})
+		d.complete(m.GetId(), planner.OutcomeUnknown, planner.Report{}, receivedMS)
 		return
 	}
 	held := d.reports[hold.Worker]
@@ -307,19 +307,20 @@
 		delete(d.reports, hold.Worker)
 		outcome, report = planner.OutcomeUnknown, planner.Report{}
 	}
-	d.complete(m.GetId(), outcome, report)
+	d.complete(m.GetId(), outcome, report, receivedMS)
 }
 
-// complete reports the outcome of a call to the planner, unless the call has
+// complete reports the outcome of a call, which arrived at the given time, to the
+// planner, unless the call has
 // been given up.
-func (d *delegation) complete(id uint64, outcome planner.Outcome, report planner.Report) {
+func (d *delegation) complete(id uint64, outcome planner.Outcome, report planner.Report, receivedMS int64) {
 	call, ok := d.pending[id]
 	if !ok {
 		return
 	}
 	delete(d.pending, id)
 	d.node.countCall(call.workerCall, outcome)
-	d.node.step(call.done(outcome, report))
+	d.node.step(call.done(outcome, report, receivedMS))
 }
 
 // fail takes a delegate out of use. The outcomes of its calls are unknown.
@@ -339,7 +340,7 @@
 	d.node.stats.delegatesFailed.Inc(1)
 	d.node.log("delegate_failed", zap.Uint64("epoch", d.term.epoch), zap.String("delegate", g.name), zap.String("reason", reason), zap.Int("calls", len(lost)))
 	for _, id := range lost {
-		d.complete(id, planner.OutcomeUnknown, planner.Report{})
+		d.complete(id, planner.OutcomeUnknown, planner.Report{}, 0)
 	}
 }
 
@@ -358,7 +359,7 @@
 		case slices.Contains(d.active, call.delegate):
 			d.fail(call.delegate, "outcome overdue")
 		default:
-			d.complete(id, planner.OutcomeUnknown, planner.Report{})
+			d.complete(id, planner.OutcomeUnknown, planner.Report{}, 0)
 		}
 	}
 }
@@ -434,7 +435,7 @@
 func (d *delegation) failBatch(g *delegate, batch []queuedCall, reason string) {
 	d.fail(g, reason)
 	for _, q := range batch {
-		d.complete(q.id, planner.OutcomeUnknown, planner.Report{})
+		d.complete(q.id, planner.OutcomeUnknown, planner.Report{}, 0)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,8 @@
 	resumedMS int64
 	// stepTime is the time of the planner's last step.
 	stepTime planner.Time
+	// lastPostedMS is when the event that was handled last was posted.
+	lastPostedMS int64
 	// load measures the event loop.
 	load *loadMeter
 	// lastActiveMS is when the event loop last handled an event or a tick.
@@ -190,6 +192,7 @@
 			start := time.Now()
 			// An event may have waited through a suspension.
 			n.detectSuspension(start)
+			n.lastPostedMS = n.clock.at(event.posted).MS
 			n.load.delayed(start.Sub(event.posted))
 			event.run()
 			n.load.handled(event.duty, time.Since(start))
@@ -203,7 +206,7 @@
 
 // tick does what is due by time.
 func (n *Node) tick(nowMS int64) {
-	n.step(planner.Tick{LagMS: n.load.lagSinceTick()})
+	n.step(planner.Tick{LagMS: n.load.lagSinceTick(), HandledMS: n.handledMS()})
 	if n.term != nil {
 		n.term.delegation.tick()
 	}
@@ -212,6 +215,15 @@
 	}
 }
 
+// handledMS returns the time up to which everything received has been handled, or
+// 0 if nothing waits. It runs in the event loop.
+func (n *Node) handledMS() int64 {
+	if n.ring.Len() == 0 {
+		return 0
+	}
+	return n.lastPostedMS - milliseconds(postMargin)
+}
+
 // reportLoad updates the metrics of the load. A leader also logs it, as does any
 // other instance that is behind.
 func (n *Node) reportLoad(nowMS int64) {
--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -29,11 +29,12 @@
 	return ""
 }
 
-// done returns the event that reports the call's outcome to the planner.
-func (c workerCall) done(outcome planner.Outcome, report planner.Report) planner.Event {
+// done returns the event that reports the call's outcome, which arrived at the
+// given time, to the planner.
+func (c workerCall) done(outcome planner.Outcome, report planner.Report, receivedMS int64) planner.Event {
 	switch e := c.command.(type) {
 	case planner.Hold:
-		return planner.HoldDone{Worker: e.Worker, Address: e.Address, Token: e.Token, SentMS: c.sentMS, Outcome: outcome, Report: report}
+		return planner.HoldDone{Worker: e.Worker, Address: e.Address, Token: e.Token, SentMS: c.sentMS, ReceivedMS: receivedMS, Outcome: outcome, Report: report}
 	case planner.Start:
 		return planner.StartDone{Worker: e.Worker, Address: e.Address, Task: e.Task, Run: e.Run, Token: e.Token, Outcome: outcome}
 	case planner.Stop:
@@ -84,7 +85,7 @@
 	go func() {
 		outcome, report := makeCall(t.ctx, n.deps.Workers, call.command)
 		n.countCall(call, outcome)
-		n.postEvent(t, call.done(outcome, report))
+		n.postEvent(t, call.done(outcome, report, n.now().MS))
 	}()
 }
 
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -57,7 +57,10 @@
 	// pass.
 	reservations, previousReservations []reservation
 
-	lag          lag
+	lag lag
+	// handledMS is the time up to which everything received had been handled at
+	// the last tick.
+	handledMS    int64
 	serviceLoad  serviceLoad
 	durations    durationModel
 	interference *interferenceModel
@@ -67,6 +70,8 @@
 	// pass is the number of the current pass over the waiting tasks, rescanMS the
 	// time after which its steps consider all workers again.
 	pass, rescanMS int64
+	// urgentSteps is the number of waiting steps that every pass tries to place.
+	urgentSteps int
 	// changed are the workers that have changed since the pass before it,
 	// changedNext those that have changed since it began.
 	changed, changedNext []*worker
@@ -188,6 +193,7 @@
 	switch e := e.(type) {
 	case Tick:
 		c.observeLag(e.LagMS)
+		c.handledMS = cmp.Or(e.HandledMS, c.now.MS)
 		c.tick()
 	case QueuesChanged:
 		c.setQueues(e.Queues)
--- a/internal/planner/cost_test.go
+++ b/internal/planner/cost_test.go
@@ -81,8 +81,8 @@
 
 // waitingSite returns a site on which no more tasks fit, with a number of waiting
 // steps.
-func waitingSite(t *testing.T, steps int) (*harness, []WorkerInfo) {
-	h, infos := newIdleSite(60)
+func waitingSite(t *testing.T, workers, steps int) (*harness, []WorkerInfo) {
+	h, infos := newIdleSite(workers)
 	for i := range infos {
 		h.core.workers[infos[i].ID].used = Resources{CPUMilli: 31_000}
 	}
@@ -98,8 +98,8 @@
 // it.
 func TestPassCostIsBounded(t *testing.T) {
 	cost := func(steps int) time.Duration {
-		h, infos := waitingSite(t, steps)
-		return fastest(30, func() {
+		h, infos := waitingSite(t, 1100, steps)
+		return fastest(15, func() {
 			h.now += minPassIntervalMS
 			h.core.placementDue = true
 			for _, info := range infos {
@@ -116,7 +116,7 @@
 // tasks would fit.
 func TestBacklogDoesNotHideAFittingStep(t *testing.T) {
 	const waiting = 1500
-	h, infos := waitingSite(t, waiting)
+	h, infos := waitingSite(t, 1100, waiting)
 	narrow := jobs.ID("narrow")
 	effects := h.submit(t, narrow, jobs.Step{Count: 1, CPUMilli: 1200, EstimateMS: 60_000})
 	_, early := findEffect[Start](effects)
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -35,10 +35,12 @@
 	// readings a second.
 	noiseVar = 0.08
 	driftVar = 0.0005
-	// readingIntervalMS is the minimum time between two readings that the filter of
-	// one image takes. A large site has more readings than it needs to follow the
-	// coefficients, each of which costs the square of the number of images.
-	readingIntervalMS = 10
+	// readingsPerSecond bounds the readings that the filter of one image takes, on
+	// average; readingBurst is the number that it takes at once. A large site has
+	// more readings than the filter needs to follow the coefficients, each of which
+	// costs the square of the number of images.
+	readingsPerSecond = 200
+	readingBurst      = 50
 	// maxRatio caps a single reading as a multiple of its target; maxRise caps
 	// the logarithm of a reading relative to the baseline.
 	maxRatio = 3.0
@@ -65,8 +67,10 @@
 	conservative []float64
 	meanEffect   float64
 	valid        bool
-	// observedMS is when the filter last took a reading.
-	observedMS int64
+	// readings is the number of readings that the filter may take now, as of
+	// readingsMS.
+	readings   float64
+	readingsMS int64
 	// gain is a scratch buffer of observe.
 	gain []float64
 }
@@ -177,6 +181,17 @@
 	}
 }
 
+// takesReading reports whether the filter takes another reading now.
+func (m *tailModel) takesReading(nowMS int64) bool {
+	m.readings = min(m.readings+readingsPerSecond*float64(nowMS-m.readingsMS)/1000, readingBurst)
+	m.readingsMS = nowMS
+	if m.readings < 1 {
+		return false
+	}
+	m.readings--
+	return true
+}
+
 // coefficient returns a conservative estimate of the rise of the serving
 // image's tail, as a share of its baseline, if the best-effort image of the
 // column used all processors.
--- a/internal/planner/lag_test.go
+++ b/internal/planner/lag_test.go
@@ -89,3 +89,58 @@
 	c.Check(behind*4 < onTime, qt.IsTrue, qt.Commentf("%d passes on time, %d behind", onTime, behind))
 	c.Check(first[:6], qt.Equals, jobs.ID("urgent"))
 }
+
+// Guards against a task that is started again although its run has ended as done:
+// a leader that handles its events seconds late counted the lease as over while
+// the report with the end was waiting to be handled.
+func TestLeaseIsNotOverWhileReportsWait(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	other := testWorker
+	other.ID, other.Address = "w2", "a2"
+	h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}})
+	h.report(other, Report{StartedMS: 7, ClockMS: 100})
+	h.core.workers["w2"].noRoomUntilMS = h.now + 1000
+	s, ok := findEffect[Start](h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(s.Worker, qt.Equals, WorkerID("w"))
+	h.step(StartDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: Done})
+	received := h.now + 2300
+	// The event loop is busy; ticks and the other worker's reports are handled.
+	for range 400 {
+		h.now += 20
+		effects := h.report(other, Report{StartedMS: 7, ClockMS: h.now - 1_000_000 + 100})
+		effects = append(effects, h.step(Tick{LagMS: 3000, HandledMS: received - 100})...)
+		_, again := findEffect[Start](effects)
+		c.Assert(again, qt.IsFalse, qt.Commentf("started again after %d ms", h.now-received+2300))
+	}
+	w := h.core.workers["w"]
+	h.step(HoldDone{
+		Worker: "w", Token: w.token, SentMS: received - 1000, ReceivedMS: received, Outcome: Done,
+		Report: Report{StartedMS: 7, ClockMS: 2400, Ended: []EndedTask{ended(1, 0, s.Run, EndDone)}},
+	})
+	c.Assert(h.core.jobs["j"].state, qt.Equals, jobs.Completed)
+
+	// Once everything has been handled, a lost worker's run is lost.
+	lost := newHarness(safeguards{})
+	lost.join(testWorker)
+	s, _ = findEffect[Start](lost.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	lost.step(StartDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: Done})
+	lost.advance(8000)
+	c.Assert(lost.core.workers["w"].runs, qt.HasLen, 0)
+}
+
+// Guards against leases that are short by the time that a report has waited: runs
+// lapsed on thousands of healthy workers.
+func TestLeaseCountsFromTheArrivalOfAReport(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	h.now += 2000
+	w := h.core.workers["w"]
+	effects := h.step(HoldDone{Worker: "w", Token: w.token, SentMS: h.now - 1600, ReceivedMS: h.now - 1500, Outcome: Done, Report: Report{StartedMS: 7, ClockMS: 600}})
+	hold, ok := findEffect[Hold](effects)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(hold.LeaseEndMS, qt.Equals, int64(600+1500+4000))
+}
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -147,8 +147,7 @@
 func (c *Core) observeTail(r *run, u bestEffortUse) {
 	s, ratio := r.task.step, r.tailRatio()
 	m := c.tailModel(s)
-	if s.baseline.known && !c.lag.behind && c.now.MS-m.observedMS >= readingIntervalMS {
-		m.observedMS = c.now.MS
+	if s.baseline.known && !c.lag.behind && m.takesReading(c.now.MS) {
 		m.observe(u, math.Log(max(ratio, minRatio)/s.baseline.current(c.now.MS)))
 	}
 	s.baseline.observe(ratio, m.predictedRise(u), len(s.tasks), c.now.MS)
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -22,15 +22,16 @@
 	maxPassIntervalMS = 250
 	// rescanMS is how long a step that fits nowhere considers only workers that
 	// have changed. After that it considers all of them again, because limits
-	// and pauses also change with time. With more than rescanSteps waiting steps
-	// the time grows in proportion to their number, so that a backlog costs no
-	// more than those.
-	rescanMS    = 250
-	rescanSteps = 64
-	// urgentSteps is the number of waiting steps that every pass tries to place,
-	// otherSteps the number of further ones.
-	urgentSteps = 192
-	otherSteps  = 4
+	// and pauses also change with time. The time grows once that takes more than
+	// rescanChecks checks of a step and a worker, so that a backlog costs no more.
+	rescanMS     = 250
+	rescanChecks = 70_000
+	// Every pass tries to place the most urgent of the waiting steps, as many as
+	// passChecks pairs of a step and a worker hold but no fewer than
+	// minUrgentSteps, and otherSteps of the others.
+	passChecks     = 210_000
+	minUrgentSteps = 192
+	otherSteps     = 4
 	// maxReservedWorkers is the maximum number of workers that one waiting step
 	// reserves.
 	maxReservedWorkers = 4
@@ -50,7 +51,8 @@
 	c.placementDue, c.lastPassMS = false, c.now.MS
 	c.pass++
 	c.changed, c.changedNext = c.changedNext, c.changed[:0]
-	c.rescanMS = rescanMS * max(1, int64(len(c.ready))/rescanSteps)
+	c.rescanMS = rescanMS * max(1, int64(len(c.ready)*len(c.sortedWorkers)/rescanChecks))
+	c.urgentSteps = max(minUrgentSteps, passChecks/max(len(c.sortedWorkers), 1))
 	c.reservations, c.previousReservations = c.previousReservations[:0], c.reservations
 	slices.SortStableFunc(c.ready, func(a, b *step) int {
 		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
@@ -81,12 +83,12 @@
 // new ones, and a few of the others in turn: its cost would otherwise grow with the
 // backlog while every start has to wait for it.
 func (c *Core) considered(s *step, position int) bool {
-	if position < urgentSteps || s.noFitPass == 0 {
+	if position < c.urgentSteps || s.noFitPass == 0 {
 		return true
 	}
-	others := int64(len(c.ready) - urgentSteps)
+	others := int64(len(c.ready) - c.urgentSteps)
 	turn := c.pass * otherSteps % others
-	return (int64(position-urgentSteps)-turn+others)%others < otherSteps
+	return (int64(position-c.urgentSteps)-turn+others)%others < otherSteps
 }
 
 // reservation keeps the free room of a worker for a step.
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 
 	"redwingvale/internal/jobs"
@@ -18,7 +19,9 @@
 		w.startedMS = e.Report.StartedMS
 	}
 	if e.Report.ClockMS >= w.clockMS {
-		w.clockMS, w.clockReadMS = e.Report.ClockMS, c.now.MS
+		// The worker's clock is not later than that when the report arrived: taken
+		// for the time of handling it, it would make leases too short.
+		w.clockMS, w.clockReadMS = e.Report.ClockMS, cmp.Or(e.ReceivedMS, c.now.MS)
 	}
 	if w.inheritedLeaseEndMS == 0 || w.confirmed < w.restartToken && e.Token >= w.restartToken {
 		c.noteInheritedLease(w)
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -72,6 +72,9 @@
 	Tick struct {
 		// LagMS is how long events wait at present before the planner gets them.
 		LagMS int64
+		// HandledMS is the time up to which everything received has been handled; 0
+		// if nothing waits.
+		HandledMS int64
 	}
 	// QueuesChanged replaces the queues.
 	QueuesChanged struct{ Queues []Queue }
@@ -116,8 +119,11 @@
 		Address string
 		Token   uint64
 		SentMS  int64
-		Outcome Outcome
-		Report  Report
+		// ReceivedMS is when the outcome arrived, which may be long before the
+		// planner gets it; 0 if it has just arrived.
+		ReceivedMS int64
+		Outcome    Outcome
+		Report     Report
 	}
 	// StartDone is the outcome of a Start.
 	StartDone struct {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -306,7 +306,8 @@
 	if c.disabled.leaseWait {
 		return c.now.MS-w.reportedMS > unresponsiveMS
 	}
-	return c.ledUntilMS() > c.leaseOverMS(w)
+	// A report from before the end of the leases may still wait to be handled.
+	return min(c.ledUntilMS(), c.handledMS) > c.leaseOverMS(w)
 }
 
 // leaseOverMS returns when the leases of a worker are over by this clock.
