--- a/internal/node/cost_bench_test.go
+++ b/internal/node/cost_bench_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+	"redwingvale/internal/gen/redwingvale/node/v1/nodev1connect"
 	"redwingvale/internal/jobs"
 	"redwingvale/internal/planner"
 	"redwingvale/internal/telemetry"
@@ -19,6 +20,30 @@
 
 var benchTask = jobs.Task{Job: "5c0e7a21d94b36f8", Step: 1, Index: 17}
 
+// servePeer runs the event loop and the peer interface of an instance and returns
+// a client of it.
+func servePeer(b *testing.B) nodev1connect.NodeServiceClient {
+	b.Helper()
+	tele := telemetry.New("rwnode", "a", io.Discard)
+	n := New(DefaultConfig(), Deps{}, tele)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.loop(ctx) }()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: n.PeerHandler()}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() {
+		server.Close()
+		stop()
+		<-done
+		tele.Close()
+	})
+	return n.peerClient(listener.Addr().String())
+}
+
 // BenchmarkDecisionLine measures the log line of a start or an end.
 func BenchmarkDecisionLine(b *testing.B) {
 	tele := telemetry.New("rwnode", "edge-kago-a-1", io.Discard)
@@ -46,24 +71,10 @@
 // BenchmarkLookThroughLeader measures one look at a job's state that another
 // instance passes on to the leader, both sides and the connection between them.
 func BenchmarkLookThroughLeader(b *testing.B) {
-	tele := telemetry.New("rwnode", "a", io.Discard)
-	defer tele.Close()
-	n := New(DefaultConfig(), Deps{}, tele)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); n.loop(ctx) }()
-	defer func() { stop(); <-done }()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	server := &http.Server{Handler: n.PeerHandler()}
-	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
-	client := n.peerClient(listener.Addr().String())
+	client := servePeer(b)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := client.GetJob(ctx, connect.NewRequest(&nodev1.GetJobRequest{Id: "j"})); err != nil {
+		if _, err := client.GetJob(context.Background(), connect.NewRequest(&nodev1.GetJobRequest{Id: "j"})); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -74,28 +85,14 @@
 func BenchmarkBatchToDelegate(b *testing.B) {
 	for _, calls := range []int{1, 32} {
 		b.Run(fmt.Sprint(calls), func(b *testing.B) {
-			tele := telemetry.New("rwnode", "a", io.Discard)
-			defer tele.Close()
-			n := New(DefaultConfig(), Deps{}, tele)
-			ctx, stop := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() { defer close(done); n.loop(ctx) }()
-			defer func() { stop(); <-done }()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			server := &http.Server{Handler: n.PeerHandler()}
-			go func() { _ = server.Serve(listener) }()
-			defer server.Close()
-			client := n.peerClient(listener.Addr().String())
+			client := servePeer(b)
 			request := &nodev1.CallWorkersRequest{Epoch: 1}
 			for range calls {
 				request.Calls = append(request.Calls, encodeCall(1, planner.Hold{Worker: "i-00f24dd0", Address: "10.1.0.13:8161", Token: 3 << 20, AckNumber: 9, LeaseEndMS: 1 << 40, WaitMS: 1000}, 7))
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := client.CallWorkers(ctx, connect.NewRequest(request)); err != nil {
+				if _, err := client.CallWorkers(context.Background(), connect.NewRequest(request)); err != nil {
 					b.Fatal(err)
 				}
 			}
