Play the soak through delegates

Cause: the soak's few workers never reach delegation_min_workers, so reports as differences, states of jobs at delegates and the loss of a delegate were played by no run of real processes.

--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -38,6 +38,7 @@
 	flags.DurationVar(&options.RecoveryLimit, "calm", 30*time.Second, "how long jobs may take to end after the last fault")
 	flags.Float64Var(&options.JobsPerS, "jobs", 8, "submissions a second")
 	flags.IntVar(&options.Series, "series", 3, "concurrent series of faults")
+	flags.BoolVar(&options.Delegates, "delegates", false, "the leader calls workers through other instances")
 	verbose := flags.Bool("v", false, "print each fault")
 	if err := ff.Parse(flags, os.Args[1:], ff.WithEnvVarPrefix("RWSOAK")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -49,6 +49,9 @@
 	return out, nil
 }
 
+// noDelegation is a number of workers that no run has.
+const noDelegation = 1 << 20
+
 const settingsText = `instance = %q
 data_centre = "z1"
 first_start = %v
@@ -58,6 +61,7 @@
 peer_advertised_addr = %q
 store_addr = %q
 cpu_share = 0.5
+delegation_min_workers = %d
 
 [bounds]
 max_lease_ms = 6000
@@ -66,9 +70,9 @@
 `
 
 // newInstance prepares an instance in a directory without starting its process.
-func newInstance(dir, binary string, index int, store *standin.Store, servers *[]*http.Server) (*instance, error) {
+func newInstance(options *Options, index int, store *standin.Store, servers *[]*http.Server) (*instance, error) {
 	name := fmt.Sprintf("n%d", index)
-	in := &instance{name: name, binary: binary, settingsFile: filepath.Join(dir, name+".toml")}
+	in := &instance{name: name, binary: options.Binary, settingsFile: filepath.Join(options.Dir, name+".toml")}
 	addresses, err := freeAddresses(index)
 	if err != nil {
 		return nil, err
@@ -90,11 +94,15 @@
 		return nil, err
 	}
 	in.readinessAddr = addresses[1]
-	if in.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
+	if in.log, err = os.Create(filepath.Join(options.Dir, name+".log")); err != nil {
 		return nil, err
 	}
+	delegationMinWorkers := noDelegation
+	if options.Delegates {
+		delegationMinWorkers = 1
+	}
 	settings := func(first bool) string {
-		return fmt.Sprintf(settingsText, name, first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address())
+		return fmt.Sprintf(settingsText, name, first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address(), delegationMinWorkers)
 	}
 	return in, os.WriteFile(in.settingsFile, []byte(settings(true)), 0o600)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,9 @@
 	JobsPerS float64
 	// Series is the number of concurrent series of faults.
 	Series int
+	// Delegates makes the leader call the workers through other instances, which
+	// also answer looks at jobs.
+	Delegates bool
 	// FailShare is the share of task runs that fail by themselves, without an
 	// injected fault.
 	FailShare float64
@@ -263,7 +266,7 @@
 	r.version = 1
 	standin.PutManifest(r.store, r.checker, r.version, minAttemptLimit+1)
 	for i := range r.options.Instances {
-		in, err := newInstance(r.options.Dir, r.options.Binary, i, r.store, &r.servers)
+		in, err := newInstance(&r.options, i, r.store, &r.servers)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// Checks the same guarantees while the leader calls the workers through other
+// instances: a run must not be started twice, or lost, because a delegate fails
+// with calls, reports or states that it has not passed on.
+func TestSoakThroughDelegates(t *testing.T) {
+	c := qt.New(t)
+	options := testOptions(t, 2)
+	options.Delegates = true
+	result, err := Run(context.Background(), options)
+	c.Assert(err, qt.IsNil)
+	t.Log(result)
+	c.Assert(result.Violations, qt.HasLen, 0)
+	c.Assert(result.Completed > 0 && result.Starts > result.Completed, qt.IsTrue)
+}
+
 // Guards against a soak that does not detect lost jobs: with a store that loses
 // acknowledged writes, accepted jobs are lost when the leader is killed.
 func TestSoakDetectsLostRecords(t *testing.T) {
