Give the suspension test's term its delegation

Cause: the test's term has no delegation, which every real term has from its beginning; a tick between the event and the end of the test dereferences it. The tick has done so since calls go through delegates; an idle machine ends the test before the first tick.

Change: the test's term has a delegation. What it checks is unchanged.

Measured: with a pause of 200 ms before the end of the test it panics without the line and passes with it, 5 of 5.

--- a/internal/node/suspension_test.go
+++ b/internal/node/suspension_test.go
@@ -26,6 +26,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.term = &term{epoch: 1, core: planner.New(n.config.plannerConfig(true), n.stateMachine, 1, n.now()), ctx: ctx, stop: stop}
+	n.term.delegation = newDelegation(n, n.term)
 	seen := make(chan int64, 1)
 	n.post(ctx, dutyRequests, func() { seen <- n.now().MS - n.lastActiveMS })
 	done := make(chan struct{})
