--- a/internal/node/report_diff_test.go
+++ b/internal/node/report_diff_test.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// Guards against a leader that decodes all rows of each report again: it
-// allocated more for that than for all of its planning.
+// Guards against a leader that decodes all rows of each report again, with over a
+// hundred allocations for a report of 25 runs.
 func TestUnchangedReportCostsFewAllocations(t *testing.T) {
 	report := typicalReport()
 	base, held := &reportBase{}, &heldReport{}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -14,10 +14,9 @@
 	"redwingvale/internal/jobs"
 )
 
-// Callers look at the states of their jobs more often than anything else happens
-// at a site, and most looks find no change. They are answered where that is cheap:
-// a final state by any instance that has read it in the log, any other state by a
-// delegate of the leader, which passes each change of a state on to its delegates
+// Callers look at the states of their jobs again and again, and most looks find no
+// change. They are answered where that is cheap: a final state by any instance
+// that has read it in the log, any other state by a delegate of the leader, which passes each change of a state on to its delegates
 // together with their calls. The leader answers what they cannot, and alone says
 // that a job is unknown.
 
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -12,8 +12,8 @@
 	"redwingvale/internal/jobs"
 )
 
-// Guards against a leader that answers every look at a job: at a large site that
-// cost it more than planning, and the most urgent jobs came late.
+// Guards against a leader that answers every look at a job: each costs it an HTTP
+// exchange, and callers decide how many there are.
 func TestLooksDoNotReachTheLeader(t *testing.T) {
 	c := qt.New(t)
 	leader, all, _ := delegatingInstances(t, 3)
--- a/internal/planner/cost_test.go
+++ b/internal/planner/cost_test.go
@@ -52,9 +52,8 @@
 	qt.Check(t, many < 4*few+time.Microsecond, qt.IsTrue, qt.Commentf("50 workers: %v, 5000 workers: %v", few, many))
 }
 
-// Guards against a scan of all workers for each task of a step: the tasks have
-// equal requirements, and a leader of 1,100 workers spent most of the time of a
-// start on it.
+// Guards against a scan of all workers for each task of a step, whose tasks have
+// equal requirements.
 func TestTasksOfAStepShareAScan(t *testing.T) {
 	const workers = 3000
 	cost := func(tasks int) time.Duration {
