Wait for the first leader in the takeover test

Cause: the test waits until all instances are ready. They are once the claim is read, which is before the claimant's term begins; the test did not wait for that.

Change: it waits for a leader, within the limit of its other waits. What it checks about jobs and tasks is unchanged.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -77,8 +77,9 @@
 		members, err := runInLoop(context.Background(), all[0].Node, dutyRequests, func() int { return len(all[0].members) })
 		return err == nil && members == 3
 	})
-	first := leaderOf(all...)
-	c.Assert(first, qt.IsNotNil)
+	// Instances are ready once the claim is read, which is before the term begins.
+	var first *instance
+	waitFor(t, "an instance leads", func() bool { first = leaderOf(all...); return first != nil })
 	var rest []*instance
 	for _, in := range all {
 		if in != first {
