Start tasks only on workers whose address the log holds

What callers saw: tasks that ran twice after a change of leader, all of them first started on workers that had joined shortly before.

Cause: a leader started tasks on a worker as soon as it had read the directory entry and a report, and recorded the worker with the next write. While the log does not accept writes, that takes as long as the outage. A successor waits for the workers of the log's records and of the directory. If the entry has lapsed meanwhile, which the platform allows while its store is away and up to two seconds after its return, the worker is in neither; all others report within milliseconds, and the tasks that none of them lists start again.

Change: a start needs the worker's record, with its current address, to be confirmed by the log, like an end needs its record before it is acknowledged. The successor's set of workers is then always a superset of those that may run something. Calls that only read, such as hold calls, need no record.

Three tests of the package did not confirm the log's writes and still expected starts; they do now, with their bounds unchanged.

--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -243,10 +243,12 @@
 	h := newHarness(safeguards{})
 	small := testWorker
 	small.Capacity = Resources{CPUMilli: 1000, MemoryMB: 64_000}
+	h.join(small)
+	// It gets no task before its next report.
+	h.now += unresponsiveMS + 100
 	h.submit(t, "old", jobs.Step{Count: 1, CPUMilli: 1000, EstimateMS: 1000})
 	h.now += 2500
 	h.submit(t, "new", jobs.Step{Count: 1, CPUMilli: 1000, EstimateMS: 1000})
-	h.step(WorkersChanged{Workers: []WorkerInfo{small}})
 	start, ok := findEffect[Start](append(h.report(small, Report{StartedMS: 7, ClockMS: 100}), h.advance(300)...))
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(start.Task.Job, qt.Equals, jobs.ID("new"))
@@ -343,7 +345,7 @@
 	h := newHarness(safeguards{})
 	other := testWorker
 	other.ID, other.Address = "other", "b"
-	h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}})
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
 	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 100}))
 	h.confirmWrites(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, LongRunning: true}))
 	h.advance(100)
@@ -442,7 +444,7 @@
 	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}}})
 	other := testWorker
 	other.ID, other.Address = "other", "b"
-	h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}})
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
 	startMS, limitMS := h.now, int64(float64(4000+DeposedLeaderMS)*clockSlack)+leaseMarginMS
 	for h.now-startMS < 2*limitMS {
 		h.report(other, Report{StartedMS: 7, ClockMS: h.now})
--- a/internal/planner/joined_worker_test.go
+++ b/internal/planner/joined_worker_test.go
@@ -53,9 +53,10 @@
 
 			// Once the log holds its record, the worker is used.
 			first.confirmWrites(effects)
-			effects = append(effects, first.report(test.joined, Report{StartedMS: 9, ClockMS: 600})...)
-			effects = append(effects, first.advance(100)...)
-			c.Assert(startsOf(effects, "j"), qt.Equals, 1)
+			first.confirmWrites(first.advance(100))
+			first.report(test.joined, Report{StartedMS: 9, ClockMS: 700})
+			first.advance(100)
+			c.Assert(first.core.workers[test.joined.ID].runs, qt.HasLen, 1)
 		})
 	}
 }
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -13,10 +13,11 @@
 	outstanding     bool
 	lastWriteMS     int64
 	modelRecordedMS int64
-	// workers are the workers whose record may be out of date.
-	workers     []WorkerID
-	submissions []*job
-	dirty       []*job
+	// workers are the workers whose record may be out of date, inFlightWorkers
+	// those whose record the outstanding write contains.
+	workers, inFlightWorkers []WorkerID
+	submissions              []*job
+	dirty                    []*job
 	// cancellations are those of unknown jobs that have to be recorded,
 	// inFlightCancellations those that the outstanding write contains.
 	cancellations, inFlightCancellations []unknownCancellation
@@ -253,6 +254,7 @@
 	}
 	jnl.inFlightJobs = jnl.inFlightJobs[:0]
 	c.cancellationsRecorded()
+	c.workersRecorded()
 	for _, m := range jnl.inFlightAcks {
 		c.ack(m)
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -373,7 +373,7 @@
 
 // usable reports whether the worker may get new tasks at all.
 func (w *worker) usable(nowMS int64) bool {
-	return w.listed && !w.dead && w.reported && !w.info.Draining && w.confirmed > 0 &&
+	return w.listed && !w.dead && w.reported && !w.info.Draining && w.confirmed > 0 && w.recordedAddress == w.info.Address &&
 		nowMS-w.reportedMS <= unresponsiveMS && nowMS >= w.noRoomUntilMS
 }
 
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -95,9 +95,11 @@
 func (c *Core) appendWorkers(b *batch) {
 	jnl := &c.journal
 	for added := 0; len(jnl.workers) > 0 && added < maxWorkersPerWrite; jnl.workers = jnl.workers[1:] {
-		record, changed := c.workerRecord(jnl.workers[0])
+		id := jnl.workers[0]
+		record, changed := c.workerRecord(id)
 		switch {
 		case !changed:
+			c.noteRecordedWorker(id)
 			continue
 		case !c.config.Log.Allows(record):
 			c.notRecorded(record, "record exceeds the log's size limit")
@@ -105,6 +107,7 @@
 		case !b.add(record):
 			return
 		}
+		jnl.inFlightWorkers = append(jnl.inFlightWorkers, id)
 		added++
 	}
 	if len(jnl.workers) == 0 && len(c.stateMachine.LegacyWorkers) > 0 {
@@ -127,6 +130,34 @@
 	return jobs.WorkerRecord(string(id), value), !bytes.Equal(value, c.stateMachine.Workers[string(id)])
 }
 
+// noteRecordedWorker notes the address under which the log holds a worker. It is
+// called while no write is outstanding.
+func (c *Core) noteRecordedWorker(id WorkerID) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	var held recordedWorker
+	if value := c.stateMachine.Workers[string(id)]; len(value) > 0 {
+		if err := json.Unmarshal(value, &held); err != nil {
+			c.emit(Decision{Event: "worker_invalid", Worker: id, Reason: err.Error()})
+		}
+	}
+	if w.recordedAddress != held.Address {
+		w.recordedAddress = held.Address
+		c.markChanged(w)
+		c.placementDue = true
+	}
+}
+
+// workersRecorded notes the workers of the last write.
+func (c *Core) workersRecorded() {
+	for _, id := range c.journal.inFlightWorkers {
+		c.noteRecordedWorker(id)
+	}
+	c.journal.inFlightWorkers = c.journal.inFlightWorkers[:0]
+}
+
 // inheritWorkers takes over the workers that the predecessor recorded. Those
 // that the directory does not list are called too, before tasks that no worker
 // has reported start again: an entry may be missing while its worker keeps
@@ -155,7 +186,7 @@
 		if c.workers[k.ID] != nil {
 			continue
 		}
-		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS}
+		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS, recordedAddress: k.Address}
 		w.health.reset()
 		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels, StartedMS: k.StartedMS}
 		c.workers[k.ID] = w
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -12,8 +12,13 @@
 	// tasks until it reports or its leases must have expired.
 	inherited bool
 	// dead is set when another worker or incarnation responds at its address.
-	dead      bool
-	startedMS int64
+	dead bool
+	// recordedAddress is the address in the worker's record in the log; "" if the
+	// log holds none. Nothing starts on a worker at an address that is not
+	// recorded: a successor may find no directory entry of the worker, and must
+	// still wait for its report before it starts tasks that it has found nowhere.
+	recordedAddress string
+	startedMS       int64
 
 	// token is the fencing token of every call; it is raised when the outcome
 	// of a call is unknown.
