Log which workers a new leader knows and waits for

After a change of leader the log did not show which workers the successor knew, or how its takeover ended, so a task that it started a second time could not be traced to a worker that it had not waited for.

The first list of workers of a term is compared with the workers of the log (workers_listed, with the age of the list). workers_settled states whether reports or time ended the takeover, how many workers had reported, had not, or were left out, and how old the oldest unhandled event and the evidence of the leadership were. worker_not_awaited names each worker without a report, at most 20 a term.

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -67,5 +67,12 @@
 	if d.AgeMS != 0 {
 		fields = append(fields, zap.Int64("age_ms", d.AgeMS))
 	}
+	for _, detail := range d.Details {
+		if detail.Text != "" {
+			fields = append(fields, zap.String(detail.Name, detail.Text))
+		} else {
+			fields = append(fields, zap.Int64(detail.Name, detail.Number))
+		}
+	}
 	n.tele.Log.Info(d.Event, fields...)
 }
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -46,6 +46,7 @@
 	if err := n.announceClaim(ctx, c); err != nil {
 		return err
 	}
+	readMS := n.now().MS
 	infos, from, err := n.deps.Directory.Workers(ctx)
 	if err != nil {
 		return err
@@ -55,7 +56,7 @@
 			return false
 		}
 		n.sentClaim = claim{}
-		n.beginTerm(ctx, c, infos, from)
+		n.beginTerm(ctx, c, infos, from, readMS)
 		return true
 	})
 	if err == nil && !won {
@@ -130,8 +131,8 @@
 }
 
 // beginTerm makes this instance the leader for the epoch of the claim. It runs
-// in the event loop.
-func (n *Node) beginTerm(ctx context.Context, c claim, infos []planner.WorkerInfo, from int64) {
+// in the event loop. The workers are those that the directory listed at readMS.
+func (n *Node) beginTerm(ctx context.Context, c claim, infos []planner.WorkerInfo, from, readMS int64) {
 	termCtx, stop := context.WithCancel(ctx)
 	config := n.config.plannerConfig(c.Epoch == 1)
 	if n.priorLeaseMS > 0 {
@@ -166,7 +167,7 @@
 		n.log("configuration_awaited", zap.Uint64("epoch", c.Epoch), zap.Int64("version", version))
 	}
 	n.step(planner.LeadershipAsOf{MS: n.logEvidenceMS.Load()})
-	n.step(planner.WorkersChanged{Workers: infos})
+	n.step(planner.WorkersChanged{Workers: infos, ReadMS: readMS})
 	go n.runLogWriter(t)
 	go n.sendHeartbeats(t)
 	go n.followDirectory(t, from)
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -57,7 +57,8 @@
 	// pass.
 	reservations, previousReservations []reservation
 
-	lag lag
+	lag         lag
+	takeoverLog takeoverLog
 	// handledMS is the time up to which everything received had been handled at
 	// the last tick.
 	handledMS    int64
@@ -198,6 +199,7 @@
 	case QueuesChanged:
 		c.setQueues(e.Queues)
 	case WorkersChanged:
+		c.logFirstList(e.Workers, e.ReadMS)
 		c.setWorkers(e.Workers)
 	case SubmitRequested:
 		c.submit(e)
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -70,7 +70,7 @@
 		}
 	}
 	c.placementDue = true
-	c.emit(Decision{Event: "workers_settled", AgeMS: c.now.MS - c.termStartMS})
+	c.logSettled()
 }
 
 // recordedWorker is the record of a worker in the log.
@@ -155,7 +155,7 @@
 		if c.workers[k.ID] != nil {
 			continue
 		}
-		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS}
+		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, addedMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS}
 		w.health.reset()
 		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels, StartedMS: k.StartedMS}
 		c.workers[k.ID] = w
--- /dev/null
+++ b/internal/planner/takeover_log_test.go
@@ -0,0 +1,122 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// decisions returns the decisions with a name among the effects.
+func decisions(effects []Effect, event string) (found []Decision) {
+	for _, e := range effects {
+		if d, ok := e.(Decision); ok && d.Event == event {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
+// detail returns a detail of a decision as text, or "" if it has none.
+func detail(d Decision, name string) string {
+	i := slices.IndexFunc(d.Details, func(detail Detail) bool { return detail.Name == name })
+	switch {
+	case i < 0:
+		return ""
+	case d.Details[i].Text != "":
+		return d.Details[i].Text
+	}
+	return fmt.Sprint(d.Details[i].Number)
+}
+
+// successor returns the leader of the next term, which reads the given list of
+// workers one second later, and the effects of the list.
+func (h *harness) successor(infos ...WorkerInfo) (*harness, []Effect) {
+	config := h.core.config
+	config.FirstTerm, config.PriorLeaseMS = false, config.LeaseMS
+	next := &harness{now: h.now + 1000}
+	next.core = New(config, h.core.stateMachine, h.core.epoch+1, next.time())
+	next.step(QueuesChanged{Queues: []Queue{testQueue}})
+	return next, slices.Clone(next.step(WorkersChanged{Workers: infos, ReadMS: next.now - 30}))
+}
+
+func workerNamed(id WorkerID) WorkerInfo {
+	info := testWorker
+	info.ID, info.Address = id, string(id)
+	return info
+}
+
+// TestTakeoverStatesItsWorkers guards against a takeover whose log lines do not show
+// that tasks of a worker may be started again: the worker was missing from the list,
+// was removed, belongs to another incarnation, or was waited for in vain.
+func TestTakeoverStatesItsWorkers(t *testing.T) {
+	c := qt.New(t)
+	first := newHarness(safeguards{})
+	first.confirmWrites(first.step(WorkersChanged{Workers: []WorkerInfo{workerNamed("silent"), workerNamed("dead"), workerNamed("again"), testWorker}}))
+	first.confirmWrites(first.advance(100))
+
+	again := workerNamed("again")
+	again.StartedMS++
+	h, effects := first.successor(testWorker, again, workerNamed("new"))
+	listed := decisions(effects, "workers_listed")
+	c.Assert(listed, qt.HasLen, 1)
+	for name, want := range map[string]string{"listed": "3", "recorded": "4", "recorded_only": "2", "unrecorded": "1", "restarted": "1", "list_age_ms": "30"} {
+		c.Check(detail(listed[0], name), qt.Equals, want, qt.Commentf(name))
+	}
+	c.Assert(decisions(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, again, workerNamed("new")}}), "workers_listed"), qt.HasLen, 0)
+
+	for _, info := range []WorkerInfo{testWorker, again, workerNamed("new")} {
+		h.report(info, Report{StartedMS: info.StartedMS, ClockMS: 100})
+	}
+	h.step(HoldDone{Worker: "dead", Address: "dead", Outcome: WrongWorker})
+	h.now += 10_000
+	effects = h.advance(100)
+	settled := decisions(effects, "workers_settled")
+	c.Assert(settled, qt.HasLen, 1)
+	c.Check(settled[0].Reason, qt.Equals, "time")
+	for name, want := range map[string]string{"reported": "3", "unreported": "1", "dead": "1", "unlisted": "0", "departed": "0", "unhandled_ms": "0"} {
+		c.Check(detail(settled[0], name), qt.Equals, want, qt.Commentf(name))
+	}
+	reasons := map[WorkerID]string{}
+	for _, d := range decisions(effects, "worker_not_awaited") {
+		reasons[d.Worker] = d.Reason + " " + detail(d, "known_from")
+	}
+	c.Assert(reasons, qt.DeepEquals, map[WorkerID]string{"silent": "no report log", "dead": "dead: other_worker log"})
+}
+
+// TestTakeoverByReports guards against a takeover by time that is logged as one by
+// reports, or the reverse; and against a removed worker that no line names.
+func TestTakeoverByReports(t *testing.T) {
+	c := qt.New(t)
+	first := newHarness(safeguards{})
+	first.join(testWorker)
+	first.confirmWrites(first.advance(100))
+	h, effects := first.successor(testWorker, workerNamed("brief"))
+	effects = append(effects, h.step(WorkersChanged{Workers: []WorkerInfo{testWorker}})...)
+	effects = append(effects, h.advance(2000)...)
+	removed := decisions(effects, "worker_not_awaited")
+	c.Assert(removed, qt.HasLen, 1)
+	c.Check(removed[0].Worker, qt.Equals, WorkerID("brief"))
+	c.Check(removed[0].Reason, qt.Equals, "departed")
+	settled := decisions(h.report(testWorker, Report{StartedMS: 7, ClockMS: 100}), "workers_settled")
+	c.Assert(settled, qt.HasLen, 1)
+	c.Check(settled[0].Reason, qt.Equals, "reports")
+	c.Check(detail(settled[0], "departed"), qt.Equals, "1")
+}
+
+// TestNotAwaitedLinesAreBounded guards the volume of the log when a large site is
+// taken over and no worker reports.
+func TestNotAwaitedLinesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	first := newHarness(safeguards{})
+	var infos []WorkerInfo
+	for i := range 3 * maxNotAwaitedLines {
+		infos = append(infos, workerNamed(WorkerID(fmt.Sprintf("w%02d", i))))
+	}
+	h, _ := first.successor(infos...)
+	h.now += 10_000
+	effects := h.advance(100)
+	c.Assert(decisions(effects, "worker_not_awaited"), qt.HasLen, maxNotAwaitedLines)
+	c.Assert(detail(decisions(effects, "workers_settled")[0], "unreported"), qt.Equals, fmt.Sprint(len(infos)))
+}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -79,7 +79,11 @@
 	// QueuesChanged replaces the queues.
 	QueuesChanged struct{ Queues []Queue }
 	// WorkersChanged replaces the directory's entries of all workers.
-	WorkersChanged struct{ Workers []WorkerInfo }
+	WorkersChanged struct {
+		Workers []WorkerInfo
+		// ReadMS is when the directory was read; 0 if unknown.
+		ReadMS int64
+	}
 	// SubmitRequested requests that a job be recorded and run. Reply carries
 	// its RequestID.
 	SubmitRequested struct {
@@ -264,6 +268,13 @@
 	Checkpoint string
 }
 
+// Detail is a named text or, if Text is empty, a number.
+type Detail struct {
+	Name   string
+	Text   string
+	Number int64
+}
+
 // StepID identifies a step of one occurrence of a job.
 type StepID struct {
 	Job        jobs.ID
@@ -362,6 +373,8 @@
 		Reason string
 		// AgeMS is the age of the input on which the decision is based.
 		AgeMS int64
+		// Details are further fields of the log line.
+		Details []Detail
 	}
 	// NotRecorded reports a record that is permanently left out of the log.
 	NotRecorded struct {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -11,9 +11,12 @@
 	// inherited is set for a worker that the predecessor recorded; it may run
 	// tasks until it reports or its leases must have expired.
 	inherited bool
+	// addedMS is when this leader learned of the worker.
+	addedMS int64
 	// dead is set when another worker or incarnation responds at its address.
-	dead      bool
-	startedMS int64
+	dead       bool
+	deadReason string
+	startedMS  int64
 
 	// token is the fencing token of every call; it is raised when the outcome
 	// of a call is unknown.
@@ -167,7 +170,7 @@
 		info := infos[i]
 		w := c.workers[info.ID]
 		if w == nil {
-			w = &worker{token: max(c.epoch<<tokenShift, c.tokenFloor), nextHoldMS: c.now.MS}
+			w = &worker{token: max(c.epoch<<tokenShift, c.tokenFloor), nextHoldMS: c.now.MS, addedMS: c.now.MS}
 			w.health.reset()
 			c.workers[info.ID] = w
 			c.sortedWorkers = append(c.sortedWorkers, w)
@@ -212,6 +215,7 @@
 			departed = c.now.MS-c.termStartMS > c.inheritedLeaseMS(w)
 		}
 		if !w.listed && len(w.runs) == 0 && len(w.ended) == 0 && departed {
+			c.logRemoved(w)
 			delete(c.workers, w.info.ID)
 			c.tokenFloor = max(c.tokenFloor, w.token+1)
 			c.markWorkerDirty(w.info.ID)
@@ -369,7 +373,7 @@
 	if w.dead {
 		return
 	}
-	w.dead = true
+	w.dead, w.deadReason = true, reason
 	c.emit(Decision{Event: "worker_dead", Worker: w.info.ID, Reason: reason})
 	c.loseRuns(w, reason)
 	c.checkReconciled()
