Submit work of every kind in the soak

Cause: the soak submitted only chains of plain steps to one queue, so gangs, copies, checkpoints, schedules, labels and long-running tasks met no faults of real processes.

Submissions are repeated through two instances at once and seconds later, cancelled before, during and after their start and again seconds later; long-running ones are cancelled at the end. The clients share connections, which stay open. Workers carry orders out late or answer them late during faults. The result line states the largest number of ends that a worker had to list.

--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -37,6 +37,7 @@
 	flags.Float64Var(&options.FailShare, "fail-share", 0.15, "share of the task runs that fail without an injected fault")
 	flags.DurationVar(&options.RecoveryLimit, "calm", 30*time.Second, "how long jobs may take to end after the last fault")
 	flags.Float64Var(&options.JobsPerS, "jobs", 8, "submissions a second")
+	flags.StringVar(&options.Mix, "mix", "mixed", "kinds of jobs: mixed or oratory-desk")
 	flags.IntVar(&options.Series, "series", 3, "concurrent series of faults")
 	flags.BoolVar(&options.Delegates, "delegates", false, "the leader calls workers through other instances")
 	verbose := flags.Bool("v", false, "print each fault")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,9 @@
 	RecoveryLimit time.Duration
 	// JobsPerS is the number of submissions per second.
 	JobsPerS float64
+	// Mix names the kinds of jobs: "mixed", which is used if it is empty, or
+	// "oratory-desk".
+	Mix string
 	// Series is the number of concurrent series of faults.
 	Series int
 	// Delegates makes the leader call the workers through other instances, which
@@ -68,7 +71,6 @@
 	retryPause  = 300 * time.Millisecond
 	pollPause   = 400 * time.Millisecond
 	startLimit  = 15 * time.Second
-	workerCores = 16_000
 )
 
 // The users' bounds for the acknowledgement of ends.
@@ -91,13 +93,15 @@
 	// FailedJobs counts jobs shown as failed, FailedRuns task runs that failed
 	// on workers.
 	FailedJobs, FailedRuns int
-	Violations             []string
+	// MostEnds is the largest number of ends that a worker had to list at once.
+	MostEnds   int
+	Violations []string
 }
 
 // String returns the result as one line of key=value pairs.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d faults=%d broken=%d",
-		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.Faults, len(r.Violations))
+	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d most_ends=%d faults=%d broken=%d",
+		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.MostEnds, r.Faults, len(r.Violations))
 }
 
 type run struct {
@@ -116,6 +120,12 @@
 	// accepted receives a value when a submission is accepted.
 	accepted chan struct{}
 
+	// settled is closed when the long-running jobs have been checked.
+	settled chan struct{}
+	clients []*standin.Caller
+	// repeats counts the repeated calls that are under way.
+	repeats sync.WaitGroup
+
 	mu   sync.Mutex
 	next int
 	ids  []jobs.ID
@@ -126,8 +136,11 @@
 func Run(ctx context.Context, options Options) (*Result, error) {
 	r := &run{
 		options: options, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}),
-		accepted: make(chan struct{}, 1),
-		probe:    &http.Client{Timeout: time.Second},
+		accepted: make(chan struct{}, 1), settled: make(chan struct{}),
+		probe: &http.Client{Timeout: time.Second},
+	}
+	if err := options.checkMix(); err != nil {
+		return nil, err
 	}
 	defer r.close()
 	ctx, cancel := context.WithCancel(ctx)
@@ -138,6 +151,7 @@
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
+	r.startClients(ctx)
 	var callers sync.WaitGroup
 	rng := rand.New(rand.NewPCG(options.Seed, 1))
 	submitting, endSubmissions := context.WithCancel(ctx)
@@ -158,13 +172,15 @@
 	for round := range options.Rounds {
 		r.runRound(ctx, uint64(round))
 		recovered := time.Now().Add(contactBound)
+		r.checker.Calm(recovered)
 		r.watchAcks(ctx, recovered, recovered.Add(ackBound+ackWatch))
 	}
 	endSubmissions()
+	time.AfterFunc(settleTime, func() { close(r.settled) })
 	limited, cancelRecovery := context.WithTimeout(ctx, options.RecoveryLimit)
 	defer cancelRecovery()
 	ended := make(chan struct{})
-	go func() { callers.Wait(); close(ended) }()
+	go func() { callers.Wait(); r.repeats.Wait(); close(ended) }()
 	select {
 	case <-ended:
 	case <-limited.Done():
@@ -175,7 +191,10 @@
 	r.watchAcks(ctx, time.Now(), time.Now().Add(ackBound+2*ackPoll))
 	result := &Result{Seed: options.Seed, Submitted: len(r.ids), Starts: r.checker.Starts(), Faults: int(r.faults.Load()), Completed: int(r.completed.Load())}
 	result.FailedJobs, result.FailedRuns = r.checker.FailureCounts()
-	caller := standin.NewCaller(r.checker, callerLimit)
+	for _, w := range r.workers {
+		result.MostEnds = max(result.MostEnds, w.MostEnds())
+	}
+	caller := r.clients[0]
 	for _, id := range r.ids {
 		caller.CheckRefused(id)
 		if caller.Accepted(id) {
@@ -188,6 +207,7 @@
 
 // runRound injects faults for Options.FaultDuration and then clears them all.
 func (r *run) runRound(ctx context.Context, round uint64) {
+	r.checker.Calm(time.Time{})
 	faulting, cancel := context.WithTimeout(ctx, r.options.FaultDuration)
 	defer cancel()
 	var injectors sync.WaitGroup
@@ -203,6 +223,11 @@
 		defer injectors.Done()
 		r.writeOddEntries(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+98)))
 	}()
+	injectors.Add(1)
+	go func() {
+		defer injectors.Done()
+		r.delayOrders(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+97)))
+	}()
 	injectors.Wait()
 	if r.options.KillAll {
 		rng := rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+99))
@@ -254,7 +279,8 @@
 		if err != nil {
 			return err
 		}
-		w := standin.NewWorker(fmt.Sprintf("w%02d", i), link.address(), workerCores, r.store, r.checker)
+		w := standin.NewWorker(fmt.Sprintf("w%02d", i), link.address(), r.options.workerCPU(), r.store, r.checker)
+		r.placeWorker(w, i)
 		w.SetFailureShare(r.options.FailShare)
 		w.SetFaults(r.options.WorkerFaults)
 		server := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: time.Minute}
@@ -327,25 +353,6 @@
 	}
 }
 
-// newJob generates a random job and registers it with the checker.
-func (r *run) newJob(rng *rand.Rand) jobs.ID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.next++
-	id := jobs.ID(fmt.Sprintf("%016x", r.options.Seed<<20|uint64(r.next)))
-	r.ids = append(r.ids, id)
-	job := &jobs.Job{Queue: standin.Queue}
-	for s := range 1 + rng.IntN(3) {
-		step := jobs.Step{Count: 1 + rng.IntN(6), CPUMilli: 500 + rng.IntN(3000), MemoryMB: 200, EstimateMS: 100 + rng.IntN(1500)}
-		if s > 0 {
-			step.After = []int{s - 1}
-		}
-		job.Steps = append(job.Steps, step)
-	}
-	standin.NewCaller(r.checker, callerLimit).Register(id, job)
-	return id
-}
-
 func (r *run) unfinishedJobs() []jobs.ID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -358,52 +365,6 @@
 	return out
 }
 
-// runCaller submits one job, sometimes twice, and polls it until it ends. Some
-// callers cancel the job instead.
-func (r *run) runCaller(ctx context.Context, id jobs.ID, rng *rand.Rand) {
-	c := standin.NewCaller(r.checker, callerLimit)
-	accepted, tries := false, callerTries
-	if rng.IntN(giveUpOneIn) == 0 {
-		tries = 1
-	}
-	for try := 0; try < tries && !accepted && ctx.Err() == nil; try++ {
-		accepted = c.Submit(ctx, r.pickAddress(rng), id)
-		if !accepted {
-			sleep(ctx, retryPause)
-		}
-	}
-	if !accepted {
-		return
-	}
-	select {
-	case r.accepted <- struct{}{}:
-	default:
-	}
-	if rng.IntN(8) == 0 {
-		// Repeats the submission up to 4 s after it was accepted.
-		sleep(ctx, time.Duration(rng.IntN(4000))*time.Millisecond)
-		c.Submit(ctx, r.pickAddress(rng), id)
-	}
-	if rng.IntN(12) == 0 {
-		sleep(ctx, time.Duration(rng.IntN(2000))*time.Millisecond)
-		for !c.Cancel(ctx, r.pickAddress(rng), id) && ctx.Err() == nil {
-			sleep(ctx, retryPause)
-		}
-		return
-	}
-	for ctx.Err() == nil {
-		switch c.State(ctx, r.pickAddress(rng), id) {
-		case "completed":
-			r.completed.Add(1)
-			return
-		case "failed", "aborted":
-			// State has already checked the cause.
-			return
-		}
-		sleep(ctx, pollPause)
-	}
-}
-
 // pickAddress returns the callers' address of a random instance, preferably of a
 // running one.
 func (r *run) pickAddress(rng *rand.Rand) string {
