Log why a task of an inherited job was allowed to start

A new leader starts a task of a job that its predecessor may have started once its takeover has ended, and the line start_sent did not show on which grounds.

start_sent of a task whose job was in the log at the beginning of the term, became known during the takeover, was recorded by another instance, or had ends or runs reported before it was known, now states how the leader learned of the job, how and how long ago the takeover ended, how many workers had not reported then, and how late events are handled. Other starts are logged as before.

--- a/internal/planner/early_ends.go
+++ b/internal/planner/early_ends.go
@@ -44,6 +44,7 @@
 		return
 	}
 	delete(c.earlyEnds, j.id)
+	j.earlyEnds = len(ends)
 	j.progress.AddEarlyEnds(j.id, j.spec, ends)
 	j.started = true
 	c.markDirty(j)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -28,7 +28,11 @@
 	encoded        []byte
 	// inherited is set for a job whose tasks a predecessor may have started.
 	inherited bool
-	arrivedMS int64
+	// source, earlyEnds and orphans say how the leader learned of the job and how
+	// many ends and runs of it were reported before.
+	source             jobSource
+	earlyEnds, orphans int
+	arrivedMS          int64
 	// endOnly is set if only the final state of the job is to be recorded.
 	endOnly bool
 	// shortened is set once parts of the progress have been left out of the
@@ -147,6 +151,7 @@
 		return
 	}
 	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), !c.reconciled)
+	j.source = sourceSubmission
 	j.submitRequests = []uint64{e.RequestID}
 	j.encoded = e.Encoded
 	c.journal.submissions = append(c.journal.submissions, j)
@@ -197,7 +202,11 @@
 	case entry == nil:
 	case j == nil:
 		c.adoptJob(id, !c.reconciled)
-		if j = c.jobs[id]; j != nil && !j.state.Final() && c.cancelledUnknown(id) {
+		if j = c.jobs[id]; j == nil {
+			return
+		}
+		j.source = sourceRecord
+		if !j.state.Final() && c.cancelledUnknown(id) {
 			c.endJob(j, jobs.Cancelled, "cancelled before its submission was recorded")
 		}
 	case entry.Cancelled && !j.state.Final():
--- a/internal/planner/orphans.go
+++ b/internal/planner/orphans.go
@@ -50,6 +50,7 @@
 			}
 			if r := c.adoptRun(w, &o.task); r != nil {
 				r.confirmedMS, r.progressMS = c.now.MS, c.now.MS
+				r.task.step.job.orphans++
 			}
 		}
 		w.orphans = kept
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -15,7 +15,7 @@
 		Ticket: t.step.advice.tickets[w.info.ID].value,
 	})
 	d := c.decision("start_sent", r, reason)
-	d.AgeMS = c.now.MS - w.reportedMS
+	d.AgeMS, d.Details = c.now.MS-w.reportedMS, c.startDetails(j)
 	c.emit(d)
 	return r
 }
--- a/internal/planner/takeover_log.go
+++ b/internal/planner/takeover_log.go
@@ -1,5 +1,7 @@
 package planner
 
+import "cmp"
+
 // maxNotAwaitedLines bounds the lines that name the workers that a term did not
 // wait for; workers_settled counts them all.
 const maxNotAwaitedLines = 20
@@ -20,6 +22,10 @@
 	lines int
 }
 
+// notAwaited is the number of workers that had not reported at the end of the
+// takeover.
+func (t *takeoverLog) notAwaited() int { return t.unreported + t.dead + t.unlisted + t.departed }
+
 // logFirstList compares the first list of workers with those of the log.
 func (c *Core) logFirstList(infos []WorkerInfo, readMS int64) {
 	if c.takeoverLog.firstListMS != 0 {
@@ -147,3 +153,40 @@
 	}
 	return details
 }
+
+// jobSource is how the leader learned of a job: empty if the log held it when the
+// term began.
+type jobSource string
+
+const (
+	// sourceSubmission: the leader has received the submission.
+	sourceSubmission jobSource = "submission"
+	// sourceRecord: another instance has recorded the submission during the term.
+	sourceRecord jobSource = "record"
+)
+
+// startDetails states why a task of a job that another leader may have started was
+// allowed to start. It returns nil for all other jobs.
+func (c *Core) startDetails(j *job) []Detail {
+	if !j.inherited && j.source != sourceRecord && j.earlyEnds == 0 && j.orphans == 0 {
+		return nil
+	}
+	t := &c.takeoverLog
+	details := []Detail{
+		{Name: "job_from", Text: string(cmp.Or(j.source, "log"))},
+		{Name: "early_ends", Number: int64(j.earlyEnds)},
+		{Name: "orphans", Number: int64(j.orphans)},
+		{Name: "lag_ms", Number: int64(c.lag.smoothedMS)},
+	}
+	details = append(details, c.evidenceDetails()...)
+	if t.settledMS == 0 {
+		// There was no takeover, or it has not ended yet.
+		return append(details, Detail{Name: "settled_by", Text: "none"})
+	}
+	return append(details,
+		Detail{Name: "settled_by", Text: t.settledBy},
+		Detail{Name: "settled_ms", Number: c.now.MS - t.settledMS},
+		Detail{Name: "unreported", Number: int64(t.unreported)},
+		Detail{Name: "not_awaited", Number: int64(t.notAwaited())},
+	)
+}
--- a/internal/planner/takeover_log_test.go
+++ b/internal/planner/takeover_log_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/jobs"
 )
 
 // decisions returns the decisions with a name among the effects.
@@ -120,3 +122,63 @@
 	c.Assert(decisions(effects, "worker_not_awaited"), qt.HasLen, maxNotAwaitedLines)
 	c.Assert(detail(decisions(effects, "workers_settled")[0], "unreported"), qt.Equals, fmt.Sprint(len(infos)))
 }
+
+// TestStartStatesWhyItWasAllowed guards against second starts whose cause the log
+// does not show: how the takeover that allowed them ended, how many workers it did
+// not hear, and how the leader learned of the job. Other starts stay short.
+func TestStartStatesWhyItWasAllowed(t *testing.T) {
+	step := jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{step}})
+	qt.New(t).Assert(err, qt.IsNil)
+	for _, test := range []struct {
+		name      string
+		inherited bool
+		// learn makes the job known to the successor, before or after its takeover.
+		before, after func(h *harness) []Effect
+		details       map[string]string
+	}{
+		{"in the log", true, nil, nil, map[string]string{"job_from": "log"}},
+		{"submitted during the takeover", false, func(h *harness) []Effect { return h.submit(t, "j", step) }, nil, map[string]string{"job_from": "submission"}},
+		{"recorded by another instance", false, nil, func(h *harness) []Effect {
+			_, err := h.core.stateMachine.Apply(jobs.SubmissionRecord("j", encoded))
+			qt.Check(t, err, qt.IsNil)
+			return h.step(RecordsRead{Jobs: []jobs.ID{"j"}})
+		}, map[string]string{"job_from": "record"}},
+		{"after an early end", false, func(h *harness) []Effect {
+			return h.report(testWorker, Report{StartedMS: 7, ClockMS: 90, Ended: []EndedTask{{Number: 1, Task: jobs.Task{Job: "j"}, Run: 1, Kind: EndFailed}}})
+		}, func(h *harness) []Effect { return h.submit(t, "j", step) }, map[string]string{"job_from": "submission", "early_ends": "1"}},
+		{"submitted after the takeover", false, nil, func(h *harness) []Effect { return h.submit(t, "j", step) }, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			first := newHarness(safeguards{})
+			first.join(testWorker)
+			if test.inherited {
+				first.confirmWrites(first.submit(t, "j", step))
+			}
+			first.confirmWrites(first.advance(100))
+			h, _ := first.successor(testWorker, workerNamed("silent"))
+			h.report(testWorker, Report{StartedMS: 7, ClockMS: 80})
+			if test.before != nil {
+				h.confirmWrites(slices.Clone(test.before(h)))
+			}
+			h.now += 10_000
+			effects := h.advance(20)
+			effects = append(effects, h.report(testWorker, Report{StartedMS: 7, ClockMS: 100})...)
+			if test.after != nil {
+				effects = append(effects, test.after(h)...)
+			}
+			effects = append(effects, h.advance(200)...)
+			sent := decisions(effects, "start_sent")
+			c.Assert(sent, qt.HasLen, 1)
+			if test.details == nil {
+				c.Assert(sent[0].Details, qt.HasLen, 0)
+				return
+			}
+			test.details["settled_by"], test.details["unreported"] = "time", "1"
+			for name, want := range test.details {
+				c.Check(detail(sent[0], name), qt.Equals, want, qt.Commentf(name))
+			}
+		})
+	}
+}
