Log how long the end of a run waited for the leader

An end that was handled seconds after its report had arrived could not be told from one that its worker had listed late.

run_ended states the time from the arrival of the report to its handling as waited_ms, and the histogram end_wait_seconds has it for all ends.

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -50,6 +50,9 @@
 }
 
 func (n *Node) logDecision(t *term, d planner.Decision) {
+	if d.Event == "run_ended" {
+		n.stats.endWait.RecordDuration(millisecondsDuration(d.WaitedMS))
+	}
 	fields := make([]zap.Field, 0, 8)
 	fields = append(fields, zap.Uint64("epoch", t.epoch))
 	if d.Job != "" {
@@ -67,6 +70,9 @@
 	if d.AgeMS != 0 {
 		fields = append(fields, zap.Int64("age_ms", d.AgeMS))
 	}
+	if d.WaitedMS != 0 {
+		fields = append(fields, zap.Int64("waited_ms", d.WaitedMS))
+	}
 	for _, detail := range d.Details {
 		if detail.Text != "" {
 			fields = append(fields, zap.String(detail.Name, detail.Text))
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -41,6 +41,9 @@
 	acceptTime      tally.Histogram
 	appendTime      tally.Histogram
 	startTime       tally.Histogram
+	// endWait is the time from the arrival of a report to the handling of an end
+	// that it lists.
+	endWait tally.Histogram
 }
 
 func newStats(scope tally.Scope) stats {
@@ -70,6 +73,7 @@
 		acceptTime:      scope.Histogram("accept_seconds", buckets),
 		appendTime:      scope.Histogram("append_seconds", buckets),
 		startTime:       scope.Histogram("start_seconds", buckets),
+		endWait:         scope.Histogram("end_wait_seconds", buckets),
 	}
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -43,7 +43,7 @@
 			c.addEarlyEnd(w, end)
 			continue
 		}
-		c.handleEnd(w, end)
+		c.handleEnd(w, end, c.now.MS-cmp.Or(e.ReceivedMS, c.now.MS))
 	}
 	if !w.moreEnded {
 		w.dropOrphans(e.Report.Running)
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -101,8 +101,9 @@
 	}
 }
 
-// handleEnd processes the end of a run that a worker lists.
-func (c *Core) handleEnd(w *worker, end *EndedTask) {
+// handleEnd processes the end of a run that a worker lists. Its report has waited for
+// waitedMS.
+func (c *Core) handleEnd(w *worker, end *EndedTask, waitedMS int64) {
 	r := w.findRun(end.Task, end.Run)
 	t := c.taskOf(end.Task)
 	if r != nil {
@@ -114,7 +115,7 @@
 	t.lastRun = max(t.lastRun, end.Run)
 	j := t.step.job
 	j.started = true
-	d := Decision{Event: "run_ended", Job: j.id, Task: end.Task.String(), Run: end.Run, Worker: w.info.ID, Reason: string(end.Kind)}
+	d := Decision{Event: "run_ended", Job: j.id, Task: end.Task.String(), Run: end.Run, Worker: w.info.ID, Reason: string(end.Kind), WaitedMS: waitedMS}
 	if r != nil {
 		d.AgeMS = c.now.MS - r.sentMS
 		c.observeEnd(w, r, end.Kind)
--- a/internal/planner/takeover_log_test.go
+++ b/internal/planner/takeover_log_test.go
@@ -182,3 +182,17 @@
 		})
 	}
 }
+
+// TestEndStatesHowLongItWaited guards against ends that a busy leader handles seconds
+// late although the log shows nothing unusual.
+func TestEndStatesHowLongItWaited(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	h.confirmWrites(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	h.confirmWrites(h.advance(2000))
+	report := Report{StartedMS: 7, ClockMS: 300, Ended: []EndedTask{{Number: 1, Task: jobs.Task{Job: "j"}, Run: 1, Kind: EndDone}}}
+	ended := decisions(h.step(HoldDone{Worker: "w", ReceivedMS: h.now - 1500, Outcome: Done, Report: report}), "run_ended")
+	c.Assert(ended, qt.HasLen, 1)
+	c.Assert(ended[0].WaitedMS, qt.Equals, int64(1500))
+}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -373,6 +373,8 @@
 		Reason string
 		// AgeMS is the age of the input on which the decision is based.
 		AgeMS int64
+		// WaitedMS is how long that input has waited for the planner.
+		WaitedMS int64
 		// Details are further fields of the log line.
 		Details []Detail
 	}
