Log and count a second run of a task

A leader that learned of a second run of a task stopped it or counted its end without saying that the task had run twice, so such cases were found only from outside, and neither the other run nor the way in which the leader had come to know the workers was in the log.

run_twice, a warning, is logged once for each run that a worker lists although its task has another run or is done, and for each end as done beside another run or another end as done; not for speculative steps. It names both runs and workers, who started each and when, how and when the leader learned of each worker, and for an inherited job why its tasks were allowed to start. The counter runs_twice counts the lines. Ends of jobs whose final state is recorded are not covered: the log does not hold which run completed a task.

The random runs of the planner check that no such line is logged for a task with one run. It found two: a start without a response may not have been carried out (stated as other_state), and a worker that leaves and returns lists the same end again (now the same run).

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -50,8 +50,11 @@
 }
 
 func (n *Node) logDecision(t *term, d planner.Decision) {
-	if d.Event == "run_ended" {
+	switch d.Event {
+	case "run_ended":
 		n.stats.endWait.RecordDuration(millisecondsDuration(d.WaitedMS))
+	case "run_twice":
+		n.stats.runsTwice.Inc(1)
 	}
 	fields := make([]zap.Field, 0, 8)
 	fields = append(fields, zap.Uint64("epoch", t.epoch))
@@ -80,5 +83,9 @@
 			fields = append(fields, zap.Int64(detail.Name, detail.Number))
 		}
 	}
+	if d.Warn {
+		n.tele.Log.Warn(d.Event, fields...)
+		return
+	}
 	n.tele.Log.Info(d.Event, fields...)
 }
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -44,6 +44,8 @@
 	// endWait is the time from the arrival of a report to the handling of an end
 	// that it lists.
 	endWait tally.Histogram
+	// runsTwice counts the second runs of tasks that this instance has noticed.
+	runsTwice tally.Counter
 }
 
 func newStats(scope tally.Scope) stats {
@@ -74,6 +76,7 @@
 		appendTime:      scope.Histogram("append_seconds", buckets),
 		startTime:       scope.Histogram("start_seconds", buckets),
 		endWait:         scope.Histogram("end_wait_seconds", buckets),
+		runsTwice:       scope.Counter("runs_twice"),
 	}
 }
 
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -59,6 +59,8 @@
 
 	lag         lag
 	takeoverLog takeoverLog
+	// runsTwice holds the second runs that have been logged.
+	runsTwice map[workerRun]bool
 	// handledMS is the time up to which everything received had been handled at
 	// the last tick.
 	handledMS    int64
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -91,6 +91,9 @@
 	index int
 	runs  []*run
 	done  bool
+	// last is the run that completed the task, else the last one that is over, or
+	// nil.
+	last *run
 	// lastRun is an upper bound of the task's run numbers so far.
 	lastRun    int
 	checkpoint string
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -29,6 +29,9 @@
 	if !w.reported || c.now.MS-w.reportedMS > unresponsiveMS {
 		c.placementDue = true
 	}
+	if !w.reported {
+		w.firstReportMS = c.now.MS
+	}
 	w.reported, w.reportedMS, w.unverified = true, c.now.MS, false
 	w.confirmed = max(w.confirmed, e.Token)
 	w.moreEnded = e.Report.MoreEnded
@@ -53,6 +56,9 @@
 	for i := range e.Report.Running {
 		if r := c.handleListed(w, &e.Report.Running[i], e.SentMS); r != nil {
 			r.listedReport = c.reports
+		} else if e.Token >= w.confirmed {
+			// Not by a report that a newer one has overtaken.
+			c.noteSecondRun(w, &e.Report.Running[i], e.SentMS)
 		}
 	}
 	c.runBuffer = append(append(c.runBuffer[:0], w.runs...), w.ended...)
@@ -85,11 +91,13 @@
 	case e.Report.MoreEnded:
 		c.awaitEnd(r)
 	case !fenced:
-		c.emit(c.decision("run_lost", r, "not listed by its worker"))
+		r.over = "not listed by its worker"
+		c.emit(c.decision("run_lost", r, r.over))
 		c.loseRun(r)
 	default:
 		if r.phase == startUnknown {
-			c.emit(c.decision("start_settled", r, "not carried out"))
+			r.over = "not carried out"
+			c.emit(c.decision("start_settled", r, r.over))
 		}
 		c.loseRun(r)
 	}
@@ -234,6 +242,7 @@
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
 	}
+	r.task.setLast(r, c.now.MS)
 	s.activeRuns--
 	c.placementDue = true
 }
@@ -307,7 +316,7 @@
 func (c *Core) loseRuns(w *worker, reason string) {
 	for _, r := range slices.Concat(w.runs, w.ended) {
 		d := c.decision("run_lost", r, reason)
-		d.AgeMS = c.now.MS - w.reportedMS
+		d.AgeMS, r.over = c.now.MS-w.reportedMS, reason
 		c.emit(d)
 		c.loseRun(r)
 	}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -87,6 +87,7 @@
 		r.task.notBeforeMS = c.now.MS + holdRetryMS
 		r.task.avoid(w)
 	}
+	r.over = d.Reason
 	c.loseRun(r)
 }
 
@@ -118,10 +119,15 @@
 	d := Decision{Event: "run_ended", Job: j.id, Task: end.Task.String(), Run: end.Run, Worker: w.info.ID, Reason: string(end.Kind), WaitedMS: waitedMS}
 	if r != nil {
 		d.AgeMS = c.now.MS - r.sentMS
+		r.over = d.Reason
 		c.observeEnd(w, r, end.Kind)
 		c.detach(r)
 	}
 	c.emit(d)
+	c.noteSecondDone(w, t, end)
+	if r == nil && end.Kind == EndDone {
+		t.setLast(&run{task: t, ref: end.Task, worker: w, number: end.Run, over: d.Reason, adopted: true}, c.now.MS)
+	}
 	if j.state.Final() {
 		return
 	}
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -27,6 +27,7 @@
 
 func (sim *simulation) onStart(f *fakeWorker, s Start) {
 	sim.starts++
+	sim.carriedOut[runKey{s.Task, s.Run}] = true
 	sub := sim.jobs[s.Task.Job]
 	spec := sim.spec(s.Task)
 	if sub.job.Payload != s.Payload {
@@ -103,6 +104,23 @@
 	}
 }
 
+// checkRunTwice guards against a warning of two runs of a task where there was one. A
+// start without a response may not have been carried out.
+func (sim *simulation) checkRunTwice(d Decision) {
+	if d.Event != "run_twice" || sim.oddRows != nil || strings.HasPrefix(detail(d, "other_state"), "start") {
+		return
+	}
+	runs := 0
+	for key := range sim.carriedOut {
+		if key.task.String() == d.Task {
+			runs++
+		}
+	}
+	if runs < 2 {
+		sim.violate("LOG", "%s run %d on %s counts as a second run (%s)", d.Task, d.Run, d.Worker, d.Reason)
+	}
+}
+
 func sortedTasks(runs map[jobs.Task]*fakeRun) []jobs.Task {
 	out := make([]jobs.Task, 0, len(runs))
 	for t := range runs {
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -41,6 +41,8 @@
 	listedFailures map[jobs.Task]map[int]bool
 	// startSentMS is when the start of a run was sent.
 	startSentMS map[runKey]int64
+	// carriedOut holds the runs that workers have begun.
+	carriedOut map[runKey]bool
 	// failedByLeader holds the jobs that the current leader has ended as
 	// failed.
 	failedByLeader map[jobs.ID]bool
@@ -132,7 +134,7 @@
 		}}},
 		jobs: map[jobs.ID]*submittedJob{}, submitRequests: map[uint64]jobs.ID{}, cancelRequests: map[uint64]jobs.ID{},
 		acked: map[jobs.Task]bool{}, done: map[jobs.Task]bool{}, failed: map[jobs.Task]int{},
-		listedFailures: map[jobs.Task]map[int]bool{}, startSentMS: map[runKey]int64{}, failedByLeader: map[jobs.ID]bool{},
+		listedFailures: map[jobs.Task]map[int]bool{}, startSentMS: map[runKey]int64{}, carriedOut: map[runKey]bool{}, failedByLeader: map[jobs.ID]bool{},
 	}
 	for i := range 6 {
 		f := &fakeWorker{
@@ -306,6 +308,7 @@
 	case Advise:
 		sim.advise(l, e)
 	case Decision:
+		sim.checkRunTwice(e)
 		sim.checkFailedJob(l, e)
 	case Write:
 		sim.write(l, e)
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -375,6 +375,8 @@
 		AgeMS int64
 		// WaitedMS is how long that input has waited for the planner.
 		WaitedMS int64
+		// Warn is set if the line is a warning.
+		Warn bool
 		// Details are further fields of the log line.
 		Details []Detail
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -48,6 +48,8 @@
 	holdRequested bool
 	reportedMS    int64
 	reported      bool
+	// firstReportMS is when the worker first reported in this term.
+	firstReportMS int64
 	// unverified is set while the worker may have restarted since its last
 	// report. A restarted worker numbers its ends from the beginning, so none
 	// is acknowledged.
@@ -141,6 +143,9 @@
 	paceUnknown bool
 	stopSentMS  int64
 	stopReason  string
+	// over says how the run ended or why it was counted as over at overMS.
+	over   string
+	overMS int64
 	// listedReport is the number of the last report that lists the run.
 	listedReport int64
 }
