--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -50,6 +50,12 @@
 }
 
 func (n *Node) logDecision(t *term, d planner.Decision) {
+	switch d.Event {
+	case "run_ended":
+		n.stats.endWait.RecordDuration(millisecondsDuration(d.WaitedMS))
+	case "run_twice":
+		n.stats.runsTwice.Inc(1)
+	}
 	fields := make([]zap.Field, 0, 8)
 	fields = append(fields, zap.Uint64("epoch", t.epoch))
 	if d.Job != "" {
@@ -67,6 +73,9 @@
 	if d.AgeMS != 0 {
 		fields = append(fields, zap.Int64("age_ms", d.AgeMS))
 	}
+	if d.WaitedMS != 0 {
+		fields = append(fields, zap.Int64("waited_ms", d.WaitedMS))
+	}
 	for _, detail := range d.Details {
 		if detail.Text != "" {
 			fields = append(fields, zap.String(detail.Name, detail.Text))
@@ -74,5 +83,9 @@
 			fields = append(fields, zap.Int64(detail.Name, detail.Number))
 		}
 	}
+	if d.Warn {
+		n.tele.Log.Warn(d.Event, fields...)
+		return
+	}
 	n.tele.Log.Info(d.Event, fields...)
 }
