Keep the recorded incarnation of a worker against an older entry

What callers see: after a change of leader, all tasks of one worker are started again on others within milliseconds, while it still runs them.

Cause: the list of workers that a term begins with may be older than the log. For a worker that has restarted under its ID at another address, the old entry replaced what the log holds. The successor called the former address, another worker responded there, and the successor counted the worker as gone instead of waiting for its report. The list that names the new address came too late.

Change: until a recorded worker has reported, an entry with an earlier start than the recorded one does not replace it, unless another worker has responded at the recorded address.

TestOldEntryDoesNotReplaceRecordedIncarnation failed before (a start on w2) and holds now.

--- /dev/null
+++ b/internal/planner/silence_test.go
@@ -0,0 +1,69 @@
+package planner
+
+import (
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingvale/internal/jobs"
+)
+
+// newSuccessor returns the leader after one that has recorded the given workers and
+// accepted the job "j", one task of which may be running on any of them. No worker has
+// reported to it.
+func newSuccessor(t *testing.T, workers ...WorkerInfo) *harness {
+	first := newHarness(safeguards{})
+	first.confirmWrites(first.step(WorkersChanged{Workers: workers}))
+	first.confirmWrites(first.advance(100))
+	first.confirmWrites(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 9000}))
+	first.confirmWrites(first.advance(100))
+	config := first.core.config
+	config.FirstTerm, config.PriorLeaseMS = false, config.LeaseMS
+	h := &harness{now: first.now + 1000}
+	h.core = New(config, first.core.stateMachine, 2, h.time())
+	h.step(QueuesChanged{Queues: []Queue{testQueue}})
+	return h
+}
+
+// Guards against a task that runs twice: the successor begins with a list of workers
+// that is older than the log, calls a worker at its former address, where another one
+// responds, and does not wait for it at its present one.
+func TestOldEntryDoesNotReplaceRecordedIncarnation(t *testing.T) {
+	c := qt.New(t)
+	moved, other := testWorker, testWorker
+	moved.Address, moved.StartedMS = "b", 9
+	other.ID = "w2"
+	h := newSuccessor(t, moved, other)
+	effects := slices.Clone(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	effects = append(effects, h.advance(20)...)
+	for _, e := range effects {
+		if hold, ok := e.(Hold); ok && hold.Worker == "w" && hold.Address == testWorker.Address {
+			effects = append(effects, h.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: WrongWorker})...)
+		}
+	}
+	h.confirmWrites(effects)
+	effects = append(effects, h.report(other, Report{StartedMS: 7, ClockMS: 300})...)
+	effects = append(effects, h.advance(500)...)
+	c.Assert(allStarts(effects), qt.HasLen, 0)
+
+	// The worker reports the run at its present address.
+	h.step(WorkersChanged{Workers: []WorkerInfo{moved, other}})
+	h.report(moved, Report{StartedMS: 9, ClockMS: 300, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 1}}})
+	c.Assert(h.core.reconciled, qt.IsTrue)
+	c.Assert(h.core.workers["w"].runs, qt.HasLen, 1)
+}
+
+// Guards against a takeover that waits for a worker in vain: once another worker
+// responds at its recorded address, an entry with an earlier start counts.
+func TestOldEntryCountsOnceRecordedIncarnationIsGone(t *testing.T) {
+	c := qt.New(t)
+	moved := testWorker
+	moved.Address, moved.StartedMS = "b", 9
+	h := newSuccessor(t, moved)
+	h.step(WorkersChanged{Workers: []WorkerInfo{testWorker}})
+	h.step(HoldDone{Worker: "w", Address: "b", Outcome: WrongWorker})
+	hold, ok := findEffect[Hold](append(slices.Clone(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker}})), h.advance(deadHoldIntervalMS)...))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(hold.Address, qt.Equals, testWorker.Address)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -177,6 +177,10 @@
 			c.workers[info.ID] = w
 			c.sortedWorkers = append(c.sortedWorkers, w)
 		}
+		if c.entryIsOld(w, &info) {
+			w.listed = true
+			continue
+		}
 		if w.info.ID != info.ID || w.info.Address != info.Address || w.info.Service != info.Service || w.info.Capacity != info.Capacity || w.info.StartedMS != info.StartedMS {
 			c.markWorkerDirty(info.ID)
 		}
@@ -207,6 +211,14 @@
 	}
 }
 
+// entryIsOld reports whether a directory entry is of an earlier incarnation than the
+// one that the predecessor recorded and may have started tasks on. The list that a
+// term begins with may be older than the log; a refusal by another worker at the
+// former address says nothing about the recorded incarnation.
+func (c *Core) entryIsOld(w *worker, info *WorkerInfo) bool {
+	return w.inherited && !w.reported && !w.dead && !c.reconciled && info.StartedMS != 0 && info.StartedMS < w.info.StartedMS
+}
+
 // removeDeparted removes workers that have left the directory, run nothing and
 // have not reported recently.
 func (c *Core) removeDeparted() {
