--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -87,7 +87,7 @@
 // if not, it requests advice about further workers.
 func (c *Core) ensureAdvice(s *step) bool {
 	for id := range s.advice.tickets {
-		if w := c.workers[id]; w != nil && s.advice.allows(id, c.now.MS) && w.usable(c.now.MS) && s.resources().fits(w.info.Capacity.minus(w.used)) {
+		if w := c.workers[id]; w != nil && s.advice.allows(id, c.now.MS) && c.usable(w) && s.resources().fits(w.info.Capacity.minus(w.used)) {
 			return true
 		}
 	}
@@ -123,7 +123,7 @@
 func (c *Core) adviceCandidates(s *step) []*worker {
 	var out []*worker
 	for _, w := range c.sortedWorkers {
-		if w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
+		if w.info.Service != s.job.queue.Service || !c.usable(w) ||
 			s.advice.denies(w, c.now.MS) || s.advice.allows(w.info.ID, c.now.MS) ||
 			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) ||
 			!s.resources().fits(w.info.Capacity.minus(w.used)) {
--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -58,7 +58,7 @@
 		c.serviceLoad.pass = c.pass
 		clear(c.serviceLoad.byService)
 		for _, w := range c.sortedWorkers {
-			if w.usable(c.now.MS) {
+			if c.usable(w) {
 				load := c.serviceLoad.byService[w.info.Service]
 				load.used += w.used.CPUMilli
 				load.capacity += w.info.Capacity.CPUMilli
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -128,6 +128,8 @@
 	// verifyIncarnation: no end is acknowledged to a worker that may have
 	// restarted since its last report.
 	verifyIncarnation bool
+	// recordWorkers: nothing starts on a worker whose address is not recorded.
+	recordWorkers bool
 }
 
 // New returns the core for the term of the given epoch. The state machine must
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -42,7 +42,7 @@
 	switch {
 	case w.info.Service != s.job.queue.Service:
 		return "service"
-	case !w.usable(c.now.MS):
+	case !c.usable(w):
 		return "unusable"
 	case s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label):
 		return "label"
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -265,7 +265,7 @@
 	}
 	if s.noFitPass > 0 && s.fullScanMS != c.now.MS {
 		for _, w := range s.reservedWorkers {
-			if c.reservedFor(w) == nil && w.usable(c.now.MS) {
+			if c.reservedFor(w) == nil && c.usable(w) {
 				c.reserveWorker(w, s)
 			}
 		}
@@ -282,7 +282,7 @@
 // tasks.
 func (c *Core) mostFreeWorkers(s *step, n int, out []*worker) []*worker {
 	for _, w := range c.sortedWorkers {
-		if c.reservedFor(w) != nil || w.info.Service != s.job.queue.Service || !w.usable(c.now.MS) ||
+		if c.reservedFor(w) != nil || w.info.Service != s.job.queue.Service || !c.usable(w) ||
 			!s.resources().fits(w.info.Capacity.minus(w.longRunning)) ||
 			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) {
 			continue
@@ -354,7 +354,7 @@
 	}
 	switch {
 	case w.info.Service != s.job.queue.Service,
-		!w.usable(c.now.MS),
+		!c.usable(w),
 		!s.resources().fits(w.info.Capacity.minus(w.used)),
 		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
 		s.spec.MaxPerWorker > 0 && w.runsOf(s) >= s.spec.MaxPerWorker,
@@ -372,9 +372,10 @@
 }
 
 // usable reports whether the worker may get new tasks at all.
-func (w *worker) usable(nowMS int64) bool {
-	return w.listed && !w.dead && w.reported && !w.info.Draining && w.confirmed > 0 && w.recordedAddress == w.info.Address &&
-		nowMS-w.reportedMS <= unresponsiveMS && nowMS >= w.noRoomUntilMS
+func (c *Core) usable(w *worker) bool {
+	return w.listed && !w.dead && w.reported && !w.info.Draining && w.confirmed > 0 &&
+		(w.recordedAddress == w.info.Address || c.disabled.recordWorkers) &&
+		c.now.MS-w.reportedMS <= unresponsiveMS && c.now.MS >= w.noRoomUntilMS
 }
 
 // placeLimit returns the predicted tail latency up to which the step's
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -35,6 +35,7 @@
 	if sim.acked[s.Task] && !spec.LongRunning {
 		sim.violate("TWICE", "%s run %d on %s starts after an acknowledged end", s.Task, s.Run, f.info.ID)
 	}
+	sim.startedAt[s.Task] = append(sim.startedAt[s.Task], startedRun{sim.now, f.info.ID, s.Run})
 	perWorker := 0
 	for task := range f.runs {
 		if task.Job == s.Task.Job && task.Step == s.Task.Step && task.Occurrence == s.Task.Occurrence {
@@ -97,12 +98,27 @@
 	case EndDone:
 		if f.lapsedMS <= f.endedAt[e.Number] {
 			sim.acked[e.Task] = true
+			sim.checkStartsAfter(f, e)
 		}
 	case EndFailed:
 		sim.failed[e.Task]++
 	}
 }
 
+// checkStartsAfter checks that a task had not started again when the end of a run as
+// done is acknowledged.
+func (sim *simulation) checkStartsAfter(f *fakeWorker, e EndedTask) {
+	if spec := sim.spec(e.Task); spec.LongRunning || spec.Speculative {
+		return
+	}
+	for _, s := range sim.startedAt[e.Task] {
+		if s.atMS > f.endedAt[e.Number] {
+			sim.violate("TWICE", "%s run %d started on %s at %d, run %d had ended as done on %s at %d and is acknowledged",
+				e.Task, s.number, s.worker, s.atMS, e.Run, f.info.ID, f.endedAt[e.Number])
+		}
+	}
+}
+
 func sortedTasks(runs map[jobs.Task]*fakeRun) []jobs.Task {
 	out := make([]jobs.Task, 0, len(runs))
 	for t := range runs {
