Count silence at a takeover only up to what has been handled

What callers see: tasks that run twice, a lease after a change of leader, when the new leader handles its events late.

Change: settledMS, the time up to which everything has been handled and no successor had begun, decides in all three places.

TestTakeoverWaitsForWaitingReports failed before (started again after 5,420 ms) and TestTakeoverWaitsForWaitingEnds too with the old check of the lease (after 8,180 ms); both hold. TestTakeoverWaitsForPriorLease is unchanged.

In internal/node the evidence passes through the same queue as the reports, so that with a leadership lease the first of these was not reachable there.

--- a/internal/planner/leadership.go
+++ b/internal/planner/leadership.go
@@ -22,6 +22,11 @@
 	return min(c.now.MS, c.leadershipMS)
 }
 
+// settledMS returns the time up to which silence has a meaning: everything received
+// until then has been handled, and no successor had begun its term. A report from
+// before a later time may still be waiting to be handled.
+func (c *Core) settledMS() int64 { return min(c.ledUntilMS(), c.handledMS) }
+
 // inDoubt reports whether a successor may have begun its term.
 func (c *Core) inDoubt() bool {
 	return !c.leadershipUnlimited() && c.now.MS-c.leadershipMS > c.config.LeadershipLeaseMS
--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -67,3 +67,47 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(hold.Address, qt.Equals, testWorker.Address)
 }
+
+// Guards against a task that runs twice: a successor that handles its events late
+// counted the leases of its predecessor as over while a worker's report was waiting to
+// be handled.
+func TestTakeoverWaitsForWaitingReports(t *testing.T) {
+	c := qt.New(t)
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	workers := []WorkerInfo{testWorker, other}
+	h := newSuccessor(t, workers...)
+	h.confirmWrites(h.step(WorkersChanged{Workers: workers}))
+	handledMS := h.now
+	for range 500 {
+		h.now += 20
+		effects := append(slices.Clone(h.report(other, Report{StartedMS: 7, ClockMS: h.now})), h.step(Tick{LagMS: h.now - handledMS, HandledMS: handledMS})...)
+		c.Assert(allStarts(effects), qt.HasLen, 0, qt.Commentf("started again after %d ms", h.now-handledMS))
+	}
+	// Everything has been handled: the leases are over.
+	effects := append(slices.Clone(h.step(Tick{})), h.advance(40)...)
+	c.Assert(allStarts(effects), qt.HasLen, 1)
+}
+
+// Guards against a task that runs twice: the lease of a worker with unlisted ends was
+// renewed after its report, and the next report is waiting to be handled.
+func TestTakeoverWaitsForWaitingEnds(t *testing.T) {
+	c := qt.New(t)
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	workers := []WorkerInfo{testWorker, other}
+	h := newSuccessor(t, workers...)
+	h.confirmWrites(h.step(WorkersChanged{Workers: workers}))
+	startMS := h.now
+	report := Report{StartedMS: 7, MoreEnded: true}
+	for h.now < startMS+9000 {
+		h.now += 20
+		effects := slices.Clone(h.report(other, Report{StartedMS: 7, ClockMS: h.now - startMS + 1}))
+		if h.now < startMS+4000 {
+			report.ClockMS = h.now - startMS + 1
+			effects = append(effects, h.report(testWorker, report)...)
+		}
+		effects = append(effects, h.step(Tick{HandledMS: min(h.now, startMS+5600)})...)
+		c.Assert(allStarts(effects), qt.HasLen, 0, qt.Commentf("started again after %d ms", h.now-startMS))
+	}
+}
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -30,13 +30,13 @@
 			unreported = true
 			inheritedLease = max(inheritedLease, c.inheritedLeaseMS(w))
 		}
-		if w.moreEnded && !w.dead && !c.leaseExpired(w) {
+		if w.moreEnded && !w.dead && !c.leaseOverUnrenewed(w) {
 			endsMissing = true
 		}
 	}
 	switch {
 	case !unreported && len(c.sortedWorkers) > 0,
-		!endsMissing && c.ledUntilMS()-c.termStartMS > inheritedLease:
+		!endsMissing && c.settledMS()-c.termStartMS > inheritedLease:
 		c.reconciled = true
 		c.markReconciled()
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -312,10 +312,6 @@
 	return w.leaseEndMS
 }
 
-// leaseExpired reports whether the leases that this leader and its predecessors
-// have requested are over, even if the worker's clock is slow.
-func (c *Core) leaseExpired(w *worker) bool { return c.now.MS > c.leaseOverMS(w) }
-
 // leaseOverUnrenewed reports whether every run on the worker must have ended: the
 // leases are over, and no successor had begun its term by then that could have
 // renewed them.
@@ -323,11 +319,11 @@
 	if c.disabled.leaseWait {
 		return c.now.MS-w.reportedMS > unresponsiveMS
 	}
-	// A report from before the end of the leases may still wait to be handled.
-	return min(c.ledUntilMS(), c.handledMS) > c.leaseOverMS(w)
+	return c.settledMS() > c.leaseOverMS(w)
 }
 
-// leaseOverMS returns when the leases of a worker are over by this clock.
+// leaseOverMS returns when the leases that this leader and its predecessors have
+// requested of a worker are over by this clock, even if the worker's is slow.
 func (c *Core) leaseOverMS(w *worker) int64 {
 	remaining := float64(max(w.leaseEndMS, w.inheritedLeaseEndMS)-w.clockMS) * clockSlack
 	return w.clockReadMS + int64(remaining) + leaseMarginMS
