Forget a worker only once nothing of interest can be on it

What callers see: tasks that run twice when a directory entry has expired while its worker is out of reach.

Cause: a leader forgot an unlisted worker that had been silent for 1.6 s, or for the inherited lease by the time of a late leader, and with it what only that worker can tell: ends that it had not listed yet, runs of a job that becomes known later, and a report that was waiting to be handled. The takeover then ended without it.

Change: a worker with unlisted ends or with runs of unknown jobs is kept until its lease is over, one that has not reported until the inherited lease is over as of settledMS. All others are forgotten as before.

Each test failed before: TestUnlistedWorkerIsKeptWhileReportsWait (started again after 5,420 ms), TestUnlistedWorkerWithMoreEndsIsKept (started while ends were missing), TestUnlistedWorkerWithUnknownRunIsKept (4,440 ms before the lease was over).

--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -111,3 +111,65 @@
 		c.Assert(allStarts(effects), qt.HasLen, 0, qt.Commentf("started again after %d ms", h.now-startMS))
 	}
 }
+
+// Guards against a worker that is forgotten, and with it its runs and ends, while its
+// report is waiting to be handled.
+func TestUnlistedWorkerIsKeptWhileReportsWait(t *testing.T) {
+	c := qt.New(t)
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h := newSuccessor(t, testWorker, other)
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{other}}))
+	handledMS := h.now
+	for range 500 {
+		h.now += 20
+		effects := append(slices.Clone(h.report(other, Report{StartedMS: 7, ClockMS: h.now})), h.step(Tick{LagMS: h.now - handledMS, HandledMS: handledMS})...)
+		c.Assert(allStarts(effects), qt.HasLen, 0, qt.Commentf("started again after %d ms", h.now-handledMS))
+	}
+	c.Assert(h.core.workers["w"], qt.IsNotNil)
+	h.report(testWorker, Report{StartedMS: 7, ClockMS: 300, Ended: []EndedTask{ended(1, 0, 1, EndDone)}})
+	c.Assert(h.core.jobs["j"].state, qt.Equals, jobs.Completed)
+}
+
+// Guards against a worker that is forgotten although its ends are incomplete: those
+// that it has not listed yet may include the task's.
+func TestUnlistedWorkerWithMoreEndsIsKept(t *testing.T) {
+	c := qt.New(t)
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h := newSuccessor(t, testWorker, other)
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{other}}))
+	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 300, MoreEnded: true}))
+	for range unresponsiveMS/20 + 20 {
+		effects := append(slices.Clone(h.report(other, Report{StartedMS: 7, ClockMS: h.now - 1_000_000})), h.advance(20)...)
+		h.confirmWrites(effects)
+		c.Assert(allStarts(effects), qt.HasLen, 0)
+	}
+	h.report(testWorker, Report{StartedMS: 7, ClockMS: 300, Ended: []EndedTask{ended(1, 0, 1, EndDone)}})
+	c.Assert(h.core.jobs["j"].state, qt.Equals, jobs.Completed)
+}
+
+// Guards against a task that runs twice: the job of a run becomes known after the
+// worker that listed it has been silent for a while, but before its lease is over.
+func TestUnlistedWorkerWithUnknownRunIsKept(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 100, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 4}}}))
+	overMS := h.core.leaseOverMS(h.core.workers["w"])
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{other}}))
+	submitMS := h.now + unresponsiveMS + 200
+	for starts := 0; starts == 0; {
+		effects := append(slices.Clone(h.report(other, Report{StartedMS: 7, ClockMS: h.now - 1_000_000})), h.advance(20)...)
+		if submitMS > 0 && h.now >= submitMS {
+			effects = append(effects, h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900})...)
+			submitMS = 0
+		}
+		h.confirmWrites(effects)
+		starts = len(allStarts(effects))
+		c.Assert(starts == 0 || h.now > overMS, qt.IsTrue, qt.Commentf("started %d ms before the lease is over", overMS-h.now))
+		c.Assert(h.now < overMS+1000, qt.IsTrue)
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -219,16 +219,12 @@
 	return w.inherited && !w.reported && !w.dead && !c.reconciled && info.StartedMS != 0 && info.StartedMS < w.info.StartedMS
 }
 
-// removeDeparted removes workers that have left the directory, run nothing and
-// have not reported recently.
+// removeDeparted removes workers that have left the directory and that can neither
+// run nor list anything of interest.
 func (c *Core) removeDeparted() {
 	kept := c.sortedWorkers[:0]
 	for _, w := range c.sortedWorkers {
-		departed := w.dead || c.now.MS-w.reportedMS > unresponsiveMS
-		if w.inherited && !w.reported && !w.dead {
-			departed = c.now.MS-c.termStartMS > c.inheritedLeaseMS(w)
-		}
-		if !w.listed && len(w.runs) == 0 && len(w.ended) == 0 && departed {
+		if c.hasDeparted(w) {
 			delete(c.workers, w.info.ID)
 			c.tokenFloor = max(c.tokenFloor, w.token+1)
 			c.markWorkerDirty(w.info.ID)
@@ -240,6 +236,22 @@
 	c.sortedWorkers = kept
 }
 
+func (c *Core) hasDeparted(w *worker) bool {
+	switch {
+	case w.listed, len(w.runs) > 0, len(w.ended) > 0:
+		return false
+	case w.dead:
+		return true
+	case w.inherited && !w.reported:
+		return c.settledMS()-c.termStartMS > c.inheritedLeaseMS(w)
+	case w.moreEnded, len(w.orphans) > 0:
+		// Its runs and ends are not all known, or belong to a job that may still
+		// become known.
+		return c.leaseOverUnrenewed(w)
+	}
+	return c.now.MS-w.reportedMS > unresponsiveMS
+}
+
 // tickWorker sends the next hold call when it is due and releases the runs of a
 // worker whose lease has expired.
 func (c *Core) tickWorker(w *worker) {
