--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -185,6 +185,10 @@
 			c.workers[info.ID] = w
 			c.sortedWorkers = append(c.sortedWorkers, w)
 		}
+		if c.entryIsOld(w, &info) {
+			w.listed = true
+			continue
+		}
 		if w.info.ID != info.ID || w.info.Address != info.Address || w.info.Service != info.Service || w.info.Capacity != info.Capacity || w.info.StartedMS != info.StartedMS {
 			c.markWorkerDirty(info.ID)
 		}
@@ -215,16 +219,20 @@
 	}
 }
 
-// removeDeparted removes workers that have left the directory, run nothing and
-// have not reported recently.
+// entryIsOld reports whether a directory entry is of an earlier incarnation than the
+// one that the predecessor recorded and may have started tasks on. The list that a
+// term begins with may be older than the log; a refusal by another worker at the
+// former address says nothing about the recorded incarnation.
+func (c *Core) entryIsOld(w *worker, info *WorkerInfo) bool {
+	return w.inherited && !w.reported && !w.dead && !c.reconciled && info.StartedMS != 0 && info.StartedMS < w.info.StartedMS
+}
+
+// removeDeparted removes workers that have left the directory and that can neither
+// run nor list anything of interest.
 func (c *Core) removeDeparted() {
 	kept := c.sortedWorkers[:0]
 	for _, w := range c.sortedWorkers {
-		departed := w.dead || c.now.MS-w.reportedMS > unresponsiveMS
-		if w.inherited && !w.reported && !w.dead {
-			departed = c.now.MS-c.termStartMS > c.inheritedLeaseMS(w)
-		}
-		if !w.listed && len(w.runs) == 0 && len(w.ended) == 0 && departed {
+		if c.hasDeparted(w) {
 			c.logRemoved(w)
 			delete(c.workers, w.info.ID)
 			c.tokenFloor = max(c.tokenFloor, w.token+1)
@@ -237,6 +245,22 @@
 	c.sortedWorkers = kept
 }
 
+func (c *Core) hasDeparted(w *worker) bool {
+	switch {
+	case w.listed, len(w.runs) > 0, len(w.ended) > 0:
+		return false
+	case w.dead:
+		return true
+	case w.inherited && !w.reported:
+		return c.settledMS()-c.termStartMS > c.inheritedLeaseMS(w)
+	case w.moreEnded, len(w.orphans) > 0:
+		// Its runs and ends are not all known, or belong to a job that may still
+		// become known.
+		return c.leaseOverUnrenewed(w)
+	}
+	return c.now.MS-w.reportedMS > unresponsiveMS
+}
+
 // tickWorker sends the next hold call when it is due and releases the runs of a
 // worker whose lease has expired.
 func (c *Core) tickWorker(w *worker) {
@@ -309,10 +333,6 @@
 	return w.leaseEndMS
 }
 
-// leaseExpired reports whether the leases that this leader and its predecessors
-// have requested are over, even if the worker's clock is slow.
-func (c *Core) leaseExpired(w *worker) bool { return c.now.MS > c.leaseOverMS(w) }
-
 // leaseOverUnrenewed reports whether every run on the worker must have ended: the
 // leases are over, and no successor had begun its term by then that could have
 // renewed them.
@@ -320,11 +340,11 @@
 	if c.disabled.leaseWait {
 		return c.now.MS-w.reportedMS > unresponsiveMS
 	}
-	// A report from before the end of the leases may still wait to be handled.
-	return min(c.ledUntilMS(), c.handledMS) > c.leaseOverMS(w)
+	return c.settledMS() > c.leaseOverMS(w)
 }
 
-// leaseOverMS returns when the leases of a worker are over by this clock.
+// leaseOverMS returns when the leases that this leader and its predecessors have
+// requested of a worker are over by this clock, even if the worker's is slow.
 func (c *Core) leaseOverMS(w *worker) int64 {
 	remaining := float64(max(w.leaseEndMS, w.inheritedLeaseEndMS)-w.clockMS) * clockSlack
 	return w.clockReadMS + int64(remaining) + leaseMarginMS
