Send the outcomes of calls until the leader confirms them

A delegate dropped a batch of outcomes after two attempts of 400 ms. Callers saw nothing of it, but the leader took the reports in it for missing responses, and an outcome that arrives would not say that those before it have arrived, which the leader needs to tell up to when it has what workers have reported.

A delegate now repeats a batch, and keeps the order, until it is confirmed or 10 s old.

TestOutcomesAreSentUntilConfirmed failed before: the second outcome arrived, the first did not.

--- a/internal/node/delegate.go
+++ b/internal/node/delegate.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+	"redwingvale/internal/gen/redwingvale/node/v1/nodev1connect"
 	"redwingvale/internal/planner"
 	"redwingvale/internal/ring"
 	"redwingvale/internal/telemetry"
@@ -17,8 +19,9 @@
 	// resumeQuarantine is how long after a suspension an instance declines calls:
 	// they may have waited in its connections meanwhile.
 	resumeQuarantine = time.Second
-	// reportAttempts is how often the outcomes of calls are sent.
-	reportAttempts = 2
+	// outcomeLimit is how long the outcome of a call is sent again: by then the
+	// leader has given the call up, and any lease that it renewed is over.
+	outcomeLimit = 10 * time.Second
 	// outcomeRingSize bounds the outcomes that wait to be sent.
 	outcomeRingSize = 4096
 )
@@ -30,7 +33,7 @@
 	leader   string
 	ctx      context.Context
 	stop     context.CancelFunc
-	outcomes *ring.Ring[*nodev1.CallOutcome]
+	outcomes *ring.Ring[queuedOutcome]
 	// reports are the last reports of the workers.
 	reports *reportBases
 	// mirror holds the states of jobs that the leader has passed on. The event
@@ -38,6 +41,12 @@
 	mirror *stateMirror
 }
 
+// queuedOutcome is an outcome that the leader has not confirmed.
+type queuedOutcome struct {
+	outcome  *nodev1.CallOutcome
+	queuedMS int64
+}
+
 // CallWorkers makes calls to workers for the leader.
 func (s *peerServer) CallWorkers(ctx context.Context, r *connect.Request[nodev1.CallWorkersRequest]) (*connect.Response[nodev1.CallWorkersResponse], error) {
 	type result struct {
@@ -81,7 +90,7 @@
 			n.delegated.stop()
 		}
 		ctx, stop := context.WithCancel(n.runCtx)
-		n.delegated = &delegatedTerm{epoch: epoch, leader: leader, ctx: ctx, stop: stop, outcomes: ring.New[*nodev1.CallOutcome](outcomeRingSize), reports: newReportBases(), mirror: newStateMirror(n.now().MS)}
+		n.delegated = &delegatedTerm{epoch: epoch, leader: leader, ctx: ctx, stop: stop, outcomes: ring.New[queuedOutcome](outcomeRingSize), reports: newReportBases(), mirror: newStateMirror(n.now().MS)}
 		n.log("delegation_begins", zap.Uint64("epoch", epoch), zap.String("leader", leader))
 		go n.reportOutcomes(n.delegated)
 	}
@@ -101,45 +110,59 @@
 		defer base.mu.Unlock()
 		encoded := encodeOutcome(call.GetId(), outcome)
 		encoded.Report = base.encode(call.GetId(), hold.GetKnownReport(), report)
-		t.queueOutcome(encoded)
+		n.queueOutcome(t, encoded)
 		return
 	}
-	t.queueOutcome(encodeOutcome(call.GetId(), outcome))
+	n.queueOutcome(t, encodeOutcome(call.GetId(), outcome))
 }
 
 // queueOutcome queues an outcome for the leader. It waits while the ring is full,
 // and drops the outcome once the term is over.
-func (t *delegatedTerm) queueOutcome(o *nodev1.CallOutcome) { _ = t.outcomes.Put(t.ctx, o) }
+func (n *Node) queueOutcome(t *delegatedTerm, o *nodev1.CallOutcome) {
+	_ = t.outcomes.Put(t.ctx, queuedOutcome{o, n.now().MS})
+}
 
 // reportOutcomes sends the outcomes of calls to the leader in batches until the
-// delegated term ends.
+// delegated term ends. It keeps their order: the leader takes each as a sign that
+// it has those that were queued before.
 func (n *Node) reportOutcomes(t *delegatedTerm) {
 	client := n.peerClient(t.leader)
 	for {
-		var batch []*nodev1.CallOutcome
+		var batch []queuedOutcome
 		select {
 		case <-t.ctx.Done():
 			return
 		case first := <-t.outcomes.Receive():
-			batch = drainInto([]*nodev1.CallOutcome{first}, t.outcomes, maxCallsPerBatch)
+			batch = drainInto([]queuedOutcome{first}, t.outcomes, maxCallsPerBatch)
 		}
-		var err error
-		for range reportAttempts {
-			ctx, cancel := context.WithTimeout(t.ctx, batchTimeout)
-			_, err = client.ReportCalls(ctx, connect.NewRequest(&nodev1.ReportCallsRequest{Epoch: t.epoch, Outcomes: batch}))
-			cancel()
-			if err == nil {
-				break
+		for len(batch) > 0 && !n.sendOutcomes(t, client, batch) {
+			pause(t.ctx, retryPause)
+			if t.ctx.Err() != nil {
+				return
 			}
-		}
-		if err != nil && t.ctx.Err() == nil {
-			// The leader treats the calls like calls without a response.
-			n.tele.Log.Warn("outcomes_not_reported", append(telemetry.ErrorFields(err), zap.Uint64("epoch", t.epoch), zap.Int("calls", len(batch)))...)
+			oldestMS := n.now().MS - milliseconds(outcomeLimit)
+			batch = slices.DeleteFunc(batch, func(o queuedOutcome) bool { return o.queuedMS < oldestMS })
 		}
 		pause(t.ctx, callBatchInterval)
 	}
 }
 
+// sendOutcomes sends a batch of outcomes and reports whether the leader has
+// confirmed it.
+func (n *Node) sendOutcomes(t *delegatedTerm, client nodev1connect.NodeServiceClient, batch []queuedOutcome) bool {
+	request := &nodev1.ReportCallsRequest{Epoch: t.epoch}
+	for _, o := range batch {
+		request.Outcomes = append(request.Outcomes, o.outcome)
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, batchTimeout)
+	defer cancel()
+	_, err := client.ReportCalls(ctx, connect.NewRequest(request))
+	if err != nil && t.ctx.Err() == nil {
+		n.tele.Log.Warn("outcomes_not_reported", append(telemetry.ErrorFields(err), zap.Uint64("epoch", t.epoch), zap.Int("calls", len(batch)))...)
+	}
+	return err == nil
+}
+
 // ReportCalls passes the outcomes of delegated calls to the planner.
 func (s *peerServer) ReportCalls(ctx context.Context, r *connect.Request[nodev1.ReportCallsRequest]) (*connect.Response[nodev1.ReportCallsResponse], error) {
 	n, m := s.n, r.Msg
--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -3,15 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
 
+	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+	"redwingvale/internal/gen/redwingvale/node/v1/nodev1connect"
 	"redwingvale/internal/jobs"
 	"redwingvale/internal/planner"
+	"redwingvale/internal/ring"
 )
 
 // countedWorkers counts the calls that one instance makes.
@@ -219,3 +225,42 @@
 	_, ok = decodeCall(nil)
 	c.Assert(ok, qt.IsFalse)
 }
+
+// Guards against outcomes that a delegate drops while the leader does not confirm
+// them: those that follow would tell the leader that it has all earlier ones.
+func TestOutcomesAreSentUntilConfirmed(t *testing.T) {
+	c := qt.New(t)
+	n := startLoop(t, nil)
+	var refuse atomic.Int64
+	refuse.Store(2)
+	got := make(chan uint64, 10)
+	_, handler := nodev1connect.NewNodeServiceHandler(&confirmingLeader{refuse: &refuse, got: got})
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	term := &delegatedTerm{epoch: 1, leader: strings.TrimPrefix(server.URL, "http://"), ctx: ctx, outcomes: ring.New[queuedOutcome](outcomeRingSize)}
+	go n.reportOutcomes(term)
+	n.queueOutcome(term, encodeOutcome(1, planner.Done))
+	waitFor(t, "the batch is refused twice", func() bool { return refuse.Load() <= 0 })
+	n.queueOutcome(term, encodeOutcome(2, planner.Done))
+	c.Assert(<-got, qt.Equals, uint64(1))
+	c.Assert(<-got, qt.Equals, uint64(2))
+}
+
+// confirmingLeader is a leader that refuses the first batches.
+type confirmingLeader struct {
+	nodev1connect.UnimplementedNodeServiceHandler
+	refuse *atomic.Int64
+	got    chan uint64
+}
+
+func (l *confirmingLeader) ReportCalls(_ context.Context, r *connect.Request[nodev1.ReportCallsRequest]) (*connect.Response[nodev1.ReportCallsResponse], error) {
+	if l.refuse.Add(-1) >= 0 {
+		return nil, connect.NewError(connect.CodeUnavailable, context.DeadlineExceeded)
+	}
+	for _, o := range r.Msg.GetOutcomes() {
+		l.got <- o.GetId()
+	}
+	return connect.NewResponse(&nodev1.ReportCallsResponse{}), nil
+}
