Do not take the silence of a delegate for that of its workers

Callers saw a task run twice: its run had ended as done, and another one began some 4 s later.

Cause: the report with the end waited at a delegate, in its queues or on its way. The leader gave the call up after 1.5 s and its wait, asked another delegate, which was late too, and counted the worker's lease as over 4.2 s after the last report. Tick.HandledMS knew of the leader's own queue only. And a report that came after its call had been given up was thrown away.

The leader now knows for each delegate up to when it has what had reached it: a probe, a call without a command, returns behind the outcomes that the delegate has. HandledMS is the earliest of these times among the delegates that may have a report, and of the leader's own. A call that was given up counts until a later hold call of its worker has ended, or for the time of a lease, and its report is used if it arrives by then and is newer than what is known.

A lease end that a call through a failed delegate states cannot be later than the leader believes: it is a time on the worker's clock, and the latest one that was sent counts, also if the call is carried out late. A report that was held up makes the worker's clock seem late, so leases are requested shorter and count as over later.

TestLeaseIsNotOverWhileAReportWaitsAtADelegate (two late delegates) and TestLateReportCounts failed before, with a second start 4.2 s after the last report. TestLostWorkerIsNoticedThroughDelegates passes before and after: tasks of a lost worker, also of one lost with its delegate, start again within the same limit.

--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -57,6 +57,9 @@
 // planner does not depend on it: a call of a failed delegate has an unknown
 // outcome, and the worker's fencing token decides whether it can still have an
 // effect. The event loop owns it.
+//
+// A delegate that is silent does not make its workers silent: they may have
+// reported to it. handledMS says up to when the leader has what they reported.
 type delegation struct {
 	node *Node
 	term *term
@@ -68,8 +71,11 @@
 	respondedMS map[string]int64
 	byWorker    map[planner.WorkerID]*delegate
 	// reports holds the newest report of each worker.
-	reports   map[planner.WorkerID]*heldReport
-	pending   map[uint64]delegatedCall
+	reports map[planner.WorkerID]*heldReport
+	pending map[uint64]delegatedCall
+	// givenUp holds the ids of the hold calls that have been given up and count in
+	// their delegates' holds.
+	givenUp   map[planner.WorkerID][]uint64
 	lastID    uint64
 	checkedMS int64
 	startedMS int64
@@ -92,9 +98,18 @@
 	workers int
 	// failedMS is when it last failed, or 0.
 	failedMS int64
+	// holds is the number of hold calls whose reports it may have.
+	holds int
+	// handledMS is the time up to which the leader has handled all outcomes that
+	// had reached the delegate; it counts while holds is not 0.
+	handledMS int64
+	// probing is set while a probe is pending.
+	probing bool
 }
 
-// queuedCall is a call that waits for the next batch.
+// queuedCall is a call that waits for the next batch. One without a command is a
+// probe: the delegate calls no worker and queues an outcome behind those that it
+// has.
 type queuedCall struct {
 	id   uint64
 	call workerCall
@@ -107,13 +122,19 @@
 	workerCall
 	delegate   *delegate
 	deadlineMS int64
+	// givenUpMS is when the planner was told that the outcome is unknown, or 0.
+	// The outcome of a hold call may still arrive.
+	givenUpMS int64
+	// counted is set while the call counts in its delegate's holds.
+	counted bool
 }
 
 func newDelegation(n *Node, t *term) *delegation {
 	return &delegation{
 		node: n, term: t, startedMS: n.now().MS,
 		delegates: map[string]*delegate{}, respondedMS: map[string]int64{},
-		byWorker: map[planner.WorkerID]*delegate{}, reports: map[planner.WorkerID]*heldReport{}, pending: map[uint64]delegatedCall{},
+		byWorker: map[planner.WorkerID]*delegate{}, reports: map[planner.WorkerID]*heldReport{},
+		pending: map[uint64]delegatedCall{}, givenUp: map[planner.WorkerID][]uint64{},
 	}
 }
 
@@ -262,22 +283,79 @@
 	if g == nil {
 		return false
 	}
-	d.lastID++
+	return d.queue(g, call)
+}
+
+// queue adds a call to a delegate's next batch. It returns false if there are too
+// many.
+func (d *delegation) queue(g *delegate, call workerCall) bool {
 	known := uint64(0)
 	if held := d.reports[call.worker()]; held != nil {
 		known = held.id
 	}
+	d.lastID++
 	if !g.calls.Offer(queuedCall{d.lastID, call, known}) {
 		return false
 	}
-	deadlineMS := call.sentMS + milliseconds(outcomeTimeout)
+	pending := delegatedCall{workerCall: call, delegate: g, deadlineMS: call.sentMS + milliseconds(outcomeTimeout)}
 	if hold, ok := call.command.(planner.Hold); ok {
-		deadlineMS += hold.WaitMS
+		pending.deadlineMS += hold.WaitMS
+		pending.counted = true
+		if g.holds == 0 {
+			// Before this call the delegate had none to report.
+			g.handledMS = max(g.handledMS, call.sentMS)
+		}
+		g.holds++
 	}
-	d.pending[d.lastID] = delegatedCall{call, g, deadlineMS}
+	d.pending[d.lastID] = pending
 	return true
 }
 
+// take removes a call from those that are pending; ok is false if it is not.
+func (d *delegation) take(id uint64) (call delegatedCall, ok bool) {
+	call, ok = d.pending[id]
+	if !ok {
+		return call, false
+	}
+	delete(d.pending, id)
+	if call.command == nil {
+		call.delegate.probing = false
+	}
+	if call.counted {
+		call.delegate.holds--
+	}
+	if call.counted && call.givenUpMS > 0 {
+		worker := call.worker()
+		d.givenUp[worker] = slices.DeleteFunc(d.givenUp[worker], func(other uint64) bool { return other == id })
+		if len(d.givenUp[worker]) == 0 {
+			delete(d.givenUp, worker)
+		}
+	}
+	return call, true
+}
+
+// handledMS returns the time up to which the leader has handled what workers have
+// reported to delegates, or 0 if no report can wait there.
+func (d *delegation) handledMS() int64 {
+	oldest := int64(0)
+	for _, g := range d.delegates {
+		if g.holds > 0 && (oldest == 0 || g.handledMS < oldest) {
+			oldest = g.handledMS
+		}
+	}
+	return oldest
+}
+
+// probe asks each delegate that may have reports for a sign that it has passed on
+// those that it had.
+func (d *delegation) probe(nowMS int64) {
+	for _, g := range d.active {
+		if g.holds > 0 && !g.probing {
+			g.probing = d.queue(g, workerCall{sentMS: nowMS})
+		}
+	}
+}
+
 // outcomeArrived handles an outcome that a delegate has sent. A report that is a
 // difference to one that the leader does not hold counts as none: a run that is
 // missing from a report counts as no longer running.
@@ -289,6 +367,10 @@
 	}
 	hold, isHold := call.command.(planner.Hold)
 	switch {
+	case call.command == nil:
+		d.take(m.GetId())
+		call.delegate.handledMS = max(call.delegate.handledMS, call.sentMS-milliseconds(postMargin))
+		return
 	case !isHold, outcome != planner.Done:
 		d.complete(m.GetId(), outcome, planner.Report{}, receivedMS)
 		return
@@ -301,6 +383,11 @@
 		held = &heldReport{}
 		d.reports[hold.Worker] = held
 	}
+	if call.givenUpMS > 0 && held.id > m.GetId() {
+		// The report of a later call has replaced this one.
+		d.take(m.GetId())
+		return
+	}
 	report, ok := held.decode(m.GetId(), m.GetReport())
 	if !ok {
 		d.node.stats.reportsUnusable.Inc(1)
@@ -311,16 +398,67 @@
 }
 
 // complete reports the outcome of a call, which arrived at the given time, to the
-// planner, unless the call has
-// been given up.
+// planner. If the call has been given up, only a report is of use.
 func (d *delegation) complete(id uint64, outcome planner.Outcome, report planner.Report, receivedMS int64) {
-	call, ok := d.pending[id]
+	call, ok := d.take(id)
 	if !ok {
 		return
 	}
-	delete(d.pending, id)
-	d.node.countCall(call.workerCall, outcome)
-	d.node.step(call.done(outcome, report, receivedMS))
+	d.called(call.workerCall)
+	if call.givenUpMS == 0 {
+		d.node.countCall(call.workerCall, outcome)
+		d.node.step(call.done(outcome, report, receivedMS))
+	} else if outcome == planner.Done {
+		late := call.done(outcome, report, receivedMS).(planner.HoldDone)
+		late.Late = true
+		d.node.step(late)
+	}
+}
+
+// called notes that the outcome of a call is known, wherever it was made. Nothing
+// waits any longer for earlier hold calls of the worker that had been given up when
+// it was made: what the worker could report, this call would have returned.
+func (d *delegation) called(call workerCall) {
+	if _, ok := call.command.(planner.Hold); !ok || len(d.givenUp[call.worker()]) == 0 {
+		return
+	}
+	left := slices.DeleteFunc(d.givenUp[call.worker()], func(id uint64) bool {
+		earlier := d.pending[id]
+		if earlier.givenUpMS > call.sentMS {
+			return false
+		}
+		earlier.counted = false
+		earlier.delegate.holds--
+		d.pending[id] = earlier
+		return true
+	})
+	if d.givenUp[call.worker()] = left; len(left) == 0 {
+		delete(d.givenUp, call.worker())
+	}
+}
+
+// giveUp reports the outcome of a call as unknown. The report of a hold call is
+// still of use when it arrives within the time of a lease. Until then it counts as
+// one that waits at the delegate, unless a later call of the worker has ended.
+func (d *delegation) giveUp(id uint64) {
+	call, ok := d.pending[id]
+	if !ok || call.givenUpMS > 0 {
+		return
+	}
+	switch call.command.(type) {
+	case nil:
+		d.take(id)
+		return
+	case planner.Hold:
+		call.givenUpMS = d.node.now().MS
+		call.deadlineMS = call.givenUpMS + d.node.config.LeaseMS
+		d.pending[id] = call
+		d.givenUp[call.worker()] = append(d.givenUp[call.worker()], id)
+	default:
+		d.take(id)
+	}
+	d.node.countCall(call.workerCall, planner.OutcomeUnknown)
+	d.node.step(call.done(planner.OutcomeUnknown, planner.Report{}, 0))
 }
 
 // fail takes a delegate out of use. The outcomes of its calls are unknown.
@@ -332,7 +470,7 @@
 	d.setActive(slices.DeleteFunc(slices.Clone(d.active), func(other *delegate) bool { return other == g }))
 	var lost []uint64
 	for id, call := range d.pending {
-		if call.delegate == g {
+		if call.delegate == g && call.givenUpMS == 0 {
 			lost = append(lost, id)
 		}
 	}
@@ -340,7 +478,7 @@
 	d.node.stats.delegatesFailed.Inc(1)
 	d.node.log("delegate_failed", zap.Uint64("epoch", d.term.epoch), zap.String("delegate", g.name), zap.String("reason", reason), zap.Int("calls", len(lost)))
 	for _, id := range lost {
-		d.complete(id, planner.OutcomeUnknown, planner.Report{}, 0)
+		d.giveUp(id)
 	}
 }
 
@@ -356,12 +494,15 @@
 	for id, call := range d.pending {
 		switch {
 		case now <= call.deadlineMS:
+		case call.givenUpMS > 0:
+			d.take(id)
 		case slices.Contains(d.active, call.delegate):
 			d.fail(call.delegate, "outcome overdue")
 		default:
-			d.complete(id, planner.OutcomeUnknown, planner.Report{}, 0)
+			d.giveUp(id)
 		}
 	}
+	d.probe(now)
 }
 
 // sendCalls sends the calls of a delegate in batches until the term ends.
@@ -435,7 +576,7 @@
 func (d *delegation) failBatch(g *delegate, batch []queuedCall, reason string) {
 	d.fail(g, reason)
 	for _, q := range batch {
-		d.complete(q.id, planner.OutcomeUnknown, planner.Report{}, 0)
+		d.giveUp(q.id)
 	}
 }
 
@@ -445,8 +586,8 @@
 	g.failedMS = d.node.now().MS
 	d.setActive(slices.DeleteFunc(slices.Clone(d.active), func(other *delegate) bool { return other == g }))
 	for _, q := range batch {
-		if _, ok := d.pending[q.id]; ok {
-			delete(d.pending, q.id)
+		call, ok := d.take(q.id)
+		if ok && call.command != nil && call.givenUpMS == 0 {
 			d.node.dispatch(d.term, workerCall{command: q.call.command, sentMS: d.node.now().MS})
 		}
 	}
--- /dev/null
+++ b/internal/node/late_delegate_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"context"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+	"redwingvale/internal/jobs"
+	"redwingvale/internal/planner"
+	"redwingvale/internal/ring"
+	"redwingvale/internal/telemetry"
+)
+
+// lateSite is a leader without an event loop, on a clock that the test advances. It
+// has the workers w1 and w2, and delegates that answer when the test lets them.
+type lateSite struct {
+	*qt.C
+	n *Node
+	d *delegation
+	// late are the delegates that have stopped to report, with their outcomes.
+	late map[*delegate][]*nodev1.CallOutcome
+	// owner names the delegates to which a worker's calls go, in order of preference.
+	owner  map[planner.WorkerID][]*delegate
+	starts []planner.Start
+	// unreachable is set once w1 responds to no call, except by those that it got before.
+	unreachable bool
+	ended       []planner.EndedTask
+	running     map[planner.WorkerID][]planner.RunningTask
+	unanswered  []unansweredCall
+}
+
+// unansweredCall is a call that ends without a response.
+type unansweredCall struct {
+	delegate *delegate
+	id       uint64
+	endMS    int64
+}
+
+const (
+	stepMS = 20
+	// silentCallMS is how long a delegate waits for a worker that does not respond.
+	silentCallMS = 900
+)
+
+// newLateSite returns a site with three delegates. w1 runs a task.
+func newLateSite(t *testing.T) (s *lateSite, delegates []*delegate) {
+	t.Helper()
+	tele := telemetry.New("rwnode", "a", io.Discard)
+	t.Cleanup(func() { tele.Close() })
+	config := DefaultConfig()
+	config.Instance, config.DelegationMinWorkers = "a", 1
+	n := New(config, Deps{}, tele)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	n.term = &term{epoch: 1, core: planner.New(config.plannerConfig(true), n.stateMachine, 1, n.now()), ctx: ctx, stop: stop, writes: ring.New[planner.Write](1)}
+	d := newDelegation(n, n.term)
+	n.term.delegation = d
+	s = &lateSite{C: qt.New(t), n: n, d: d, late: map[*delegate][]*nodev1.CallOutcome{}, running: map[planner.WorkerID][]planner.RunningTask{}}
+	for _, name := range []string{"g1", "g2", "g3"} {
+		g := &delegate{name: name, calls: ring.New[queuedCall](ringSize), states: ring.New[planner.JobStateChanged](ringSize)}
+		d.delegates[name] = g
+		delegates = append(delegates, g)
+	}
+	s.owner = map[planner.WorkerID][]*delegate{"w1": delegates, "w2": {delegates[2]}}
+	infos := []planner.WorkerInfo{s.info("w1"), s.info("w2")}
+	d.setWorkers(infos)
+	d.startedMS -= milliseconds(gatherTime)
+	d.setActive(slices.Clone(delegates))
+	s.assign()
+	manifest, _, err := (&fixedManifest{version: 1}).Manifest(ctx)
+	s.Assert(err, qt.IsNil)
+	n.step(planner.QueuesChanged{Queues: []planner.Queue{manifest.Queues[0].Queue}})
+	n.step(planner.WorkersChanged{Workers: infos})
+	// A lease of a predecessor would be over by now.
+	s.advance(int64(config.Bounds.MaxLeaseMS))
+	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{{Count: 1, CPUMilli: 3000, EstimateMS: 900}}})
+	s.Assert(err, qt.IsNil)
+	n.step(planner.SubmitRequested{RequestID: 1, ID: "j", Encoded: encoded})
+	s.advance(500)
+	s.Assert(s.starts, qt.HasLen, 1)
+	s.Assert(s.starts[0].Worker, qt.Equals, planner.WorkerID("w1"))
+	return s, delegates
+}
+
+// info describes a worker. The task fits on w2 only while w1 is not used.
+func (s *lateSite) info(id planner.WorkerID) planner.WorkerInfo {
+	room := planner.Resources{CPUMilli: 64_000, MemoryMB: 64_000}
+	if id == "w2" {
+		room.CPUMilli = 3000
+	}
+	return planner.WorkerInfo{ID: id, Address: string(id), Service: "s", Capacity: room, StartedMS: 1}
+}
+
+// assign gives each worker its first delegate that is active.
+func (s *lateSite) assign() {
+	for id, owners := range s.owner {
+		for _, g := range owners {
+			if slices.Contains(s.d.active, g) {
+				s.d.release(id)
+				s.d.byWorker[id] = g
+				g.workers++
+				break
+			}
+		}
+	}
+}
+
+// advance lets time pass.
+func (s *lateSite) advance(ms int64) {
+	for ; ms > 0; ms -= stepMS {
+		k := *s.n.clock.calibration.Load()
+		k.boot += stepMS * time.Millisecond
+		s.n.clock.calibration.Store(&k)
+		now := s.n.now().MS
+		s.n.step(planner.LeadershipAsOf{MS: now})
+		for s.n.term.writes.Len() > 0 {
+			w := <-s.n.term.writes.Receive()
+			s.n.apply(Batch{From: s.n.appliedEnd, Records: w.Records, End: s.n.appliedEnd + int64(len(w.Records))})
+			s.n.step(planner.WriteDone{Seq: w.Seq})
+		}
+		for _, g := range s.d.delegates {
+			for range g.calls.Len() {
+				s.answer(g, <-g.calls.Receive())
+			}
+		}
+		s.unanswered = slices.DeleteFunc(s.unanswered, func(u unansweredCall) bool {
+			if u.endMS <= now {
+				s.deliver(u.delegate, encodeOutcome(u.id, planner.OutcomeUnknown))
+			}
+			return u.endMS <= now
+		})
+		s.n.tick(now)
+		s.assign()
+	}
+}
+
+// answer carries a call out and passes its outcome on.
+func (s *lateSite) answer(g *delegate, q queuedCall) {
+	command, ok := decodeCall(encodeCall(q.id, q.call.command, q.knownReport))
+	if !ok {
+		s.deliver(g, encodeOutcome(q.id, planner.Invalid))
+		return
+	}
+	if s.unreachable && q.call.worker() == "w1" {
+		s.unanswered = append(s.unanswered, unansweredCall{g, q.id, s.n.now().MS + silentCallMS})
+		return
+	}
+	outcome := encodeOutcome(q.id, planner.Done)
+	switch e := command.(type) {
+	case planner.Start:
+		s.starts = append(s.starts, e)
+		s.running[e.Worker] = []planner.RunningTask{{Task: e.Task, Run: e.Run}}
+	case planner.Hold:
+		report := planner.Report{StartedMS: 1, ClockMS: s.n.now().MS, Running: s.running[e.Worker]}
+		if e.Worker == "w1" {
+			report.Ended = s.ended
+		}
+		outcome.Report = new(reportBase).encode(q.id, 0, report)
+	}
+	s.deliver(g, outcome)
+}
+
+// deliver passes an outcome to the leader, unless the delegate is late.
+func (s *lateSite) deliver(g *delegate, outcome *nodev1.CallOutcome) {
+	if held, late := s.late[g]; late {
+		s.late[g] = append(held, outcome)
+		return
+	}
+	s.d.outcomeArrived(outcome, s.n.now().MS)
+}
+
+// makeLate stops a delegate's reports, catchUp sends those that have waited.
+func (s *lateSite) makeLate(g *delegate) { s.late[g] = nil }
+
+func (s *lateSite) catchUp(g *delegate) {
+	held := s.late[g]
+	delete(s.late, g)
+	for _, outcome := range held {
+		s.deliver(g, outcome)
+	}
+}
+
+// endTask ends the task that w1 runs as done.
+func (s *lateSite) endTask() {
+	delete(s.running, "w1")
+	s.ended = []planner.EndedTask{{Number: 1, Task: s.starts[0].Task, Run: s.starts[0].Run, Kind: planner.EndDone}}
+}
+
+func (s *lateSite) state() jobs.State {
+	state, _ := s.n.term.core.State("j")
+	return state
+}
+
+// Guards against a task that starts again although its run has ended as done: the
+// report with the end waited at a delegate that was late, and then at another one,
+// while the leader took the worker for silent and its lease for over.
+func TestLeaseIsNotOverWhileAReportWaitsAtADelegate(t *testing.T) {
+	s, delegates := newLateSite(t)
+	s.makeLate(delegates[0])
+	s.makeLate(delegates[1])
+	s.endTask()
+	s.advance(8000)
+	s.Check(s.starts, qt.HasLen, 1)
+	s.Check(s.state(), qt.Equals, jobs.Completed)
+}
+
+// Guards against a report that is thrown away because its delegate is late: the end
+// in it was the last that the worker could tell.
+func TestLateReportCounts(t *testing.T) {
+	s, delegates := newLateSite(t)
+	s.makeLate(delegates[0])
+	s.endTask()
+	s.advance(100)
+	s.unreachable = true
+	s.advance(3000)
+	s.Assert(slices.Contains(s.d.active, delegates[0]), qt.IsFalse)
+	s.catchUp(delegates[0])
+	s.advance(8000)
+	s.Check(s.starts, qt.HasLen, 1)
+	s.Check(s.state(), qt.Equals, jobs.Completed)
+}
+
+// Guards against a lost worker whose tasks wait longer than its lease, because
+// delegates are in between, or because its delegate was lost with it.
+func TestLostWorkerIsNoticedThroughDelegates(t *testing.T) {
+	for _, delegateLost := range []bool{false, true} {
+		s, delegates := newLateSite(t)
+		if delegateLost {
+			s.makeLate(delegates[0])
+		}
+		s.unreachable = true
+		leaseMS := s.n.config.LeaseMS
+		s.advance(leaseMS)
+		s.Check(s.starts, qt.HasLen, 1)
+		// The planner renews a lease for 1.6 s after the last report, and allows for
+		// clocks that differ by 3%.
+		s.advance(1600 + leaseMS*3/100 + 2*milliseconds(delegateCheckInterval))
+		s.Check(s.starts, qt.HasLen, 2, qt.Commentf("delegate lost: %v", delegateLost))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -215,13 +215,20 @@
 	}
 }
 
-// handledMS returns the time up to which everything received has been handled, or
-// 0 if nothing waits. It runs in the event loop.
+// handledMS returns the time up to which everything received, here or by a
+// delegate, has been handled, or 0 if nothing waits. It runs in the event loop.
 func (n *Node) handledMS() int64 {
-	if n.ring.Len() == 0 {
-		return 0
+	handled := int64(0)
+	if n.ring.Len() > 0 {
+		handled = n.lastPostedMS - milliseconds(postMargin)
 	}
-	return n.lastPostedMS - milliseconds(postMargin)
+	if n.term == nil {
+		return handled
+	}
+	if delegated := n.term.delegation.handledMS(); delegated > 0 && (handled == 0 || delegated < handled) {
+		return delegated
+	}
+	return handled
 }
 
 // reportLoad updates the metrics of the load. A leader also logs it, as does any
--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -85,7 +85,13 @@
 	go func() {
 		outcome, report := makeCall(t.ctx, n.deps.Workers, call.command)
 		n.countCall(call, outcome)
-		n.postEvent(t, call.done(outcome, report, n.now().MS))
+		done := call.done(outcome, report, n.now().MS)
+		n.post(t.ctx, dutyOf(done), func() {
+			if n.term == t {
+				t.delegation.called(call)
+				n.step(done)
+			}
+		})
 	}()
 }
 
--- a/internal/planner/lag_test.go
+++ b/internal/planner/lag_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -144,3 +145,37 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(hold.LeaseEndMS, qt.Equals, int64(600+1500+4000))
 }
+
+// Guards against a report that arrives after its call was given up and replaces what
+// a newer one has told: a run that has ended would count as running again.
+func TestLateReportDoesNotReplaceANewerOne(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.step(QueuesChanged{Queues: []Queue{testQueue}})
+	h.join(testWorker)
+	s, ok := findEffect[Start](h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	c.Assert(ok, qt.IsTrue)
+	h.step(StartDone{Worker: "w", Task: s.Task, Run: s.Run, Token: s.Token, Outcome: Done})
+	late := func(clockMS, startedMS int64) []Effect {
+		return h.step(HoldDone{Worker: "w", Token: s.Token, SentMS: h.now - 3000, Late: true, Outcome: Done, Report: Report{
+			StartedMS: startedMS, ClockMS: clockMS, Running: []RunningTask{{Task: s.Task, Run: s.Run}},
+		}})
+	}
+	h.now += 3000
+	w := h.core.workers["w"]
+	inFlight := w.holdsInFlight
+	c.Assert(w.runs[0].listedReport, qt.Equals, int64(0))
+	late(1000, 7)
+	c.Assert(w.runs[0].listedReport, qt.Equals, h.core.reports)
+	c.Assert(w.reportedMS < h.now-unresponsiveMS, qt.IsTrue, qt.Commentf("a late report counts as contact"))
+	c.Assert(w.holdsInFlight, qt.Equals, inFlight)
+
+	h.report(testWorker, Report{StartedMS: 7, ClockMS: 3100, Ended: []EndedTask{ended(1, 0, s.Run, EndFailed)}})
+	reports := h.core.reports
+	for _, e := range append(slices.Clone(late(2000, 7)), late(9000, 6)...) {
+		_, stopped := e.(Stop)
+		c.Check(stopped, qt.IsFalse)
+	}
+	c.Check(h.core.reports, qt.Equals, reports)
+	c.Check(h.core.jobs["j"].steps[0].tasks[0].runs, qt.HasLen, len(w.runs))
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -29,7 +29,13 @@
 	if !w.reported || c.now.MS-w.reportedMS > unresponsiveMS {
 		c.placementDue = true
 	}
-	w.reported, w.reportedMS, w.unverified = true, c.now.MS, false
+	w.reported = true
+	if e.Late {
+		// The worker may be silent, or have restarted, since.
+		w.reportedMS = max(w.reportedMS, e.SentMS)
+	} else {
+		w.reportedMS, w.unverified = c.now.MS, false
+	}
 	w.confirmed = max(w.confirmed, e.Token)
 	w.moreEnded = e.Report.MoreEnded
 	for i := range e.Report.Ended {
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -122,8 +122,11 @@
 		// ReceivedMS is when the outcome arrived, which may be long before the
 		// planner gets it; 0 if it has just arrived.
 		ReceivedMS int64
-		Outcome    Outcome
-		Report     Report
+		// Late is set if the call has been reported as OutcomeUnknown before. Its
+		// outcome is Done.
+		Late    bool
+		Outcome Outcome
+		Report  Report
 	}
 	// StartDone is the outcome of a Start.
 	StartDone struct {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -321,7 +321,12 @@
 	if w == nil {
 		return
 	}
-	w.holdsInFlight = max(0, w.holdsInFlight-1)
+	if !e.Late {
+		w.holdsInFlight = max(0, w.holdsInFlight-1)
+	} else if w.dead || w.startedMS != 0 && e.Report.StartedMS != w.startedMS || e.Report.ClockMS <= w.clockMS {
+		// Something newer is known of the worker.
+		return
+	}
 	switch e.Outcome {
 	case Done:
 		w.dead = false
