Fail no delegate whose outcomes wait at the leader

A leader whose event loop was 1.5 s late took its delegates for failed, one after the other, and gave up their calls: the outcomes lay in its own queue. Callers saw later starts, since the leader then made all calls itself.

An outcome is now overdue once everything that the leader received by its deadline has been handled.

TestLateLeaderFailsNoDelegate failed before: a delegate was out of use with its outcome in the leader's queue.

--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -491,9 +491,11 @@
 		return
 	}
 	d.checkedMS = now
+	// An outcome may wait here.
+	handled := cmp.Or(d.node.loopHandledMS(), now)
 	for id, call := range d.pending {
 		switch {
-		case now <= call.deadlineMS:
+		case handled <= call.deadlineMS:
 		case call.givenUpMS > 0:
 			d.take(id)
 		case slices.Contains(d.active, call.delegate):
--- a/internal/node/late_delegate_test.go
+++ b/internal/node/late_delegate_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"slices"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -110,12 +109,17 @@
 	}
 }
 
+// moveClock moves the leader's clock.
+func (s *lateSite) moveClock(ms int64) {
+	k := *s.n.clock.calibration.Load()
+	k.boot += millisecondsDuration(ms)
+	s.n.clock.calibration.Store(&k)
+}
+
 // advance lets time pass.
 func (s *lateSite) advance(ms int64) {
 	for ; ms > 0; ms -= stepMS {
-		k := *s.n.clock.calibration.Load()
-		k.boot += stepMS * time.Millisecond
-		s.n.clock.calibration.Store(&k)
+		s.moveClock(stepMS)
 		now := s.n.now().MS
 		s.n.step(planner.LeadershipAsOf{MS: now})
 		for s.n.term.writes.Len() > 0 {
@@ -243,3 +247,31 @@
 		s.Check(s.starts, qt.HasLen, 2, qt.Commentf("delegate lost: %v", delegateLost))
 	}
 }
+
+// Guards against a leader that is late and fails every delegate for it: their
+// outcomes wait in its own queue.
+func TestLateLeaderFailsNoDelegate(t *testing.T) {
+	s, delegates := newLateSite(t)
+	for _, g := range delegates {
+		s.makeLate(g)
+	}
+	s.advance(stepMS)
+	s.n.lastPostedMS = s.n.now().MS
+	s.n.post(context.Background(), dutyReports, func() {
+		for _, g := range delegates {
+			s.catchUp(g)
+		}
+	})
+	s.moveClock(2 * milliseconds(outcomeTimeout+delegateSilence))
+	s.d.tick()
+	s.Check(s.d.active, qt.HasLen, len(delegates))
+	event := <-s.n.ring.Receive()
+	event.run()
+	s.d.tick()
+	s.Check(s.d.active, qt.HasLen, len(delegates))
+
+	// Outcomes that do not wait here are overdue.
+	s.makeLate(delegates[0])
+	s.advance(2 * milliseconds(outcomeTimeout))
+	s.Check(s.d.active, qt.HasLen, len(delegates)-1)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,10 +218,7 @@
 // handledMS returns the time up to which everything received, here or by a
 // delegate, has been handled, or 0 if nothing waits. It runs in the event loop.
 func (n *Node) handledMS() int64 {
-	handled := int64(0)
-	if n.ring.Len() > 0 {
-		handled = n.lastPostedMS - milliseconds(postMargin)
-	}
+	handled := n.loopHandledMS()
 	if n.term == nil {
 		return handled
 	}
@@ -231,6 +228,15 @@
 	return handled
 }
 
+// loopHandledMS returns the time up to which the event loop has handled everything
+// that this instance received, or 0 if nothing waits.
+func (n *Node) loopHandledMS() int64 {
+	if n.ring.Len() == 0 {
+		return 0
+	}
+	return n.lastPostedMS - milliseconds(postMargin)
+}
+
 // reportLoad updates the metrics of the load. A leader also logs it, as does any
 // other instance that is behind.
 func (n *Node) reportLoad(nowMS int64) {
