Say how late delegates are

Nobody could see a delegate that holds up reports: its own event loop may be on time, and the leader logged a delegate only once it had failed.

The leader's load line says how long a delegate took to pass a message and its answer on (delegate_lag_max_ms, metric delegate_lag_seconds).

TestLoadNamesLateDelegates and TestOutcomesAreSentUntilConfirmed check them.

--- a/internal/node/delegate.go
+++ b/internal/node/delegate.go
@@ -160,6 +160,9 @@
 	if err != nil && t.ctx.Err() == nil {
 		n.tele.Log.Warn("outcomes_not_reported", append(telemetry.ErrorFields(err), zap.Uint64("epoch", t.epoch), zap.Int("calls", len(batch)))...)
 	}
+	if err == nil {
+		n.load.reported(n.now().MS - batch[0].queuedMS)
+	}
 	return err == nil
 }
 
--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -369,6 +369,7 @@
 	switch {
 	case call.command == nil:
 		d.take(m.GetId())
+		d.node.load.probed(receivedMS - call.sentMS)
 		call.delegate.handledMS = max(call.delegate.handledMS, call.sentMS-milliseconds(postMargin))
 		return
 	case !isHold, outcome != planner.Done:
@@ -499,6 +500,7 @@
 		case call.givenUpMS > 0:
 			d.take(id)
 		case slices.Contains(d.active, call.delegate):
+			d.node.load.probed(now - call.sentMS)
 			d.fail(call.delegate, "outcome overdue")
 		default:
 			d.giveUp(id)
--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -246,6 +246,7 @@
 	n.queueOutcome(term, encodeOutcome(2, planner.Done))
 	c.Assert(<-got, qt.Equals, uint64(1))
 	c.Assert(<-got, qt.Equals, uint64(2))
+	waitFor(t, "the wait is measured", func() bool { return n.load.maxOutcomeWaitMS.Load() >= 2*milliseconds(retryPause) })
 }
 
 // confirmingLeader is a leader that refuses the first batches.
--- a/internal/node/late_delegate_test.go
+++ b/internal/node/late_delegate_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
 	"redwingvale/internal/jobs"
@@ -275,3 +277,29 @@
 	s.advance(2 * milliseconds(outcomeTimeout))
 	s.Check(s.d.active, qt.HasLen, len(delegates)-1)
 }
+
+// Guards against a delegate that is late without a trace, on the leader and where it
+// runs.
+func TestLoadNamesLateDelegates(t *testing.T) {
+	s, delegates := newLateSite(t)
+	core, logs := observer.New(zap.InfoLevel)
+	s.n.tele.Log = zap.New(core)
+	s.n.reportLoad(s.n.now().MS)
+	const late = 1000
+	s.makeLate(delegates[0])
+	s.advance(late + milliseconds(delegateCheckInterval))
+	s.catchUp(delegates[0])
+	s.n.reportLoad(s.n.now().MS)
+	lines := logs.FilterMessage("load").All()
+	fields := fieldsOf(lines[len(lines)-1])
+	s.Check(fields["delegate_lag_max_ms"] >= late, qt.IsTrue, qt.Commentf("%v", fields))
+
+	s.n.term = nil
+	s.n.load.reported(milliseconds(lagWarning))
+	s.n.load.reported(1)
+	s.n.reportLoad(s.n.now().MS)
+	s.n.reportLoad(s.n.now().MS)
+	rest := logs.FilterMessage("load").All()[len(lines):]
+	s.Assert(rest, qt.HasLen, 1)
+	s.Check(fieldsOf(rest[0])["outcome_wait_max_ms"], qt.Equals, milliseconds(lagWarning))
+}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -79,8 +80,15 @@
 	// maxLagMS is the longest delay of an event since the last report, tickLagMS
 	// that since the last tick.
 	maxLagMS, tickLagMS int64
+	// maxDelegateLagMS is the longest time since the last report that a probe of a
+	// delegate took, maxOutcomeWaitMS that for which an outcome waited here until
+	// the leader had it.
+	maxDelegateLagMS int64
+	maxOutcomeWaitMS atomic.Int64
 
 	lag         tally.Histogram
+	delegateLag tally.Histogram
+	outcomeWait tally.Histogram
 	busyMicros  [dutyCount]tally.Counter
 	planMicros  [dutyCount]tally.Counter
 	collections tally.Counter
@@ -93,9 +101,12 @@
 }
 
 func newLoadMeter(scope tally.Scope) *loadMeter {
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 	m := &loadMeter{
 		runtime:     telemetry.NewRuntimeReader(),
-		lag:         scope.Histogram("loop_lag_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)),
+		lag:         scope.Histogram("loop_lag_seconds", buckets),
+		delegateLag: scope.Histogram("delegate_lag_seconds", buckets),
+		outcomeWait: scope.Histogram("outcome_wait_seconds", buckets),
 		collections: scope.Counter("gc_collections"),
 		collectorUS: scope.Counter("gc_microseconds"),
 		assistUS:    scope.Counter("gc_assist_microseconds"),
@@ -132,6 +143,29 @@
 	m.lag.RecordDuration(lag)
 }
 
+// probed notes how long a delegate took for a probe.
+func (m *loadMeter) probed(lagMS int64) {
+	m.maxDelegateLagMS = max(m.maxDelegateLagMS, lagMS)
+	m.delegateLag.RecordDuration(millisecondsDuration(lagMS))
+}
+
+// reported notes how long the oldest outcome of a batch waited for the leader. Any
+// goroutine may call it.
+func (m *loadMeter) reported(waitMS int64) {
+	for {
+		highest := m.maxOutcomeWaitMS.Load()
+		if waitMS <= highest || m.maxOutcomeWaitMS.CompareAndSwap(highest, waitMS) {
+			break
+		}
+	}
+	m.outcomeWait.RecordDuration(millisecondsDuration(waitMS))
+}
+
+// late reports whether an event, or an outcome for the leader, has waited for long.
+func (m *loadMeter) late() bool {
+	return max(m.maxLagMS, m.maxOutcomeWaitMS.Load()) >= milliseconds(lagWarning)
+}
+
 // lagSinceTick returns the longest delay of an event since the last tick.
 func (m *loadMeter) lagSinceTick() int64 {
 	lagMS := m.tickLagMS
@@ -158,6 +192,8 @@
 	fields := []zap.Field{
 		zap.Int64("interval_ms", nowMS-m.reportedMS),
 		zap.Int64("lag_max_ms", m.maxLagMS),
+		zap.Int64("delegate_lag_max_ms", m.maxDelegateLagMS),
+		zap.Int64("outcome_wait_max_ms", m.maxOutcomeWaitMS.Swap(0)),
 		zap.Int("queued", queued),
 		zap.Int64("processor_ms", (usage.Processor - m.last.Processor).Milliseconds()),
 	}
@@ -190,6 +226,6 @@
 		zap.Uint64("memory_mb", usage.MappedBytes/mb),
 	)
 	m.last, m.lastBusy, m.lastPlan = usage, m.busy, m.planning
-	m.reportedMS, m.maxLagMS = nowMS, 0
+	m.reportedMS, m.maxLagMS, m.maxDelegateLagMS = nowMS, 0, 0
 	return fields
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,7 +240,7 @@
 // reportLoad updates the metrics of the load. A leader also logs it, as does any
 // other instance that is behind.
 func (n *Node) reportLoad(nowMS int64) {
-	logged := n.term != nil || n.load.maxLagMS >= milliseconds(lagWarning)
+	logged := n.term != nil || n.load.late()
 	var work planner.Work
 	if n.term != nil {
 		work = n.term.core.Work()
