Check that late delegates start nothing again

Guards against orders of late delegates in which a task whose worker responds starts again, and against hold calls that stay in the books of a delegate: no lease would count as over.

--- a/internal/node/late_delegate_test.go
+++ b/internal/node/late_delegate_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+	"pgregory.net/rapid"
 
 	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
 	"redwingvale/internal/jobs"
@@ -21,8 +22,9 @@
 // has the workers w1 and w2, and delegates that answer when the test lets them.
 type lateSite struct {
 	*qt.C
-	n *Node
-	d *delegation
+	n         *Node
+	d         *delegation
+	delegates []*delegate
 	// late are the delegates that have stopped to report, with their outcomes.
 	late map[*delegate][]*nodev1.CallOutcome
 	// owner names the delegates to which a worker's calls go, in order of preference.
@@ -67,6 +69,7 @@
 		d.delegates[name] = g
 		delegates = append(delegates, g)
 	}
+	s.delegates = delegates
 	s.owner = map[planner.WorkerID][]*delegate{"w1": delegates, "w2": {delegates[2]}}
 	infos := []planner.WorkerInfo{s.info("w1"), s.info("w2")}
 	d.setWorkers(infos)
@@ -129,7 +132,7 @@
 			s.n.apply(Batch{From: s.n.appliedEnd, Records: w.Records, End: s.n.appliedEnd + int64(len(w.Records))})
 			s.n.step(planner.WriteDone{Seq: w.Seq})
 		}
-		for _, g := range s.d.delegates {
+		for _, g := range s.delegates {
 			for range g.calls.Len() {
 				s.answer(g, <-g.calls.Receive())
 			}
@@ -303,3 +306,67 @@
 	s.Assert(rest, qt.HasLen, 1)
 	s.Check(fieldsOf(rest[0])["outcome_wait_max_ms"], qt.Equals, milliseconds(lagWarning))
 }
+
+// Guards against an order of late delegates in which a task whose worker responds
+// starts again, and against calls that never leave the delegates' books: then no
+// lease would ever count as over.
+func TestLateDelegatesStartNothingAgain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s, delegates := newLateSite(t)
+		endsAt := rapid.IntRange(0, 40).Draw(rt, "ends at")
+		for i := range 50 {
+			if i == endsAt {
+				s.endTask()
+			}
+			for _, g := range delegates[:2] {
+				_, late := s.late[g]
+				switch rapid.IntRange(0, 19).Draw(rt, "change") {
+				case 0, 1, 2:
+					if !late {
+						s.makeLate(g)
+					}
+				case 3:
+					s.catchUp(g)
+				}
+			}
+			s.advance(int64(stepMS * rapid.IntRange(1, 30).Draw(rt, "steps")))
+			if len(s.starts) > 1 {
+				rt.Fatalf("started again, last on %s", s.starts[len(s.starts)-1].Worker)
+			}
+			s.checkHolds(rt)
+		}
+		s.catchUp(delegates[0])
+		s.catchUp(delegates[1])
+		s.advance(s.n.config.LeaseMS + milliseconds(2*outcomeTimeout))
+		if s.state() != jobs.Completed {
+			rt.Fatalf("the job is %s", s.state())
+		}
+		if behind := s.n.now().MS - s.d.handledMS(); behind > 2*milliseconds(delegateCheckInterval) {
+			rt.Fatalf("handled up to %d ms ago", behind)
+		}
+	})
+}
+
+// checkHolds compares the numbers of hold calls with the calls themselves.
+func (s *lateSite) checkHolds(rt *rapid.T) {
+	counted, given := map[*delegate]int{}, 0
+	for _, call := range s.d.pending {
+		if call.counted {
+			counted[call.delegate]++
+		}
+		if call.counted && call.givenUpMS > 0 {
+			given++
+		}
+	}
+	for _, ids := range s.d.givenUp {
+		given -= len(ids)
+	}
+	if given != 0 {
+		rt.Fatalf("%d calls that were given up are not listed", given)
+	}
+	for _, g := range s.delegates {
+		if g.holds != counted[g] {
+			rt.Fatalf("%s has %d hold calls, counted as %d", g.name, counted[g], g.holds)
+		}
+	}
+}
