--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -11,9 +11,17 @@
 	// inherited is set for a worker that the predecessor recorded; it may run
 	// tasks until it reports or its leases must have expired.
 	inherited bool
+	// addedMS is when this leader learned of the worker.
+	addedMS int64
 	// dead is set when another worker or incarnation responds at its address.
-	dead      bool
-	startedMS int64
+	dead       bool
+	deadReason string
+	// recordedAddress is the address in the worker's record in the log; "" if the
+	// log holds none. Nothing starts on a worker at an address that is not
+	// recorded: a successor may find no directory entry of the worker, and must
+	// still wait for its report before it starts tasks that it has found nowhere.
+	recordedAddress string
+	startedMS       int64
 
 	// token is the fencing token of every call; it is raised when the outcome
 	// of a call is unknown.
@@ -167,7 +175,7 @@
 		info := infos[i]
 		w := c.workers[info.ID]
 		if w == nil {
-			w = &worker{token: max(c.epoch<<tokenShift, c.tokenFloor), nextHoldMS: c.now.MS}
+			w = &worker{token: max(c.epoch<<tokenShift, c.tokenFloor), nextHoldMS: c.now.MS, addedMS: c.now.MS}
 			w.health.reset()
 			c.workers[info.ID] = w
 			c.sortedWorkers = append(c.sortedWorkers, w)
@@ -212,6 +220,7 @@
 			departed = c.now.MS-c.termStartMS > c.inheritedLeaseMS(w)
 		}
 		if !w.listed && len(w.runs) == 0 && len(w.ended) == 0 && departed {
+			c.logRemoved(w)
 			delete(c.workers, w.info.ID)
 			c.tokenFloor = max(c.tokenFloor, w.token+1)
 			c.markWorkerDirty(w.info.ID)
@@ -374,7 +383,7 @@
 	if w.dead {
 		return
 	}
-	w.dead = true
+	w.dead, w.deadReason = true, reason
 	c.emit(Decision{Event: "worker_dead", Worker: w.info.ID, Reason: reason})
 	c.loseRuns(w, reason)
 	c.checkReconciled()
