Make more delegates late in the tests

With two late delegates a worker is called by a third one within its lease, once probes are overdue after 1.5 s.

--- a/internal/node/late_delegate_test.go
+++ b/internal/node/late_delegate_test.go
@@ -25,6 +25,7 @@
 	n         *Node
 	d         *delegation
 	delegates []*delegate
+	queues    []planner.Queue
 	// late are the delegates that have stopped to report, with their outcomes.
 	late map[*delegate][]*nodev1.CallOutcome
 	// owner names the delegates to which a worker's calls go, in order of preference.
@@ -50,7 +51,7 @@
 	silentCallMS = 900
 )
 
-// newLateSite returns a site with three delegates. w1 runs a task.
+// newLateSite returns a site whose w1 runs a task. w2 is called by the last delegate.
 func newLateSite(t *testing.T) (s *lateSite, delegates []*delegate) {
 	t.Helper()
 	tele := telemetry.New("rwnode", "a", io.Discard)
@@ -64,13 +65,13 @@
 	d := newDelegation(n, n.term)
 	n.term.delegation = d
 	s = &lateSite{C: qt.New(t), n: n, d: d, late: map[*delegate][]*nodev1.CallOutcome{}, running: map[planner.WorkerID][]planner.RunningTask{}}
-	for _, name := range []string{"g1", "g2", "g3"} {
+	for _, name := range []string{"g1", "g2", "g3", "g4", "g5"} {
 		g := &delegate{name: name, calls: ring.New[queuedCall](ringSize), states: ring.New[planner.JobStateChanged](ringSize)}
 		d.delegates[name] = g
 		delegates = append(delegates, g)
 	}
 	s.delegates = delegates
-	s.owner = map[planner.WorkerID][]*delegate{"w1": delegates, "w2": {delegates[2]}}
+	s.owner = map[planner.WorkerID][]*delegate{"w1": delegates, "w2": delegates[len(delegates)-1:]}
 	infos := []planner.WorkerInfo{s.info("w1"), s.info("w2")}
 	d.setWorkers(infos)
 	d.startedMS -= milliseconds(gatherTime)
@@ -78,7 +79,8 @@
 	s.assign()
 	manifest, _, err := (&fixedManifest{version: 1}).Manifest(ctx)
 	s.Assert(err, qt.IsNil)
-	n.step(planner.QueuesChanged{Queues: []planner.Queue{manifest.Queues[0].Queue}})
+	s.queues = []planner.Queue{manifest.Queues[0].Queue}
+	n.step(planner.QueuesChanged{Queues: s.queues})
 	n.step(planner.WorkersChanged{Workers: infos})
 	// A lease of a predecessor would be over by now.
 	s.advance(int64(config.Bounds.MaxLeaseMS))
@@ -206,14 +208,15 @@
 }
 
 // Guards against a task that starts again although its run has ended as done: the
-// report with the end waited at a delegate that was late, and then at another one,
-// while the leader took the worker for silent and its lease for over.
+// report with the end waited at one late delegate after the other, while the leader
+// took the worker for silent and its lease for over.
 func TestLeaseIsNotOverWhileAReportWaitsAtADelegate(t *testing.T) {
 	s, delegates := newLateSite(t)
-	s.makeLate(delegates[0])
-	s.makeLate(delegates[1])
+	for _, g := range delegates[:len(delegates)-1] {
+		s.makeLate(g)
+	}
 	s.endTask()
-	s.advance(8000)
+	s.advance(10_000)
 	s.Check(s.starts, qt.HasLen, 1)
 	s.Check(s.state(), qt.Equals, jobs.Completed)
 }
@@ -318,7 +321,7 @@
 			if i == endsAt {
 				s.endTask()
 			}
-			for _, g := range delegates[:2] {
+			for _, g := range delegates[:len(delegates)-1] {
 				_, late := s.late[g]
 				switch rapid.IntRange(0, 19).Draw(rt, "change") {
 				case 0, 1, 2:
@@ -335,8 +338,9 @@
 			}
 			s.checkHolds(rt)
 		}
-		s.catchUp(delegates[0])
-		s.catchUp(delegates[1])
+		for _, g := range delegates {
+			s.catchUp(g)
+		}
 		s.advance(s.n.config.LeaseMS + milliseconds(2*outcomeTimeout))
 		if s.state() != jobs.Completed {
 			rt.Fatalf("the job is %s", s.state())
