Reproduce second starts after a worker has joined unrecorded in the soak

Random faults of one link or process at a time did not show the incident of takeover-runs-twice.md. rwsoak -scenario join-without-record plays its first hypothesis with real processes: the store serves reads but no appends, workers join (or restart at another address, under a new id, or at each other's address) and get tasks, their directory entries lapse, the leader falls, and the entries are back only after the successor has begun.

--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -39,6 +40,7 @@
 	flags.Float64Var(&options.JobsPerS, "jobs", 8, "submissions a second")
 	flags.IntVar(&options.Series, "series", 3, "concurrent series of faults")
 	flags.BoolVar(&options.Delegates, "delegates", false, "the leader calls workers through other instances")
+	flags.StringVar(&options.Scenario, "scenario", "", "a directed sequence of faults in each round instead of random ones: "+strings.Join(soak.Scenarios(), ", "))
 	verbose := flags.Bool("v", false, "print each fault")
 	if err := ff.Parse(flags, os.Args[1:], ff.WithEnvVarPrefix("RWSOAK")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -54,11 +54,7 @@
 	worker := rng.IntN(len(r.workers))
 	d := time.Duration(rng.Int64N(int64(maxFaultLength)))
 	link := [...]*proxy{in.callers, in.peer, in.store, r.links[worker]}[rng.IntN(4)]
-	logFault := func(format string, args ...any) {
-		if r.options.Log != nil {
-			fmt.Fprintf(r.options.Log, "time=%s event=fault what=%q for=%s\n", time.Now().Format(time.RFC3339Nano), fmt.Sprintf(format, args...), d)
-		}
-	}
+	logFault := func(format string, args ...any) { r.logFault(d, format, args...) }
 	switch kind := rng.IntN(16); kind {
 	case 0:
 		logFault("kill %s", in.name)
@@ -134,6 +130,13 @@
 	}
 }
 
+// logFault logs a fault that lasts d.
+func (r *run) logFault(d time.Duration, format string, args ...any) {
+	if r.options.Log != nil {
+		fmt.Fprintf(r.options.Log, "time=%s event=fault what=%q for=%s\n", time.Now().Format(time.RFC3339Nano), fmt.Sprintf(format, args...), d)
+	}
+}
+
 // restartDuringStoreOutage kills all instances while the store refuses all
 // calls, and restarts them. What the leader started during the outage is not
 // recorded, and some of its callers give up.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -192,3 +192,10 @@
 	response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// cut blocks or unblocks the instance's links to the store and other instances.
+func (in *instance) cut(block bool) {
+	for _, p := range []*proxy{in.peer, in.store} {
+		p.setFaults(0, block, block)
+	}
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -13,10 +13,10 @@
 // reset them.
 type proxy struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
-	delay time.Duration
+	mu     sync.Mutex
+	target string
+	delay  time.Duration
 	// blockedIn and blockedOut stop forwarding in one direction. The bytes are
 	// kept until the direction is unblocked or the sender resets the connection.
 	blockedIn, blockedOut bool
@@ -53,7 +53,10 @@
 }
 
 func (p *proxy) forward(in net.Conn) {
-	out, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	out, err := net.Dial("tcp", target)
 	if err != nil {
 		reset(in)
 		return
@@ -135,6 +138,17 @@
 	p.delay, p.blockedIn, p.blockedOut = delay, blockedIn, blockedOut
 }
 
+// swapTargets exchanges what two proxies forward to, and ends their connections.
+func swapTargets(a, b *proxy) {
+	a.mu.Lock()
+	b.mu.Lock()
+	a.target, b.target = b.target, a.target
+	b.mu.Unlock()
+	a.mu.Unlock()
+	a.resetAll()
+	b.resetAll()
+}
+
 // resetAll ends all open connections with a reset.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/soak/scenario.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"redwingvale/internal/jobs"
+	"redwingvale/platform/standin"
+)
+
+// scenarios are directed sequences of faults, for failures that random faults
+// rarely produce.
+var scenarios = map[string]func(*run, context.Context, *rand.Rand){
+	"join-without-record": (*run).joinWithoutRecord,
+}
+
+// Scenarios returns the names of the scenarios.
+func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+const (
+	// entryLapse is longer than a directory entry lasts without a write.
+	entryLapse = 3200 * time.Millisecond
+	// entryReturn bounds the time from the return of the store until the entries
+	// of live workers are back.
+	entryReturn = 1900 * time.Millisecond
+	// leaderWait bounds the wait for a leader in a scenario.
+	leaderWait = 10 * time.Second
+	// The backlog needs more room than there is. Some of its tasks outlast a
+	// change of leader, others end before it and leave room.
+	backlogMinMS     = 2500
+	backlogSpreadMS  = 9000
+	backlogCPUMilli  = 4000
+	backlogJobTasks  = 4
+	backlogOversized = 1.4
+	// backlogLead is how long jobs are submitted before the first fault.
+	backlogLead = time.Second
+)
+
+// leader returns the instance of the log's newest claim, or nil.
+func (r *run) leader() *instance {
+	var claim struct {
+		Instance string `json:"instance"`
+	}
+	if json.Unmarshal(r.store.Newest("keyed.jobs", "owner"), &claim) != nil {
+		return nil
+	}
+	for _, in := range r.instances {
+		if in.name == claim.Instance {
+			return in
+		}
+	}
+	return nil
+}
+
+// awaitLeader waits until an instance other than old leads.
+func (r *run) awaitLeader(ctx context.Context, old *instance) *instance {
+	for limit := time.Now().Add(leaderWait); ctx.Err() == nil && time.Now().Before(limit); sleep(ctx, 20*time.Millisecond) {
+		if in := r.leader(); in != nil && in != old {
+			return in
+		}
+	}
+	return nil
+}
+
+// setStoreFault sets a fault of the store for all instances.
+func (r *run) setStoreFault(f standin.StoreFault) {
+	for _, in := range r.instances {
+		r.store.SetFault(in.name, f)
+	}
+}
+
+// fillWorkers submits jobs that need more room than the workers have, and returns
+// when most of them have been accepted. They are polled until they end.
+func (r *run) fillWorkers(ctx context.Context, rng *rand.Rand) {
+	tasks := int(backlogOversized * float64(len(r.workers)*workerCores/backlogCPUMilli))
+	for range tasks/backlogJobTasks + 1 {
+		step := jobs.Step{Count: backlogJobTasks, CPUMilli: backlogCPUMilli, MemoryMB: 200, EstimateMS: backlogMinMS + rng.IntN(backlogSpreadMS)}
+		id := r.registerJob(&jobs.Job{Queue: standin.Queue, Steps: []jobs.Step{step}})
+		callerRNG := rand.New(rand.NewPCG(r.options.Seed, rng.Uint64()))
+		r.callers.Add(1)
+		go func() {
+			defer r.callers.Done()
+			r.runCaller(ctx, id, callerRNG)
+		}()
+	}
+	sleep(ctx, backlogLead)
+}
+
+// joinWithoutRecord lets workers join, or restart at another address, while the
+// store serves reads but no appends. Their entries lapse, the leader falls, and
+// the entries are back only after the successor has begun. A successor that
+// knows a worker from neither the log nor the directory starts its tasks again.
+func (r *run) joinWithoutRecord(ctx context.Context, rng *rand.Rand) {
+	first := r.awaitLeader(ctx, nil)
+	if first == nil {
+		return
+	}
+	r.fillWorkers(ctx, rng)
+	faults := [...]standin.StoreFault{{AppendsOnly: true, Refuse: true}, {AppendsOnly: true, Unresponsive: true}, {LoseResponses: true}}
+	f := faults[rng.IntN(len(faults))]
+	r.logFault(0, "store fault %+v for all", f)
+	r.setStoreFault(f)
+	// A write that is under way ends, or has no response.
+	sleep(ctx, time.Duration(500+rng.IntN(500))*time.Millisecond)
+	var joined []*standin.Worker
+	for range 1 + rng.IntN(3) {
+		joined = append(joined, r.joinWorker(rng)...)
+	}
+	// The first entries reach the store, the next ones do not.
+	sleep(ctx, 100*time.Millisecond)
+	for _, w := range joined {
+		w.SilenceEntry(time.Minute)
+	}
+	sleep(ctx, entryLapse+time.Duration(rng.IntN(500))*time.Millisecond)
+	leader := r.leader()
+	cause := rng.IntN(3)
+	down := time.Duration(4000+rng.IntN(3000)) * time.Millisecond
+	r.logFault(down, "leader %s falls by %s", leader.name, [...]string{"SIGKILL", "SIGSTOP", "a cut of its links"}[cause])
+	r.faults.Add(1)
+	switch cause {
+	case 0:
+		_ = leader.stop(syscall.SIGKILL, gracePeriod)
+	case 1:
+		leader.signal(syscall.SIGSTOP)
+	case 2:
+		leader.cut(true)
+	}
+	sleep(ctx, time.Duration(rng.IntN(800))*time.Millisecond)
+	if cause == 2 {
+		for _, in := range r.instances {
+			if in != leader {
+				r.store.SetFault(in.name, standin.StoreFault{})
+			}
+		}
+	} else {
+		r.setStoreFault(standin.StoreFault{})
+	}
+	back := time.Duration(rng.Int64N(int64(entryReturn)))
+	for _, w := range r.workers {
+		w.SilenceEntry(back)
+	}
+	next := r.awaitLeader(ctx, leader)
+	if next != nil {
+		r.logFault(0, "%s leads after %s", next.name, leader.name)
+	}
+	sleep(ctx, down)
+}
+
+// The ways in which joinWorker starts a worker.
+const (
+	joinNew = iota
+	joinElsewhere
+	joinInPlace
+	joinSwapped
+	joinWays
+)
+
+// joinWorker starts a worker: a new one, one under its id at another address, one
+// under a new id at its address, or two that have changed their addresses.
+func (r *run) joinWorker(rng *rand.Rand) []*standin.Worker {
+	r.faults.Add(1)
+	i, j := rng.IntN(len(r.workers)), rng.IntN(len(r.workers))
+	w, other := r.workers[i], r.workers[j]
+	id, address := w.ID(), w.Address()
+	switch way := rng.IntN(joinWays); {
+	case way == joinNew:
+		if err := r.addWorker(); err != nil {
+			r.checker.ReportViolation("%v", err)
+			return nil
+		}
+		w = r.workers[len(r.workers)-1]
+		r.logFault(0, "%s joins at %s", w.ID(), w.Address())
+		return []*standin.Worker{w}
+	case way == joinInPlace:
+		w.Join(r.newWorkerID(), address)
+		r.logFault(0, "%s restarts as %s at %s", id, w.ID(), address)
+		return []*standin.Worker{w}
+	case way == joinSwapped && i != j:
+		r.links[i], r.links[j] = r.links[j], r.links[i]
+		swapTargets(r.links[i], r.links[j])
+		w.Join(id, other.Address())
+		other.Join(other.ID(), address)
+		r.logFault(0, "%s and %s restart at each other's address, %s and %s", id, other.ID(), w.Address(), address)
+		return []*standin.Worker{w, other}
+	default:
+		old := r.links[i]
+		link, err := newProxy(old.target)
+		if err != nil {
+			r.checker.ReportViolation("%v", err)
+			return nil
+		}
+		r.links[i] = link
+		w.Join(id, link.address())
+		old.close()
+		old.resetAll()
+		r.logFault(0, "%s restarts at %s, was at %s", id, w.Address(), address)
+		return []*standin.Worker{w}
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,7 +35,8 @@
 	// RecoveryLimit bounds the time from the last fault until all jobs have
 	// ended.
 	RecoveryLimit time.Duration
-	// JobsPerS is the number of submissions per second.
+	// JobsPerS is the number of random submissions per second. It may be 0 in a
+	// scenario, which submits jobs of its own.
 	JobsPerS float64
 	// Series is the number of concurrent series of faults.
 	Series int
@@ -56,7 +57,10 @@
 	// LoseWrites makes the store lose acknowledged writes, which no store may
 	// do. The checks must detect it.
 	LoseWrites bool
-	Log        io.Writer
+	// Scenario is the name of a directed sequence of faults that each round plays
+	// instead of random ones (Scenarios).
+	Scenario string
+	Log      io.Writer
 }
 
 // Times and counts of the callers, from the users' kinds of request.
@@ -115,10 +119,14 @@
 	version   int
 	// accepted receives a value when a submission is accepted.
 	accepted chan struct{}
+	// callers counts the callers whose jobs have not ended.
+	callers sync.WaitGroup
 
 	mu   sync.Mutex
 	next int
 	ids  []jobs.ID
+	// workerIDs counts the ids that workers have had.
+	workerIDs int
 }
 
 // Run executes one run with the seed in options. An error means that the run
@@ -138,14 +146,14 @@
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
-	var callers sync.WaitGroup
+	callers := &r.callers
 	rng := rand.New(rand.NewPCG(options.Seed, 1))
 	submitting, endSubmissions := context.WithCancel(ctx)
 	defer endSubmissions()
 	callers.Add(1)
 	go func() {
 		defer callers.Done()
-		for submitting.Err() == nil {
+		for submitting.Err() == nil && options.JobsPerS > 0 {
 			id := r.newJob(rng)
 			callers.Add(1)
 			go func(seed uint64) {
@@ -188,6 +196,11 @@
 
 // runRound injects faults for Options.FaultDuration and then clears them all.
 func (r *run) runRound(ctx context.Context, round uint64) {
+	if play := scenarios[r.options.Scenario]; play != nil {
+		play(r, ctx, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1))))
+		r.clearFaults()
+		return
+	}
 	faulting, cancel := context.WithTimeout(ctx, r.options.FaultDuration)
 	defer cancel()
 	var injectors sync.WaitGroup
@@ -245,22 +258,13 @@
 // start starts the stand-ins and the instances and waits until all instances are
 // ready.
 func (r *run) start(ctx context.Context) error {
-	for i := range r.options.Workers {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		link, err := newProxy(socket.Addr().String())
-		if err != nil {
+	if r.options.Scenario != "" && scenarios[r.options.Scenario] == nil {
+		return errors.Newf("there is no scenario %q", r.options.Scenario)
+	}
+	for range r.options.Workers {
+		if err := r.addWorker(); err != nil {
 			return err
 		}
-		w := standin.NewWorker(fmt.Sprintf("w%02d", i), link.address(), workerCores, r.store, r.checker)
-		w.SetFailureShare(r.options.FailShare)
-		w.SetFaults(r.options.WorkerFaults)
-		server := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: time.Minute}
-		go func() { _ = server.Serve(socket) }()
-		go w.Run(r.stop)
-		r.workers, r.links, r.servers = append(r.workers, w), append(r.links, link), append(r.servers, server)
 	}
 	r.store.LoseWrites(r.options.LoseWrites)
 	r.version = 1
@@ -287,6 +291,34 @@
 	return nil
 }
 
+// newWorkerID returns an id that no worker has had.
+func (r *run) newWorkerID() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workerIDs++
+	return fmt.Sprintf("w%02d", r.workerIDs-1)
+}
+
+// addWorker adds a worker with an id and an address of its own.
+func (r *run) addWorker() error {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	link, err := newProxy(socket.Addr().String())
+	if err != nil {
+		return err
+	}
+	w := standin.NewWorker(r.newWorkerID(), link.address(), workerCores, r.store, r.checker)
+	w.SetFailureShare(r.options.FailShare)
+	w.SetFaults(r.options.WorkerFaults)
+	server := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(socket) }()
+	go w.Run(r.stop)
+	r.workers, r.links, r.servers = append(r.workers, w), append(r.links, link), append(r.servers, server)
+	return nil
+}
+
 func (r *run) close() {
 	close(r.stop)
 	for _, in := range r.instances {
@@ -329,11 +361,6 @@
 
 // newJob generates a random job and registers it with the checker.
 func (r *run) newJob(rng *rand.Rand) jobs.ID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.next++
-	id := jobs.ID(fmt.Sprintf("%016x", r.options.Seed<<20|uint64(r.next)))
-	r.ids = append(r.ids, id)
 	job := &jobs.Job{Queue: standin.Queue}
 	for s := range 1 + rng.IntN(3) {
 		step := jobs.Step{Count: 1 + rng.IntN(6), CPUMilli: 500 + rng.IntN(3000), MemoryMB: 200, EstimateMS: 100 + rng.IntN(1500)}
@@ -342,6 +369,16 @@
 		}
 		job.Steps = append(job.Steps, step)
 	}
+	return r.registerJob(job)
+}
+
+// registerJob registers a job with the checker under a new id.
+func (r *run) registerJob(job *jobs.Job) jobs.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	id := jobs.ID(fmt.Sprintf("%016x", r.options.Seed<<20|uint64(r.next)))
+	r.ids = append(r.ids, id)
 	standin.NewCaller(r.checker, callerLimit).Register(id, job)
 	return id
 }
