--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -77,7 +77,7 @@
 // fillWorkers submits jobs that need more room than the workers have, and returns
 // when most of them have been accepted. They are polled until they end.
 func (r *run) fillWorkers(ctx context.Context, rng *rand.Rand) {
-	tasks := int(backlogOversized * float64(len(r.workers)*workerCores/backlogCPUMilli))
+	tasks := int(backlogOversized * float64(len(r.workers)*r.options.workerCPU()/backlogCPUMilli))
 	for range tasks/backlogJobTasks + 1 {
 		step := jobs.Step{Count: backlogJobTasks, CPUMilli: backlogCPUMilli, MemoryMB: 200, EstimateMS: backlogMinMS + rng.IntN(backlogSpreadMS)}
 		id := r.registerJob(&jobs.Job{Queue: standin.Queue, Steps: []jobs.Step{step}})
