Break many links, processes and workers at once in the soak

The users' machines cut, lose or slow many things at once; the soak broke one link or process at a time.

Half of the faults are now wide ones (-wide=false leaves them out): links between groups of instances and racks, zones or other instances are blocked in one or both directions without a reset, or delayed; all instances lose power with the store and none, some or all workers, and return in any order; workers join, leave, restart under another id or address or fall silent in the directory, at times while the store is down; the leader, its successor or all instances run for a part of the time; appends fail for some or all while reads are served; successive leaders are hit in their first seconds; and workers join without a record. Each instance has a link of its own to each worker and instance.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,11 +49,17 @@
 
 // injectFault injects one random fault and ends it.
 func (r *run) injectFault(ctx context.Context, rng *rand.Rand) {
+	if r.options.Wide && rng.IntN(2) == 0 {
+		r.injectWideFault(ctx, rng)
+		return
+	}
 	r.faults.Add(1)
 	in := r.instances[rng.IntN(len(r.instances))]
 	worker := rng.IntN(len(r.workers))
 	d := time.Duration(rng.Int64N(int64(maxFaultLength)))
-	link := [...]*proxy{in.callers, in.peer, in.store, r.links[worker]}[rng.IntN(4)]
+	r.mu.Lock()
+	link := [...]*proxy{in.callers, in.peer, in.store, r.doors[worker]}[rng.IntN(4)]
+	r.mu.Unlock()
 	logFault := func(format string, args ...any) { r.logFault(d, format, args...) }
 	switch kind := rng.IntN(16); kind {
 	case 0:
@@ -98,13 +104,13 @@
 		r.workers[worker].SuspendResponses(d)
 	case 9, 10:
 		f := [...]standin.StoreFault{{Refuse: true}, {Unresponsive: true}, {Delay: 200 * time.Millisecond}, {LoseResponses: true}}[rng.IntN(4)]
-		logFault("store fault %+v for %s", f, in.name)
+		logFault("store fault %s for %s", f, in.name)
 		r.store.SetFault(in.name, f)
 		sleep(ctx, d)
 		r.store.SetFault(in.name, standin.StoreFault{})
 	case 11:
 		f := [...]standin.StoreFault{{Refuse: true}, {Unresponsive: true}, {Delay: 150 * time.Millisecond}}[rng.IntN(3)]
-		logFault("store fault %+v for all", f)
+		logFault("store fault %s for all", f)
 		for _, other := range r.instances {
 			r.store.SetFault(other.name, f)
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -20,6 +20,7 @@
 // its interfaces.
 type instance struct {
 	name          string
+	index         int
 	binary        string
 	settingsFile  string
 	log           *os.File
@@ -53,7 +54,7 @@
 const noDelegation = 1 << 20
 
 const settingsText = `instance = %q
-data_centre = "z1"
+data_centre = %q
 first_start = %v
 callers_addr = %q
 readiness_addr = %q
@@ -64,7 +65,8 @@
 delegation_min_workers = %d
 
 [bounds]
-max_lease_ms = 6000
+max_lease_ms = %d
+stop_timeout_ms = %d
 status_s = 120
 grace_s = 6
 `
@@ -72,7 +74,7 @@
 // newInstance prepares an instance in a directory without starting its process.
 func newInstance(options *Options, index int, store *standin.Store, servers *[]*http.Server) (*instance, error) {
 	name := fmt.Sprintf("n%d", index)
-	in := &instance{name: name, binary: options.Binary, settingsFile: filepath.Join(options.Dir, name+".toml")}
+	in := &instance{name: name, index: index, binary: options.Binary, settingsFile: filepath.Join(options.Dir, name+".toml")}
 	addresses, err := freeAddresses(index)
 	if err != nil {
 		return nil, err
@@ -102,7 +104,7 @@
 		delegationMinWorkers = 1
 	}
 	settings := func(first bool) string {
-		return fmt.Sprintf(settingsText, name, first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address(), delegationMinWorkers)
+		return fmt.Sprintf(settingsText, name, zoneName(options.zone(index)), first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address(), delegationMinWorkers, options.maxLease().Milliseconds(), options.stopTimeout().Milliseconds())
 	}
 	return in, os.WriteFile(in.settingsFile, []byte(settings(true)), 0o600)
 }
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -77,7 +78,7 @@
 // fillWorkers submits jobs that need more room than the workers have, and returns
 // when most of them have been accepted. They are polled until they end.
 func (r *run) fillWorkers(ctx context.Context, rng *rand.Rand) {
-	tasks := int(backlogOversized * float64(len(r.workers)*r.options.workerCPU()/backlogCPUMilli))
+	tasks := int(backlogOversized * float64(r.options.Workers*r.options.workerCPU()/backlogCPUMilli))
 	for range tasks/backlogJobTasks + 1 {
 		step := jobs.Step{Count: backlogJobTasks, CPUMilli: backlogCPUMilli, MemoryMB: 200, EstimateMS: backlogMinMS + rng.IntN(backlogSpreadMS)}
 		id := r.registerJob(&jobs.Job{Queue: standin.Queue, Steps: []jobs.Step{step}})
@@ -103,7 +104,7 @@
 	r.fillWorkers(ctx, rng)
 	faults := [...]standin.StoreFault{{AppendsOnly: true, Refuse: true}, {AppendsOnly: true, Unresponsive: true}, {LoseResponses: true}}
 	f := faults[rng.IntN(len(faults))]
-	r.logFault(0, "store fault %+v for all", f)
+	r.logFault(0, "store fault %s for all", f)
 	r.setStoreFault(f)
 	// A write that is under way ends, or has no response.
 	sleep(ctx, time.Duration(500+rng.IntN(500))*time.Millisecond)
@@ -118,6 +119,9 @@
 	}
 	sleep(ctx, entryLapse+time.Duration(rng.IntN(500))*time.Millisecond)
 	leader := r.leader()
+	if leader == nil {
+		leader = first
+	}
 	cause := rng.IntN(3)
 	down := time.Duration(4000+rng.IntN(3000)) * time.Millisecond
 	r.logFault(down, "leader %s falls by %s", leader.name, [...]string{"SIGKILL", "SIGSTOP", "a cut of its links"}[cause])
@@ -141,14 +145,21 @@
 		r.setStoreFault(standin.StoreFault{})
 	}
 	back := time.Duration(rng.Int64N(int64(entryReturn)))
-	for _, w := range r.workers {
-		w.SilenceEntry(back)
-	}
+	r.silenceEntries(back)
 	next := r.awaitLeader(ctx, leader)
 	if next != nil {
 		r.logFault(0, "%s leads after %s", next.name, leader.name)
 	}
 	sleep(ctx, down)
+	switch cause {
+	case 0:
+		r.restart(leader, rng)
+	case 1:
+		leader.signal(syscall.SIGCONT)
+	case 2:
+		leader.cut(false)
+		r.store.SetFault(leader.name, standin.StoreFault{})
+	}
 }
 
 // The ways in which joinWorker starts a worker.
@@ -164,41 +175,48 @@
 // under a new id at its address, or two that have changed their addresses.
 func (r *run) joinWorker(rng *rand.Rand) []*standin.Worker {
 	r.faults.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	i, j := rng.IntN(len(r.workers)), rng.IntN(len(r.workers))
+	way := rng.IntN(joinWays)
+	if spare := slices.IndexFunc(r.workers, (*standin.Worker).Gone); way == joinNew && spare >= 0 {
+		i = spare
+	}
 	w, other := r.workers[i], r.workers[j]
 	id, address := w.ID(), w.Address()
-	switch way := rng.IntN(joinWays); {
-	case way == joinNew:
-		if err := r.addWorker(); err != nil {
-			r.checker.ReportViolation("%v", err)
-			return nil
-		}
-		w = r.workers[len(r.workers)-1]
-		r.logFault(0, "%s joins at %s", w.ID(), w.Address())
-		return []*standin.Worker{w}
+	switch {
 	case way == joinInPlace:
-		w.Join(r.newWorkerID(), address)
+		w.Join(r.nextWorkerID(), address)
 		r.logFault(0, "%s restarts as %s at %s", id, w.ID(), address)
 		return []*standin.Worker{w}
-	case way == joinSwapped && i != j:
-		r.links[i], r.links[j] = r.links[j], r.links[i]
-		swapTargets(r.links[i], r.links[j])
+	case way == joinSwapped && i != j && !other.Gone():
+		r.doors[i], r.doors[j] = r.doors[j], r.doors[i]
+		swapTargets(r.doors[i], r.doors[j])
 		w.Join(id, other.Address())
 		other.Join(other.ID(), address)
 		r.logFault(0, "%s and %s restart at each other's address, %s and %s", id, other.ID(), w.Address(), address)
 		return []*standin.Worker{w, other}
-	default:
-		old := r.links[i]
-		link, err := newProxy(old.target)
-		if err != nil {
-			r.checker.ReportViolation("%v", err)
-			return nil
-		}
-		r.links[i] = link
-		w.Join(id, link.address())
-		old.close()
-		old.resetAll()
-		r.logFault(0, "%s restarts at %s, was at %s", id, w.Address(), address)
-		return []*standin.Worker{w}
 	}
+	old := r.doors[i]
+	door, err := newProxy(old.target)
+	if err != nil {
+		r.checker.ReportViolation("%v", err)
+		return nil
+	}
+	r.doors[i] = door
+	r.links.add(door.address())
+	if way == joinNew {
+		id = r.nextWorkerID()
+	}
+	w.Join(id, door.address())
+	old.close()
+	old.resetAll()
+	r.logFault(0, "%s starts at %s, the worker was at %s", id, w.Address(), address)
+	return []*standin.Worker{w}
+}
+
+// nextWorkerID returns an id that no worker has had. The caller holds the lock.
+func (r *run) nextWorkerID() string {
+	r.workerIDs++
+	return fmt.Sprintf("w%02d", r.workerIDs-1)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,12 +4,14 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -63,7 +65,15 @@
 	// Scenario is the name of a directed sequence of faults that each round plays
 	// instead of random ones (Scenarios).
 	Scenario string
-	Log      io.Writer
+	// Wide adds faults that concern many links, processes or workers at once.
+	Wide bool
+	// Zones is the number of zones of instances and racks, and WorkersPerRack the
+	// size of a rack; 0 are one zone and three racks.
+	Zones, WorkersPerRack int
+	// MaxLease is the longest lease of a worker, and StopTimeout the longest time
+	// of a stop; 0 are 6 s and 500 ms.
+	MaxLease, StopTimeout time.Duration
+	Log                   io.Writer
 }
 
 // Times and counts of the callers, from the users' kinds of request.
@@ -108,12 +118,31 @@
 		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.MostEnds, r.Faults, len(r.Violations))
 }
 
+const (
+	defaultMaxLease    = 6 * time.Second
+	defaultStopTimeout = 500 * time.Millisecond
+)
+
+func (o *Options) maxLease() time.Duration { return cmp.Or(o.MaxLease, defaultMaxLease) }
+
+func (o *Options) stopTimeout() time.Duration { return cmp.Or(o.StopTimeout, defaultStopTimeout) }
+
+// spareWorkers is the number of workers that can join during a run.
+func (o *Options) spareWorkers() int {
+	if o.Wide || o.Scenario != "" {
+		return 2 + o.Workers/4
+	}
+	return 0
+}
+
 type run struct {
-	options   Options
-	store     *standin.Store
-	checker   *standin.Checker
-	workers   []*standin.Worker
-	links     []*proxy
+	options Options
+	store   *standin.Store
+	checker *standin.Checker
+	workers []*standin.Worker
+	links   *links
+	// doors are the proxies in front of the workers.
+	doors     []*proxy
 	instances []*instance
 	servers   []*http.Server
 	probe     *http.Client
@@ -139,14 +168,18 @@
 	workerIDs int
 }
 
-// Run executes one run with the seed in options. An error means that the run
-// could not be made.
-func Run(ctx context.Context, options Options) (*Result, error) {
-	r := &run{
+func newRun(options Options) *run {
+	return &run{
 		options: options, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}),
-		accepted: make(chan struct{}, 1), settled: make(chan struct{}),
+		links: newLinks(), accepted: make(chan struct{}, 1), settled: make(chan struct{}),
 		probe: &http.Client{Timeout: time.Second},
 	}
+}
+
+// Run executes one run with the seed in options. An error means that the run
+// could not be made.
+func Run(ctx context.Context, options Options) (*Result, error) {
+	r := newRun(options)
 	if err := options.checkMix(); err != nil {
 		return nil, err
 	}
@@ -286,8 +319,8 @@
 	if r.options.Scenario != "" && scenarios[r.options.Scenario] == nil {
 		return errors.Newf("there is no scenario %q", r.options.Scenario)
 	}
-	for range r.options.Workers {
-		if err := r.addWorker(); err != nil {
+	for i := range r.options.Workers + r.options.spareWorkers() {
+		if err := r.addWorker(i >= r.options.Workers); err != nil {
 			return err
 		}
 	}
@@ -300,6 +333,9 @@
 			return err
 		}
 		r.instances = append(r.instances, in)
+		peer := in.peer.address()
+		r.links.add(peer)
+		r.store.Translate(in.name, r.links.toInstance(in.name, peer), r.links.fromInstance)
 		if err := in.start(); err != nil {
 			return err
 		}
@@ -320,12 +356,12 @@
 func (r *run) newWorkerID() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.workerIDs++
-	return fmt.Sprintf("w%02d", r.workerIDs-1)
+	return r.nextWorkerID()
 }
 
-// addWorker adds a worker with an id and an address of its own.
-func (r *run) addWorker() error {
+// addWorker adds a worker with an id and an address of its own. An absent one joins
+// later.
+func (r *run) addWorker(absent bool) error {
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -334,14 +370,20 @@
 	if err != nil {
 		return err
 	}
+	r.links.add(link.address())
 	w := standin.NewWorker(r.newWorkerID(), link.address(), r.options.workerCPU(), r.store, r.checker)
 	r.placeWorker(w, len(r.workers))
+	w.SetZone(zoneName(r.options.workerZone(len(r.workers))))
+	w.SetLimits(r.options.maxLease(), r.options.stopTimeout()*8/10)
+	if absent {
+		w.SetAbsent()
+	}
 	w.SetFailureShare(r.options.FailShare)
 	w.SetFaults(r.options.WorkerFaults)
 	server := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(socket) }()
 	go w.Run(r.stop)
-	r.workers, r.links, r.servers = append(r.workers, w), append(r.links, link), append(r.servers, server)
+	r.workers, r.doors, r.servers = append(r.workers, w), append(r.doors, link), append(r.servers, server)
 	return nil
 }
 
@@ -357,9 +399,10 @@
 		in.store.close()
 		in.log.Close()
 	}
-	for _, link := range r.links {
-		link.close()
+	for _, door := range r.doors {
+		door.close()
 	}
+	r.links.close()
 	for _, server := range r.servers {
 		server.Close()
 	}
@@ -380,8 +423,18 @@
 			}
 		}
 	}
-	for _, link := range r.links {
-		link.setFaults(0, false, false)
+	r.mu.Lock()
+	doors := slices.Clone(r.doors)
+	r.mu.Unlock()
+	for _, door := range doors {
+		door.setFaults(0, false, false)
+	}
+	r.links.clear()
+	for i, w := range r.workers {
+		w.SilenceEntry(0)
+		if i < r.options.Workers && w.Gone() {
+			w.Join(r.newWorkerID(), w.Address())
+		}
 	}
 }
 
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -145,7 +145,7 @@
 
 // placeWorker sets the service and the labels of the worker with the given index.
 func (r *run) placeWorker(w *standin.Worker, index int) {
-	service, labels := "svc", []string{string(rune('a' + index%2)), fmt.Sprintf("r%d", 1+index%3)}
+	service, labels := "svc", []string{string(rune('a' + index%2)), fmt.Sprintf("r%d", 1+r.options.rack(index))}
 	switch {
 	case index == 0:
 		labels = slices.Insert(labels, 0, onlyLabel)
