Drop the unknown runs of a worker that is gone

What callers see: a task that never runs.

Cause: when another worker responded at a worker's address, the runs of unknown jobs that the former had listed were kept. If their job became known afterwards, they were taken over on a worker that is gone: no report and no lease releases them.

Change: they end with the worker, as its other runs do.

TestUnknownRunEndsWithItsWorker failed before (no start) and holds now.

--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -173,3 +173,20 @@
 		c.Assert(h.now < overMS+1000, qt.IsTrue)
 	}
 }
+
+// Guards against a task that never runs: a run of an unknown job was taken over when
+// the job became known, although another worker had responded at its worker's address.
+func TestUnknownRunEndsWithItsWorker(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 100, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 4}}}))
+	h.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: WrongWorker})
+	h.confirmWrites(h.report(other, Report{StartedMS: 7, ClockMS: 100}))
+	effects := slices.Clone(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	starts := allStarts(append(effects, h.advance(500)...))
+	c.Assert(starts, qt.HasLen, 1)
+	c.Assert(starts[0].Worker, qt.Equals, WorkerID("w2"))
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -394,7 +394,7 @@
 	if w.dead {
 		return
 	}
-	w.dead = true
+	w.dead, w.orphans = true, nil
 	c.emit(Decision{Event: "worker_dead", Worker: w.info.ID, Reason: reason})
 	c.loseRuns(w, reason)
 	c.checkReconciled()
