Number the runs of every job from the first number of the term

What callers see: an attempt more than the queue allows.

Cause: the runs of a job that became known after the takeover were numbered from 1, although a predecessor may have started its tasks as well, for instance on a worker that was out of reach. Failures are counted by run number, so those of two runs with one number counted as one.

Change: the numbers of each term begin at their own thousand for every job, as they already did for jobs that were known before.

TestRunNumbersOfTermsDiffer failed before (1 failure counted of 2) and holds now.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -246,10 +246,9 @@
 		j.arrivedMS -= max(0, c.now.UnixMS-spec.SubmittedMS)
 	}
 	c.applyEarlyEnds(j)
-	base := progress.LastRun
-	if inherited {
-		base = max(base, int(c.epoch-1)*runsPerTerm)
-	}
+	// A predecessor may have started tasks of any job, also of one that is recorded
+	// only now.
+	base := max(progress.LastRun, int(c.epoch-1)*runsPerTerm)
 	for occurrence := range spec.Occurrences() {
 		for index := range spec.Steps {
 			s := &step{job: j, occurrence: occurrence, index: index, spec: &spec.Steps[index]}
--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -190,3 +190,26 @@
 	c.Assert(starts, qt.HasLen, 1)
 	c.Assert(starts[0].Worker, qt.Equals, WorkerID("w2"))
 }
+
+// Guards against an attempt too many: runs of one task that two leaders have started
+// had the same number, and their failures counted as one.
+func TestRunNumbersOfTermsDiffer(t *testing.T) {
+	c := qt.New(t)
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h := newSuccessor(t, testWorker, other)
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	for !h.core.reconciled {
+		h.confirmWrites(append(slices.Clone(h.report(other, Report{StartedMS: 7, ClockMS: h.now - 1_000_000})), h.advance(20)...))
+	}
+	// The predecessor had started run 1 on the silent worker, before the submission was
+	// recorded.
+	h.confirmWrites(h.submit(t, "k", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	h.confirmWrites(h.advance(100))
+	runs := h.core.jobs["k"].steps[0].tasks[0].runs
+	c.Assert(runs, qt.HasLen, 1)
+	task := jobs.Task{Job: "k"}
+	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 9000, Ended: []EndedTask{{Number: 1, Task: task, Run: 1, Kind: EndFailed}}}))
+	h.confirmWrites(h.report(other, Report{StartedMS: 7, ClockMS: 9000, Ended: []EndedTask{{Number: 1, Task: task, Run: runs[0].number, Kind: EndFailed}}}))
+	c.Assert(h.core.jobs["k"].progress.FailuresOf(task), qt.Equals, 2)
+}
