Use no address of a worker while its record is being replaced

Cause: a worker that restarts at another address and then again at the former one had a confirmed record of the former address, while the record of the other one was on its way to the log. Tasks started, and a successor would have found the worker only at the wrong address.

Change: when a record with another address is written, no address counts as recorded until the write is confirmed.

TestAddressIsNotRecordedWhileItsRecordIsReplaced failed before (a start while the write was outstanding) and holds now.

--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -213,3 +213,27 @@
 	h.confirmWrites(h.report(other, Report{StartedMS: 7, ClockMS: 9000, Ended: []EndedTask{{Number: 1, Task: task, Run: runs[0].number, Kind: EndFailed}}}))
 	c.Assert(h.core.jobs["k"].progress.FailuresOf(task), qt.Equals, 2)
 }
+
+// Guards against a start that a successor does not learn of: the address to which it
+// was sent was recorded, but the record was about to be replaced.
+func TestAddressIsNotRecordedWhileItsRecordIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	h.confirmWrites(h.advance(100))
+	moved, back := testWorker, testWorker
+	moved.Address, moved.StartedMS = "b", 8
+	back.StartedMS = 9
+	outstanding := slices.Clone(append(slices.Clone(h.step(WorkersChanged{Workers: []WorkerInfo{moved}})), h.advance(40)...))
+	h.step(WorkersChanged{Workers: []WorkerInfo{back}})
+	h.report(back, Report{StartedMS: 9, ClockMS: 100})
+	effects := slices.Clone(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	effects = append(effects, h.advance(100)...)
+	c.Assert(allStarts(effects), qt.HasLen, 0)
+	// Once the log holds the present address again, the worker is used.
+	h.confirmWrites(outstanding)
+	h.confirmWrites(h.advance(60))
+	h.report(back, Report{StartedMS: 9, ClockMS: 400})
+	h.advance(60)
+	c.Assert(h.core.workers["w"].runs, qt.HasLen, 1)
+}
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -108,6 +108,10 @@
 			return
 		}
 		jnl.inFlightWorkers = append(jnl.inFlightWorkers, id)
+		if w := c.workers[id]; w != nil && w.recordedAddress != w.info.Address {
+			// From now on the log may hold either address.
+			w.recordedAddress = ""
+		}
 		added++
 	}
 	if len(jnl.workers) == 0 && len(c.stateMachine.LegacyWorkers) > 0 {
