Start nothing on a restarted worker before it has reported

What callers see: a task that runs twice, without any change of leader.

Cause: a worker that restarts under its ID was used, and its lease renewed, until its next report by the clock of its former life. A lease end of that clock lies far in the future of the new one, so the worker grants the longest lease. If it is cut off before it reports, the leader counts the lease as over seconds too early.

Change: while the directory lists a later incarnation than has reported, nothing starts there and hold calls leave the lease as it is.

TestRestartedWorkerIsCutOffBeforeItReports failed before (TWICE: j.0.0.6 runs on w0 and on w5), as did TestNothingStartsBeforeRestartedWorkerReports; both hold.

--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -237,3 +237,51 @@
 	h.advance(60)
 	c.Assert(h.core.workers["w"].runs, qt.HasLen, 1)
 }
+
+// Guards against a lease that lasts longer than the leader assumes: a lease end on the
+// clock of a worker's former incarnation lies far in the future of the next one.
+func TestNothingStartsBeforeRestartedWorkerReports(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	h.confirmWrites(h.advance(100))
+	again := testWorker
+	again.StartedMS = 9
+	effects := slices.Clone(h.step(WorkersChanged{Workers: []WorkerInfo{again}}))
+	effects = append(effects, h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900})...)
+	h.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: Unreachable})
+	effects = append(effects, h.advance(600)...)
+	c.Assert(allStarts(effects), qt.HasLen, 0)
+	for _, e := range effects {
+		if hold, ok := e.(Hold); ok {
+			c.Assert(hold.LeaseEndMS, qt.Equals, int64(0))
+		}
+	}
+	h.confirmWrites(effects)
+	h.report(again, Report{StartedMS: 9, ClockMS: 20})
+	h.advance(20)
+	c.Assert(h.core.workers["w"].runs, qt.HasLen, 1)
+	c.Assert(h.core.workers["w"].leaseEndMS <= 20+20+4000, qt.IsTrue)
+}
+
+// Guards against a task that runs twice: a worker restarts under its ID, gets a task
+// with a lease end on its former clock, and is cut off before it reports. The lease is
+// then longer than the leader waits.
+func TestRestartedWorkerIsCutOffBeforeItReports(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(10) {
+		sim := newSimulation(seed, faultRates{})
+		sim.run(sim.now + 1000)
+		f := sim.workers[0]
+		f.crash(10)
+		sim.at(15, func() {
+			sim.step(sim.leader, WorkersChanged{Workers: sim.directory()})
+			sim.jobs["j"] = &submittedJob{job: &jobs.Job{Queue: "batch", Payload: "j", Steps: []jobs.Step{{Count: 12, CPUMilli: 8000, MemoryMB: 1000, EstimateMS: 9000}}}}
+			sim.ids = append(sim.ids, "j")
+			sim.submit("j")
+		})
+		sim.at(40, func() { f.cutOffUntil = sim.now + 12_000 })
+		sim.run(sim.now + 30_000)
+		c.Assert(sim.violations, qt.HasLen, 0)
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -271,6 +271,10 @@
 	c.checkRuns(w)
 }
 
+// restartPending reports whether the directory lists a later incarnation of the
+// worker than the one that has reported.
+func (w *worker) restartPending() bool { return w.startedMS != 0 && w.info.StartedMS > w.startedMS }
+
 // requestHold sends a hold call now, or as soon as the outstanding one has
 // returned.
 func (c *Core) requestHold(w *worker) {
@@ -313,9 +317,10 @@
 }
 
 // nextLeaseEnd returns the lease end to request now, on the worker's clock. It
-// returns 0 if that clock is not known yet or the worker is unresponsive.
+// returns 0 if that clock is not known yet, as after a restart, or the worker is
+// unresponsive.
 func (c *Core) nextLeaseEnd(w *worker) int64 {
-	if w.clockMS == 0 || c.now.MS-w.reportedMS > unresponsiveMS || c.inDoubt() {
+	if w.clockMS == 0 || w.restartPending() || c.now.MS-w.reportedMS > unresponsiveMS || c.inDoubt() {
 		// A worker that is gone must not keep its runs, nor one that a successor
 		// may wait for: leases that were sent stay valid, but none is extended.
 		return 0
@@ -405,6 +410,7 @@
 // reached the new incarnation. Calls from before are fenced by a higher token.
 func (c *Core) handleRestart(w *worker, startedMS int64) {
 	c.emit(Decision{Event: "worker_reborn", Worker: w.info.ID})
+	c.placementDue = true
 	w.startedMS, w.processedEnd, w.ackableEnd, w.clockMS, w.leaseEndMS, w.inheritedLeaseEndMS, w.confirmed = startedMS, 0, 0, 0, 0, 0, 0
 	w.orphans, w.ackDelay = nil, ackDelay{}
 	w.health.reset()
