--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -215,9 +215,22 @@
 	}
 }
 
-// handledMS returns the time up to which everything received has been handled, or
-// 0 if nothing waits. It runs in the event loop.
+// handledMS returns the time up to which everything received, here or by a
+// delegate, has been handled, or 0 if nothing waits. It runs in the event loop.
 func (n *Node) handledMS() int64 {
+	handled := n.loopHandledMS()
+	if n.term == nil {
+		return handled
+	}
+	if delegated := n.term.delegation.handledMS(); delegated > 0 && (handled == 0 || delegated < handled) {
+		return delegated
+	}
+	return handled
+}
+
+// loopHandledMS returns the time up to which the event loop has handled everything
+// that this instance received, or 0 if nothing waits.
+func (n *Node) loopHandledMS() int64 {
 	if n.ring.Len() == 0 {
 		return 0
 	}
@@ -227,7 +240,7 @@
 // reportLoad updates the metrics of the load. A leader also logs it, as does any
 // other instance that is behind.
 func (n *Node) reportLoad(nowMS int64) {
-	logged := n.term != nil || n.load.maxLagMS >= milliseconds(lagWarning)
+	logged := n.term != nil || n.load.late()
 	var work planner.Work
 	if n.term != nil {
 		work = n.term.core.Work()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,12 +4,14 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,8 +37,12 @@
 	// RecoveryLimit bounds the time from the last fault until all jobs have
 	// ended.
 	RecoveryLimit time.Duration
-	// JobsPerS is the number of submissions per second.
+	// JobsPerS is the number of random submissions per second. It may be 0 in a
+	// scenario, which submits jobs of its own.
 	JobsPerS float64
+	// Mix names the kinds of jobs: "mixed", which is used if it is empty, or
+	// "oratory-desk".
+	Mix string
 	// Series is the number of concurrent series of faults.
 	Series int
 	// Delegates makes the leader call the workers through other instances, which
@@ -56,7 +62,18 @@
 	// LoseWrites makes the store lose acknowledged writes, which no store may
 	// do. The checks must detect it.
 	LoseWrites bool
-	Log        io.Writer
+	// Scenario is the name of a directed sequence of faults that each round plays
+	// instead of random ones (Scenarios).
+	Scenario string
+	// Wide adds faults that concern many links, processes or workers at once.
+	Wide bool
+	// Zones is the number of zones of instances and racks, and WorkersPerRack the
+	// size of a rack; 0 are one zone and three racks.
+	Zones, WorkersPerRack int
+	// MaxLease is the longest lease of a worker, and StopTimeout the longest time
+	// of a stop; 0 are 6 s and 500 ms.
+	MaxLease, StopTimeout time.Duration
+	Log                   io.Writer
 }
 
 // Times and counts of the callers, from the users' kinds of request.
@@ -68,7 +85,6 @@
 	retryPause  = 300 * time.Millisecond
 	pollPause   = 400 * time.Millisecond
 	startLimit  = 15 * time.Second
-	workerCores = 16_000
 )
 
 // The users' bounds for the acknowledgement of ends.
@@ -91,21 +107,42 @@
 	// FailedJobs counts jobs shown as failed, FailedRuns task runs that failed
 	// on workers.
 	FailedJobs, FailedRuns int
-	Violations             []string
+	// MostEnds is the largest number of ends that a worker had to list at once.
+	MostEnds   int
+	Violations []string
 }
 
 // String returns the result as one line of key=value pairs.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d faults=%d broken=%d",
-		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.Faults, len(r.Violations))
+	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d most_ends=%d faults=%d broken=%d",
+		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.MostEnds, r.Faults, len(r.Violations))
+}
+
+const (
+	defaultMaxLease    = 6 * time.Second
+	defaultStopTimeout = 500 * time.Millisecond
+)
+
+func (o *Options) maxLease() time.Duration { return cmp.Or(o.MaxLease, defaultMaxLease) }
+
+func (o *Options) stopTimeout() time.Duration { return cmp.Or(o.StopTimeout, defaultStopTimeout) }
+
+// spareWorkers is the number of workers that can join during a run.
+func (o *Options) spareWorkers() int {
+	if o.Wide || o.Scenario != "" {
+		return 2 + o.Workers/4
+	}
+	return 0
 }
 
 type run struct {
-	options   Options
-	store     *standin.Store
-	checker   *standin.Checker
-	workers   []*standin.Worker
-	links     []*proxy
+	options Options
+	store   *standin.Store
+	checker *standin.Checker
+	workers []*standin.Worker
+	links   *links
+	// doors are the proxies in front of the workers.
+	doors     []*proxy
 	instances []*instance
 	servers   []*http.Server
 	probe     *http.Client
@@ -115,19 +152,36 @@
 	version   int
 	// accepted receives a value when a submission is accepted.
 	accepted chan struct{}
+	// callers counts the callers whose jobs have not ended.
+	callers sync.WaitGroup
+
+	// settled is closed when the long-running jobs have been checked.
+	settled chan struct{}
+	clients []*standin.Caller
+	// repeats counts the repeated calls that are under way.
+	repeats sync.WaitGroup
 
 	mu   sync.Mutex
 	next int
 	ids  []jobs.ID
+	// workerIDs counts the ids that workers have had.
+	workerIDs int
+}
+
+func newRun(options Options) *run {
+	return &run{
+		options: options, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}),
+		links: newLinks(), accepted: make(chan struct{}, 1), settled: make(chan struct{}),
+		probe: &http.Client{Timeout: time.Second},
+	}
 }
 
 // Run executes one run with the seed in options. An error means that the run
 // could not be made.
 func Run(ctx context.Context, options Options) (*Result, error) {
-	r := &run{
-		options: options, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}),
-		accepted: make(chan struct{}, 1),
-		probe:    &http.Client{Timeout: time.Second},
+	r := newRun(options)
+	if err := options.checkMix(); err != nil {
+		return nil, err
 	}
 	defer r.close()
 	ctx, cancel := context.WithCancel(ctx)
@@ -138,14 +192,15 @@
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
-	var callers sync.WaitGroup
+	r.startClients(ctx)
+	callers := &r.callers
 	rng := rand.New(rand.NewPCG(options.Seed, 1))
 	submitting, endSubmissions := context.WithCancel(ctx)
 	defer endSubmissions()
 	callers.Add(1)
 	go func() {
 		defer callers.Done()
-		for submitting.Err() == nil {
+		for submitting.Err() == nil && options.JobsPerS > 0 {
 			id := r.newJob(rng)
 			callers.Add(1)
 			go func(seed uint64) {
@@ -158,13 +213,15 @@
 	for round := range options.Rounds {
 		r.runRound(ctx, uint64(round))
 		recovered := time.Now().Add(contactBound)
+		r.checker.Calm(recovered)
 		r.watchAcks(ctx, recovered, recovered.Add(ackBound+ackWatch))
 	}
 	endSubmissions()
+	time.AfterFunc(settleTime, func() { close(r.settled) })
 	limited, cancelRecovery := context.WithTimeout(ctx, options.RecoveryLimit)
 	defer cancelRecovery()
 	ended := make(chan struct{})
-	go func() { callers.Wait(); close(ended) }()
+	go func() { callers.Wait(); r.repeats.Wait(); close(ended) }()
 	select {
 	case <-ended:
 	case <-limited.Done():
@@ -175,7 +232,10 @@
 	r.watchAcks(ctx, time.Now(), time.Now().Add(ackBound+2*ackPoll))
 	result := &Result{Seed: options.Seed, Submitted: len(r.ids), Starts: r.checker.Starts(), Faults: int(r.faults.Load()), Completed: int(r.completed.Load())}
 	result.FailedJobs, result.FailedRuns = r.checker.FailureCounts()
-	caller := standin.NewCaller(r.checker, callerLimit)
+	for _, w := range r.workers {
+		result.MostEnds = max(result.MostEnds, w.MostEnds())
+	}
+	caller := r.clients[0]
 	for _, id := range r.ids {
 		caller.CheckRefused(id)
 		if caller.Accepted(id) {
@@ -188,6 +248,12 @@
 
 // runRound injects faults for Options.FaultDuration and then clears them all.
 func (r *run) runRound(ctx context.Context, round uint64) {
+	r.checker.Calm(time.Time{})
+	if play := scenarios[r.options.Scenario]; play != nil {
+		play(r, ctx, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1))))
+		r.clearFaults()
+		return
+	}
 	faulting, cancel := context.WithTimeout(ctx, r.options.FaultDuration)
 	defer cancel()
 	var injectors sync.WaitGroup
@@ -203,6 +269,11 @@
 		defer injectors.Done()
 		r.writeOddEntries(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+98)))
 	}()
+	injectors.Add(1)
+	go func() {
+		defer injectors.Done()
+		r.delayOrders(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+97)))
+	}()
 	injectors.Wait()
 	if r.options.KillAll {
 		rng := rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+99))
@@ -245,22 +316,13 @@
 // start starts the stand-ins and the instances and waits until all instances are
 // ready.
 func (r *run) start(ctx context.Context) error {
-	for i := range r.options.Workers {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		link, err := newProxy(socket.Addr().String())
-		if err != nil {
+	if r.options.Scenario != "" && scenarios[r.options.Scenario] == nil {
+		return errors.Newf("there is no scenario %q", r.options.Scenario)
+	}
+	for i := range r.options.Workers + r.options.spareWorkers() {
+		if err := r.addWorker(i >= r.options.Workers); err != nil {
 			return err
 		}
-		w := standin.NewWorker(fmt.Sprintf("w%02d", i), link.address(), workerCores, r.store, r.checker)
-		w.SetFailureShare(r.options.FailShare)
-		w.SetFaults(r.options.WorkerFaults)
-		server := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: time.Minute}
-		go func() { _ = server.Serve(socket) }()
-		go w.Run(r.stop)
-		r.workers, r.links, r.servers = append(r.workers, w), append(r.links, link), append(r.servers, server)
 	}
 	r.store.LoseWrites(r.options.LoseWrites)
 	r.version = 1
@@ -271,6 +333,9 @@
 			return err
 		}
 		r.instances = append(r.instances, in)
+		peer := in.peer.address()
+		r.links.add(peer)
+		r.store.Translate(in.name, r.links.toInstance(in.name, peer), r.links.fromInstance)
 		if err := in.start(); err != nil {
 			return err
 		}
@@ -287,6 +352,41 @@
 	return nil
 }
 
+// newWorkerID returns an id that no worker has had.
+func (r *run) newWorkerID() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.nextWorkerID()
+}
+
+// addWorker adds a worker with an id and an address of its own. An absent one joins
+// later.
+func (r *run) addWorker(absent bool) error {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	link, err := newProxy(socket.Addr().String())
+	if err != nil {
+		return err
+	}
+	r.links.add(link.address())
+	w := standin.NewWorker(r.newWorkerID(), link.address(), r.options.workerCPU(), r.store, r.checker)
+	r.placeWorker(w, len(r.workers))
+	w.SetZone(zoneName(r.options.workerZone(len(r.workers))))
+	w.SetLimits(r.options.maxLease(), r.options.stopTimeout()*8/10)
+	if absent {
+		w.SetAbsent()
+	}
+	w.SetFailureShare(r.options.FailShare)
+	w.SetFaults(r.options.WorkerFaults)
+	server := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(socket) }()
+	go w.Run(r.stop)
+	r.workers, r.doors, r.servers = append(r.workers, w), append(r.doors, link), append(r.servers, server)
+	return nil
+}
+
 func (r *run) close() {
 	close(r.stop)
 	for _, in := range r.instances {
@@ -299,9 +399,10 @@
 		in.store.close()
 		in.log.Close()
 	}
-	for _, link := range r.links {
-		link.close()
+	for _, door := range r.doors {
+		door.close()
 	}
+	r.links.close()
 	for _, server := range r.servers {
 		server.Close()
 	}
@@ -322,28 +423,19 @@
 			}
 		}
 	}
-	for _, link := range r.links {
-		link.setFaults(0, false, false)
-	}
-}
-
-// newJob generates a random job and registers it with the checker.
-func (r *run) newJob(rng *rand.Rand) jobs.ID {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.next++
-	id := jobs.ID(fmt.Sprintf("%016x", r.options.Seed<<20|uint64(r.next)))
-	r.ids = append(r.ids, id)
-	job := &jobs.Job{Queue: standin.Queue}
-	for s := range 1 + rng.IntN(3) {
-		step := jobs.Step{Count: 1 + rng.IntN(6), CPUMilli: 500 + rng.IntN(3000), MemoryMB: 200, EstimateMS: 100 + rng.IntN(1500)}
-		if s > 0 {
-			step.After = []int{s - 1}
+	doors := slices.Clone(r.doors)
+	r.mu.Unlock()
+	for _, door := range doors {
+		door.setFaults(0, false, false)
+	}
+	r.links.clear()
+	for i, w := range r.workers {
+		w.SilenceEntry(0)
+		if i < r.options.Workers && w.Gone() {
+			w.Join(r.newWorkerID(), w.Address())
 		}
-		job.Steps = append(job.Steps, step)
 	}
-	standin.NewCaller(r.checker, callerLimit).Register(id, job)
-	return id
 }
 
 func (r *run) unfinishedJobs() []jobs.ID {
@@ -358,52 +450,6 @@
 	return out
 }
 
-// runCaller submits one job, sometimes twice, and polls it until it ends. Some
-// callers cancel the job instead.
-func (r *run) runCaller(ctx context.Context, id jobs.ID, rng *rand.Rand) {
-	c := standin.NewCaller(r.checker, callerLimit)
-	accepted, tries := false, callerTries
-	if rng.IntN(giveUpOneIn) == 0 {
-		tries = 1
-	}
-	for try := 0; try < tries && !accepted && ctx.Err() == nil; try++ {
-		accepted = c.Submit(ctx, r.pickAddress(rng), id)
-		if !accepted {
-			sleep(ctx, retryPause)
-		}
-	}
-	if !accepted {
-		return
-	}
-	select {
-	case r.accepted <- struct{}{}:
-	default:
-	}
-	if rng.IntN(8) == 0 {
-		// Repeats the submission up to 4 s after it was accepted.
-		sleep(ctx, time.Duration(rng.IntN(4000))*time.Millisecond)
-		c.Submit(ctx, r.pickAddress(rng), id)
-	}
-	if rng.IntN(12) == 0 {
-		sleep(ctx, time.Duration(rng.IntN(2000))*time.Millisecond)
-		for !c.Cancel(ctx, r.pickAddress(rng), id) && ctx.Err() == nil {
-			sleep(ctx, retryPause)
-		}
-		return
-	}
-	for ctx.Err() == nil {
-		switch c.State(ctx, r.pickAddress(rng), id) {
-		case "completed":
-			r.completed.Add(1)
-			return
-		case "failed", "aborted":
-			// State has already checked the cause.
-			return
-		}
-		sleep(ctx, pollPause)
-	}
-}
-
 // pickAddress returns the callers' address of a random instance, preferably of a
 // running one.
 func (r *run) pickAddress(rng *rand.Rand) string {
