Use one condition for the workers that a takeover waits for

The takeover and its log lines each had a copy of it. The time in the lines is renamed, since settledMS names another one now. No change of behaviour.

--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -26,7 +26,7 @@
 	unreported := false
 	endsMissing, inheritedLease := false, c.maxInheritedLeaseMS(c.priorLeaseMS)
 	for _, w := range c.sortedWorkers {
-		if (w.listed || w.inherited) && !w.dead && (!w.reported || w.moreEnded) {
+		if w.awaited() {
 			unreported = true
 			inheritedLease = max(inheritedLease, c.inheritedLeaseMS(w))
 		}
--- a/internal/planner/takeover_log.go
+++ b/internal/planner/takeover_log.go
@@ -9,9 +9,9 @@
 // takeoverLog is what the log lines of a takeover, and of the starts that follow
 // from it, state about its course.
 type takeoverLog struct {
-	// firstListMS is when the first list of workers was applied, settledMS when the
+	// firstListMS is when the first list of workers was applied, endedMS when the
 	// takeover ended; 0 before.
-	firstListMS, settledMS int64
+	firstListMS, endedMS int64
 	// settledBy is "reports" if every worker had reported, otherwise "time".
 	settledBy string
 	// reported is the number of workers that had reported by then, unreported that
@@ -74,7 +74,7 @@
 // did not have.
 func (c *Core) logSettled() {
 	t := &c.takeoverLog
-	t.settledMS, t.settledBy = c.now.MS, "reports"
+	t.endedMS, t.settledBy = c.now.MS, "reports"
 	if len(c.sortedWorkers) == 0 {
 		t.settledBy = "time"
 	}
@@ -179,13 +179,13 @@
 		{Name: "lag_ms", Number: int64(c.lag.smoothedMS)},
 	}
 	details = append(details, c.evidenceDetails()...)
-	if t.settledMS == 0 {
+	if t.endedMS == 0 {
 		// There was no takeover, or it has not ended yet.
 		return append(details, Detail{Name: "settled_by", Text: "none"})
 	}
 	return append(details,
 		Detail{Name: "settled_by", Text: t.settledBy},
-		Detail{Name: "settled_ms", Number: c.now.MS - t.settledMS},
+		Detail{Name: "settled_ms", Number: c.now.MS - t.endedMS},
 		Detail{Name: "unreported", Number: int64(t.unreported)},
 		Detail{Name: "not_awaited", Number: int64(t.notAwaited())},
 	)
