--- a/internal/planner/run_twice_test.go
+++ b/internal/planner/run_twice_test.go
@@ -40,8 +40,7 @@
 			h, _ := first.successor(testWorker)
 			effects := slices.Clone(h.report(testWorker, Report{StartedMS: 7, ClockMS: 100}))
 			effects = append(effects, h.advance(100)...)
-			started := startsOf(effects, "j")
-			c.Assert(started, qt.Equals, 2)
+			c.Assert(startsOf(effects, "j"), qt.Equals, 2)
 			s, _ := findEffect[Start](effects)
 			if test.done {
 				h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 300, Ended: []EndedTask{{Number: 1, Task: s.Task, Run: s.Run, Kind: EndDone}}, Running: []RunningTask{{Task: jobs.Task{Job: "j", Index: 1}, Run: s.Run}}}))
@@ -55,17 +54,10 @@
 				c.Assert(lines, qt.HasLen, 0)
 				return
 			}
-			c.Assert(lines, qt.HasLen, 1)
-			d := lines[0]
-			c.Check(d.Warn, qt.IsTrue)
-			c.Check(d.Reason, qt.Equals, test.reason)
-			c.Check(d.Run, qt.Equals, 1)
-			for name, want := range map[string]string{
-				"known_from": "joined", "known_ms": "0", "other_run": "1001", "other_worker": "w",
-				"other_known_from": "log", "other_started_by": "this leader", "job_from": "log", "settled_by": "reports",
-			} {
-				c.Check(detail(d, name), qt.Equals, want, qt.Commentf(name))
-			}
+			checkDetails(t, lines, "known_from=joined known_ms=0 other_run=1001 other_worker=w other_known_from=log job_from=log settled_by=reports")
+			c.Check(lines[0].Warn && lines[0].Run == 1, qt.IsTrue)
+			c.Check(lines[0].Reason, qt.Equals, test.reason)
+			c.Check(detail(lines[0], "other_started_by"), qt.Equals, "this leader")
 			c.Assert(decisions(h.report(joined, test.report), "run_twice"), qt.HasLen, 0, qt.Commentf("logged once"))
 		})
 	}
--- a/internal/planner/takeover_log_test.go
+++ b/internal/planner/takeover_log_test.go
@@ -1,8 +1,10 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -23,13 +25,20 @@
 // detail returns a detail of a decision as text, or "" if it has none.
 func detail(d Decision, name string) string {
 	i := slices.IndexFunc(d.Details, func(detail Detail) bool { return detail.Name == name })
-	switch {
-	case i < 0:
+	if i < 0 {
 		return ""
-	case d.Details[i].Text != "":
-		return d.Details[i].Text
 	}
-	return fmt.Sprint(d.Details[i].Number)
+	return cmp.Or(d.Details[i].Text, fmt.Sprint(d.Details[i].Number))
+}
+
+// checkDetails compares the details, given as name=value, of the only decision.
+func checkDetails(t *testing.T, found []Decision, want string) {
+	t.Helper()
+	qt.Assert(t, found, qt.HasLen, 1)
+	for _, field := range strings.Fields(want) {
+		name, value, _ := strings.Cut(field, "=")
+		qt.Check(t, detail(found[0], name), qt.Equals, value, qt.Commentf(name))
+	}
 }
 
 // successor returns the leader of the next term, which reads the given list of
@@ -61,11 +70,7 @@
 	again := workerNamed("again")
 	again.StartedMS++
 	h, effects := first.successor(testWorker, again, workerNamed("new"))
-	listed := decisions(effects, "workers_listed")
-	c.Assert(listed, qt.HasLen, 1)
-	for name, want := range map[string]string{"listed": "3", "recorded": "4", "recorded_only": "2", "unrecorded": "1", "restarted": "1", "list_age_ms": "30"} {
-		c.Check(detail(listed[0], name), qt.Equals, want, qt.Commentf(name))
-	}
+	checkDetails(t, decisions(effects, "workers_listed"), "listed=3 recorded=4 recorded_only=2 unrecorded=1 restarted=1 list_age_ms=30")
 	c.Assert(decisions(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, again, workerNamed("new")}}), "workers_listed"), qt.HasLen, 0)
 
 	for _, info := range []WorkerInfo{testWorker, again, workerNamed("new")} {
@@ -75,11 +80,8 @@
 	h.now += 10_000
 	effects = h.advance(100)
 	settled := decisions(effects, "workers_settled")
-	c.Assert(settled, qt.HasLen, 1)
+	checkDetails(t, settled, "reported=3 unreported=1 dead=1 unlisted=0 departed=0 unhandled_ms=0")
 	c.Check(settled[0].Reason, qt.Equals, "time")
-	for name, want := range map[string]string{"reported": "3", "unreported": "1", "dead": "1", "unlisted": "0", "departed": "0", "unhandled_ms": "0"} {
-		c.Check(detail(settled[0], name), qt.Equals, want, qt.Commentf(name))
-	}
 	reasons := map[WorkerID]string{}
 	for _, d := range decisions(effects, "worker_not_awaited") {
 		reasons[d.Worker] = d.Reason + " " + detail(d, "known_from")
@@ -98,29 +100,25 @@
 	effects = append(effects, h.step(WorkersChanged{Workers: []WorkerInfo{testWorker}})...)
 	effects = append(effects, h.advance(2000)...)
 	removed := decisions(effects, "worker_not_awaited")
-	c.Assert(removed, qt.HasLen, 1)
-	c.Check(removed[0].Worker, qt.Equals, WorkerID("brief"))
-	c.Check(removed[0].Reason, qt.Equals, "departed")
+	checkDetails(t, removed, "known_from=directory listed=0")
+	c.Check(string(removed[0].Worker)+" "+removed[0].Reason, qt.Equals, "brief departed")
 	settled := decisions(h.report(testWorker, Report{StartedMS: 7, ClockMS: 100}), "workers_settled")
-	c.Assert(settled, qt.HasLen, 1)
+	checkDetails(t, settled, "departed=1")
 	c.Check(settled[0].Reason, qt.Equals, "reports")
-	c.Check(detail(settled[0], "departed"), qt.Equals, "1")
 }
 
 // TestNotAwaitedLinesAreBounded guards the volume of the log when a large site is
 // taken over and no worker reports.
 func TestNotAwaitedLinesAreBounded(t *testing.T) {
-	c := qt.New(t)
-	first := newHarness(safeguards{})
 	var infos []WorkerInfo
-	for i := range 3 * maxNotAwaitedLines {
+	for i := range 60 {
 		infos = append(infos, workerNamed(WorkerID(fmt.Sprintf("w%02d", i))))
 	}
-	h, _ := first.successor(infos...)
+	h, _ := newHarness(safeguards{}).successor(infos...)
 	h.now += 10_000
 	effects := h.advance(100)
-	c.Assert(decisions(effects, "worker_not_awaited"), qt.HasLen, maxNotAwaitedLines)
-	c.Assert(detail(decisions(effects, "workers_settled")[0], "unreported"), qt.Equals, fmt.Sprint(len(infos)))
+	qt.Assert(t, decisions(effects, "worker_not_awaited"), qt.HasLen, maxNotAwaitedLines)
+	checkDetails(t, decisions(effects, "workers_settled"), "unreported=60")
 }
 
 // TestStartStatesWhyItWasAllowed guards against second starts whose cause the log
@@ -129,56 +127,46 @@
 func TestStartStatesWhyItWasAllowed(t *testing.T) {
 	step := jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}
 	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{step}})
-	qt.New(t).Assert(err, qt.IsNil)
+	qt.Assert(t, err, qt.IsNil)
+	submit := func(h *harness) []Effect { return h.submit(t, "j", step) }
+	record := func(h *harness) []Effect {
+		_, err := h.core.stateMachine.Apply(jobs.SubmissionRecord("j", encoded))
+		qt.Check(t, err, qt.IsNil)
+		return h.step(RecordsRead{Jobs: []jobs.ID{"j"}})
+	}
+	earlyEnd := func(h *harness) []Effect {
+		return h.report(testWorker, Report{StartedMS: 7, ClockMS: 90, Ended: []EndedTask{{Number: 1, Task: jobs.Task{Job: "j"}, Run: 1, Kind: EndFailed}}})
+	}
+	nothing := func(*harness) []Effect { return nil }
 	for _, test := range []struct {
-		name      string
-		inherited bool
-		// learn makes the job known to the successor, before or after its takeover.
-		before, after func(h *harness) []Effect
-		details       map[string]string
+		name                 string
+		first, before, after func(h *harness) []Effect
+		details              string
 	}{
-		{"in the log", true, nil, nil, map[string]string{"job_from": "log"}},
-		{"submitted during the takeover", false, func(h *harness) []Effect { return h.submit(t, "j", step) }, nil, map[string]string{"job_from": "submission"}},
-		{"recorded by another instance", false, nil, func(h *harness) []Effect {
-			_, err := h.core.stateMachine.Apply(jobs.SubmissionRecord("j", encoded))
-			qt.Check(t, err, qt.IsNil)
-			return h.step(RecordsRead{Jobs: []jobs.ID{"j"}})
-		}, map[string]string{"job_from": "record"}},
-		{"after an early end", false, func(h *harness) []Effect {
-			return h.report(testWorker, Report{StartedMS: 7, ClockMS: 90, Ended: []EndedTask{{Number: 1, Task: jobs.Task{Job: "j"}, Run: 1, Kind: EndFailed}}})
-		}, func(h *harness) []Effect { return h.submit(t, "j", step) }, map[string]string{"job_from": "submission", "early_ends": "1"}},
-		{"submitted after the takeover", false, nil, func(h *harness) []Effect { return h.submit(t, "j", step) }, nil},
+		{"in the log", submit, nothing, nothing, "job_from=log"},
+		{"submitted during the takeover", nothing, submit, nothing, "job_from=submission"},
+		{"recorded by another instance", nothing, nothing, record, "job_from=record"},
+		{"after an early end", nothing, earlyEnd, submit, "job_from=submission early_ends=1"},
+		{"submitted after the takeover", nothing, nothing, submit, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
 			first := newHarness(safeguards{})
 			first.join(testWorker)
-			if test.inherited {
-				first.confirmWrites(first.submit(t, "j", step))
-			}
+			first.confirmWrites(test.first(first))
 			first.confirmWrites(first.advance(100))
 			h, _ := first.successor(testWorker, workerNamed("silent"))
 			h.report(testWorker, Report{StartedMS: 7, ClockMS: 80})
-			if test.before != nil {
-				h.confirmWrites(slices.Clone(test.before(h)))
-			}
+			h.confirmWrites(test.before(h))
 			h.now += 10_000
 			effects := h.advance(20)
 			effects = append(effects, h.report(testWorker, Report{StartedMS: 7, ClockMS: 100})...)
-			if test.after != nil {
-				effects = append(effects, test.after(h)...)
-			}
-			effects = append(effects, h.advance(200)...)
-			sent := decisions(effects, "start_sent")
-			c.Assert(sent, qt.HasLen, 1)
-			if test.details == nil {
-				c.Assert(sent[0].Details, qt.HasLen, 0)
-				return
-			}
-			test.details["settled_by"], test.details["unreported"] = "time", "1"
-			for name, want := range test.details {
-				c.Check(detail(sent[0], name), qt.Equals, want, qt.Commentf(name))
+			effects = append(effects, test.after(h)...)
+			sent := decisions(append(effects, h.advance(200)...), "start_sent")
+			if test.details != "" {
+				test.details += " settled_by=time unreported=1"
 			}
+			checkDetails(t, sent, test.details)
+			qt.Assert(t, len(sent[0].Details) > 0, qt.Equals, test.details != "")
 		})
 	}
 }
@@ -186,13 +174,12 @@
 // TestEndStatesHowLongItWaited guards against ends that a busy leader handles seconds
 // late although the log shows nothing unusual.
 func TestEndStatesHowLongItWaited(t *testing.T) {
-	c := qt.New(t)
 	h := newHarness(safeguards{})
 	h.join(testWorker)
 	h.confirmWrites(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
 	h.confirmWrites(h.advance(2000))
 	report := Report{StartedMS: 7, ClockMS: 300, Ended: []EndedTask{{Number: 1, Task: jobs.Task{Job: "j"}, Run: 1, Kind: EndDone}}}
 	ended := decisions(h.step(HoldDone{Worker: "w", ReceivedMS: h.now - 1500, Outcome: Done, Report: report}), "run_ended")
-	c.Assert(ended, qt.HasLen, 1)
-	c.Assert(ended[0].WaitedMS, qt.Equals, int64(1500))
+	checkDetails(t, ended, "")
+	qt.Assert(t, ended[0].WaitedMS, qt.Equals, int64(1500))
 }
