--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -59,6 +59,8 @@
 
 	lag         lag
 	takeoverLog takeoverLog
+	// runsTwice holds the second runs that have been logged.
+	runsTwice map[workerRun]bool
 	// handledMS is the time up to which everything received had been handled at
 	// the last tick.
 	handledMS    int64
@@ -129,6 +131,8 @@
 	// verifyIncarnation: no end is acknowledged to a worker that may have
 	// restarted since its last report.
 	verifyIncarnation bool
+	// recordWorkers: nothing starts on a worker whose address is not recorded.
+	recordWorkers bool
 }
 
 // New returns the core for the term of the given epoch. The state machine must
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -15,7 +15,7 @@
 		Ticket: t.step.advice.tickets[w.info.ID].value,
 	})
 	d := c.decision("start_sent", r, reason)
-	d.AgeMS = c.now.MS - w.reportedMS
+	d.AgeMS, d.Details = c.now.MS-w.reportedMS, c.startDetails(j)
 	c.emit(d)
 	return r
 }
@@ -87,6 +87,7 @@
 		r.task.notBeforeMS = c.now.MS + holdRetryMS
 		r.task.avoid(w)
 	}
+	r.over = d.Reason
 	c.loseRun(r)
 }
 
@@ -101,8 +102,9 @@
 	}
 }
 
-// handleEnd processes the end of a run that a worker lists.
-func (c *Core) handleEnd(w *worker, end *EndedTask) {
+// handleEnd processes the end of a run that a worker lists. Its report has waited for
+// waitedMS.
+func (c *Core) handleEnd(w *worker, end *EndedTask, waitedMS int64) {
 	r := w.findRun(end.Task, end.Run)
 	t := c.taskOf(end.Task)
 	if r != nil {
@@ -114,13 +116,18 @@
 	t.lastRun = max(t.lastRun, end.Run)
 	j := t.step.job
 	j.started = true
-	d := Decision{Event: "run_ended", Job: j.id, Task: end.Task.String(), Run: end.Run, Worker: w.info.ID, Reason: string(end.Kind)}
+	d := Decision{Event: "run_ended", Job: j.id, Task: end.Task.String(), Run: end.Run, Worker: w.info.ID, Reason: string(end.Kind), WaitedMS: waitedMS}
 	if r != nil {
 		d.AgeMS = c.now.MS - r.sentMS
+		r.over = d.Reason
 		c.observeEnd(w, r, end.Kind)
 		c.detach(r)
 	}
 	c.emit(d)
+	c.noteSecondDone(w, t, end)
+	if r == nil && end.Kind == EndDone {
+		t.setLast(&run{task: t, ref: end.Task, worker: w, number: end.Run, over: d.Reason, adopted: true}, c.now.MS)
+	}
 	if j.state.Final() {
 		return
 	}
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -145,7 +145,7 @@
 
 // placeWorker sets the service and the labels of the worker with the given index.
 func (r *run) placeWorker(w *standin.Worker, index int) {
-	service, labels := "svc", []string{string(rune('a' + index%2)), fmt.Sprintf("r%d", 1+index%3)}
+	service, labels := "svc", []string{string(rune('a' + index%2)), fmt.Sprintf("r%d", 1+r.options.rack(index))}
 	switch {
 	case index == 0:
 		labels = slices.Insert(labels, 0, onlyLabel)
@@ -194,11 +194,6 @@
 
 // newJob generates a random job and registers it with the checker.
 func (r *run) newJob(rng *rand.Rand) jobs.ID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.next++
-	id := jobs.ID(fmt.Sprintf("%016x", r.options.Seed<<20|uint64(r.next)))
-	r.ids = append(r.ids, id)
 	kinds := r.options.mix().kinds
 	total := 0.0
 	for _, k := range kinds {
@@ -210,6 +205,16 @@
 	}
 	job := &jobs.Job{Queue: kinds[i].queue}
 	kinds[i].fill(job, rng)
+	return r.registerJob(job)
+}
+
+// registerJob registers a job with the checker under a new id.
+func (r *run) registerJob(job *jobs.Job) jobs.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	id := jobs.ID(fmt.Sprintf("%016x", r.options.Seed<<20|uint64(r.next)))
+	r.ids = append(r.ids, id)
 	r.clients[0].Register(id, job)
 	return id
 }
