Check a takeover with late delegates

Guards against a task that a new leader starts again while the first report of its worker waits at a delegate for longer than the predecessor's leases can last.

--- a/internal/node/late_delegate_test.go
+++ b/internal/node/late_delegate_test.go
@@ -374,3 +374,40 @@
 		}
 	}
 }
+
+// Guards against a new leader that starts a task again whose run has ended as done:
+// the worker's first report waited at a delegate for longer than the leases of the
+// predecessor could last.
+func TestTakeoverWaitsForReportsAtDelegates(t *testing.T) {
+	s, delegates := newLateSite(t)
+	s.endTask()
+	s.takeOver()
+	for _, g := range delegates[:len(delegates)-1] {
+		s.makeLate(g)
+	}
+	s.advance(10_000)
+	s.Check(s.starts, qt.HasLen, 1)
+	s.Check(s.state(), qt.Equals, jobs.Completed)
+}
+
+// takeOver begins another term on the same log. Its delegates have no calls of it.
+func (s *lateSite) takeOver() {
+	n := s.n
+	config := n.config.plannerConfig(false)
+	config.PriorLeaseMS = config.LeaseMS
+	old := n.term
+	n.term = &term{epoch: 2, core: planner.New(config, n.stateMachine, 2, n.now()), ctx: old.ctx, stop: old.stop, writes: ring.New[planner.Write](1)}
+	s.d = newDelegation(n, n.term)
+	n.term.delegation = s.d
+	infos := []planner.WorkerInfo{s.info("w1"), s.info("w2")}
+	s.d.setWorkers(infos)
+	s.d.startedMS -= milliseconds(gatherTime)
+	for _, g := range s.delegates {
+		*g = delegate{name: g.name, calls: ring.New[queuedCall](ringSize), states: g.states}
+		s.d.delegates[g.name] = g
+	}
+	s.d.setActive(slices.Clone(s.delegates))
+	s.assign()
+	n.step(planner.QueuesChanged{Queues: s.queues})
+	n.step(planner.WorkersChanged{Workers: infos})
+}
