--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -77,8 +77,8 @@
 		{"short", 0.5, standin.UrgentQueue, func(j *jobs.Job, rng *rand.Rand) {
 			j.Steps = []jobs.Step{{Count: 100 + rng.IntN(100), CPUMilli: 50, EstimateMS: 1 + rng.IntN(40)}}
 		}},
-		{"many on one worker", 0.2, standin.Queue, func(j *jobs.Job, rng *rand.Rand) {
-			j.Steps = []jobs.Step{{Count: 600 + rng.IntN(100), CPUMilli: 20, EstimateMS: 500 + rng.IntN(1000), Label: onlyLabel}}
+		{"many on one worker", 0.4, standin.Queue, func(j *jobs.Job, rng *rand.Rand) {
+			j.Steps = []jobs.Step{{Count: 600 + rng.IntN(100), CPUMilli: 5, EstimateMS: 400 + rng.IntN(400), Label: onlyLabel}}
 		}},
 	}},
 	// The weights are submissions per second.
