Treat waits for a processor of this machine as a fault in the soak

Cause: two leaders were replaced after the faults had ended, and each successor waited for leases again (term_begins at 36:34.6, 36:39.7 and 36:43.4, workers_settled at 36:48.8). Before each change the instances had logged that they had not run: resumed, gap_ms=650, 662, 639, 621 and 1210. The platform's bounds by time hold only for machines that are not slowed. Which worker the successors waited for is not in the logs.

Change: the soak reads how long the threads of the instances wait for a processor.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,14 +94,16 @@
 	// on workers.
 	FailedJobs, FailedRuns int
 	// MostEnds is the largest number of ends that a worker had to list at once.
-	MostEnds   int
+	MostEnds int
+	// Starved sums the waits for a processor of this machine that count as a fault.
+	Starved    time.Duration
 	Violations []string
 }
 
 // String returns the result as one line of key=value pairs.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d most_ends=%d faults=%d broken=%d",
-		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.MostEnds, r.Faults, len(r.Violations))
+	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d most_ends=%d faults=%d starved_ms=%d broken=%d",
+		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.MostEnds, r.Faults, r.Starved.Milliseconds(), len(r.Violations))
 }
 
 type run struct {
@@ -116,7 +118,9 @@
 	stop      chan struct{}
 	faults    atomic.Int64
 	completed atomic.Int64
-	version   int
+	// starved is the time that threads of instances have waited for a processor.
+	starved atomic.Int64
+	version int
 	// accepted receives a value when a submission is accepted.
 	accepted chan struct{}
 
@@ -191,6 +195,7 @@
 	r.watchAcks(ctx, time.Now(), time.Now().Add(ackBound+2*ackPoll))
 	result := &Result{Seed: options.Seed, Submitted: len(r.ids), Starts: r.checker.Starts(), Faults: int(r.faults.Load()), Completed: int(r.completed.Load())}
 	result.FailedJobs, result.FailedRuns = r.checker.FailureCounts()
+	result.Starved = time.Duration(r.starved.Load())
 	for _, w := range r.workers {
 		result.MostEnds = max(result.MostEnds, w.MostEnds())
 	}
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -160,6 +160,7 @@
 	for range clientCount {
 		r.clients = append(r.clients, standin.NewCaller(r.checker, callerLimit))
 	}
+	go r.watchStarvation(ctx)
 	go func() {
 		for ; ctx.Err() == nil; sleep(ctx, ackPoll) {
 			r.checker.CheckCalm()
