--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -19,6 +19,9 @@
 	"redwingvale/internal/soak"
 )
 
+// maxPrinted bounds the violations that are printed of one run.
+const maxPrinted = 50
+
 func main() {
 	os.Exit(run())
 }
@@ -73,11 +76,15 @@
 			return 2
 		}
 		fmt.Println(result)
-		for _, violation := range result.Violations {
+		for i, violation := range result.Violations {
+			if i == maxPrinted {
+				fmt.Println("   and", len(result.Violations)-maxPrinted, "more")
+				break
+			}
 			fmt.Println("  ", violation)
-			code = 1
 		}
 		if len(result.Violations) > 0 {
+			code = 1
 			fmt.Println("   logs are in", options.Dir)
 		}
 	}
