Let long-running jobs end only once all their tasks run

Change: half of the long-running jobs are cancelled at the end only when all their tasks have been seen running, so a task that is never started again breaks the bound on the end of all jobs, whatever the load.

--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -281,6 +281,10 @@
 		case <-r.settled:
 		case <-ctx.Done():
 		}
+		// A task that is never started again keeps the job from ending.
+		for !r.checker.AllRunning(id) && ctx.Err() == nil {
+			sleep(ctx, ackPoll)
+		}
 	case cancelling <= 1:
 		sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
 	default:
