--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -77,8 +77,8 @@
 		{"short", 0.5, standin.UrgentQueue, func(j *jobs.Job, rng *rand.Rand) {
 			j.Steps = []jobs.Step{{Count: 100 + rng.IntN(100), CPUMilli: 50, EstimateMS: 1 + rng.IntN(40)}}
 		}},
-		{"many on one worker", 0.2, standin.Queue, func(j *jobs.Job, rng *rand.Rand) {
-			j.Steps = []jobs.Step{{Count: 600 + rng.IntN(100), CPUMilli: 20, EstimateMS: 500 + rng.IntN(1000), Label: onlyLabel}}
+		{"many on one worker", 0.4, standin.Queue, func(j *jobs.Job, rng *rand.Rand) {
+			j.Steps = []jobs.Step{{Count: 600 + rng.IntN(100), CPUMilli: 5, EstimateMS: 400 + rng.IntN(400), Label: onlyLabel}}
 		}},
 	}},
 	// The weights are submissions per second.
@@ -160,6 +160,7 @@
 	for range clientCount {
 		r.clients = append(r.clients, standin.NewCaller(r.checker, callerLimit))
 	}
+	go r.watchStarvation(ctx)
 	go func() {
 		for ; ctx.Err() == nil; sleep(ctx, ackPoll) {
 			r.checker.CheckCalm()
@@ -285,6 +286,10 @@
 		case <-r.settled:
 		case <-ctx.Done():
 		}
+		// A task that is never started again keeps the job from ending.
+		for !r.checker.AllRunning(id) && ctx.Err() == nil {
+			sleep(ctx, ackPoll)
+		}
 	case cancelling <= 1:
 		sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
 	default:
