Keep a worker recorded until its ends are

What callers could see: a task that starts again after it has ended as done.

Cause: a worker that is unlisted, silent and runs nothing was removed, and the removal of its record precedes the records of its ends. A leader that fell between two writes left a successor that knew neither the ends nor the worker that lists them.

Change: a worker is removed only once its ends are in the log.

TestRemovedWorkerHasNoUnrecordedEnds failed before.

--- a/internal/planner/unrecorded_state_test.go
+++ b/internal/planner/unrecorded_state_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -21,6 +22,49 @@
 	return slices.Clone(h.step(WriteDone{Seq: w.Seq}))
 }
 
+// Guards against a task that starts again after it has ended as done: an unlisted,
+// silent worker is removed from the log before the ends that it has listed are in
+// the log, so that a successor neither waits for the worker nor knows the end.
+func TestRemovedWorkerHasNoUnrecordedEnds(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h.join(testWorker)
+	effects := slices.Clone(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	h.confirmWrites(effects)
+	h.confirmWrites(h.advance(100))
+	c.Assert(h.core.workers["w"].runs, qt.HasLen, 1)
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	h.confirmWrites(h.report(other, Report{StartedMS: 7, ClockMS: 100}))
+	h.confirmWrites(h.advance(100))
+
+	// The log confirms nothing for two seconds. The worker lists the end, and then
+	// it is silent and its entry lapses.
+	effects = slices.Clone(h.submit(t, "outstanding", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	h.report(testWorker, Report{StartedMS: 7, ClockMS: 500, Ended: []EndedTask{ended(1, 0, 1, EndDone)}})
+	c.Assert(h.core.jobs["j"].state, qt.Equals, jobs.Completed)
+	h.step(WorkersChanged{Workers: []WorkerInfo{other}})
+	for i := range 500 {
+		h.submit(t, jobs.ID(fmt.Sprint("waiting", i)), jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900})
+	}
+	h.advance(2000)
+
+	// The leader ends after one of the writes that follow.
+	for range 5 {
+		effects = append(h.applyWrite(c, effects), h.advance(100)...)
+		entry := h.core.stateMachine.Jobs["j"]
+		if entry.State() == jobs.Completed {
+			return
+		}
+		next, _ := h.successor(other)
+		starts := allStarts(next.report(other, Report{StartedMS: 7, ClockMS: 3000}))
+		starts = append(starts, allStarts(next.advance(200))...)
+		c.Assert(slices.ContainsFunc(starts, func(s Start) bool { return s.Task.Job == "j" }), qt.IsFalse,
+			qt.Commentf("a completed task starts again; worker in the log: %v", next.core.workers["w"] != nil))
+	}
+}
+
 // Guards against a task that runs twice: a restarted worker may hold the longest
 // lease, and gets tasks before the log holds its restart. A successor to which it is
 // silent waits for the shorter lease only.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -254,6 +254,9 @@
 		return true
 	case w.inherited && !w.reported:
 		return c.settledMS()-c.termStartMS > c.inheritedLeaseMS(w)
+	case w.processedEnd > w.ackableEnd:
+		// A successor would learn of its ends from the worker only.
+		return false
 	case w.moreEnded, len(w.orphans) > 0:
 		// Its runs and ends are not all known, or belong to a job that may still
 		// become known.
