Let no older entry replace the address of a worker that runs tasks

What callers could see: tasks that run twice.

Cause: an entry of an earlier incarnation, or one without a start time, that another writer leaves under a worker's ID replaced the address of a worker with runs. If another worker responded there, the runs counted as over; a successor did not wait for them.

Change: such an entry does not count while the worker has runs, as it already did not before an inherited worker's first report.

TestOldEntryDoesNotReplaceAddressOfRuns failed before in both cases.

--- a/internal/planner/unrecorded_state_test.go
+++ b/internal/planner/unrecorded_state_test.go
@@ -112,3 +112,30 @@
 		c.Assert(next.core.workers[s.Worker].info.Address, qt.Equals, s.Address)
 	}
 }
+
+// Guards against a task that runs twice: an entry of an earlier incarnation, which is
+// written late, or one without a start time replaces the recorded address of a worker
+// that runs tasks. A successor calls the other address, where another worker may
+// respond, and does not wait.
+func TestOldEntryDoesNotReplaceAddressOfRuns(t *testing.T) {
+	for name, startedMS := range map[string]int64{"earlier incarnation": 6, "no start time": 0} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			first := newHarness(safeguards{})
+			first.join(testWorker)
+			first.confirmWrites(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 9000}))
+			first.confirmWrites(first.advance(100))
+			c.Assert(first.core.workers["w"].runs, qt.HasLen, 1)
+			old := testWorker
+			old.Address, old.StartedMS = "b", startedMS
+			first.confirmWrites(first.step(WorkersChanged{Workers: []WorkerInfo{old}}))
+			first.confirmWrites(first.advance(100))
+			next, _ := first.successor()
+			c.Check(next.core.workers["w"].info.Address, qt.Equals, testWorker.Address)
+
+			// Another worker responds at the old address.
+			effects := first.step(HoldDone{Worker: "w", Address: "b", Outcome: WrongWorker})
+			c.Check(decisions(effects, "run_lost"), qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -221,11 +221,15 @@
 }
 
 // entryIsOld reports whether a directory entry is of an earlier incarnation than the
-// one that the predecessor recorded and may have started tasks on. The list that a
-// term begins with may be older than the log; a refusal by another worker at the
-// former address says nothing about the recorded incarnation.
+// one that runs tasks, or that the predecessor recorded and may have started tasks on.
+// The list that a term begins with may be older than the log, and another writer may
+// repeat an old entry; a refusal by another worker at the address in it says nothing
+// about the present incarnation.
 func (c *Core) entryIsOld(w *worker, info *WorkerInfo) bool {
-	return w.inherited && !w.reported && !w.dead && !c.reconciled && info.StartedMS != 0 && info.StartedMS < w.info.StartedMS
+	if w.dead || info.StartedMS >= w.info.StartedMS {
+		return false
+	}
+	return w.inherited && !w.reported && !c.reconciled || len(w.runs)+len(w.ended) > 0
 }
 
 // removeDeparted removes workers that have left the directory and that can neither
