Notice a worker's restart by its first report

What callers could see: a task that runs twice.

Cause: a successor compared a worker's start time with that of an earlier report only. A worker that had restarted since its record, and whose entry the directory lacked, counted as the recorded incarnation, so its runs were given the lease of the predecessor where it may hold the longest one.

Change: the first report of a term is compared with the record or entry.

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -17,6 +17,10 @@
 	}
 	if w.startedMS == 0 {
 		w.startedMS = e.Report.StartedMS
+		if w.info.StartedMS != 0 && w.startedMS > w.info.StartedMS {
+			w.restartedMS = w.startedMS
+			c.markWorkerDirty(w.info.ID)
+		}
 	}
 	if e.Report.ClockMS >= w.clockMS {
 		// The worker's clock is not later than that when the report arrived: taken
--- a/internal/planner/unrecorded_state_test.go
+++ b/internal/planner/unrecorded_state_test.go
@@ -139,3 +139,21 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: a worker has restarted since its record, and
+// a call to its former incarnation may have given it the longest lease. The successor
+// learns of the restart from the worker's first report only.
+func TestRestartShownByFirstReportCountsForLease(t *testing.T) {
+	c := qt.New(t)
+	first := newHarness(safeguards{})
+	first.join(testWorker)
+	first.confirmWrites(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 9000}))
+	first.confirmWrites(first.advance(100))
+	bornMS := first.now
+	next, _ := first.successor(testWorker)
+	next.report(testWorker, Report{StartedMS: bornMS, ClockMS: 900, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 1}}})
+	w := next.core.workers["w"]
+	c.Assert(w.runs, qt.HasLen, 1)
+	c.Assert(next.core.leaseOverMS(w)-next.now >= next.core.config.MaxLeaseMS, qt.IsTrue,
+		qt.Commentf("the lease counts as over after %d ms", next.core.leaseOverMS(w)-next.now))
+}
