Wait for the leases of all leaders that may still have granted one

What callers could see: a task that runs twice after claims in quick succession while the lease is being changed in the settings.

Cause: a new leader waited for the lease of the last claim's leader. One before it may have requested a longer lease a moment ago.

Change: the longest lease of the claims within the longest time that a lease can last counts.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -87,7 +87,11 @@
 	if c.Epoch <= n.claim.Epoch {
 		return
 	}
-	n.priorLeaseMS = n.claim.LeaseMS
+	now := n.now().MS
+	if now-n.priorClaimMS > n.config.plannerConfig(false).MaxLeaseMS+planner.DeposedLeaderMS {
+		n.priorLeaseMS = 0
+	}
+	n.priorLeaseMS, n.priorClaimMS = max(n.priorLeaseMS, n.claim.LeaseMS), now
 	n.claim, n.claimEndOffset = c, n.appliedEnd
 	if n.caughtUp.Load() {
 		n.claimReadMS = n.now().MS
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,8 +64,9 @@
 	// sentClaim is the last claim that this instance has sent and for which it
 	// has not begun a term.
 	sentClaim claim
-	// priorLeaseMS is the lease of the previous leader, or 0 if it is unknown.
-	priorLeaseMS int64
+	// priorLeaseMS is the longest lease of the previous leaders whose runs may still
+	// hold one, or 0 if it is unknown; priorClaimMS is when it was last determined.
+	priorLeaseMS, priorClaimMS int64
 	// claimReadMS is when claim was read, or 0 if the log held it before this
 	// instance started.
 	claimReadMS int64
