--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -42,6 +42,8 @@
 	switch {
 	case w.info.Service != s.job.queue.Service:
 		return "service"
+	case !w.recorded:
+		return "unrecorded"
 	case !c.usable(w):
 		return "unusable"
 	case s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label):
