Let new workers lose their entry or be cut off in the simulated takeovers

A worker that starts while the log is down now loses its directory entry with it in half of the cases, as in the incident; one in four is cut off soon after its start; leaders may be up to 8 s late.

--- a/internal/planner/random_takeover_test.go
+++ b/internal/planner/random_takeover_test.go
@@ -212,10 +212,17 @@
 			faults.free = append(faults.free, former)
 		}
 	}
+	if rng.IntN(4) == 0 {
+		// It is cut off soon after it has started.
+		sim.at(f.downUntil-sim.now+rng.Int64N(400), func() { f.cutOffUntil = max(f.cutOffUntil, sim.now+1000+rng.Int64N(9000)) })
+	}
 	f.unlistedUntil = f.downUntil + rng.Int64N(1000)
 	sim.announce(0)
 	sim.announce(f.unlistedUntil - sim.now + 1)
 	sim.announce(3001)
+	if listedMS := f.unlistedUntil - sim.now; sim.now+listedMS < sim.logDownUntil && rng.IntN(2) == 0 {
+		sim.at(listedMS+rng.Int64N(sim.logDownUntil-sim.now-listedMS), func() { sim.loseEntry(f) })
+	}
 }
 
 // formerEntries returns the entries of former workers that have not expired yet and
@@ -249,7 +256,7 @@
 		sim.at(lengthMS, func() { sim.wake(l) })
 		return
 	}
-	l.lateUntil, l.delayMS = max(l.lateUntil, sim.now+lengthMS), 100+rng.Int64N(3000)
+	l.lateUntil, l.delayMS = max(l.lateUntil, sim.now+lengthMS), 100+rng.Int64N([]int64{3000, 8000}[rng.IntN(2)])
 	sim.at(lengthMS, func() {
 		if sim.now >= l.lateUntil {
 			sim.handleBacklog(l)
