--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,6 +133,8 @@
 	mu   sync.Mutex
 	next int
 	ids  []jobs.ID
+	// stages holds what the callers that have not ended are doing.
+	stages map[jobs.ID]string
 }
 
 // Run executes one run with the seed in options. An error means that the run
@@ -140,7 +142,7 @@
 func Run(ctx context.Context, options Options) (*Result, error) {
 	r := &run{
 		options: options, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}),
-		accepted: make(chan struct{}, 1), settled: make(chan struct{}),
+		accepted: make(chan struct{}, 1), settled: make(chan struct{}), stages: map[jobs.ID]string{},
 		probe: &http.Client{Timeout: time.Second},
 	}
 	if err := options.checkMix(); err != nil {
@@ -189,7 +191,7 @@
 	case <-ended:
 	case <-limited.Done():
 		if ctx.Err() == nil {
-			r.checker.ReportViolation("jobs have not ended %s after the last fault: %v", options.RecoveryLimit, r.unfinishedJobs())
+			r.checker.ReportViolation("jobs have not ended %s after the last fault: %v", options.RecoveryLimit, r.unendedJobs())
 		}
 	}
 	r.watchAcks(ctx, time.Now(), time.Now().Add(ackBound+2*ackPoll))
@@ -358,18 +360,6 @@
 	}
 }
 
-func (r *run) unfinishedJobs() []jobs.ID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []jobs.ID
-	for _, id := range r.ids {
-		if r.checker.Unfinished(id) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // pickAddress returns the callers' address of a random instance, preferably of a
 // running one.
 func (r *run) pickAddress(rng *rand.Rand) string {
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -219,6 +219,8 @@
 // later, and polls it until it ends. Some callers cancel the job before, while or
 // after it starts; long-running jobs are always cancelled at the end.
 func (r *run) runCaller(ctx context.Context, id jobs.ID, rng *rand.Rand) {
+	defer r.setStage(id, "")
+	r.setStage(id, "is submitted")
 	c := r.clients[rng.IntN(clientCount)]
 	repeat := func(delay time.Duration) {
 		address := r.pickAddress(rng)
@@ -268,6 +270,7 @@
 	if rng.IntN(8) == 0 {
 		repeat(later())
 	}
+	r.setStage(id, "is accepted")
 	lasts := r.checker.LongRunning(id)
 	switch {
 	case lasts && rng.IntN(2) == 0:
@@ -281,8 +284,9 @@
 		case <-r.settled:
 		case <-ctx.Done():
 		}
-		// A task that is never started again keeps the job from ending.
-		for !r.checker.AllRunning(id) && ctx.Err() == nil {
+		// A task that is never started again keeps the job from ending, unless the
+		// cancellation was sent together with the submission.
+		for cancelling > 0 && !r.checker.AllRunning(id) && ctx.Err() == nil {
 			sleep(ctx, ackPoll)
 		}
 	case cancelling <= 1:
@@ -301,7 +305,31 @@
 	}
 }
 
+// setStage records what a caller is doing about its job; "" when it has ended.
+func (r *run) setStage(id jobs.ID, stage string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if stage == "" {
+		delete(r.stages, id)
+		return
+	}
+	r.stages[id] = stage
+}
+
+// unendedJobs describes the jobs whose callers have not ended.
+func (r *run) unendedJobs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for id, stage := range r.stages {
+		out = append(out, string(id)+" "+stage)
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (r *run) cancel(ctx context.Context, c *standin.Caller, id jobs.ID, rng *rand.Rand) {
+	r.setStage(id, "is being cancelled")
 	for !c.Cancel(ctx, r.pickAddress(rng), id) && ctx.Err() == nil {
 		sleep(ctx, retryPause)
 	}
