--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -170,12 +170,14 @@
 	ids  []jobs.ID
 	// workerIDs counts the ids that workers have had.
 	workerIDs int
+	// stages holds what the callers that have not ended are doing.
+	stages map[jobs.ID]string
 }
 
 func newRun(options Options) *run {
 	return &run{
 		options: options, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}),
-		links: newLinks(), accepted: make(chan struct{}, 1), settled: make(chan struct{}),
+		links: newLinks(), accepted: make(chan struct{}, 1), settled: make(chan struct{}), stages: map[jobs.ID]string{},
 		probe: &http.Client{Timeout: time.Second},
 	}
 }
@@ -230,7 +232,7 @@
 	case <-ended:
 	case <-limited.Done():
 		if ctx.Err() == nil {
-			r.checker.ReportViolation("jobs have not ended %s after the last fault: %v", options.RecoveryLimit, r.unfinishedJobs())
+			r.checker.ReportViolation("jobs have not ended %s after the last fault: %v", options.RecoveryLimit, r.unendedJobs())
 		}
 	}
 	r.watchAcks(ctx, time.Now(), time.Now().Add(ackBound+2*ackPoll))
@@ -443,18 +445,6 @@
 	}
 }
 
-func (r *run) unfinishedJobs() []jobs.ID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []jobs.ID
-	for _, id := range r.ids {
-		if r.checker.Unfinished(id) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // pickAddress returns the callers' address of a random instance, preferably of a
 // running one.
 func (r *run) pickAddress(rng *rand.Rand) string {
