--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -173,3 +173,115 @@
 		c.Assert(h.now < overMS+1000, qt.IsTrue)
 	}
 }
+
+// Guards against a task that never runs: a run of an unknown job was taken over when
+// the job became known, although another worker had responded at its worker's address.
+func TestUnknownRunEndsWithItsWorker(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 100, Running: []RunningTask{{Task: jobs.Task{Job: "j"}, Run: 4}}}))
+	h.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: WrongWorker})
+	h.confirmWrites(h.report(other, Report{StartedMS: 7, ClockMS: 100}))
+	effects := slices.Clone(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	starts := allStarts(append(effects, h.advance(500)...))
+	c.Assert(starts, qt.HasLen, 1)
+	c.Assert(starts[0].Worker, qt.Equals, WorkerID("w2"))
+}
+
+// Guards against an attempt too many: runs of one task that two leaders have started
+// had the same number, and their failures counted as one.
+func TestRunNumbersOfTermsDiffer(t *testing.T) {
+	c := qt.New(t)
+	other := testWorker
+	other.ID, other.Address = "w2", "b"
+	h := newSuccessor(t, testWorker, other)
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{testWorker, other}}))
+	for !h.core.reconciled {
+		h.confirmWrites(append(slices.Clone(h.report(other, Report{StartedMS: 7, ClockMS: h.now - 1_000_000})), h.advance(20)...))
+	}
+	// The predecessor had started run 1 on the silent worker, before the submission was
+	// recorded.
+	h.confirmWrites(h.submit(t, "k", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	h.confirmWrites(h.advance(100))
+	runs := h.core.jobs["k"].steps[0].tasks[0].runs
+	c.Assert(runs, qt.HasLen, 1)
+	task := jobs.Task{Job: "k"}
+	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 9000, Ended: []EndedTask{{Number: 1, Task: task, Run: 1, Kind: EndFailed}}}))
+	h.confirmWrites(h.report(other, Report{StartedMS: 7, ClockMS: 9000, Ended: []EndedTask{{Number: 1, Task: task, Run: runs[0].number, Kind: EndFailed}}}))
+	c.Assert(h.core.jobs["k"].progress.FailuresOf(task), qt.Equals, 2)
+}
+
+// Guards against a start that a successor does not learn of: the address to which it
+// was sent was recorded, but the record was about to be replaced.
+func TestAddressIsNotRecordedWhileItsRecordIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	h.confirmWrites(h.advance(100))
+	moved, back := testWorker, testWorker
+	moved.Address, moved.StartedMS = "b", 8
+	back.StartedMS = 9
+	outstanding := slices.Clone(append(slices.Clone(h.step(WorkersChanged{Workers: []WorkerInfo{moved}})), h.advance(40)...))
+	h.step(WorkersChanged{Workers: []WorkerInfo{back}})
+	h.report(back, Report{StartedMS: 9, ClockMS: 100})
+	effects := slices.Clone(h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	effects = append(effects, h.advance(100)...)
+	c.Assert(allStarts(effects), qt.HasLen, 0)
+	// Once the log holds the present address again, the worker is used.
+	h.confirmWrites(outstanding)
+	h.confirmWrites(h.advance(60))
+	h.report(back, Report{StartedMS: 9, ClockMS: 400})
+	h.advance(60)
+	c.Assert(h.core.workers["w"].runs, qt.HasLen, 1)
+}
+
+// Guards against a lease that lasts longer than the leader assumes: a lease end on the
+// clock of a worker's former incarnation lies far in the future of the next one.
+func TestNothingStartsBeforeRestartedWorkerReports(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	h.confirmWrites(h.advance(100))
+	again := testWorker
+	again.StartedMS = 9
+	effects := slices.Clone(h.step(WorkersChanged{Workers: []WorkerInfo{again}}))
+	effects = append(effects, h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900})...)
+	h.step(HoldDone{Worker: "w", Address: testWorker.Address, Outcome: Unreachable})
+	effects = append(effects, h.advance(600)...)
+	c.Assert(allStarts(effects), qt.HasLen, 0)
+	for _, e := range effects {
+		if hold, ok := e.(Hold); ok {
+			c.Assert(hold.LeaseEndMS, qt.Equals, int64(0))
+		}
+	}
+	h.confirmWrites(effects)
+	h.report(again, Report{StartedMS: 9, ClockMS: 20})
+	h.advance(20)
+	c.Assert(h.core.workers["w"].runs, qt.HasLen, 1)
+	c.Assert(h.core.workers["w"].leaseEndMS <= 20+20+4000, qt.IsTrue)
+}
+
+// Guards against a task that runs twice: a worker restarts under its ID, gets a task
+// with a lease end on its former clock, and is cut off before it reports. The lease is
+// then longer than the leader waits.
+func TestRestartedWorkerIsCutOffBeforeItReports(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(10) {
+		sim := newSimulation(seed, faultRates{})
+		sim.run(sim.now + 1000)
+		f := sim.workers[0]
+		f.crash(10)
+		sim.at(15, func() {
+			sim.step(sim.leader, WorkersChanged{Workers: sim.directory()})
+			sim.jobs["j"] = &submittedJob{job: &jobs.Job{Queue: "batch", Payload: "j", Steps: []jobs.Step{{Count: 12, CPUMilli: 8000, MemoryMB: 1000, EstimateMS: 9000}}}}
+			sim.ids = append(sim.ids, "j")
+			sim.submit("j")
+		})
+		sim.at(40, func() { f.cutOffUntil = sim.now + 12_000 })
+		sim.run(sim.now + 30_000)
+		c.Assert(sim.violations, qt.HasLen, 0)
+	}
+}
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -26,7 +26,7 @@
 	unreported := false
 	endsMissing, inheritedLease := false, c.maxInheritedLeaseMS(c.priorLeaseMS)
 	for _, w := range c.sortedWorkers {
-		if (w.listed || w.inherited) && !w.dead && (!w.reported || w.moreEnded) {
+		if w.awaited() {
 			unreported = true
 			inheritedLease = max(inheritedLease, c.inheritedLeaseMS(w))
 		}
@@ -108,6 +108,10 @@
 			return
 		}
 		jnl.inFlightWorkers = append(jnl.inFlightWorkers, id)
+		if w := c.workers[id]; w != nil && w.recordedAddress != w.info.Address {
+			// From now on the log may hold either address.
+			w.recordedAddress = ""
+		}
 		added++
 	}
 	if len(jnl.workers) == 0 && len(c.stateMachine.LegacyWorkers) > 0 {
