--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -330,6 +330,7 @@
 
 func (r *run) cancel(ctx context.Context, c *standin.Caller, id jobs.ID, rng *rand.Rand) {
 	r.setStage(id, "is being cancelled")
+	c.AwaitCancellation(id)
 	for !c.Cancel(ctx, r.pickAddress(rng), id) && ctx.Err() == nil {
 		sleep(ctx, retryPause)
 	}
