Drop a correction of run numbers that no longer has an effect

A start that a worker refuses as stale raised the task's number to the first one of the term. Since every job's numbers begin there, that changes nothing.

--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -78,8 +78,7 @@
 	case NoTicket:
 		delete(r.task.step.advice.tickets, w.info.ID)
 	case StaleRun:
-		// A predecessor has used a higher number there.
-		r.task.lastRun = max(r.task.lastRun, int(c.epoch-1)*runsPerTerm)
+		// The worker has stopped or ended a run with this number or a higher one.
 		r.task.avoid(w)
 	case Refused, Unreachable:
 		w.health.refused(c.now.MS)
