--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -77,8 +77,8 @@
 		{"short", 0.5, standin.UrgentQueue, func(j *jobs.Job, rng *rand.Rand) {
 			j.Steps = []jobs.Step{{Count: 100 + rng.IntN(100), CPUMilli: 50, EstimateMS: 1 + rng.IntN(40)}}
 		}},
-		{"many on one worker", 0.2, standin.Queue, func(j *jobs.Job, rng *rand.Rand) {
-			j.Steps = []jobs.Step{{Count: 600 + rng.IntN(100), CPUMilli: 20, EstimateMS: 500 + rng.IntN(1000), Label: onlyLabel}}
+		{"many on one worker", 0.4, standin.Queue, func(j *jobs.Job, rng *rand.Rand) {
+			j.Steps = []jobs.Step{{Count: 600 + rng.IntN(100), CPUMilli: 5, EstimateMS: 400 + rng.IntN(400), Label: onlyLabel}}
 		}},
 	}},
 	// The weights are submissions per second.
@@ -160,6 +160,7 @@
 	for range clientCount {
 		r.clients = append(r.clients, standin.NewCaller(r.checker, callerLimit))
 	}
+	go r.watchStarvation(ctx)
 	go func() {
 		for ; ctx.Err() == nil; sleep(ctx, ackPoll) {
 			r.checker.CheckCalm()
@@ -223,6 +224,8 @@
 // later, and polls it until it ends. Some callers cancel the job before, while or
 // after it starts; long-running jobs are always cancelled at the end.
 func (r *run) runCaller(ctx context.Context, id jobs.ID, rng *rand.Rand) {
+	defer r.setStage(id, "")
+	r.setStage(id, "is submitted")
 	c := r.clients[rng.IntN(clientCount)]
 	repeat := func(delay time.Duration) {
 		address := r.pickAddress(rng)
@@ -272,6 +275,7 @@
 	if rng.IntN(8) == 0 {
 		repeat(later())
 	}
+	r.setStage(id, "is accepted")
 	lasts := r.checker.LongRunning(id)
 	switch {
 	case lasts && rng.IntN(2) == 0:
@@ -285,6 +289,11 @@
 		case <-r.settled:
 		case <-ctx.Done():
 		}
+		// A task that is never started again keeps the job from ending, unless the
+		// cancellation was sent together with the submission.
+		for cancelling > 0 && !r.checker.AllRunning(id) && ctx.Err() == nil {
+			sleep(ctx, ackPoll)
+		}
 	case cancelling <= 1:
 		sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
 	default:
@@ -301,7 +310,31 @@
 	}
 }
 
+// setStage records what a caller is doing about its job; "" when it has ended.
+func (r *run) setStage(id jobs.ID, stage string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if stage == "" {
+		delete(r.stages, id)
+		return
+	}
+	r.stages[id] = stage
+}
+
+// unendedJobs describes the jobs whose callers have not ended.
+func (r *run) unendedJobs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for id, stage := range r.stages {
+		out = append(out, string(id)+" "+stage)
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (r *run) cancel(ctx context.Context, c *standin.Caller, id jobs.ID, rng *rand.Rand) {
+	r.setStage(id, "is being cancelled")
 	for !c.Cancel(ctx, r.pickAddress(rng), id) && ctx.Err() == nil {
 		sleep(ctx, retryPause)
 	}
