Split the delegation, the soak's checker and its worker by concern

Moves only: sending batches, the calls whose reports may wait, the checks of a start, those that need a time without faults, and the worker's interface.

--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -2,12 +2,10 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
@@ -311,51 +309,6 @@
 	return true
 }
 
-// take removes a call from those that are pending; ok is false if it is not.
-func (d *delegation) take(id uint64) (call delegatedCall, ok bool) {
-	call, ok = d.pending[id]
-	if !ok {
-		return call, false
-	}
-	delete(d.pending, id)
-	if call.command == nil {
-		call.delegate.probing = false
-	}
-	if call.counted {
-		call.delegate.holds--
-	}
-	if call.counted && call.givenUpMS > 0 {
-		worker := call.worker()
-		d.givenUp[worker] = slices.DeleteFunc(d.givenUp[worker], func(other uint64) bool { return other == id })
-		if len(d.givenUp[worker]) == 0 {
-			delete(d.givenUp, worker)
-		}
-	}
-	return call, true
-}
-
-// handledMS returns the time up to which the leader has handled what workers have
-// reported to delegates, or 0 if no report can wait there.
-func (d *delegation) handledMS() int64 {
-	oldest := int64(0)
-	for _, g := range d.delegates {
-		if g.holds > 0 && (oldest == 0 || g.handledMS < oldest) {
-			oldest = g.handledMS
-		}
-	}
-	return oldest
-}
-
-// probe asks each delegate that may have reports for a sign that it has passed on
-// those that it had.
-func (d *delegation) probe(nowMS int64) {
-	for _, g := range d.active {
-		if g.holds > 0 && !g.probing {
-			g.probing = d.queue(g, workerCall{sentMS: nowMS})
-		}
-	}
-}
-
 // outcomeArrived handles an outcome that a delegate has sent. A report that is a
 // difference to one that the leader does not hold counts as none: a run that is
 // missing from a report counts as no longer running.
@@ -416,52 +369,6 @@
 	}
 }
 
-// called notes that the outcome of a call is known, wherever it was made. Nothing
-// waits any longer for earlier hold calls of the worker that had been given up when
-// it was made: what the worker could report, this call would have returned.
-func (d *delegation) called(call workerCall) {
-	if _, ok := call.command.(planner.Hold); !ok || len(d.givenUp[call.worker()]) == 0 {
-		return
-	}
-	left := slices.DeleteFunc(d.givenUp[call.worker()], func(id uint64) bool {
-		earlier := d.pending[id]
-		if earlier.givenUpMS > call.sentMS {
-			return false
-		}
-		earlier.counted = false
-		earlier.delegate.holds--
-		d.pending[id] = earlier
-		return true
-	})
-	if d.givenUp[call.worker()] = left; len(left) == 0 {
-		delete(d.givenUp, call.worker())
-	}
-}
-
-// giveUp reports the outcome of a call as unknown. The report of a hold call is
-// still of use when it arrives within the time of a lease. Until then it counts as
-// one that waits at the delegate, unless a later call of the worker has ended.
-func (d *delegation) giveUp(id uint64) {
-	call, ok := d.pending[id]
-	if !ok || call.givenUpMS > 0 {
-		return
-	}
-	switch call.command.(type) {
-	case nil:
-		d.take(id)
-		return
-	case planner.Hold:
-		call.givenUpMS = d.node.now().MS
-		call.deadlineMS = call.givenUpMS + d.node.config.LeaseMS
-		d.pending[id] = call
-		d.givenUp[call.worker()] = append(d.givenUp[call.worker()], id)
-	default:
-		d.take(id)
-	}
-	d.node.countCall(call.workerCall, planner.OutcomeUnknown)
-	d.node.step(call.done(planner.OutcomeUnknown, planner.Report{}, 0))
-}
-
 // fail takes a delegate out of use. The outcomes of its calls are unknown.
 func (d *delegation) fail(g *delegate, reason string) {
 	if !slices.Contains(d.active, g) {
@@ -508,105 +415,3 @@
 	}
 	d.probe(now)
 }
-
-// sendCalls sends the calls of a delegate in batches until the term ends.
-func (d *delegation) sendCalls(g *delegate) {
-	t := d.term
-	for {
-		var batch []queuedCall
-		var states []planner.JobStateChanged
-		select {
-		case <-t.ctx.Done():
-			return
-		case first := <-g.calls.Receive():
-			batch = append(batch, first)
-		case first := <-g.states.Receive():
-			states = append(states, first)
-		}
-		batch = drainInto(batch, g.calls, maxCallsPerBatch)
-		states = drainInto(states, g.states, maxStatesPerBatch)
-		d.sendBatch(g, batch, states)
-		pause(t.ctx, callBatchInterval)
-	}
-}
-
-// publish passes a job's state on to the delegates, which answer callers' looks at
-// it. A delegate whose ring is full learns of it from the log.
-func (d *delegation) publish(change planner.JobStateChanged) {
-	for _, g := range d.active {
-		g.states.Offer(change)
-	}
-}
-
-// sendBatch passes calls and states to a delegate and handles its response.
-func (d *delegation) sendBatch(g *delegate, batch []queuedCall, states []planner.JobStateChanged) {
-	n, t := d.node, d.term
-	request := &nodev1.CallWorkersRequest{Epoch: t.epoch, PeerAddress: n.config.advertisedPeerAddr()}
-	oldestMS := n.now().MS - milliseconds(delegateQueueLimit)
-	for _, q := range batch {
-		if q.call.sentMS < oldestMS {
-			// The leader was suspended, or the delegate is slow.
-			d.post(func() { d.failBatch(g, batch, "calls too old") })
-			return
-		}
-		request.Calls = append(request.Calls, encodeCall(q.id, q.call.command, q.knownReport))
-	}
-	for _, s := range states {
-		request.States = append(request.States, &nodev1.JobState{Id: string(s.Job), State: string(s.State)})
-	}
-	ctx, cancel := context.WithTimeout(t.ctx, batchTimeout)
-	defer cancel()
-	response, err := g.client.CallWorkers(ctx, connect.NewRequest(request))
-	switch {
-	case err != nil:
-		d.post(func() { d.failBatch(g, batch, err.Error()) })
-	case response.Msg.GetEpoch() > t.epoch:
-		d.post(func() { n.resign("a delegate reported a newer leader") })
-	case !response.Msg.GetAccepted():
-		d.post(func() { d.reroute(g, batch) })
-	}
-}
-
-// post runs fn in the event loop unless the term is over.
-func (d *delegation) post(fn func()) {
-	d.node.post(d.term.ctx, dutyMembers, func() {
-		if d.node.term == d.term {
-			fn()
-		}
-	})
-}
-
-// failBatch fails a delegate that has not confirmed a batch.
-func (d *delegation) failBatch(g *delegate, batch []queuedCall, reason string) {
-	d.fail(g, reason)
-	for _, q := range batch {
-		d.giveUp(q.id)
-	}
-}
-
-// reroute takes a delegate that has declined a batch out of use and passes its
-// calls on. The outcomes of its earlier calls still arrive.
-func (d *delegation) reroute(g *delegate, batch []queuedCall) {
-	g.failedMS = d.node.now().MS
-	d.setActive(slices.DeleteFunc(slices.Clone(d.active), func(other *delegate) bool { return other == g }))
-	for _, q := range batch {
-		call, ok := d.take(q.id)
-		if ok && call.command != nil && call.givenUpMS == 0 {
-			d.node.dispatch(d.term, workerCall{command: q.call.command, sentMS: d.node.now().MS})
-		}
-	}
-}
-
-// drainInto appends the queued items of a ring to a batch, up to a total of max
-// items.
-func drainInto[T any](batch []T, r *ring.Ring[T], max int) []T {
-	for len(batch) < max {
-		select {
-		case item := <-r.Receive():
-			batch = append(batch, item)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
