--- a/internal/node/delegation.go
+++ b/internal/node/delegation.go
@@ -120,7 +120,7 @@
 	workerCall
 	delegate   *delegate
 	deadlineMS int64
-	// givenUpMS is when the planner was told that the outcome is unknown, or 0.
+	// givenUpMS is when the outcome was reported as unknown to the planner, or 0.
 	// The outcome of a hold call may still arrive.
 	givenUpMS int64
 	// counted is set while the call counts in its delegate's holds.
--- a/internal/planner/lag_test.go
+++ b/internal/planner/lag_test.go
@@ -146,8 +146,8 @@
 	c.Assert(hold.LeaseEndMS, qt.Equals, int64(600+1500+4000))
 }
 
-// Guards against a report that arrives after its call was given up and replaces what
-// a newer one has told: a run that has ended would count as running again.
+// Guards against a report that arrives after its call was given up and replaces a
+// newer one: a run that has ended would count as running again.
 func TestLateReportDoesNotReplaceANewerOne(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(safeguards{})
--- a/internal/planner/takeover_log_test.go
+++ b/internal/planner/takeover_log_test.go
@@ -122,8 +122,8 @@
 }
 
 // TestStartStatesWhyItWasAllowed guards against second starts whose cause the log
-// does not show: how the takeover that allowed them ended, how many workers it did
-// not hear, and how the leader learned of the job. Other starts stay short.
+// does not show: how the takeover that allowed them ended, how many workers had
+// not reported, and how the leader learned of the job. Other starts stay short.
 func TestStartStatesWhyItWasAllowed(t *testing.T) {
 	step := jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}
 	encoded, err := jobs.EncodeJob(&jobs.Job{Queue: "q", Steps: []jobs.Step{step}})
