--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Plays the case "hand-over" (review/standin-2): exits with 1 if the rule was broken, 0 if
+# it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+if [ ! -x target/rwnode ] || [ ! -x target/rwreview2 ]; then
+  echo "run the build line of deploy/system.toml and review/build-2.sh first"
+  exit 2
+fi
+work=$(mktemp -d) || exit 2
+target/rwreview2 -case hand-over -dir "$work" -rwnode target/rwnode &
+pid=$!
+trap 'kill "$pid" 2>/dev/null' INT TERM
+wait "$pid"
+code=$?
+cp "$work/record.txt" "$here/record.txt" || code=2
+rm -rf "$work"
+exit "$code"
