Hold a retry back until all failures of former terms are known

Cause: attach ended the takeover's hold on a task as soon as one of its runs was adopted. That run shows that no other one exists, but not how many failed before it: their ends may stand on a worker that has not reported yet. In the run's record, runs 1 and 2 failed on workers that answered the new leader at 4.518 s; it had started the fifth run at 3.966 s by two known failures.

Change: a task with an attempt limit starts again only once the takeover has ended. The same for gangs, second copies and runs replaced as slow. Tasks without a limit are not held back. start_held names a task that waits.

The simulation counted only failures acknowledged before a start; it now also counts those acknowledged later, as the workers' contract does.

--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -107,6 +107,18 @@
 	return limit.max > 0 && j.progress.FailuresOf(t.failureTask()) >= limit.max
 }
 
+// failuresKnown reports whether the leader knows all failed runs of a task that
+// count towards its attempt limit. A run that it has adopted says nothing about
+// the earlier ones: until every worker has reported, one may list a failure that
+// is not in the log, and a start could be one too many.
+func (c *Core) failuresKnown(t *task) bool {
+	j := t.step.job
+	if c.reconciled || !j.inherited || t.step.spec.LongRunning || c.disabled.awaitFailures {
+		return true
+	}
+	return c.attemptLimitOf(j).max == 0
+}
+
 // checkAttempts fails the job if the task is exhausted under a confirmed limit.
 func (c *Core) checkAttempts(t *task) {
 	j := t.step.job
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -122,6 +122,9 @@
 	// recheckFailures: a new configuration is applied to failures that were
 	// counted before it.
 	recheckFailures bool
+	// awaitFailures: a new leader starts no task again before it knows all of its
+	// failures.
+	awaitFailures bool
 	// stopOrphans: runs of unknown jobs are stopped after a grace period.
 	stopOrphans bool
 	// ackUnrecorded: ends that change nothing are acknowledged without a write.
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -15,7 +15,7 @@
 	active := 0
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.unreconciled || c.now.MS < t.notBeforeMS {
+		if c.startHeld(t) {
 			return
 		}
 		active += len(t.runs)
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -305,10 +305,14 @@
 func (w *worker) freeCPU() int { return w.info.Capacity.CPUMilli - w.used.CPUMilli }
 
 func (c *Core) mayStart(t *task) bool {
-	if t.unreconciled || len(t.runs) > 0 {
-		return false
-	}
-	return c.now.MS >= t.notBeforeMS
+	return len(t.runs) == 0 && !c.startHeld(t)
+}
+
+// startHeld reports whether no run of a task may start yet, whatever the workers'
+// room: a predecessor's run may still exist or its failures are not all known, or a
+// start was rejected a moment ago.
+func (c *Core) startHeld(t *task) bool {
+	return t.unreconciled || !c.failuresKnown(t) || c.now.MS < t.notBeforeMS
 }
 
 // pick returns the best worker for a task other than the given one, or nil.
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -319,8 +319,17 @@
 
 // afterRun queues a task for its next start when none of its runs is active.
 func (c *Core) afterRun(t *task) {
-	if len(t.runs) == 0 {
-		c.requeue(t)
+	if len(t.runs) > 0 {
+		return
+	}
+	c.requeue(t)
+	if t.waiting && !c.failuresKnown(t) {
+		j := t.step.job
+		c.emit(Decision{Event: "start_held", Job: j.id, Task: t.ref().String(), Run: t.lastRun, Reason: "not all failures known", Details: []Detail{
+			{Name: "failures", Number: int64(j.progress.FailuresOf(t.failureTask()))},
+			{Name: "attempts", Number: int64(c.attemptLimitOf(j).max)},
+			{Name: "unreported", Number: int64(c.awaitedWorkers())},
+		}})
 	}
 }
 
--- a/internal/planner/run_check.go
+++ b/internal/planner/run_check.go
@@ -128,9 +128,9 @@
 		r.speedCheckedMS = r.usageMS
 		w.health.observeSpeed(expected*rate/100, c.now.MS)
 	}
-	if c.commandsWithheld() || c.lag.behind || c.exhausted(r.task) {
+	if c.commandsWithheld() || c.lag.behind || c.exhausted(r.task) || !c.failuresKnown(r.task) {
 		// No other run may start while commands are withheld, or once the attempts
-		// are used up.
+		// are or may be used up.
 		return
 	}
 	remaining := float64(100-r.percent) / rate
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -36,7 +36,7 @@
 	if sim.acked[s.Task] && !spec.LongRunning {
 		sim.violate("TWICE", "%s run %d on %s starts after an acknowledged end", s.Task, s.Run, f.info.ID)
 	}
-	sim.startedAt[s.Task] = append(sim.startedAt[s.Task], startedRun{sim.now, f.info.ID, s.Run})
+	sim.startedAt[s.Task] = append(sim.startedAt[s.Task], startedRun{sim.now, f.info.ID, s.Run, sim.maxAttempts(s)})
 	perWorker := 0
 	for task := range f.runs {
 		if task.Job == s.Task.Job && task.Step == s.Task.Step && task.Occurrence == s.Task.Occurrence {
@@ -103,6 +103,29 @@
 		}
 	case EndFailed:
 		sim.failed[e.Task]++
+		if f.lapsedMS <= f.endedAt[e.Number] {
+			sim.failedAt[e.Task] = append(sim.failedAt[e.Task], f.endedAt[e.Number])
+			sim.checkAttemptsUsed(e.Task)
+		}
+	}
+}
+
+// checkAttemptsUsed checks that no run of a task started after as many failures as
+// are allowed, including those that are acknowledged only later.
+func (sim *simulation) checkAttemptsUsed(t jobs.Task) {
+	if spec := sim.spec(t); spec.LongRunning || spec.Gang || spec.Speculative {
+		return
+	}
+	for _, s := range sim.startedAt[t] {
+		before := 0
+		for _, failedMS := range sim.failedAt[t] {
+			if failedMS < s.atMS {
+				before++
+			}
+		}
+		if before >= s.limit {
+			sim.violate("BUDGET", "%s run %d started on %s at %d after %d failures, %d are allowed", t, s.number, s.worker, s.atMS, before, s.limit)
+		}
 	}
 }
 
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -39,6 +39,8 @@
 	acked  map[jobs.Task]bool
 	done   map[jobs.Task]bool
 	failed map[jobs.Task]int
+	// failedAt holds the times of each task's failures that have been acknowledged.
+	failedAt map[jobs.Task][]int64
 	// listedFailures holds the failed runs that workers have listed, by the
 	// task under which they are counted.
 	listedFailures map[jobs.Task]map[int]bool
@@ -83,6 +85,8 @@
 	atMS   int64
 	worker WorkerID
 	number int
+	// limit is the number of failures that rule the start out.
+	limit int
 }
 
 // submittedJob is the caller's view of a job.
@@ -152,7 +156,7 @@
 			{Name: "watch", Policy: jobs.Policy{Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 2500}},
 		}}},
 		jobs: map[jobs.ID]*submittedJob{}, submitRequests: map[uint64]jobs.ID{}, cancelRequests: map[uint64]jobs.ID{}, earlyCancels: map[uint64]bool{},
-		acked: map[jobs.Task]bool{}, done: map[jobs.Task]bool{}, failed: map[jobs.Task]int{},
+		acked: map[jobs.Task]bool{}, done: map[jobs.Task]bool{}, failed: map[jobs.Task]int{}, failedAt: map[jobs.Task][]int64{},
 		listedFailures: map[jobs.Task]map[int]bool{}, startSentMS: map[runKey]int64{}, carriedOut: map[runKey]bool{}, failedByLeader: map[jobs.ID]bool{},
 		startedAt: map[jobs.Task][]startedRun{},
 	}
--- a/internal/planner/takeover_log.go
+++ b/internal/planner/takeover_log.go
@@ -70,6 +70,17 @@
 	return (w.listed || w.inherited) && !w.dead && (!w.reported || w.moreEnded)
 }
 
+// awaitedWorkers counts the workers that the takeover still waits for.
+func (c *Core) awaitedWorkers() int {
+	n := 0
+	for _, w := range c.sortedWorkers {
+		if w.awaited() {
+			n++
+		}
+	}
+	return n
+}
+
 // logSettled states how the takeover ended, and names the workers whose reports it
 // did not have.
 func (c *Core) logSettled() {
