Build occurrences when they are due, and bound accepted work by memory

Cause: the planner built the tasks of all occurrences at acceptance, and the progress held a row for each of them. Only single submissions were bounded.

Change: occurrences are built when due and dropped when ended; progress holds ended ones as ranges, and records of earlier releases are converted. Each job has a known size; what would bring the sum over a quarter of memory_mb is refused with RW2008 before anything is written, by the leader after it has read the log to its end, and by an instance that records past the leader. job_memory_bytes and job_memory_limit_bytes show how full an instance is.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -55,6 +55,7 @@
 	Draining         Code = 2005
 	Overloaded       Code = 2006
 	WaitTimeExceeded Code = 2007
+	JobMemoryFull    Code = 2008
 
 	NoTarget        Code = 3001
 	TargetRefused   Code = 3002
@@ -121,6 +122,7 @@
 	Draining:         {Draining, "draining", http.StatusServiceUnavailable, NotRun, "this instance is stopping"},
 	Overloaded:       {Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, "the request was shed because of overload"},
 	WaitTimeExceeded: {WaitTimeExceeded, "wait_time_exceeded", http.StatusGatewayTimeout, NotRun, "the request waited in the queue until its deadline"},
+	JobMemoryFull:    {JobMemoryFull, "job_memory_full", http.StatusServiceUnavailable, NotRun, "accepted jobs take all the memory that an instance may use for them"},
 
 	NoTarget:        {NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, "no target of the service is reachable"},
 	TargetRefused:   {TargetRefused, "target_refused", http.StatusServiceUnavailable, NotRun, "the target answered that it did not run the request"},
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -16,8 +16,8 @@
 	MaxPayloadBytes = 4000
 	MaxSteps        = 64
 	MaxTasksPerStep = 10_000
-	// MaxTasks bounds the tasks of all occurrences: the leader keeps them in
-	// memory, and the smallest instances have 184 MB.
+	// MaxTasks bounds the tasks of all occurrences. The leader may have to keep all
+	// of them in memory if they are due at once.
 	MaxTasks = 100_000
 )
 
--- a/internal/jobs/limits.go
+++ b/internal/jobs/limits.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/base64"
+	"math"
+	"strconv"
 
 	"redwingvale/internal/code"
 )
@@ -34,13 +36,29 @@
 	if l.Record <= 0 {
 		return nil
 	}
-	rowBytes := 0
+	occurrenceBytes := 0
 	for i := range job.Steps {
-		// A row is encoded as base64 with two quotes and a comma.
-		rowBytes += base64.StdEncoding.EncodedLen((job.Steps[i].Count+7)/8) + 3
+		occurrenceBytes += rowBytes(job.Steps[i].Count)
 	}
-	if maxOccurrences := l.Record / doneBitmapDivisor / max(rowBytes, 1); job.Occurrences() > maxOccurrences {
+	if maxOccurrences := l.Record / doneBitmapDivisor / max(occurrenceBytes, 1); job.Occurrences() > maxOccurrences {
 		return code.New(code.BodyTooLarge, "%d occurrences, at most %d of this size", job.Occurrences(), maxOccurrences)
 	}
 	return nil
 }
+
+// MaxPartial returns the number of occurrences of a schedule whose partial progress
+// fits into one record beside failures and run numbers; at least one always does.
+func (l Limits) MaxPartial(job *Job) int {
+	if l.Record <= 0 {
+		return math.MaxInt
+	}
+	// The number of the occurrence as a key, and a range of ended ones.
+	occurrenceBytes := 2 * 3 * len(strconv.Itoa(job.Occurrences()))
+	for i := range job.Steps {
+		occurrenceBytes += rowBytes(job.Steps[i].Count)
+	}
+	return max(l.Record/doneBitmapDivisor/occurrenceBytes, 1)
+}
+
+// rowBytes returns the size of a row in a record: base64 with two quotes and a comma.
+func rowBytes(count int) int { return base64.StdEncoding.EncodedLen((count+7)/8) + 3 }
--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math/bits"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // State is the state of a job as reported to callers.
@@ -25,9 +27,15 @@
 // new leader needs and cannot read from the workers.
 type Progress struct {
 	State State `json:"s"`
-	// Done holds a bit for each finished task: one row for each step of each
-	// occurrence, in order.
+	// Done holds a bit for each finished task of a job without a schedule: one row
+	// for each step. In records of earlier releases it holds the rows of all
+	// occurrences of a schedule, in order.
 	Done [][]byte `json:"d,omitempty"`
+	// Partial holds the same rows for each occurrence of a schedule of which some
+	// tasks, but not all, have finished.
+	Partial map[int][][]byte `json:"o,omitempty"`
+	// Ended holds the occurrences of a schedule whose tasks have all finished.
+	Ended Ranges `json:"x,omitempty"`
 	// Failures lists the failed runs of each task by run number, so that a
 	// failure that is reported twice counts once.
 	Failures map[string][]int `json:"f,omitempty"`
@@ -46,37 +54,96 @@
 	return p
 }
 
-// Fit gives the progress the shape of the job: one row for each step of each
-// occurrence, with a bit for each task. The record of the progress may belong to
-// another submission with the same ID, of which the log keeps the first.
+// Fit gives the progress the shape of the job. The record of the progress may
+// belong to another submission with the same ID, of which the log keeps the first,
+// or to an earlier release.
 func (p *Progress) Fit(job *Job) {
-	rows := job.Occurrences() * len(job.Steps)
-	p.Done = slices.Grow(p.Done[:min(rows, len(p.Done))], rows-min(rows, len(p.Done)))
-	for i := range rows {
-		count := job.Steps[i%len(job.Steps)].Count
-		width := (count + 7) / 8
-		if i == len(p.Done) {
-			p.Done = append(p.Done, make([]byte, width))
+	if job.Repeat == 0 {
+		p.Done, p.Partial, p.Ended = fitRows(job, p.Done), nil, nil
+		return
+	}
+	former, steps := p.Done, len(job.Steps)
+	p.Done = nil
+	p.Ended = p.Ended.within(job.Occurrences())
+	for occurrence, rows := range p.Partial {
+		if occurrence < 0 || occurrence >= job.Occurrences() || p.Ended.Contains(occurrence) {
+			delete(p.Partial, occurrence)
 			continue
 		}
-		row := p.Done[i]
-		if len(row) != width {
-			row = append(make([]byte, 0, width), row[:min(width, len(row))]...)[:width]
-			p.Done[i] = row
+		p.setRows(job, occurrence, fitRows(job, rows))
+	}
+	for occurrence := 0; occurrence < job.Occurrences() && occurrence*steps < len(former); occurrence++ {
+		if rows := former[occurrence*steps : min((occurrence+1)*steps, len(former))]; anySet(rows) && !p.Ended.Contains(occurrence) {
+			p.setRows(job, occurrence, fitRows(job, rows))
+		}
+	}
+}
+
+// fitRows returns one row for each step of the job, with a bit for each task.
+func fitRows(job *Job, rows [][]byte) [][]byte {
+	out := make([][]byte, len(job.Steps))
+	for i := range out {
+		count := job.Steps[i].Count
+		width := (count + 7) / 8
+		row := make([]byte, width)
+		if i < len(rows) {
+			copy(row, rows[i])
 		}
 		if spare := width*8 - count; spare > 0 {
 			row[width-1] &= 0xff >> spare
 		}
+		out[i] = row
+	}
+	return out
+}
+
+func anySet(rows [][]byte) bool {
+	for _, row := range rows {
+		for _, b := range row {
+			if b != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// setRows replaces the rows of an occurrence of a schedule. Of an occurrence that
+// has ended nothing is kept but that.
+func (p *Progress) setRows(job *Job, occurrence int, rows [][]byte) {
+	for i := range job.Steps {
+		if countSet(rows[i]) < job.Steps[i].Count {
+			if p.Partial == nil {
+				p.Partial = map[int][][]byte{}
+			}
+			p.Partial[occurrence] = rows
+			return
+		}
+	}
+	delete(p.Partial, occurrence)
+	p.Ended = p.Ended.add(occurrence)
+	prefix := strconv.Itoa(occurrence) + "."
+	maps.DeleteFunc(p.Failures, func(name string, _ []int) bool { return strings.HasPrefix(name, prefix) })
+	maps.DeleteFunc(p.Checkpoints, func(name, _ string) bool { return strings.HasPrefix(name, prefix) })
+}
+
+func countSet(row []byte) int {
+	n := 0
+	for _, b := range row {
+		n += bits.OnesCount8(b)
 	}
+	return n
 }
 
 // Clone returns a deep copy.
 func (p *Progress) Clone() *Progress {
 	out := *p
-	out.Done = make([][]byte, len(p.Done))
-	for i, row := range p.Done {
-		out.Done[i] = append([]byte(nil), row...)
+	out.Done = cloneRows(p.Done)
+	out.Partial = make(map[int][][]byte, len(p.Partial))
+	for occurrence, rows := range p.Partial {
+		out.Partial[occurrence] = cloneRows(rows)
 	}
+	out.Ended = slices.Clone(p.Ended)
 	out.Failures = make(map[string][]int, len(p.Failures))
 	for name, runs := range p.Failures {
 		out.Failures[name] = slices.Clone(runs)
@@ -85,27 +152,60 @@
 	return &out
 }
 
-func rowIndex(job *Job, t Task) int { return t.Occurrence*len(job.Steps) + t.Step }
+func cloneRows(rows [][]byte) [][]byte {
+	out := make([][]byte, len(rows))
+	for i, row := range rows {
+		out[i] = slices.Clone(row)
+	}
+	return out
+}
+
+// rows returns the rows of an occurrence; nil if none of its tasks has finished or
+// all have.
+func (p *Progress) rows(job *Job, occurrence int) [][]byte {
+	if job.Repeat == 0 {
+		return p.Done
+	}
+	return p.Partial[occurrence]
+}
+
+// HasEnded reports whether all tasks of an occurrence of a schedule have finished.
+func (p *Progress) HasEnded(occurrence int) bool { return p.Ended.Contains(occurrence) }
 
 // IsDone reports whether the task has finished.
 func (p *Progress) IsDone(job *Job, t Task) bool {
-	r := rowIndex(job, t)
-	return r < len(p.Done) && t.Index/8 < len(p.Done[r]) && p.Done[r][t.Index/8]&(1<<(t.Index%8)) != 0
+	if job.Repeat > 0 && p.HasEnded(t.Occurrence) {
+		return true
+	}
+	rows := p.rows(job, t.Occurrence)
+	return t.Step < len(rows) && t.Index/8 < len(rows[t.Step]) && rows[t.Step][t.Index/8]&(1<<(t.Index%8)) != 0
 }
 
 // SetDone records that the task has finished.
 func (p *Progress) SetDone(job *Job, t Task) {
-	p.Done[rowIndex(job, t)][t.Index/8] |= 1 << (t.Index % 8)
 	delete(p.Checkpoints, t.localName())
+	if job.Repeat > 0 && p.HasEnded(t.Occurrence) {
+		return
+	}
+	rows := p.rows(job, t.Occurrence)
+	if rows == nil {
+		rows = fitRows(job, nil)
+	}
+	rows[t.Step][t.Index/8] |= 1 << (t.Index % 8)
+	if job.Repeat > 0 {
+		p.setRows(job, t.Occurrence, rows)
+	}
 }
 
 // DoneCount returns the number of finished tasks of a step.
 func (p *Progress) DoneCount(job *Job, occurrence, step int) int {
-	n := 0
-	for _, b := range p.Done[occurrence*len(job.Steps)+step] {
-		n += bits.OnesCount8(b)
+	if job.Repeat > 0 && p.HasEnded(occurrence) {
+		return job.Steps[step].Count
 	}
-	return n
+	if rows := p.rows(job, occurrence); step < len(rows) {
+		return countSet(rows[step])
+	}
+	return 0
 }
 
 // FailuresOf returns the number of failed runs of a task.
--- a/internal/jobs/statemachine.go
+++ b/internal/jobs/statemachine.go
@@ -59,6 +59,9 @@
 	Cancelled bool
 	// EarlyEnds are ends of runs that were recorded before the submission.
 	EarlyEnds []EarlyEnd
+	// progressBytes is the size of the progress record, bytes the entry's part of
+	// the state machine's footprint.
+	progressBytes, bytes int64
 }
 
 // State returns the recorded state of the job.
@@ -86,6 +89,7 @@
 	// LegacyWorkers is the single record of all workers that a leader of an
 	// earlier release has written.
 	LegacyWorkers []byte
+	footprint     int64
 }
 
 // NewStateMachine returns an empty state machine.
@@ -93,6 +97,10 @@
 	return &StateMachine{Jobs: map[ID]*Entry{}, Workers: map[string][]byte{}}
 }
 
+// Footprint returns the memory that the jobs take at the instance that leads, in
+// bytes. All instances that have applied the same records agree on it.
+func (m *StateMachine) Footprint() int64 { return m.footprint }
+
 // SubmittedEntry returns the entry of a job that has been submitted, or nil.
 func (m *StateMachine) SubmittedEntry(id ID) *Entry {
 	entry := m.Jobs[id]
@@ -139,7 +147,17 @@
 		entry = &Entry{}
 		m.Jobs[id] = entry
 	}
-	return id, entry.apply(prefix, r.Value)
+	err := entry.apply(prefix, r.Value)
+	entry.release()
+	m.measure(entry)
+	return id, err
+}
+
+// measure updates the footprint after a change of an entry.
+func (m *StateMachine) measure(e *Entry) {
+	bytes := e.footprint()
+	m.footprint += bytes - e.bytes
+	e.bytes = bytes
 }
 
 func (e *Entry) apply(prefix string, value []byte) error {
@@ -154,12 +172,14 @@
 			return err
 		}
 		e.Job = job
+		e.fitSchedule()
 	case progressPrefix:
 		progress := &Progress{}
 		if err := json.Unmarshal(value, progress); err != nil {
 			return errors.Wrap(err, "decode progress")
 		}
-		e.Progress = progress
+		e.Progress, e.progressBytes = progress, int64(len(value))
+		e.fitSchedule()
 	case cancellationPrefix:
 		e.Cancelled = true
 	case earlyEndsPrefix:
@@ -172,6 +192,14 @@
 	return nil
 }
 
+// fitSchedule converts the progress of a schedule to the present form: records of
+// earlier releases hold a row for each of its steps.
+func (e *Entry) fitSchedule() {
+	if e.Job != nil && e.Job.Repeat > 0 && e.Progress != nil {
+		e.Progress.Fit(e.Job)
+	}
+}
+
 func (m *StateMachine) remove(prefix string, id ID) {
 	entry := m.Jobs[id]
 	if entry == nil {
@@ -181,15 +209,18 @@
 	case submissionPrefix:
 		entry.Job = nil
 	case progressPrefix:
-		entry.Progress = nil
+		entry.Progress, entry.progressBytes = nil, 0
 	case cancellationPrefix:
 		entry.Cancelled = false
 	case earlyEndsPrefix:
 		entry.EarlyEnds = nil
 	}
 	if entry.Job == nil && entry.Progress == nil && !entry.Cancelled && entry.EarlyEnds == nil {
+		m.footprint -= entry.bytes
 		delete(m.Jobs, id)
+		return
 	}
+	m.measure(entry)
 }
 
 // EncodeJob returns the value of a job's submission record.
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -95,10 +95,26 @@
 	for ctx.Err() == nil {
 		result := n.submitToLeader(ctx, id, encoded)
 		outcomeUnknown = outcomeUnknown || result.Code == code.AcceptanceUnsure
+		if result.Code == code.JobMemoryFull && outcomeUnknown {
+			// An earlier attempt may still be recorded.
+			pause(ctx, requestRetryPause)
+			continue
+		}
 		if result.Code != code.OwnerUnknown && result.Code != code.LogUnavailable && result.Code != code.AcceptanceUnsure {
 			return result
 		}
-		err := n.recordDirectly(ctx, jobs.SubmissionRecord(id, encoded))
+		full, known, err := n.jobMemoryFull(ctx, id, encoded)
+		switch {
+		case known:
+			return Result{Code: code.OK}
+		case full && !outcomeUnknown:
+			return Result{Code: code.JobMemoryFull, RetryAfter: retryAfter}
+		case full || err != nil:
+			refusal.Code = result.Code
+			pause(ctx, requestRetryPause)
+			continue
+		}
+		err = n.recordDirectly(ctx, jobs.SubmissionRecord(id, encoded))
 		if err == nil {
 			n.log("job_recorded_directly", zap.String("job", string(id)), zap.String("reason", result.Code.String()))
 			return Result{Code: code.OK}
@@ -140,6 +156,23 @@
 	}
 }
 
+// jobMemoryFull reports whether the jobs that the log holds leave no memory for
+// another one, and whether the log holds that one already.
+func (n *Node) jobMemoryFull(ctx context.Context, id jobs.ID, encoded []byte) (full, known bool, err error) {
+	limit := n.config.maxJobBytes()
+	job, err := jobs.DecodeJob(encoded)
+	if err != nil || limit <= 0 || n.jobBytes.Load()+job.Footprint() <= limit {
+		return false, false, err
+	}
+	if _, err := n.catchUp(ctx); err != nil {
+		return false, false, err
+	}
+	if n.hasJob(ctx, id) {
+		return false, true, nil
+	}
+	return n.jobBytes.Load()+job.Footprint() > limit, false, nil
+}
+
 // recordDirectly appends a record to the log without the leader.
 func (n *Node) recordDirectly(ctx context.Context, r jobs.Record) error {
 	if n.lastLogReadMS.Load() == 0 {
@@ -193,14 +226,25 @@
 
 // submitLocal accepts a job as the leader.
 func (n *Node) submitLocal(ctx context.Context, id jobs.ID, encoded []byte) Result {
-	reply, status := n.requestPlanner(ctx, func(requestID uint64) planner.Event {
+	request := func(requestID uint64) planner.Event {
 		return planner.SubmitRequested{RequestID: requestID, ID: id, Encoded: encoded}
-	})
+	}
+	reply, status := n.requestPlanner(ctx, request)
+	if status == code.OK && reply.Full {
+		// Another instance may have recorded the job a moment ago, and a refusal must
+		// be true.
+		if _, err := n.catchUp(ctx); err != nil {
+			return Result{Code: code.LogUnavailable}
+		}
+		reply, status = n.requestPlanner(ctx, request)
+	}
 	if status != code.OK {
 		// The planner may have accepted the job before the term ended.
 		return Result{Code: code.AcceptanceUnsure}
 	}
 	switch {
+	case reply.Full && !reply.TooLarge:
+		return Result{Code: code.JobMemoryFull, RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond}
 	case reply.TooLarge:
 		return Result{Code: code.BodyTooLarge}
 	case reply.Rejected && reply.Started:
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -145,6 +145,15 @@
 	return jobs.Limits{Record: int(c.RecordBytes), Request: int(c.RequestBytes)}
 }
 
+// jobMemoryShare is the share of an instance's memory that accepted jobs may take.
+// The collector lets the heap grow to twice of what is live, and the rest of the
+// program, its buffers and connections need their part.
+const jobMemoryShare = 0.25
+
+// maxJobBytes returns the memory that accepted jobs may take on an instance, in
+// bytes; 0 if it is not limited.
+func (c *Config) maxJobBytes() int64 { return int64(c.MemoryMB * jobMemoryShare * (1 << 20)) }
+
 func (c *Config) plannerConfig(firstTerm bool) planner.Config {
 	return planner.Config{
 		LeaseMS:           min(c.LeaseMS, int64(c.Bounds.MaxLeaseMS)),
@@ -155,6 +164,7 @@
 		RestoreMS:         int64(c.Bounds.RestoreMS),
 		StatusRetentionMS: int64(c.Bounds.StatusS * 1000),
 		Log:               c.limits(),
+		MaxJobBytes:       c.maxJobBytes(),
 		OptimisticStart:   c.OptimisticStart,
 		FirstTerm:         firstTerm,
 		LeadershipLeaseMS: milliseconds(leadershipLease),
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -181,6 +181,8 @@
 	// idleWorkers is the number of further workers in the directory, which run
 	// nothing.
 	idleWorkers int
+	// withoutCapacity is set if no task fits on the worker.
+	withoutCapacity bool
 }
 
 func newInstantWorkers() *instantWorkers {
@@ -191,6 +193,9 @@
 	infos := []planner.WorkerInfo{{
 		ID: "w", Address: "w", Service: "s", Capacity: planner.Resources{CPUMilli: 64_000, MemoryMB: 64_000}, StartedMS: 1,
 	}}
+	if w.withoutCapacity {
+		infos[0].Capacity = planner.Resources{}
+	}
 	for i := range w.idleWorkers {
 		infos = append(infos, planner.WorkerInfo{
 			ID: planner.WorkerID(fmt.Sprintf("other-%06d", i)), Address: fmt.Sprintf("10.1.%d.%d:8547", i/250, i%250),
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -70,6 +70,7 @@
 		n.applyMember(strings.TrimPrefix(r.Key, memberPrefix), r.Value)
 	default:
 		id, err := n.stateMachine.Apply(r)
+		n.noteJobBytes()
 		if err != nil {
 			n.tele.Log.Error("record_invalid", append(telemetry.ErrorFields(err), zap.String("key", r.Key))...)
 		}
@@ -78,6 +79,16 @@
 	return ""
 }
 
+// noteJobBytes publishes the memory that jobs take. It runs in the event loop.
+func (n *Node) noteJobBytes() {
+	bytes := n.stateMachine.Footprint()
+	n.jobBytes.Store(bytes)
+	if n.term != nil {
+		bytes = n.term.core.JobBytes()
+	}
+	n.stats.jobBytes.Update(float64(bytes))
+}
+
 func (n *Node) applyClaim(value []byte) {
 	var c claim
 	if err := json.Unmarshal(value, &c); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,9 @@
 	// logEvidenceMS is the latest time at which the log is known to have held no
 	// newer claim than this instance has read.
 	logEvidenceMS atomic.Int64
+	// jobBytes is the memory that the jobs of the log take on an instance that
+	// leads.
+	jobBytes atomic.Int64
 
 	startedUnixMS int64
 	// startedMS is the start on the clock of now.
@@ -163,6 +166,7 @@
 		startedUnixMS: time.Now().UnixMilli(),
 	}
 	n.load.reportedMS = n.now().MS
+	n.stats.jobBytesLimit.Update(float64(config.maxJobBytes()))
 	return n
 }
 
@@ -247,6 +251,7 @@
 		work = n.term.core.Work()
 	}
 	fields := n.load.report(nowMS, n.ring.Len(), work)
+	n.noteJobBytes()
 	if logged {
 		n.log("load", append(fields, zap.Bool("leading", n.term != nil))...)
 	}
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -46,6 +46,9 @@
 	endWait tally.Histogram
 	// runsTwice counts the second runs of tasks that this instance has noticed.
 	runsTwice tally.Counter
+	// jobBytes is the memory that jobs take, jobBytesLimit what they may take; 0
+	// without a limit.
+	jobBytes, jobBytesLimit tally.Gauge
 }
 
 func newStats(scope tally.Scope) stats {
@@ -77,6 +80,8 @@
 		startTime:       scope.Histogram("start_seconds", buckets),
 		endWait:         scope.Histogram("end_wait_seconds", buckets),
 		runsTwice:       scope.Counter("runs_twice"),
+		jobBytes:        scope.Gauge("job_memory_bytes"),
+		jobBytesLimit:   scope.Gauge("job_memory_limit_bytes"),
 	}
 }
 
--- a/internal/node/submit_test.go
+++ b/internal/node/submit_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"redwingvale/internal/code"
+	"redwingvale/internal/jobs"
 )
 
 // Guards against an unknown outcome for a submission that was never sent: callers
@@ -27,3 +29,40 @@
 	c.Assert(code.Lookup(got.Code).Outcome, qt.Equals, code.NotRun, qt.Commentf("%s", got.Code))
 	c.Assert(got.RetryAfter > 0, qt.IsTrue)
 }
+
+// Guards against work that is accepted beyond an instance's memory, through the leader
+// or past it: the refusal is certain, and a repeated submission of a recorded job is
+// still accepted.
+func TestSubmissionBeyondMemoryIsRefused(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig()
+	config.MemoryMB = minMemoryMB
+	log, workers := newMemoryLog(), newInstantWorkers()
+	workers.withoutCapacity = true
+	in := startInstanceWith(t, "n", log, &fixedManifest{version: 1}, workers, config)
+	waitFor(t, "the instance leads", func() bool { return in.Ready() && in.isLeader() })
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	large := func() *jobs.Job { return job(jobs.MaxTasksPerStep) }
+	accepted := 0
+	var refusal Result
+	for accepted < 100 {
+		refusal = in.Submit(ctx, jobs.ID(fmt.Sprintf("%016x", accepted)), large())
+		if refusal.Code != code.OK {
+			break
+		}
+		accepted++
+	}
+	c.Assert(refusal.Code, qt.Equals, code.JobMemoryFull)
+	c.Assert(refusal.RetryAfter > 0, qt.IsTrue)
+	c.Assert(int64(accepted), qt.Equals, config.maxJobBytes()/large().Footprint())
+	// Past the leader, too.
+	in.leader.Store(&leaderInfo{epoch: 9, peer: "127.0.0.1:1"})
+	c.Assert(in.Submit(ctx, "00000000000000ff", large()).Code, qt.Equals, code.JobMemoryFull)
+	c.Assert(in.Submit(ctx, "0000000000000000", large()).Code, qt.Equals, code.OK)
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	for _, r := range log.records {
+		c.Check(jobs.SubmissionID(r), qt.Not(qt.Equals), jobs.ID("00000000000000ff"))
+	}
+}
--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -61,7 +61,7 @@
 		j := c.jobs[id]
 		j.queue = c.queueOf(j.spec)
 		deadline := c.deadline(j)
-		for _, s := range j.steps {
+		for s := range j.steps() {
 			s.deadlineMS = deadline
 		}
 		if !c.disabled.recheckFailures {
@@ -150,10 +150,18 @@
 // recheckAttempts checks all failures of a job again: the job fails if they use
 // up the attempts of a task, otherwise its tasks may start again.
 func (c *Core) recheckAttempts(j *job) {
+	for _, o := range slices.Clone(j.open) {
+		c.recheckOccurrence(o)
+	}
+}
+
+// recheckOccurrence does the same for one occurrence.
+func (c *Core) recheckOccurrence(o *occurrence) {
+	j := o.job
 	if len(j.progress.Failures) == 0 {
 		return
 	}
-	for _, s := range j.steps {
+	for _, s := range o.steps {
 		for i := range s.tasks {
 			t := &s.tasks[i]
 			if t.done || j.progress.FailuresOf(t.failureTask()) == 0 {
--- a/internal/planner/attempts_test.go
+++ b/internal/planner/attempts_test.go
@@ -20,13 +20,13 @@
 	h.confirmWrites(h.advance(100))
 	for i := range 50 {
 		j := h.core.jobs["watch"]
-		run := j.steps[0].tasks[0].lastRun
+		run := j.open[0].steps[0].tasks[0].lastRun
 		h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: h.now, Ended: []EndedTask{
 			{Number: int64(i + 1), Task: jobs.Task{Job: "watch"}, Run: run, Kind: EndFailed},
 		}}))
 		h.confirmWrites(h.advance(300))
 	}
-	c.Assert(h.core.jobs["watch"].steps[0].tasks[0].lastRun > 5, qt.IsTrue)
+	c.Assert(h.core.jobs["watch"].open[0].steps[0].tasks[0].lastRun > 5, qt.IsTrue)
 	c.Assert(h.core.stateMachine.Jobs["watch"].Progress.Failures, qt.HasLen, 0)
 }
 
--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -81,7 +81,7 @@
 
 // hasRuns reports whether any task of the job has an active run.
 func (j *job) hasRuns() bool {
-	for _, s := range j.steps {
+	for s := range j.steps() {
 		if s.activeRuns > 0 {
 			return true
 		}
--- a/internal/planner/backfill_test.go
+++ b/internal/planner/backfill_test.go
@@ -38,7 +38,7 @@
 	c.Assert(startsOf(effects, "overdue"), qt.Equals, 1)
 
 	// The run yields: it is slowed at once, not after the next report.
-	overdue := h.core.jobs["overdue"].steps[0].tasks[0]
+	overdue := h.core.jobs["overdue"].open[0].steps[0].tasks[0]
 	c.Assert(overdue.runs, qt.HasLen, 1)
 	run := overdue.runs[0]
 	pace, ok := findEffect[Pace](h.step(StartDone{Worker: "w", Task: run.task.ref(), Run: run.number, Token: run.token, Outcome: Done}))
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -26,6 +26,8 @@
 	StopTimeoutMS, RestoreMS int64
 	// StatusRetentionMS is how long the state of a final job is kept.
 	StatusRetentionMS int64
+	// MaxJobBytes is the memory that accepted jobs may take; 0 if it is not limited.
+	MaxJobBytes int64
 	// Log holds the limits of the log; a write never exceeds them.
 	Log jobs.Limits
 	// OptimisticStart starts tasks before the submission is recorded.
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -37,8 +37,14 @@
 	earlyEnds map[jobs.ID][]jobs.EarlyEnd
 	// ready holds the steps that have tasks waiting for a worker.
 	ready []*step
-	// scheduled holds the steps of occurrences that are not due yet.
+	// scheduled holds the steps of occurrences that were built before they are due,
+	// schedules the jobs with occurrences that have not been built yet.
 	scheduled []*step
+	schedules scheduleQueue
+	// extraBytes is the memory of the occurrences that are open beside another one
+	// of their job, unrecordedBytes that of jobs whose submission is not recorded.
+	extraBytes, unrecordedBytes int64
+	drain                       drainMeter
 	// suspended is set while the leadership is unconfirmed; commands are
 	// withheld.
 	suspended bool
@@ -296,6 +302,7 @@
 	}
 	c.checkReconciled()
 	c.releaseDue()
+	c.openDue()
 	if c.now.MS-c.lastPassMS >= maxPassIntervalMS {
 		c.placementDue = true
 	}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -13,8 +13,19 @@
 	spec     *jobs.Job
 	progress *jobs.Progress
 	queue    *Queue
-	steps    []*step
-	state    jobs.State
+	// open are the occurrences that have been built and have not ended, by number.
+	// A job without a schedule has one, number 0.
+	open []*occurrence
+	// next is the first occurrence of a schedule that may not have been built yet.
+	next int
+	// nextMS is the Unix time at which it is to be built, queuedAt the job's index in
+	// the queue of schedules, or -1.
+	nextMS   int64
+	queuedAt int
+	// baseRun is an upper bound of the run numbers that the job's tasks had used
+	// when this leader took it in.
+	baseRun int
+	state   jobs.State
 	// recorded is set once the submission is in the log.
 	recorded bool
 	// startSent is set once a start has been sent for one of its tasks, which may
@@ -38,12 +49,15 @@
 	// shortened is set once parts of the progress have been left out of the
 	// record.
 	shortened bool
+	// unrecordedBytes is the memory that the job takes while its submission is not
+	// in the log.
+	unrecordedBytes int64
 }
 
 // step is one step of one occurrence.
 type step struct {
 	job        *job
-	occurrence int
+	occurrence *occurrence
 	index      int
 	spec       *jobs.Step
 	tasks      []task
@@ -118,10 +132,10 @@
 
 func (t *task) avoids(w *worker) bool { return slices.Contains(t.avoided, w.info.ID) }
 
-func (s *step) id() StepID { return StepID{s.job.id, s.occurrence, s.index} }
+func (s *step) id() StepID { return StepID{s.job.id, s.occurrence.number, s.index} }
 
 func (t *task) ref() jobs.Task {
-	return jobs.Task{Job: t.step.job.id, Occurrence: t.step.occurrence, Step: t.step.index, Index: t.index}
+	return jobs.Task{Job: t.step.job.id, Occurrence: t.step.occurrence.number, Step: t.step.index, Index: t.index}
 }
 
 func (s *step) resources() Resources {
@@ -153,10 +167,15 @@
 		c.emit(Reply{RequestID: e.RequestID, TooLarge: true})
 		return
 	}
+	if !c.fits(spec.Footprint()) {
+		c.refuseFull(e, spec)
+		return
+	}
 	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), !c.reconciled)
 	j.source = sourceSubmission
 	j.submitRequests = []uint64{e.RequestID}
 	j.encoded = e.Encoded
+	c.noteUnrecorded(j)
 	c.journal.submissions = append(c.journal.submissions, j)
 	if c.cancelledUnknown(e.ID) {
 		c.endJob(j, jobs.Cancelled, "cancelled before its submission was recorded")
@@ -251,7 +270,7 @@
 func (c *Core) newJob(id jobs.ID, spec *jobs.Job, progress *jobs.Progress, inherited bool) *job {
 	j := &job{
 		id: id, spec: spec, progress: progress, queue: c.queueOf(spec),
-		state: jobs.Queued, inherited: inherited, arrivedMS: c.now.MS,
+		state: jobs.Queued, inherited: inherited, arrivedMS: c.now.MS, queuedAt: -1,
 	}
 	if spec.SubmittedMS > 0 {
 		// The age of a job counts from its submission, also across leaders.
@@ -260,34 +279,24 @@
 	c.applyEarlyEnds(j)
 	// A predecessor may have started tasks of any job, also of one that is recorded
 	// only now.
-	base := max(progress.LastRun, int(c.epoch-1)*runsPerTerm)
-	for occurrence := range spec.Occurrences() {
-		for index := range spec.Steps {
-			s := &step{job: j, occurrence: occurrence, index: index, spec: &spec.Steps[index]}
-			s.tasks = make([]task, s.spec.Count)
-			for i := range s.tasks {
-				t := &s.tasks[i]
-				t.step, t.index, t.lastRun = s, i, base
-				ref := t.ref()
-				t.done = progress.IsDone(spec, ref)
-				t.checkpoint = progress.CheckpointOf(ref)
-				t.unreconciled = inherited && !t.done
-				if t.done {
-					s.done++
-				}
-			}
-			j.steps = append(j.steps, s)
-		}
-	}
+	j.baseRun = max(progress.LastRun, int(c.epoch-1)*runsPerTerm)
 	c.jobs[id] = j
+	if spec.Repeat == 0 {
+		c.buildOccurrence(j, 0)
+	}
 	return j
 }
 
-// openSteps queues each step whose predecessors are done.
+// openSteps queues each step whose predecessors are done, of the occurrences that
+// are due.
 func (c *Core) openSteps(j *job) {
-	for _, s := range j.steps {
+	for s := range j.steps() {
 		c.openStep(s)
 	}
+	if j.spec.Repeat > 0 {
+		c.scheduleNext(j)
+		c.openDue()
+	}
 }
 
 func (c *Core) openStep(s *step) {
@@ -295,7 +304,7 @@
 		return
 	}
 	s.queued = true
-	if due := s.job.spec.DueMS(s.occurrence); due > c.now.UnixMS {
+	if due := s.job.spec.DueMS(s.occurrence.number); due > c.now.UnixMS {
 		c.scheduled = append(c.scheduled, s)
 		return
 	}
@@ -304,29 +313,13 @@
 
 func (s *step) predecessorsDone() bool {
 	for _, before := range s.spec.After {
-		b := s.job.steps[s.occurrence*len(s.job.spec.Steps)+before]
-		if b.done < len(b.tasks) {
+		if b := s.occurrence.steps[before]; b.done < len(b.tasks) {
 			return false
 		}
 	}
 	return true
 }
 
-// releaseDue queues the scheduled steps that are now due.
-func (c *Core) releaseDue() {
-	kept := c.scheduled[:0]
-	for _, s := range c.scheduled {
-		switch {
-		case s.job.state.Final():
-		case s.job.spec.DueMS(s.occurrence) > c.now.UnixMS:
-			kept = append(kept, s)
-		default:
-			c.queueTasks(s)
-		}
-	}
-	c.scheduled = kept
-}
-
 func (c *Core) queueTasks(s *step) {
 	s.released = true
 	s.deadlineMS, s.remainingMS = c.deadline(s.job), c.remainingWork(s)
@@ -405,21 +398,18 @@
 	if s.done < len(s.tasks) {
 		return
 	}
-	for _, next := range j.steps {
-		if next.occurrence == s.occurrence {
-			c.openStep(next)
-		}
+	s.occurrence.unfinished--
+	for _, next := range s.occurrence.steps {
+		c.openStep(next)
 	}
+	c.dropEnded(s.occurrence)
 	c.completeIfDone(j)
 }
 
 func (c *Core) completeIfDone(j *job) {
-	for _, s := range j.steps {
-		if s.done < len(s.tasks) {
-			return
-		}
+	if j.spec.Repeat > 0 && j.progress.Ended.Len() == j.spec.Occurrences() || j.spec.Repeat == 0 && j.open[0].unfinished == 0 {
+		c.endJob(j, jobs.Completed, "all tasks are done")
 	}
-	c.endJob(j, jobs.Completed, "all tasks are done")
 }
 
 // endJob makes a job final: none of its tasks starts again and its active runs
@@ -430,8 +420,9 @@
 	j.progress.EndedMS = c.now.UnixMS
 	j.dirty = true
 	c.markDirty(j)
+	c.schedules.remove(j)
 	c.emit(Decision{Event: "job_ended", Job: j.id, Reason: reason, AgeMS: c.now.MS - j.arrivedMS})
-	for _, s := range j.steps {
+	for s := range j.steps() {
 		s.pending = nil
 		for i := range s.tasks {
 			t := &s.tasks[i]
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -116,6 +116,7 @@
 		if !b.add(jobs.SubmissionRecord(j.id, j.encoded)) {
 			return
 		}
+		jnl.submissions[0] = nil
 		jnl.submissions = jnl.submissions[1:]
 		jnl.inFlightJobs = append(jnl.inFlightJobs, j)
 	}
@@ -141,6 +142,7 @@
 			}
 			jnl.inFlightJobs = append(jnl.inFlightJobs, j)
 		}
+		jnl.dirty[0] = nil
 		jnl.dirty = jnl.dirty[1:]
 		jnl.nextAcks.dirty = max(0, jnl.nextAcks.dirty-1)
 		j.dirty = false
@@ -176,7 +178,8 @@
 		j.state = jobs.Active
 	}
 	j.progress.State = j.state
-	for _, s := range j.steps {
+	j.progress.LastRun = max(j.progress.LastRun, j.baseRun)
+	for s := range j.steps() {
 		for i := range s.tasks {
 			j.progress.LastRun = max(j.progress.LastRun, s.tasks[i].lastRun)
 		}
@@ -252,6 +255,7 @@
 	for _, j := range jnl.inFlightJobs {
 		c.jobRecorded(j)
 	}
+	clear(jnl.inFlightJobs)
 	jnl.inFlightJobs = jnl.inFlightJobs[:0]
 	c.cancellationsRecorded()
 	c.workersRecorded()
@@ -266,6 +270,7 @@
 		j.recorded = true
 		c.emitState(j)
 		j.encoded = nil
+		c.noteRecorded(j)
 		for _, requestID := range j.submitRequests {
 			c.emit(Reply{RequestID: requestID, Accepted: true, Known: true})
 		}
@@ -283,7 +288,8 @@
 	}
 	j.cancelRequests = nil
 	c.emitState(j)
-	delete(c.jobs, j.id)
+	c.forget(j)
+	c.drain.observe(c.now.MS, j.spec.Footprint())
 	c.journal.purgeQueue = append(c.journal.purgeQueue, purgeEntry{j.id, c.now.MS})
 }
 
--- a/internal/planner/lag_test.go
+++ b/internal/planner/lag_test.go
@@ -177,5 +177,5 @@
 		c.Check(stopped, qt.IsFalse)
 	}
 	c.Check(h.core.reports, qt.Equals, reports)
-	c.Check(h.core.jobs["j"].steps[0].tasks[0].runs, qt.HasLen, len(w.runs))
+	c.Check(h.core.jobs["j"].open[0].steps[0].tasks[0].runs, qt.HasLen, len(w.runs))
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -214,13 +214,17 @@
 	return &s.tasks[ref.Index]
 }
 
-// stepOf returns a step by its ID, or nil if no current job has it.
+// stepOf returns a step by its ID, or nil if no current job has it or its occurrence
+// has ended.
 func (c *Core) stepOf(id StepID) *step {
 	j := c.jobs[id.Job]
 	if j == nil || !j.spec.HasStep(id.Occurrence, id.Step) {
 		return nil
 	}
-	return j.steps[id.Occurrence*len(j.spec.Steps)+id.Step]
+	if o := c.occurrenceOf(j, id.Occurrence); o != nil {
+		return o.steps[id.Step]
+	}
+	return nil
 }
 
 // attach adds a run to its worker and task and reserves its room.
@@ -255,6 +259,7 @@
 	}
 	r.task.setLast(r, c.now.MS)
 	s.activeRuns--
+	c.dropEnded(s.occurrence)
 	c.placementDue = true
 }
 
--- a/internal/planner/returning_worker_test.go
+++ b/internal/planner/returning_worker_test.go
@@ -76,7 +76,7 @@
 	h.core.workers["w"].noRoomUntilMS = 0
 	h.core.workers["w2"].noRoomUntilMS = h.now + 20
 	h.report(testWorker, Report{StartedMS: 7, ClockMS: 100})
-	task := &h.core.jobs["j"].steps[0].tasks[0]
+	task := &h.core.jobs["j"].open[0].steps[0].tasks[0]
 	c.Assert(h.core.taskScore(task, h.core.workers["w"]) < h.core.taskScore(task, h.core.workers["w2"]), qt.IsTrue)
 }
 
--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -206,7 +206,7 @@
 	// recorded.
 	h.confirmWrites(h.submit(t, "k", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
 	h.confirmWrites(h.advance(100))
-	runs := h.core.jobs["k"].steps[0].tasks[0].runs
+	runs := h.core.jobs["k"].open[0].steps[0].tasks[0].runs
 	c.Assert(runs, qt.HasLen, 1)
 	task := jobs.Task{Job: "k"}
 	h.confirmWrites(h.report(testWorker, Report{StartedMS: 7, ClockMS: 9000, Ended: []EndedTask{{Number: 1, Task: task, Run: 1, Kind: EndFailed}}}))
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -63,7 +63,7 @@
 		if !j.inherited {
 			continue
 		}
-		for _, s := range j.steps {
+		for s := range j.steps() {
 			for i := range s.tasks {
 				s.tasks[i].unreconciled = false
 			}
--- a/internal/planner/takeover_test.go
+++ b/internal/planner/takeover_test.go
@@ -115,11 +115,11 @@
 	first := newHarness(safeguards{})
 	first.confirmWrites(first.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
 	first.confirmWrites(first.advance(100))
-	want := first.core.jobs["j"].steps[0].deadlineMS
+	want := first.core.jobs["j"].open[0].steps[0].deadlineMS
 	h := first.nextLeader()
 	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatencyMS: 1000}}}})
 	j := h.core.jobs["j"]
-	c.Assert(j.steps[0].deadlineMS-j.arrivedMS, qt.Equals, want-first.core.jobs["j"].arrivedMS)
+	c.Assert(j.open[0].steps[0].deadlineMS-j.arrivedMS, qt.Equals, want-first.core.jobs["j"].arrivedMS)
 }
 
 // ackLimitMS is the time limit for the acknowledgement of an end once there are
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -354,6 +354,9 @@
 		// if the log has rejected it. No part of it is recorded; with Rejected,
 		// Started says whether tasks had been started.
 		TooLarge, Rejected, Started bool
+		// Full is set if there is no memory for the job now. No part of it is
+		// recorded.
+		Full bool
 		// RetryAfterMS is the suggested delay before a refused submission is
 		// repeated.
 		RetryAfterMS int64
--- a/internal/planner/write.go
+++ b/internal/planner/write.go
@@ -99,7 +99,7 @@
 	jnl.inFlightJobs = slices.DeleteFunc(jnl.inFlightJobs, func(other *job) bool { return other == j })
 	// A progress record may follow its submission in the same write.
 	jnl.remaining = slices.DeleteFunc(jnl.remaining, func(r jobs.Record) bool { return jobs.ProgressID(r) == j.id })
-	delete(c.jobs, j.id)
+	c.forget(j)
 }
 
 func (c *Core) refuseCancellations(j *job) {
