Bound the interference model by the images that callers name

The model kept a filter for each serving image that had ever been placed, of up to 34 KB, and the name of each best-effort image. 5,000 images took 280 MB, and the model's record 730 KB, which the log rejects (TestImagesAreBounded before this change). It keeps 128 filters now, the ones looked up last, and the names of the 64 best-effort images with a column.

--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -19,12 +21,17 @@
 type interferenceModel struct {
 	columns map[string]int
 	serving map[string]*tailModel
+	// lookups numbers the lookups of serving images.
+	lookups int64
 }
 
 const (
 	// maxBestEffortImages bounds the size of the model; further images share
 	// the last column.
 	maxBestEffortImages = 64
+	// maxServingImages bounds the filters. Callers name the images, and a filter
+	// takes 34 KB at its full size; the one looked up longest ago gives way.
+	maxServingImages = 128
 	// priorCoef is assumed for a pair of images without readings: the tail
 	// rises by half when half of the processors go to best-effort tasks.
 	// priorVar allows for harmful pairs, whose coefficients are 5 to 10.
@@ -61,6 +68,8 @@
 type tailModel struct {
 	mean []float64
 	cov  [][]float64
+	// lookedUp is the number of the last lookup.
+	lookedUp int64
 	// conservative holds the values that coefficient returns and meanEffect the
 	// mean of all coefficients; both are computed on demand while valid is
 	// false.
@@ -84,7 +93,10 @@
 	if i, ok := im.columns[image]; ok {
 		return i
 	}
-	i := min(len(im.columns)+1, maxBestEffortImages)
+	if len(im.columns) == maxBestEffortImages {
+		return maxBestEffortImages
+	}
+	i := len(im.columns) + 1
 	im.columns[image] = i
 	return i
 }
@@ -92,13 +104,31 @@
 func (im *interferenceModel) model(image string) *tailModel {
 	m := im.serving[image]
 	if m == nil {
+		im.makeRoom()
 		m = &tailModel{}
 		im.serving[image] = m
 	}
+	im.lookups++
+	m.lookedUp = im.lookups
 	m.grow(min(len(im.columns), maxBestEffortImages) + 1)
 	return m
 }
 
+// makeRoom drops the filter that was looked up longest ago if there are as many as
+// there may be. Steps that use it keep it.
+func (im *interferenceModel) makeRoom() {
+	if len(im.serving) < maxServingImages {
+		return
+	}
+	oldest := ""
+	for image, m := range im.serving {
+		if oldest == "" || m.lookedUp < im.serving[oldest].lookedUp {
+			oldest = image
+		}
+	}
+	delete(im.serving, oldest)
+}
+
 func (m *tailModel) grow(n int) {
 	for len(m.mean) < n {
 		m.valid = false
@@ -288,8 +318,8 @@
 			im.column(image)
 		}
 	}
-	for image, mean := range in.Serving {
-		m := im.model(image)
+	for _, image := range slices.Sorted(maps.Keys(in.Serving)) {
+		mean, m := in.Serving[image], im.model(image)
 		m.valid = false
 		for i := range min(len(mean), len(m.mean)) {
 			m.mean[i] = max(mean[i], 0)
--- a/internal/planner/interference_test.go
+++ b/internal/planner/interference_test.go
@@ -31,3 +31,26 @@
 	}
 	c.Assert(model.coefficient(loud) > 4*model.coefficient(quiet), qt.IsTrue, qt.Commentf("loud %.2f, quiet %.2f", model.coefficient(loud), model.coefficient(quiet)))
 }
+
+// TestImagesAreBounded guards against a model that grows with the images that callers
+// name: it keeps the ones looked up last, in memory and in its record.
+func TestImagesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	im := newInterferenceModel()
+	used := im.model("used")
+	before := heapBytes()
+	for i := range 5000 {
+		im.column(fmt.Sprint("filler", i))
+		im.model(fmt.Sprint("serve", i))
+		c.Assert(im.model("used") == used, qt.IsTrue)
+	}
+	grown := heapBytes() - before
+	c.Check(grown < 8<<20, qt.IsTrue, qt.Commentf("%d bytes", grown))
+	value, err := im.record()
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(value) < 128<<10, qt.IsTrue, qt.Commentf("%d bytes", len(value)))
+	restored := newInterferenceModel()
+	c.Assert(restored.restore(value), qt.IsNil)
+	c.Assert(len(restored.serving), qt.Equals, maxServingImages)
+	c.Assert(restored.column("filler7"), qt.Equals, im.column("filler7"))
+}
