Ask the placement adviser in turn, for as long as the queue states

Cause: a request named 30 workers and was given up after 3 s, whatever the configuration says of the queue's advice (600 ms and 90 ms a worker there); and each waiting step sent its own at once, although the adviser handles one request of an instance at a time, so that most were given up before their turn.

Change: one request at a time, every other turn by priority and the others by waiting time; as many workers as a response covers in 400 ms or the decision's own time; a timeout of twice the stated time and a second; half the workers and twice the timeout after a failure; the validity counts from the response's arrival, and half of it at most is kept back for the start.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -35,6 +35,19 @@
 	// Advised states that tasks of the queue need the placement adviser's
 	// permission to run on a worker.
 	Advised bool `json:"v,omitempty"`
+	// Advice says how long the adviser takes for the queue.
+	Advice Advice `json:"w,omitzero"`
+}
+
+// Advice describes the placement adviser's responses about one queue, in
+// milliseconds; 0 if unknown.
+type Advice struct {
+	// DecisionMS is the time that a response takes, beside WorkerMS for each worker
+	// that the request names.
+	DecisionMS int64 `json:"d,omitempty"`
+	WorkerMS   int64 `json:"w,omitempty"`
+	// ValidityMS is how long a permission is valid.
+	ValidityMS int64 `json:"v,omitempty"`
 }
 
 // Job is one submission: what to run, in which order and how many times.
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -14,7 +14,11 @@
 	case planner.Hold, planner.Start, planner.Stop, planner.Pace:
 		n.callWorker(t, effect)
 	case planner.Advise:
-		go func() { n.postEvent(t, n.deps.Adviser.Advise(t.ctx, e)) }()
+		go func() {
+			done := n.deps.Adviser.Advise(t.ctx, e)
+			done.ReceivedMS = n.now().MS
+			n.postEvent(t, done)
+		}()
 	case planner.Write:
 		// At most one write is outstanding, so the ring has room.
 		t.writes.Offer(e)
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"redwingvale/internal/jobs"
 )
 
 // adviceState holds the placement adviser's responses for a step. Its response
@@ -14,6 +16,10 @@
 	// requested are the workers of the outstanding request.
 	requested   []adviceQuery
 	requestedMS int64
+	// queued is set while the step waits for its turn to ask.
+	queued bool
+	// requests counts the requests, failures those in a row without a response.
+	requests, failures int
 }
 
 // adviceQuery is an incarnation of a worker about which advice is requested.
@@ -36,11 +42,28 @@
 }
 
 const (
-	// adviceBatch is the maximum number of workers in one request; the
-	// adviser's response time grows with each.
-	adviceBatch = 30
-	// adviceRetryMS is the pause between two requests: no response means that
-	// the adviser was busy.
+	// maxAdviceBatch is the number of workers that one request may name.
+	maxAdviceBatch = 100
+	// adviceAnswerMS is how long a response may take for the number of workers that
+	// it covers, unless the decision itself takes longer. A short response lets the
+	// first tasks start, and other steps ask, while the rest is asked about.
+	adviceAnswerMS = 400
+	// firstAdviceFactor is the number of workers for each waiting task that the first
+	// request names; each further request may name twice as many.
+	firstAdviceFactor = 4
+	// minFirstAdvice is the smallest number of workers in a first request.
+	minFirstAdvice = 8
+	// adviceTimeoutFactor and adviceTimeoutMS allow for a slow adviser and for an
+	// abandoned request that it still handles.
+	adviceTimeoutFactor = 2
+	adviceTimeoutMS     = 1000
+	// maxAdviceTimeoutMS bounds the time that a single request keeps all others
+	// waiting.
+	maxAdviceTimeoutMS = 10 * 60 * 1000
+	// maxAdviceFailures bounds how far a request shrinks, and its timeout grows,
+	// after requests without a response.
+	maxAdviceFailures = 7
+	// adviceRetryMS is the pause between two requests for a step.
 	adviceRetryMS = 300
 	// adviceRecheckMS is how long a denial is kept, in case the adviser's policy
 	// has changed.
@@ -48,10 +71,22 @@
 	// maxValidityMS bounds the validity of a ticket against overflow.
 	maxValidityMS = 24 * 60 * 60 * 1000
 	// adviceMarginMS is the time reserved for a start to arrive before its
-	// ticket expires.
+	// ticket expires; half of the validity at most.
 	adviceMarginMS = 100
 )
 
+// adviceQueue holds the steps that wait to ask the adviser, which handles one
+// request of an instance at a time. Several at once would wait there while their
+// timeouts run.
+type adviceQueue struct {
+	waiting []*step
+	// asking is the step with the outstanding request, or nil.
+	asking   *step
+	askingMS int64
+	// turns counts the requests.
+	turns int
+}
+
 func (a *adviceState) allows(id WorkerID, nowMS int64) bool {
 	t := a.tickets[id]
 	return t.value != "" && nowMS < t.untilMS
@@ -65,14 +100,14 @@
 }
 
 // record stores the adviser's response to the outstanding request.
-func (a *adviceState) record(e AdviceDone, nowMS int64) {
+func (a *adviceState) record(e AdviceDone, validityMS, nowMS int64) {
 	if a.tickets == nil {
 		a.tickets = map[WorkerID]ticket{}
 	}
 	if a.denied == nil {
 		a.denied = map[WorkerID]denial{}
 	}
-	untilMS := nowMS + min(e.ValidityMS, maxValidityMS) - adviceMarginMS
+	untilMS := cmp.Or(e.ReceivedMS, nowMS) + validityMS - min(adviceMarginMS, validityMS/2)
 	for _, q := range a.requested {
 		if value := e.Tickets[q.worker]; value != "" {
 			a.tickets[q.worker] = ticket{value, untilMS}
@@ -95,26 +130,94 @@
 	return false
 }
 
-// requestAdvice requests advice about the next workers that might run the
-// step's tasks.
+// requestAdvice lets a step wait for its turn to ask about the next workers that
+// might run its tasks.
 func (c *Core) requestAdvice(s *step) {
 	a := &s.advice
-	if a.requested != nil || c.now.MS-a.requestedMS < adviceRetryMS {
+	if a.queued || a.requested != nil || a.requests > 0 && c.now.MS-a.requestedMS < adviceRetryMS {
 		return
 	}
-	candidates := c.adviceCandidates(s)
-	if len(candidates) == 0 {
-		return
+	a.queued = true
+	c.advice.waiting = append(c.advice.waiting, s)
+	c.askAdviser()
+}
+
+// askAdviser sends the next request unless one is outstanding.
+func (c *Core) askAdviser() {
+	q := &c.advice
+	for q.asking == nil && len(q.waiting) > 0 && !c.commandsWithheld() {
+		s := q.next()
+		s.advice.queued = false
+		if s.job.state.Final() || len(s.pending) == 0 || !s.job.queue.Advised {
+			continue
+		}
+		candidates := c.adviceCandidates(s)
+		if len(candidates) == 0 {
+			continue
+		}
+		c.sendAdvise(s, candidates[:min(len(candidates), s.adviceBatch())])
 	}
-	a.requestedMS = c.now.MS
-	for _, w := range candidates[:min(len(candidates), adviceBatch)] {
+}
+
+// next removes and returns the step whose turn it is: in odd turns the one of the
+// highest priority, and of these the one that asked longest ago; in even ones the one
+// that has waited longest, so that none waits without end.
+func (q *adviceQueue) next() *step {
+	q.turns++
+	best := 0
+	if q.turns%2 == 1 {
+		for i, s := range q.waiting {
+			other := q.waiting[best]
+			if cmp.Or(cmp.Compare(s.job.queue.Priority, other.job.queue.Priority), cmp.Compare(s.advice.requestedMS, other.advice.requestedMS)) < 0 {
+				best = i
+			}
+		}
+	}
+	s := q.waiting[best]
+	q.waiting = slices.Delete(q.waiting, best, best+1)
+	return s
+}
+
+// adviceBatch returns the number of workers that the step's next request names.
+func (s *step) adviceBatch() int {
+	a, rule := &s.advice, s.job.queue.Advice
+	batch := int64(maxAdviceBatch)
+	if rule.WorkerMS > 0 {
+		batch = min(batch, max(rule.DecisionMS, adviceAnswerMS)/rule.WorkerMS)
+	}
+	first := max(int64(len(s.pending))*firstAdviceFactor, minFirstAdvice)
+	batch = min(batch, first<<min(a.requests, maxAdviceFailures))
+	return int(max(batch>>a.failures, 1))
+}
+
+// adviceTimeout returns how long to wait for a response about some workers.
+func (s *step) adviceTimeout(workers int) int64 {
+	rule := s.job.queue.Advice
+	stated := adviceTimeoutFactor*(rule.DecisionMS+int64(workers)*rule.WorkerMS) + adviceTimeoutMS
+	return min(stated<<s.advice.failures, maxAdviceTimeoutMS)
+}
+
+func (c *Core) sendAdvise(s *step, candidates []*worker) {
+	a := &s.advice
+	workers := make([]WorkerID, 0, len(candidates))
+	for _, w := range candidates {
 		a.requested = append(a.requested, adviceQuery{w.info.ID, w.startedMS})
+		workers = append(workers, w.info.ID)
 	}
-	workers := make([]WorkerID, 0, len(a.requested))
-	for _, q := range a.requested {
-		workers = append(workers, q.worker)
+	a.requestedMS = c.now.MS
+	a.requests++
+	c.advice.asking, c.advice.askingMS = s, c.now.MS
+	c.emit(Advise{Step: s.id(), Workers: workers, TimeoutMS: s.adviceTimeout(len(workers))})
+}
+
+// releaseAdviser lets other steps ask if the outstanding request takes longer than
+// its queue's present configuration allows. Its response is still used. It also sends
+// a request that was withheld.
+func (c *Core) releaseAdviser() {
+	if s := c.advice.asking; s != nil && c.now.MS-c.advice.askingMS > s.adviceTimeout(len(s.advice.requested)) {
+		c.advice.asking = nil
 	}
-	c.emit(Advise{Step: s.id(), Workers: workers})
+	c.askAdviser()
 }
 
 // adviceCandidates returns the workers that have room now and whose permission
@@ -146,15 +249,34 @@
 
 func (c *Core) adviceDone(e AdviceDone) {
 	s := c.stepOf(e.Step)
-	if s == nil {
-		return
+	if asking := c.advice.asking; asking != nil && (asking == s || asking.id() == e.Step) {
+		c.advice.asking = nil
 	}
+	if s != nil && s.advice.requested != nil {
+		c.handleAdvice(s, e)
+	}
+	c.askAdviser()
+}
+
+func (c *Core) handleAdvice(s *step, e AdviceDone) {
+	a := &s.advice
+	d := Decision{Event: "advice_received", Job: e.Step.Job, Task: jobs.Task{Job: e.Step.Job, Occurrence: e.Step.Occurrence, Step: e.Step.Step}.StepName(),
+		Reason: e.Outcome.String(), AgeMS: c.now.MS - a.requestedMS, Details: []Detail{
+			{Name: "workers", Number: int64(len(a.requested))}, {Name: "allowed", Number: int64(len(e.Tickets))}, {Name: "queued", Number: int64(len(c.advice.waiting))},
+		}}
 	if e.Outcome != Done {
-		s.advice.requested = nil
+		a.failures = min(a.failures+1, maxAdviceFailures)
+		a.requested = nil
+		d.Event = "advice_failed"
+		c.emit(d)
+		c.placementDue = true
 		return
 	}
-	s.advice.record(e, c.now.MS)
-	s.advice.requested = nil
+	c.emit(d)
+	a.failures = 0
+	validityMS := cmp.Or(e.ValidityMS, s.job.queue.Advice.ValidityMS, maxValidityMS)
+	a.record(e, min(validityMS, maxValidityMS), c.now.MS)
+	a.requested = nil
 	s.noFitPass = 0
 	c.placementDue = true
 }
--- a/internal/planner/adviser_faults_test.go
+++ b/internal/planner/adviser_faults_test.go
@@ -18,6 +18,11 @@
 	rng *rand.Rand
 	// tickets maps each valid ticket to its expiry.
 	tickets map[string]int64
+	// busyUntil is when the adviser has handled the request before, which it does
+	// one after the other for each leader.
+	busyUntil map[*leader]int64
+	// advice is how long it takes.
+	advice jobs.Advice
 }
 
 const (
@@ -29,9 +34,11 @@
 // are asked about, the adviser is busy at times, and workers that are allowed
 // crash.
 func (sim *simulation) injectAdviser() {
-	sim.adviser = &simAdviser{rng: rand.New(rand.NewPCG(sim.seed, 3)), tickets: map[string]int64{}}
+	sim.adviser = &simAdviser{rng: rand.New(rand.NewPCG(sim.seed, 3)), tickets: map[string]int64{}, busyUntil: map[*leader]int64{}}
+	// The figures of the configuration may be far from those of other queues.
+	sim.adviser.advice = []jobs.Advice{{}, {DecisionMS: 10, WorkerMS: 1}, {DecisionMS: 600, WorkerMS: 90, ValidityMS: ticketValidityMS}, {DecisionMS: 3, WorkerMS: 400}}[sim.seed%4]
 	queues := append(slices.Clone(sim.versions[0].queues), Queue{Name: advisedQueue, Policy: jobs.Policy{
-		Service: "s", Priority: 1, MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000, Advised: true,
+		Service: "s", Priority: 1, MaxAttempts: 4, Stretch: 2, TargetLatencyMS: 1000, Advised: true, Advice: sim.adviser.advice,
 	}})
 	sim.versions = append(sim.versions, version{sim.now, queues})
 	sim.apply(sim.leader, len(sim.versions)-1)
@@ -78,7 +85,15 @@
 	if sim.adviser.rng.IntN(5) > 0 {
 		done = AdviceDone{Step: e.Step, Outcome: Done, ValidityMS: ticketValidityMS, Tickets: map[WorkerID]string{}}
 	}
-	sim.at(10+int64(len(e.Workers)), func() {
+	a := sim.adviser
+	startMS := max(sim.now, a.busyUntil[l])
+	tookMS := startMS - sim.now + a.advice.DecisionMS + int64(len(e.Workers))*a.advice.WorkerMS
+	if tookMS > e.TimeoutMS {
+		sim.at(e.TimeoutMS, func() { sim.step(l, AdviceDone{Step: e.Step, Outcome: OutcomeUnknown}) })
+		return
+	}
+	a.busyUntil[l] = sim.now + tookMS
+	sim.at(tookMS, func() {
 		for _, f := range sim.workers {
 			if done.Outcome == Done && slices.Contains(e.Workers, f.info.ID) && sim.allows(e.Step, f) {
 				ticket := ticketFor(e.Step, f, sim.now)
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -45,6 +45,7 @@
 	// of their job, unrecordedBytes that of jobs whose submission is not recorded.
 	extraBytes, unrecordedBytes int64
 	drain                       drainMeter
+	advice                      adviceQueue
 	// suspended is set while the leadership is unconfirmed; commands are
 	// withheld.
 	suspended bool
@@ -303,6 +304,7 @@
 	c.checkReconciled()
 	c.releaseDue()
 	c.openDue()
+	c.releaseAdviser()
 	if c.now.MS-c.lastPassMS >= maxPassIntervalMS {
 		c.placementDue = true
 	}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -160,10 +160,15 @@
 	}
 	// AdviceDone is the outcome of an Advise.
 	AdviceDone struct {
-		Step       StepID
-		Outcome    Outcome
-		Tickets    map[WorkerID]string
+		Step    StepID
+		Outcome Outcome
+		Tickets map[WorkerID]string
+		// ValidityMS is how long the tickets are valid from the response on; 0 if the
+		// response does not say.
 		ValidityMS int64
+		// ReceivedMS is when the response arrived, which may be long before the
+		// planner gets it; 0 if it has just arrived.
+		ReceivedMS int64
 	}
 )
 
@@ -337,6 +342,8 @@
 	Advise struct {
 		Step    StepID
 		Workers []WorkerID
+		// TimeoutMS is how long to wait for the response.
+		TimeoutMS int64
 	}
 	// Write appends records to the log; WriteDone or WriteRejected follows. At
 	// most one is outstanding.
