Renew leases four times within their length

A hold call waits up to a second for an end, whatever the lease; on a site whose longest lease is a second, runs lapsed between two calls. It now waits for a quarter of the lease at most. The sites known so far grant 6 and 10 s, where nothing changes.

A test compares the leadership lease with what successors wait for.

--- a/internal/node/leadership_test.go
+++ b/internal/node/leadership_test.go
@@ -146,3 +146,9 @@
 		})
 	}
 }
+
+// Guards against a deposed leader that renews leases for longer than its successor
+// waits for.
+func TestLeadershipLeaseEndsBeforeSuccessorsWait(t *testing.T) {
+	qt.New(t).Assert(milliseconds(leadershipLease) < planner.DeposedLeaderMS, qt.IsTrue)
+}
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -44,6 +44,9 @@
 	// an unresponsive connection is noticed and leases are renewed well within
 	// LeaseMS.
 	holdWaitMS = 1000
+	// holdsPerLease is the number of hold calls that a lease lasts for at least, if
+	// that is shorter than holdWaitMS each.
+	holdsPerLease = 4
 	// holdPollMS is the pause between hold calls to a worker whose ends are not
 	// recorded yet; such calls return immediately.
 	holdPollMS = 150
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -327,7 +327,7 @@
 	if c.disabled.recordBeforeAck {
 		ack = w.processedEnd
 	}
-	wait := int64(holdWaitMS)
+	wait := min(holdWaitMS, c.config.LeaseMS/holdsPerLease)
 	if w.interference.nearTarget() {
 		wait = nearTargetHoldWaitMS
 	}
