--- a/internal/planner/run_check.go
+++ b/internal/planner/run_check.go
@@ -15,9 +15,9 @@
 	runCheckIntervalMS = 100
 	// freshReportMS is the maximum age of a fresh report.
 	freshReportMS = 700
-	// drainMoveLeadMS is how long before a worker's departure its checkpointing
-	// tasks are stopped.
-	drainMoveLeadMS = 600
+	// drainMoveLeadMS is how long before a worker's departure the checkpoints of its
+	// tasks have to be known, so that they are reported before it leaves.
+	drainMoveLeadMS = 400
 )
 
 // checkRuns stops stalled runs and moves work off a draining worker.
@@ -70,7 +70,7 @@
 	case s.spec.LongRunning:
 		return c.unavailableTasks(s) < s.spec.MaxUnavailable || s.spec.MaxUnavailable == 0
 	case s.spec.Checkpointing && w.drain.departureMS > 0:
-		return c.now.MS >= w.drain.departureMS-drainMoveLeadMS
+		return c.now.MS >= w.drain.departureMS-c.config.StopTimeoutMS-drainMoveLeadMS
 	}
 	return false
 }
