Let no stall limit keep a task from finishing

A site that takes longer to restore a checkpoint, or a long task without an estimate, whose percentage rises more seldom, was stopped without end. The time of restoring counts in addition now, and each stop doubles the task's limit.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -117,6 +117,8 @@
 	unreconciled bool
 	// replaced counts the runs that were replaced because they were slow.
 	replaced int
+	// stalls counts the runs that were stopped because they made no progress.
+	stalls int
 	// avoided are the workers on which a run of the task failed or stalled.
 	avoided []WorkerID
 	// notBeforeMS is the earliest time of the next start.
--- a/internal/planner/run_check.go
+++ b/internal/planner/run_check.go
@@ -18,6 +18,9 @@
 	// drainMoveLeadMS is how long before a worker's departure the checkpoints of its
 	// tasks have to be known, so that they are reported before it leaves.
 	drainMoveLeadMS = 400
+	// maxStallDoublings bounds how far the limit of a task grows that has been stopped
+	// for standing still.
+	maxStallDoublings = 6
 )
 
 // checkRuns stops stalled runs and moves work off a draining worker.
@@ -40,6 +43,7 @@
 				c.emit(Decision{Event: "worker_suspect", Worker: w.info.ID, Reason: "run makes no progress"})
 			}
 			r.progressMS = c.now.MS
+			r.task.stalls++
 			c.stopRun(r, "no progress")
 		default:
 			c.checkSpeed(w, r)
@@ -59,7 +63,13 @@
 	if s.spec.BestEffort && (r.pace < 100 || c.bestEffortShare(r.worker, 0) < 0.5) {
 		return false
 	}
-	limit := int64(max(stallMS, c.expectedDuration(s)/4))
+	// A task whose progress is reported in whole percent, or that resumes, may do well
+	// and show nothing for longer than expected: each stop doubles the limit, so that
+	// a wrong one cannot keep the task from finishing.
+	limit := int64(max(stallMS, c.expectedDuration(s)/4)) << min(r.task.stalls, maxStallDoublings)
+	if s.spec.Checkpointing {
+		limit += c.config.RestoreMS
+	}
 	return idleMS > limit
 }
 
