Play the memory bound with real processes in the soak

The sizes behind the bound of accepted work were measured in one process. The scenario full-memory submits jobs of all shapes until they are refused, kills three leaders meanwhile and cancels all; every run of the soak now kills a process beyond its memory and counts that as broken.

--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -117,6 +117,7 @@
 	flags.IntVar(&options.WorkersPerRack, "workers-per-rack", 0, "workers in a rack; 0 spreads them over three racks")
 	flags.DurationVar(&options.MaxLease, "max-lease", 6*time.Second, "longest lease of a worker")
 	flags.DurationVar(&options.StopTimeout, "stop-timeout", 500*time.Millisecond, "longest time of a stop")
+	flags.IntVar(&options.MemoryMB, "memory", 284, "memory in MB beyond which a process is killed, which breaks the run")
 	shape := flags.String("shape", "", "a site whose numbers replace the defaults of other options: oratory-desk")
 	busy := flags.Int("busy", 0, "busy processes beside the run")
 	verbose := flags.Bool("v", false, "print each fault")
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -62,6 +62,7 @@
 peer_advertised_addr = %q
 store_addr = %q
 cpu_share = 0.5
+memory_mb = %d
 delegation_min_workers = %d
 
 [bounds]
@@ -104,7 +105,7 @@
 		delegationMinWorkers = 1
 	}
 	settings := func(first bool) string {
-		return fmt.Sprintf(settingsText, name, zoneName(options.zone(index)), first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address(), delegationMinWorkers, options.maxLease().Milliseconds(), options.stopTimeout().Milliseconds())
+		return fmt.Sprintf(settingsText, name, zoneName(options.zone(index)), first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address(), options.memoryMB(), delegationMinWorkers, options.maxLease().Milliseconds(), options.stopTimeout().Milliseconds())
 	}
 	return in, os.WriteFile(in.settingsFile, []byte(settings(true)), 0o600)
 }
@@ -171,6 +172,16 @@
 	}
 }
 
+// pid returns the id of the process started last, or 0.
+func (in *instance) pid() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.process == nil {
+		return 0
+	}
+	return in.process.Process.Pid
+}
+
 func (in *instance) running() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -18,6 +18,7 @@
 // rarely produce.
 var scenarios = map[string]func(*run, context.Context, *rand.Rand){
 	"join-without-record": (*run).joinWithoutRecord,
+	"full-memory":         (*run).fillMemory,
 }
 
 // Scenarios returns the names of the scenarios.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,7 +73,10 @@
 	// MaxLease is the longest lease of a worker, and StopTimeout the longest time
 	// of a stop; 0 are 6 s and 500 ms.
 	MaxLease, StopTimeout time.Duration
-	Log                   io.Writer
+	// MemoryMB is the memory in MB of 2^20 bytes beyond which a process is killed; 0
+	// are 284.
+	MemoryMB int
+	Log      io.Writer
 }
 
 // Times and counts of the callers, from the users' kinds of request.
@@ -109,6 +112,8 @@
 	FailedJobs, FailedRuns int
 	// MostEnds is the largest number of ends that a worker had to list at once.
 	MostEnds int
+	// PeakMB is the largest resident memory of a process.
+	PeakMB int
 	// Starved sums the waits for a processor of this machine that count as a fault.
 	Starved    time.Duration
 	Violations []string
@@ -116,19 +121,23 @@
 
 // String returns the result as one line of key=value pairs.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d most_ends=%d faults=%d starved_ms=%d broken=%d",
-		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.MostEnds, r.Faults, r.Starved.Milliseconds(), len(r.Violations))
+	return fmt.Sprintf("seed=%d submitted=%d accepted=%d completed=%d failed=%d starts=%d failed_runs=%d most_ends=%d faults=%d peak_mb=%d starved_ms=%d broken=%d",
+		r.Seed, r.Submitted, r.Accepted, r.Completed, r.FailedJobs, r.Starts, r.FailedRuns, r.MostEnds, r.Faults, r.PeakMB, r.Starved.Milliseconds(), len(r.Violations))
 }
 
 const (
 	defaultMaxLease    = 6 * time.Second
 	defaultStopTimeout = 500 * time.Millisecond
+	// defaultMemoryMB is the memory of the small sites' instances.
+	defaultMemoryMB = 284
 )
 
 func (o *Options) maxLease() time.Duration { return cmp.Or(o.MaxLease, defaultMaxLease) }
 
 func (o *Options) stopTimeout() time.Duration { return cmp.Or(o.StopTimeout, defaultStopTimeout) }
 
+func (o *Options) memoryMB() int { return cmp.Or(o.MemoryMB, defaultMemoryMB) }
+
 // spareWorkers is the number of workers that can join during a run.
 func (o *Options) spareWorkers() int {
 	if o.Wide || o.Scenario != "" {
@@ -153,7 +162,9 @@
 	completed atomic.Int64
 	// starved is the time that threads of instances have waited for a processor.
 	starved atomic.Int64
-	version int
+	// peakBytes is the largest resident memory of an instance.
+	peakBytes atomic.Int64
+	version   int
 	// accepted receives a value when a submission is accepted.
 	accepted chan struct{}
 	// callers counts the callers whose jobs have not ended.
@@ -239,6 +250,7 @@
 	result := &Result{Seed: options.Seed, Submitted: len(r.ids), Starts: r.checker.Starts(), Faults: int(r.faults.Load()), Completed: int(r.completed.Load())}
 	result.FailedJobs, result.FailedRuns = r.checker.FailureCounts()
 	result.Starved = time.Duration(r.starved.Load())
+	result.PeakMB = int(r.peakBytes.Load() >> 20)
 	for _, w := range r.workers {
 		result.MostEnds = max(result.MostEnds, w.MostEnds())
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,3 +118,17 @@
 		})
 	}
 }
+
+// Guards against instances that accept work until their memory ends them: at the bound
+// submissions are refused, leaders that are killed are replaced, and no process exceeds
+// the memory of the smallest instances.
+func TestSoakAtFullMemory(t *testing.T) {
+	c := qt.New(t)
+	o := testOptions(t, 3)
+	o.Scenario, o.JobsPerS, o.KillAll, o.MemoryMB = "full-memory", 0, false, 184
+	result, err := Run(context.Background(), o)
+	c.Assert(err, qt.IsNil)
+	t.Log(result)
+	c.Assert(result.Violations, qt.HasLen, 0)
+	c.Assert(result.PeakMB > 0, qt.IsTrue)
+}
--- a/internal/soak/starvation.go
+++ b/internal/soak/starvation.go
@@ -24,13 +24,7 @@
 	last := map[string]time.Duration{}
 	for ; ctx.Err() == nil; sleep(ctx, starvationPoll) {
 		for _, in := range r.instances {
-			in.mu.Lock()
-			pid := 0
-			if in.process != nil {
-				pid = in.process.Process.Pid
-			}
-			in.mu.Unlock()
-			waits, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+			waits, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", in.pid()))
 			for _, path := range waits {
 				wait, ok := waitOf(path)
 				if !ok {
--- a/internal/soak/workload.go
+++ b/internal/soak/workload.go
@@ -161,6 +161,7 @@
 		r.clients = append(r.clients, standin.NewCaller(r.checker, callerLimit))
 	}
 	go r.watchStarvation(ctx)
+	go r.watchMemory(ctx)
 	go func() {
 		for ; ctx.Err() == nil; sleep(ctx, ackPoll) {
 			r.checker.CheckCalm()
