Bound the memory of request bodies that are being read

Each request could hold a body of 1 MB, on as many connections as callers opened, and the steps in it were decoded before they were counted: 256 KB of empty steps made over 80,000 of them. A body is now limited to what the store can hold of one record, all of them together to an eighth of memory_mb, and decoding ends at the largest number of steps. What finds no memory is refused at once with RW2006 and a Retry-After; a body that comes slowly is given up at the caller's time limit.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 	// jobBytes is the memory that the jobs of the log take on an instance that
 	// leads.
 	jobBytes atomic.Int64
+	bodies   *bodyMemory
 
 	startedUnixMS int64
 	// startedMS is the start on the clock of now.
@@ -162,6 +163,7 @@
 		stateMachine: jobs.NewStateMachine(),
 		members:      map[string]member{},
 		replies:      map[uint64]chan planner.Reply{},
+		bodies:       newBodyMemory(config),
 
 		startedUnixMS: time.Now().UnixMilli(),
 	}
