--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -45,13 +45,12 @@
 	// maxAdviceBatch is the number of workers that one request may name.
 	maxAdviceBatch = 100
 	// adviceAnswerMS is how long a response may take for the number of workers that
-	// it covers, unless the decision itself takes longer. A short response lets the
-	// first tasks start, and other steps ask, while the rest is asked about.
+	// it covers, unless the decision itself takes longer; steps that wait for their
+	// turn share it. A short response lets the first tasks start, and other steps ask,
+	// while the rest is asked about.
 	adviceAnswerMS = 400
-	// firstAdviceFactor is the number of workers for each waiting task that the first
-	// request names; each further request may name twice as many.
-	firstAdviceFactor = 4
-	// minFirstAdvice is the smallest number of workers in a first request.
+	// The first request names a worker for each waiting task, minFirstAdvice at least;
+	// each further request may name twice as many.
 	minFirstAdvice = 8
 	// adviceTimeoutFactor and adviceTimeoutMS allow for a slow adviser and for an
 	// abandoned request that it still handles.
@@ -155,7 +154,7 @@
 		if len(candidates) == 0 {
 			continue
 		}
-		c.sendAdvise(s, candidates[:min(len(candidates), s.adviceBatch())])
+		c.sendAdvise(s, candidates[:min(len(candidates), s.adviceBatch(len(q.waiting)))])
 	}
 }
 
@@ -178,14 +177,15 @@
 	return s
 }
 
-// adviceBatch returns the number of workers that the step's next request names.
-func (s *step) adviceBatch() int {
+// adviceBatch returns the number of workers that the step's next request names while
+// some other steps wait for their turn.
+func (s *step) adviceBatch(waiting int) int {
 	a, rule := &s.advice, s.job.queue.Advice
 	batch := int64(maxAdviceBatch)
 	if rule.WorkerMS > 0 {
-		batch = min(batch, max(rule.DecisionMS, adviceAnswerMS)/rule.WorkerMS)
+		batch = min(batch, max(rule.DecisionMS, adviceAnswerMS/int64(1+waiting))/rule.WorkerMS)
 	}
-	first := max(int64(len(s.pending))*firstAdviceFactor, minFirstAdvice)
+	first := max(int64(len(s.pending)), minFirstAdvice)
 	batch = min(batch, first<<min(a.requests, maxAdviceFailures))
 	return int(max(batch>>a.failures, 1))
 }
--- a/internal/planner/slow_advice_test.go
+++ b/internal/planner/slow_advice_test.go
@@ -211,3 +211,28 @@
 	a.run(2000, infos)
 	c.Assert(a.starts, qt.HasLen, 2)
 }
+
+// TestManyStepsShareAdviser guards against steps that wait for each other: the adviser
+// has to keep up with steps that come at the rate at which it can answer about the
+// workers that they need.
+func TestManyStepsShareAdviser(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	advice := jobs.Advice{DecisionMS: 20, WorkerMS: 2}
+	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true, Advice: advice}}}})
+	infos := h.joinMany(48)
+	a := &slowAdviser{h: h, advice: map[jobs.ID]jobs.Advice{}}
+	started := map[jobs.ID]bool{}
+	for i := range 60 {
+		// Their lengths differ, so that the adviser allows them on different workers.
+		id := jobs.ID(fmt.Sprintf("j%d%s", 10+i, "xxxx"[:i%4]))
+		a.advice[id] = advice
+		a.take(h.submit(t, id, jobs.Step{Count: 16, CPUMilli: 100, EstimateMS: 900}))
+		a.run(100, infos)
+	}
+	a.run(1000, infos)
+	for _, s := range a.starts {
+		started[s.Task.Job] = true
+	}
+	c.Assert(started, qt.HasLen, 60)
+}
