Bound accepted work by the smallest instance's memory

Review of the bound on accepted work: instances of one site have 184 to 536 MB, and each bounded jobs by its own. A leader of 536 MB accepted what one of 184 MB, which may have to lead next, cannot hold. Each instance now states its memory in its record in the log, and the smallest bounds all of them, also when it joins during a term (TestSmallestInstanceBoundsJobs).

--- a/internal/jobs/footprint.go
+++ b/internal/jobs/footprint.go
@@ -1,7 +1,5 @@
 package jobs
 
-import "unsafe"
-
 // Memory in bytes that accepted jobs take, as upper bounds. The leader takes the
 // most: it holds the tasks of the occurrences that are due beside what every
 // instance holds of the log.
@@ -19,6 +17,8 @@
 	// earlyEndBytes is for an end of a run whose job is not known, at the log and at
 	// the leader.
 	earlyEndBytes = 140
+	// rangeBytes is for a range of ended occurrences.
+	rangeBytes = 16
 	// progressFactor is the memory that progress takes, as a multiple of the size
 	// of its record: it is held decoded by the log and by the leader.
 	progressFactor = 4
@@ -69,7 +69,7 @@
 		return
 	}
 	e.Progress.Failures, e.Progress.Checkpoints, e.Progress.Partial = nil, nil, nil
-	e.progressBytes = int64(len(e.Progress.Ended)) * int64(unsafe.Sizeof([2]int{}))
+	e.progressBytes = int64(len(e.Progress.Ended)) * rangeBytes
 	for _, row := range e.Progress.Done {
 		e.progressBytes += int64(len(row))
 	}
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -159,7 +159,7 @@
 // jobMemoryFull reports whether the jobs that the log holds leave no memory for
 // another one, and whether the log holds that one already.
 func (n *Node) jobMemoryFull(ctx context.Context, id jobs.ID, encoded []byte) (full, known bool, err error) {
-	limit := n.config.maxJobBytes()
+	limit := n.jobLimit.Load()
 	job, err := jobs.DecodeJob(encoded)
 	if err != nil || limit <= 0 || n.jobBytes.Load()+job.Footprint() <= limit {
 		return false, false, err
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -32,6 +33,7 @@
 	bytes = max(bytes, 1) * bodyMemoryFactor
 	if !n.bodies.bytes.TryAcquire(bytes) {
 		n.stats.refused.Inc(1)
+		n.log("body_refused", zap.Int64("needed_bytes", bytes))
 		return nil, false
 	}
 	return func() { n.bodies.bytes.Release(bytes) }, true
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -150,9 +150,9 @@
 // program, its buffers and connections need their part.
 const jobMemoryShare = 0.25
 
-// maxJobBytes returns the memory that accepted jobs may take on an instance, in
-// bytes; 0 if it is not limited.
-func (c *Config) maxJobBytes() int64 { return int64(c.MemoryMB * jobMemoryShare * (1 << 20)) }
+// maxJobBytes returns the memory that accepted jobs may take on an instance with some
+// memory, in bytes; 0 if it is not limited.
+func maxJobBytes(memoryMB int) int64 { return int64(float64(memoryMB) * jobMemoryShare * (1 << 20)) }
 
 func (c *Config) plannerConfig(firstTerm bool) planner.Config {
 	return planner.Config{
@@ -164,7 +164,6 @@
 		RestoreMS:         int64(c.Bounds.RestoreMS),
 		StatusRetentionMS: int64(c.Bounds.StatusS * 1000),
 		Log:               c.limits(),
-		MaxJobBytes:       c.maxJobBytes(),
 		OptimisticStart:   c.OptimisticStart,
 		FirstTerm:         firstTerm,
 		LeadershipLeaseMS: milliseconds(leadershipLease),
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -39,6 +39,9 @@
 	StartedMS int64 `json:"started"`
 	// MilliCPU is the instance's share of processors in thousandths of a core.
 	MilliCPU int `json:"strength"`
+	// MemoryMB is the memory beyond which the instance is killed; 0 if there is no
+	// limit, or for an instance of an earlier release.
+	MemoryMB int `json:"memory,omitempty"`
 }
 
 // apply applies a batch of records to the instance's state, except for those
@@ -79,6 +82,23 @@
 	return ""
 }
 
+// noteJobLimit determines the memory that accepted jobs may take: each instance may
+// have to lead, so that of the smallest one bounds it. It runs in the event loop.
+func (n *Node) noteJobLimit() {
+	smallestMB := int(n.config.MemoryMB)
+	for _, m := range n.members {
+		if m.MemoryMB > 0 && (m.MemoryMB < smallestMB || smallestMB == 0) {
+			smallestMB = m.MemoryMB
+		}
+	}
+	limit := maxJobBytes(smallestMB)
+	if n.jobLimit.Swap(limit) == limit {
+		return
+	}
+	n.stats.jobBytesLimit.Update(float64(limit))
+	n.step(planner.JobMemoryChanged{MaxBytes: limit})
+}
+
 // noteJobBytes publishes the memory that jobs take. It runs in the event loop.
 func (n *Node) noteJobBytes() {
 	bytes := n.stateMachine.Footprint()
@@ -115,6 +135,7 @@
 }
 
 func (n *Node) applyMember(name string, value []byte) {
+	defer n.noteJobLimit()
 	if len(value) == 0 {
 		delete(n.members, name)
 		return
@@ -290,7 +311,7 @@
 
 // register appends the instance's member record if the log does not hold it.
 func (n *Node) register(ctx context.Context) error {
-	want := member{Peer: n.config.advertisedPeerAddr(), DataCentre: n.config.DataCentre, StartedMS: n.startedUnixMS, MilliCPU: n.config.milliCPU()}
+	want := member{Peer: n.config.advertisedPeerAddr(), DataCentre: n.config.DataCentre, StartedMS: n.startedUnixMS, MilliCPU: n.config.milliCPU(), MemoryMB: int(n.config.MemoryMB)}
 	missing, err := runInLoop(ctx, n, dutyLog, func() bool { return n.members[n.config.Instance] != want })
 	if err != nil || !missing || n.stopping.Load() {
 		return err
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -135,6 +135,7 @@
 func (n *Node) beginTerm(ctx context.Context, c claim, infos []planner.WorkerInfo, from, readMS int64) {
 	termCtx, stop := context.WithCancel(ctx)
 	config := n.config.plannerConfig(c.Epoch == 1)
+	config.MaxJobBytes = n.jobLimit.Load()
 	if n.priorLeaseMS > 0 {
 		config.PriorLeaseMS = min(max(n.priorLeaseMS, config.LeaseMS), config.MaxLeaseMS)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,9 @@
 	// jobBytes is the memory that the jobs of the log take on an instance that
 	// leads.
 	jobBytes atomic.Int64
+	// jobLimit is the memory that they may take on the smallest instance; 0 without a
+	// limit.
+	jobLimit atomic.Int64
 	bodies   *bodyMemory
 
 	startedUnixMS int64
@@ -168,7 +171,8 @@
 		startedUnixMS: time.Now().UnixMilli(),
 	}
 	n.load.reportedMS = n.now().MS
-	n.stats.jobBytesLimit.Update(float64(config.maxJobBytes()))
+	n.jobLimit.Store(maxJobBytes(int(config.MemoryMB)))
+	n.stats.jobBytesLimit.Update(float64(n.jobLimit.Load()))
 	return n
 }
 
--- a/internal/node/submit_test.go
+++ b/internal/node/submit_test.go
@@ -55,7 +55,7 @@
 	}
 	c.Assert(refusal.Code, qt.Equals, code.JobMemoryFull)
 	c.Assert(refusal.RetryAfter > 0, qt.IsTrue)
-	c.Assert(int64(accepted), qt.Equals, config.maxJobBytes()/large().Footprint())
+	c.Assert(int64(accepted), qt.Equals, maxJobBytes(minMemoryMB)/large().Footprint())
 	// Past the leader, too.
 	in.leader.Store(&leaderInfo{epoch: 9, peer: "127.0.0.1:1"})
 	c.Assert(in.Submit(ctx, "00000000000000ff", large()).Code, qt.Equals, code.JobMemoryFull)
@@ -66,3 +66,23 @@
 		c.Check(jobs.SubmissionID(r), qt.Not(qt.Equals), jobs.ID("00000000000000ff"))
 	}
 }
+
+// Guards against work that the smallest instance cannot hold when it has to lead: its
+// memory bounds what the others accept, also once it has joined during a term.
+func TestSmallestInstanceBoundsJobs(t *testing.T) {
+	c := qt.New(t)
+	log, workers := newMemoryLog(), newInstantWorkers()
+	config := DefaultConfig()
+	config.MemoryMB, config.CPUShare = 536, 0.8
+	large := startInstanceWith(t, "large", log, &fixedManifest{version: 1}, workers, config)
+	waitFor(t, "the large instance leads", func() bool { return large.Ready() && large.isLeader() })
+	c.Assert(large.jobLimit.Load(), qt.Equals, maxJobBytes(536))
+	config.MemoryMB, config.CPUShare = 184, 0.1
+	small := startInstanceWith(t, "small", log, &fixedManifest{version: 1}, workers, config)
+	waitFor(t, "the small instance's memory is known", func() bool {
+		return large.jobLimit.Load() == maxJobBytes(184) && small.jobLimit.Load() == maxJobBytes(184)
+	})
+	limit, err := runInLoop(context.Background(), large.Node, dutyRequests, func() bool { return large.term.core.Fits(maxJobBytes(184) + 1) })
+	c.Assert(err, qt.IsNil)
+	c.Assert(limit, qt.IsFalse)
+}
--- a/internal/planner/admission.go
+++ b/internal/planner/admission.go
@@ -10,8 +10,8 @@
 	return c.stateMachine.Footprint() + c.extraBytes + c.unrecordedBytes
 }
 
-// fits reports whether jobs may take some more bytes.
-func (c *Core) fits(bytes int64) bool {
+// Fits reports whether jobs may take some more bytes.
+func (c *Core) Fits(bytes int64) bool {
 	return c.config.MaxJobBytes <= 0 || c.JobBytes()+bytes <= c.config.MaxJobBytes
 }
 
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -227,6 +227,8 @@
 		c.writeDone(e.Seq)
 	case WriteRejected:
 		c.writeRejected(e.Seq)
+	case JobMemoryChanged:
+		c.config.MaxJobBytes = e.MaxBytes
 	case Suspended:
 		c.suspended = true
 	case LeadershipConfirmed:
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -169,7 +169,7 @@
 		c.emit(Reply{RequestID: e.RequestID, TooLarge: true})
 		return
 	}
-	if !c.fits(spec.Footprint()) {
+	if !c.Fits(spec.Footprint()) {
 		c.refuseFull(e, spec)
 		return
 	}
--- a/internal/planner/occurrence.go
+++ b/internal/planner/occurrence.go
@@ -195,7 +195,7 @@
 	if len(j.open) == 0 {
 		return true
 	}
-	return len(j.open) < c.config.Log.MaxPartial(j.spec) && c.fits(j.spec.OccurrenceFootprint())
+	return len(j.open) < c.config.Log.MaxPartial(j.spec) && c.Fits(j.spec.OccurrenceFootprint())
 }
 
 // releaseDue queues the steps of occurrences that were built early and are now due.
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -109,6 +109,9 @@
 	// WriteRejected reports that the log will never accept a Write as it is,
 	// and that no part of it is recorded.
 	WriteRejected struct{ Seq uint64 }
+	// JobMemoryChanged changes the memory that accepted jobs may take; 0 if it is not
+	// limited.
+	JobMemoryChanged struct{ MaxBytes int64 }
 	// Suspended withholds all commands until LeadershipConfirmed: the instance
 	// may have been deposed without noticing.
 	Suspended struct{}
@@ -180,6 +183,7 @@
 func (RecordsRead) event()         {}
 func (WriteDone) event()           {}
 func (WriteRejected) event()       {}
+func (JobMemoryChanged) event()    {}
 func (Suspended) event()           {}
 func (LeadershipConfirmed) event() {}
 func (LeadershipAsOf) event()      {}
