--- a/internal/node/manifest_test.go
+++ b/internal/node/manifest_test.go
@@ -46,6 +46,8 @@
 		return got
 	}
 	waitFor(t, "the configuration is read", func() bool { return route("/q/1") == code.OK })
+	// Its routes are in use a moment before it counts as the newest one.
+	waitFor(t, "the configuration is fresh", func() bool { return route("/new/1") == code.UnknownResource })
 	// A configuration that is read repeatedly stays fresh.
 	for start := time.Now(); time.Since(start) < 2*a.config.manifestMaxAge(); time.Sleep(10 * time.Millisecond) {
 		c.Assert(route("/new/1"), qt.Equals, code.UnknownResource)
