Let the soak's callers of a backlog outlast the round's faults

The jobs that fill the workers in a wide fault were submitted by callers whose context ends with the round's faults: at 23:39:29.961 the caller stated that it would send cancellations until one is answered, and stopped at once, as the round ended. The callers live as long as the run now, as their description says, so their jobs have to end as well.

--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -94,7 +94,7 @@
 		r.callers.Add(1)
 		go func() {
 			defer r.callers.Done()
-			r.runCaller(ctx, id, callerRNG)
+			r.runCaller(r.callersCtx, id, callerRNG)
 		}()
 	}
 	sleep(ctx, backlogLead)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -167,8 +167,10 @@
 	version   int
 	// accepted receives a value when a submission is accepted.
 	accepted chan struct{}
-	// callers counts the callers whose jobs have not ended.
-	callers sync.WaitGroup
+	// callers counts the callers whose jobs have not ended; callersCtx ends with the
+	// run, not with the faults of a round.
+	callers    sync.WaitGroup
+	callersCtx context.Context
 
 	// settled is closed when the long-running jobs have been checked.
 	settled chan struct{}
@@ -203,6 +205,7 @@
 	defer r.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r.callersCtx = ctx
 	if options.StopOnViolation {
 		go r.stopOnViolation(ctx, cancel)
 	}
