--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -3,6 +3,8 @@
 import (
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
+
+	"redwingvale/internal/code"
 )
 
 const (
@@ -15,26 +17,34 @@
 
 // bodyMemory bounds the memory of callers' requests that are being read; nil without
 // a bound.
-type bodyMemory struct{ bytes *semaphore.Weighted }
+type bodyMemory struct {
+	limit int64
+	bytes *semaphore.Weighted
+}
 
 func newBodyMemory(config Config) *bodyMemory {
 	if config.MemoryMB <= 0 {
 		return nil
 	}
-	return &bodyMemory{semaphore.NewWeighted(int64(config.MemoryMB * bodyMemoryShare * (1 << 20)))}
+	limit := int64(config.MemoryMB * bodyMemoryShare * (1 << 20))
+	return &bodyMemory{limit, semaphore.NewWeighted(limit)}
 }
 
-// ReserveBody reserves memory for a body of some bytes. It returns false if there is
-// none now: the caller is told to come back rather than kept waiting.
-func (n *Node) ReserveBody(bytes int64) (release func(), ok bool) {
+// ReserveBody reserves memory for some bytes of a body. It does not wait: if there is
+// none now the code is Overloaded, and BodyTooLarge if there never is.
+func (n *Node) ReserveBody(bytes int64) (release func(), c code.Code) {
 	if n.bodies == nil {
-		return func() {}, true
+		return func() {}, code.OK
 	}
 	bytes = max(bytes, 1) * bodyMemoryFactor
-	if !n.bodies.bytes.TryAcquire(bytes) {
-		n.stats.refused.Inc(1)
-		n.log("body_refused", zap.Int64("needed_bytes", bytes))
-		return nil, false
+	if n.bodies.bytes.TryAcquire(bytes) {
+		return func() { n.bodies.bytes.Release(bytes) }, code.OK
+	}
+	c = code.Overloaded
+	if bytes > n.bodies.limit {
+		c = code.BodyTooLarge
 	}
-	return func() { n.bodies.bytes.Release(bytes) }, true
+	n.stats.refused.Inc(1)
+	n.log("body_refused", zap.Int64("needed_bytes", bytes), zap.String("code", c.String()))
+	return nil, c
 }
