Give a gang's run no members after one has ended

While a member of a gang's run was active, completeGang took every waiting member for one whose start had been rejected. Members that had ended were so started again under the number of the failed run, with its checkpoint, if their ends were listed before those of the others.

The end of a member, its loss, and an end that its worker has not listed yet now mark the run as over. It gets no further members, the others are stopped, and the gang starts again as a whole under the next run number. A member whose start was rejected or not carried out is still placed again.

--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -87,6 +87,8 @@
 	changed, changedNext []*worker
 	// reports counts the reports of workers.
 	reports int64
+	// endedGangs are the gangs' runs that the current event has shown to be over.
+	endedGangs []endedGang
 	// runBuffer holds the runs of the worker whose report or runs are checked.
 	runBuffer []*run
 	// candidates are the workers that may run a task of the step that is being
@@ -248,6 +250,7 @@
 	case AdviceDone:
 		c.adviceDone(e)
 	}
+	c.stopEndedGangs()
 	c.schedule()
 	c.flush()
 	return c.effects
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -7,6 +7,9 @@
 type gangState struct {
 	number    int
 	startedMS int64
+	// over is set once a member of the run has ended or counts as lost: a further
+	// member could not join the others, and would start with another checkpoint.
+	over bool
 }
 
 // placeGang starts all members at once, or none. A member whose start was
@@ -41,7 +44,7 @@
 // completeGang places the missing members of a running gang, or stops the gang
 // if they cannot join in time.
 func (c *Core) completeGang(s *step) {
-	incomplete := c.now.MS-s.gang.startedMS > c.config.GangTimeoutMS/2
+	incomplete := s.gang.over || c.now.MS-s.gang.startedMS > c.config.GangTimeoutMS/2
 	for i := range s.tasks {
 		for _, r := range s.tasks[i].runs {
 			if r.number != s.gang.number || r.phase == stopping {
@@ -50,11 +53,7 @@
 		}
 	}
 	if incomplete {
-		for i := range s.tasks {
-			for _, r := range slices.Clone(s.tasks[i].runs) {
-				c.stopRun(r, "gang incomplete")
-			}
-		}
+		s.stopRuns(c, func(*run) bool { return true }, "gang incomplete")
 		return
 	}
 	for _, t := range slices.Clone(s.pending) {
@@ -64,6 +63,53 @@
 	}
 }
 
+// endedGang is a gang's run of which a member has ended or counts as lost.
+type endedGang struct {
+	step   *step
+	number int
+}
+
+// gangMemberOver notes the end or the loss of one member of a gang's run: the run
+// gets no further members, and the others are stopped, so that the gang starts again
+// as a whole. A member whose start was rejected or not carried out is not over.
+func (c *Core) gangMemberOver(t *task, number int) {
+	s := t.step
+	if !s.spec.Gang {
+		return
+	}
+	if s.gang.number == number {
+		s.gang.over = true
+	}
+	if ended := (endedGang{s, number}); !slices.Contains(c.endedGangs, ended) {
+		c.endedGangs = append(c.endedGangs, ended)
+	}
+}
+
+// stopEndedGangs stops the remaining members of the gangs' runs that are over. It
+// runs after the event has been handled: a report may list the ends of several
+// members, or that the gang is done.
+func (c *Core) stopEndedGangs() {
+	for _, g := range c.endedGangs {
+		if g.step.job.state.Final() || g.step.done == len(g.step.tasks) {
+			continue
+		}
+		g.step.stopRuns(c, func(r *run) bool { return r.number == g.number }, "gang member has ended")
+	}
+	clear(c.endedGangs)
+	c.endedGangs = c.endedGangs[:0]
+}
+
+// stopRuns stops the selected runs of a step.
+func (s *step) stopRuns(c *Core, selected func(*run) bool, reason string) {
+	for i := range s.tasks {
+		for _, r := range slices.Clone(s.tasks[i].runs) {
+			if selected(r) {
+				c.stopRun(r, reason)
+			}
+		}
+	}
+}
+
 // gangPlaces returns a worker for each member, or nil if they do not all fit.
 // With SameRack, racks that have room for all members are preferred.
 func (c *Core) gangPlaces(s *step) []*worker {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -104,6 +104,7 @@
 	case !fenced:
 		r.over = "not listed by its worker"
 		c.emit(c.decision("run_lost", r, r.over))
+		c.gangMemberOver(r.task, r.number)
 		c.loseRun(r)
 	default:
 		if r.phase == startUnknown {
@@ -127,6 +128,7 @@
 	r.phase = awaitingEnd
 	c.releaseRoom(r)
 	c.emit(c.decision("end_awaited", r, "the worker has more ends than it lists"))
+	c.gangMemberOver(r.task, r.number)
 }
 
 // handleListed updates the core's run that matches one that a worker lists, or
@@ -343,6 +345,7 @@
 		d := c.decision("run_lost", r, reason)
 		d.AgeMS, r.over = c.now.MS-w.reportedMS, reason
 		c.emit(d)
+		c.gangMemberOver(r.task, r.number)
 		c.loseRun(r)
 	}
 }
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -143,6 +143,7 @@
 		c.taskFailed(t, w, end.Run)
 	}
 	if !t.done && !j.state.Final() {
+		c.gangMemberOver(t, end.Run)
 		c.afterRun(t)
 	}
 }
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -110,6 +110,26 @@
 	}
 }
 
+// noteGangEnds notes the ends of gang members that a leader is about to handle.
+func (l *leader) noteGangEnds(sim *simulation, e Event) {
+	hold, ok := e.(HoldDone)
+	if !ok || hold.Outcome != Done {
+		return
+	}
+	for _, end := range hold.Report.Ended {
+		if sub := sim.jobs[end.Task.Job]; sub != nil && end.Task.Step < len(sub.job.Steps) && sim.spec(end.Task).Gang {
+			l.gangEnds[runKey{sim.spec(end.Task).FailureTask(end.Task), end.Run}] = true
+		}
+	}
+}
+
+// checkGangStart checks that a gang's run gets no member after the end of another one.
+func (sim *simulation) checkGangStart(l *leader, s Start) {
+	if spec := sim.spec(s.Task); spec.Gang && l.gangEnds[runKey{spec.FailureTask(s.Task), s.Run}] {
+		sim.violate("GANG", "%s joins run %d of its gang, of which a member has ended", s.Task, s.Run)
+	}
+}
+
 // checkAttemptsUsed checks that no run of a task started after as many failures as
 // are allowed, including those that are acknowledged only later.
 func (sim *simulation) checkAttemptsUsed(t jobs.Task) {
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -109,6 +109,9 @@
 	logOffset    int
 	epoch        uint64
 	deposed      bool
+	// gangEnds are the runs of gangs of which the leader has handled an end; a run is
+	// named by its first member.
+	gangEnds map[runKey]bool
 	// version is the version of the configuration in force; -1 before the first.
 	version int
 	// sinceMS is when the term began.
@@ -218,7 +221,7 @@
 		sim.leader.deposed = true
 	}
 	sim.epoch++
-	l := &leader{epoch: sim.epoch, stateMachine: jobs.NewStateMachine(), version: -1, sinceMS: sim.now}
+	l := &leader{epoch: sim.epoch, stateMachine: jobs.NewStateMachine(), version: -1, sinceMS: sim.now, gangEnds: map[runKey]bool{}}
 	sim.catchUp(l, len(sim.log))
 	config := sim.config
 	config.FirstTerm = sim.epoch == 1
@@ -264,6 +267,7 @@
 }
 
 func (sim *simulation) handle(l *leader, e Event) {
+	l.noteGangEnds(sim, e)
 	start := time.Now()
 	effects := l.core.Step(sim.time(), e)
 	sim.plannerTime += time.Since(start)
@@ -331,6 +335,7 @@
 		sim.hold(l, e)
 	case Start:
 		sim.startSentMS[runKey{e.Task, e.Run}] = sim.now
+		sim.checkGangStart(l, e)
 		sim.call(l, e.Worker, e.Address, func(f *fakeWorker) Outcome { return f.start(e) }, func(o Outcome) {
 			sim.step(l, StartDone{e.Worker, e.Address, e.Task, e.Run, e.Token, o})
 		})
