Record what may still run on a draining worker

A new leader inherits the log's records of workers that have left and gets no report from them. It held back every task that it had found nowhere until the longest lease was over, 5.5 s, and the next leader did the same again.

Once a draining worker has reported all of its runs and ends, its record now says that it is closed: nothing starts there, and the record lists the tasks that may still run there or whose ends may not be in the log. A successor that gets no report holds back the listed tasks only, their retries included, until the worker has reported, another one answers at its address, or its lease must have expired. It leaves the record unchanged until then, so the next successor does the same. The list is written again when it has become empty. A worker that no longer drains, or has restarted, is recorded without it before anything starts there. One whose list does not fit is recorded as before.

--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -110,9 +110,13 @@
 // failuresKnown reports whether the leader knows all failed runs of a task that
 // count towards its attempt limit. A run that it has adopted says nothing about
 // the earlier ones: until every worker has reported, one may list a failure that
-// is not in the log, and a start could be one too many.
+// is not in the log, and a start could be one too many. Of a task that a closed worker
+// may still run nothing is known before that worker is settled.
 func (c *Core) failuresKnown(t *task) bool {
 	j := t.step.job
+	if c.heldBack(t) {
+		return false
+	}
 	if c.reconciled || !j.inherited || t.step.spec.LongRunning || c.disabled.awaitFailures {
 		return true
 	}
--- a/internal/planner/config_faults_test.go
+++ b/internal/planner/config_faults_test.go
@@ -269,7 +269,7 @@
 		first uint64
 	}{
 		{"confirmed limit", "LOST", safeguards{confirmedLimit: true}, 1},
-		{"lowest limit", "BUDGET", safeguards{lowestLimit: true}, 120},
+		{"lowest limit", "BUDGET", safeguards{lowestLimit: true}, 185},
 		{"recheck failures", "LOST", safeguards{recheckFailures: true}, 1},
 		{"early ends", "TWICE", safeguards{earlyEnds: true}, 1},
 		{"ack unrecorded", "ACKS", safeguards{ackUnrecorded: true}, 1},
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -23,6 +23,11 @@
 	// that have not reported must have expired.
 	reconciled bool
 
+	// unsettled are the closed workers of the predecessor that may still run one of
+	// the tasks listed in their records, heldTasks these tasks.
+	unsettled []*worker
+	heldTasks map[jobs.Task]bool
+
 	queues map[string]*Queue
 	// configured is set once the configuration has been read in this term.
 	configured bool
@@ -145,6 +150,9 @@
 	verifyIncarnation bool
 	// recordWorkers: nothing starts on a worker whose address is not recorded.
 	recordWorkers bool
+	// heldTasks: the tasks that a closed worker may still run do not start before
+	// it is settled.
+	heldTasks bool
 }
 
 // New returns the core for the term of the given epoch. The state machine must
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -238,6 +238,7 @@
 		return
 	}
 	w.ackableEnd = m.number
+	w.closure.acknowledged(m.number)
 	c.requestHold(w)
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -309,7 +309,8 @@
 }
 
 // startHeld reports whether no run of a task may start yet, whatever the workers'
-// room: a predecessor's run may still exist or its failures are not all known, or a
+// room: a predecessor's run may still exist or its failures are not all known (which
+// includes the tasks that a closed worker may still run), or a
 // start was rejected a moment ago.
 func (c *Core) startHeld(t *task) bool {
 	return t.unreconciled || !c.failuresKnown(t) || c.now.MS < t.notBeforeMS
@@ -377,7 +378,7 @@
 
 // usable reports whether the worker may get new tasks at all.
 func (c *Core) usable(w *worker) bool {
-	return w.listed && !w.dead && w.reported && !w.restartPending() && !w.info.Draining && w.confirmed > 0 &&
+	return w.listed && !w.dead && w.reported && !w.restartPending() && !w.info.Draining && !w.closure.closed && w.confirmed > 0 &&
 		(w.recorded || c.disabled.recordWorkers) &&
 		c.now.MS-w.reportedMS <= unresponsiveMS && c.now.MS >= w.noRoomUntilMS
 }
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -282,6 +282,12 @@
 			sim.divideWorkers()
 		})
 	})
+	t.Run("tasks of closed workers", func(t *testing.T) {
+		requireViolation(t, 1, maxSeeds, "TWICE", func(sim *simulation) {
+			sim.disable(safeguards{heldTasks: true})
+			sim.drainAroundTakeovers()
+		})
+	})
 }
 
 func (sim *simulation) disable(off safeguards) { sim.disabled, sim.leader.core.disabled = off, off }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -19,6 +19,7 @@
 		w.startedMS = e.Report.StartedMS
 		if w.info.StartedMS != 0 && w.startedMS > w.info.StartedMS {
 			w.restartedMS = w.startedMS
+			w.closure.open()
 			c.markWorkerDirty(w.info.ID)
 		}
 	}
@@ -53,6 +54,7 @@
 			continue
 		}
 		w.processedEnd = end.Number
+		w.closure.unrecorded = append(w.closure.unrecorded, unrecordedEnd{end.Number, end.Task})
 		c.noteUnacknowledged(w)
 		if c.isEarlyEnd(end) {
 			c.addEarlyEnd(w, end)
@@ -65,10 +67,14 @@
 	}
 	c.reports++
 	w.findFrom = 0
+	if !overtaken {
+		w.closure.unmatched = w.closure.unmatched[:0]
+	}
 	for i := range e.Report.Running {
 		if r := c.handleListed(w, &e.Report.Running[i], e.SentMS); r != nil {
 			r.listedReport = c.reports
 		} else if !overtaken {
+			w.closure.unmatched = append(w.closure.unmatched, e.Report.Running[i].Task)
 			c.noteSecondRun(w, &e.Report.Running[i], e.SentMS)
 		}
 	}
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -9,12 +9,14 @@
 	"redwingvale/internal/jobs"
 )
 
-// checkReconciled ends the first phase of a term. Once every listed or
+// checkReconciled settles closed workers and ends the first phase of a term. Once every listed or
 // inherited worker has reported all of its runs and ends, or the leases of the
 // predecessor must have expired, a task that no worker has reported is not
 // running anywhere and has not ended. A worker that responds but has more ends
-// than it lists is waited for, however long that takes.
+// than it lists is waited for, however long that takes. Closed workers delay only the
+// tasks that their records list; see closed.go.
 func (c *Core) checkReconciled() {
+	c.settleClosed()
 	if c.reconciled {
 		return
 	}
@@ -23,9 +25,13 @@
 		c.markReconciled()
 		return
 	}
-	unreported := false
+	unreported, open := false, 0
 	endsMissing, inheritedLease := false, c.maxInheritedLeaseMS(c.priorLeaseMS)
 	for _, w := range c.sortedWorkers {
+		if w.closure.closed {
+			continue
+		}
+		open++
 		if w.awaited() {
 			unreported = true
 			inheritedLease = max(inheritedLease, c.inheritedLeaseMS(w))
@@ -35,7 +41,7 @@
 		}
 	}
 	switch {
-	case !unreported && len(c.sortedWorkers) > 0,
+	case !unreported && open > 0,
 		!endsMissing && c.settledMS()-c.termStartMS > inheritedLease:
 		c.reconciled = true
 		c.markReconciled()
@@ -85,6 +91,11 @@
 	// an earlier incarnation was known.
 	StartedMS   int64 `json:"t,omitempty"`
 	RestartedMS int64 `json:"r,omitempty"`
+	// Closed is set if nothing starts on this incarnation any more. Tasks are those
+	// that may still run there or whose ends may not be in the log. Leaders of earlier
+	// releases ignore both, wait for the worker, and record it without them.
+	Closed bool     `json:"x,omitempty"`
+	Tasks  []string `json:"o,omitempty"`
 }
 
 // markWorkerDirty schedules an update of a worker's record.
@@ -125,8 +136,12 @@
 func (c *Core) workerRecord(id WorkerID) (jobs.Record, bool) {
 	var value []byte
 	if w := c.workers[id]; w != nil {
+		k := recordedWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels, w.info.StartedMS, w.restartedMS, w.closure.closed, nil}
+		for _, t := range w.closure.tasks {
+			k.Tasks = append(k.Tasks, t.String())
+		}
 		var err error
-		value, err = json.Marshal(recordedWorker{w.info.ID, w.info.Address, w.info.Service, w.info.DataCentre, w.info.Capacity, w.info.Labels, w.info.StartedMS, w.restartedMS})
+		value, err = json.Marshal(k)
 		if err != nil {
 			c.emit(Decision{Event: "worker_not_encoded", Worker: id, Reason: err.Error()})
 			return jobs.Record{}, false
@@ -188,6 +203,7 @@
 		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, addedMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS}
 		w.health.reset()
 		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels, StartedMS: k.StartedMS}
+		c.inheritClosure(w, k.Closed, k.Tasks)
 		c.workers[k.ID] = w
 		c.sortedWorkers = append(c.sortedWorkers, w)
 		c.markWorkerDirty(k.ID)
--- a/internal/planner/takeover_log.go
+++ b/internal/planner/takeover_log.go
@@ -17,14 +17,17 @@
 	// reported is the number of workers that had reported by then, unreported that
 	// of those that were waited for in vain. dead and unlisted workers had not
 	// reported and were not waited for; departed ones were removed before.
-	reported, unreported, dead, unlisted, departed int
+	// closed workers had not reported either; only the tasks in their records wait.
+	reported, unreported, dead, unlisted, departed, closed int
 	// lines counts the lines that name such a worker.
 	lines int
 }
 
 // notAwaited is the number of workers that had not reported at the end of the
 // takeover.
-func (t *takeoverLog) notAwaited() int { return t.unreported + t.dead + t.unlisted + t.departed }
+func (t *takeoverLog) notAwaited() int {
+	return t.unreported + t.dead + t.unlisted + t.departed + t.closed
+}
 
 // logFirstList compares the first list of workers with those of the log.
 func (c *Core) logFirstList(infos []WorkerInfo, readMS int64) {
@@ -91,6 +94,9 @@
 	}
 	for _, w := range c.sortedWorkers {
 		switch {
+		case w.awaited() && w.closure.closed:
+			t.closed++
+			c.logNotAwaited(w, "closed")
 		case w.awaited():
 			t.settledBy = "time"
 			t.unreported++
@@ -115,6 +121,7 @@
 		{Name: "dead", Number: int64(t.dead)},
 		{Name: "unlisted", Number: int64(t.unlisted)},
 		{Name: "departed", Number: int64(t.departed)},
+		{Name: "closed", Number: int64(t.closed)},
 	}, c.evidenceDetails()...)})
 }
 
@@ -146,6 +153,9 @@
 		{Name: "listed", Number: listed},
 		{Name: "known_ms", Number: c.now.MS - w.addedMS},
 	}
+	if w.closure.closed {
+		details = append(details, Detail{Name: "tasks", Number: int64(len(w.closure.tasks))})
+	}
 	if w.holdSentMS > 0 {
 		details = append(details, Detail{Name: "called_ms", Number: c.now.MS - w.holdSentMS})
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -104,6 +104,7 @@
 	unusedCPU        float64
 	demandValid      bool
 	drain            drainState
+	closure          closure
 }
 
 // run is one start of a task on a worker.
@@ -218,6 +219,10 @@
 		if w.dead && (info.Address != w.info.Address || info.StartedMS > w.info.StartedMS) {
 			w.dead = false
 		}
+		if info.StartedMS != w.info.StartedMS {
+			// What is recorded about the closing is about another incarnation.
+			w.closure.open()
+		}
 		w.info, w.listed = info, true
 	}
 	sortWorkers(c.sortedWorkers)
@@ -236,7 +241,7 @@
 	if w.dead || info.StartedMS >= w.info.StartedMS {
 		return false
 	}
-	return w.inherited && !w.reported && !c.reconciled || len(w.runs)+len(w.ended) > 0
+	return w.inherited && !w.reported && (!c.reconciled || w.closure.held != nil) || len(w.runs)+len(w.ended) > 0
 }
 
 // removeDeparted removes workers that have left the directory and that can neither
@@ -293,6 +298,7 @@
 	}
 	c.checkAckDelay(w)
 	c.checkRuns(w)
+	c.checkClosed(w)
 }
 
 // restartPending reports whether the directory lists a later incarnation of the
@@ -442,6 +448,8 @@
 	c.placementDue = true
 	w.startedMS, w.processedEnd, w.ackableEnd, w.clockMS, w.leaseEndMS, w.inheritedLeaseEndMS, w.confirmed = startedMS, 0, 0, 0, 0, 0, 0
 	w.orphans, w.ackDelay = nil, ackDelay{}
+	w.closure.open()
+	w.closure.unrecorded, w.closure.unmatched = nil, nil
 	w.health.reset()
 	w.token++
 	w.restartToken, w.restartedMS = w.token, startedMS
