Start nothing in a data centre under evacuation

Operators can request that nothing more be started on the workers of a data centre until the request is withdrawn.

The planner gets the set by EvacuationsChanged. Workers there are not usable: no task, gang member, copy or replacement starts on them, the adviser is not asked about them, and SameRack does not consider their racks. Running tasks keep their leases. At the beginning of a term no task starts until the set is known, at most for the time within which a request must be in force. A start that an instance has declined (outcome Evacuated) releases its run without blame and keeps the data centre unused for a second.

Runs with a checkpoint, and long-running ones within their budget, are moved while no task of their service waits for capacity and another worker has room: the least laxity first, one in 100 ms, eight at once. A worker that returns cold gets a limited number of runs.

--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -32,6 +32,12 @@
 	Log jobs.Limits
 	// OptimisticStart starts tasks before the submission is recorded.
 	OptimisticStart bool
+	// EvacuateMS is the time within which the evacuation of a data centre must be in
+	// force; 0 turns evacuations off.
+	EvacuateMS int64
+	// ColdOverage and ColdSlack limit the runs of a cold worker to ColdOverage times
+	// the mean of the others plus ColdSlack; no limit unless both are above 0.
+	ColdOverage, ColdSlack float64
 	// FirstTerm is set for the first leader of a new deployment: no
 	// predecessor can have started anything.
 	FirstTerm bool
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -74,6 +74,7 @@
 	serviceLoad  serviceLoad
 	durations    durationModel
 	interference *interferenceModel
+	evacuation   evacuationState
 	journal      journal
 	// work counts what the passes have done.
 	work Work
@@ -143,6 +144,8 @@
 	verifyIncarnation bool
 	// recordWorkers: nothing starts on a worker whose address is not recorded.
 	recordWorkers bool
+	// evacuation: nothing starts in a data centre under evacuation.
+	evacuation bool
 }
 
 // New returns the core for the term of the given epoch. The state machine must
@@ -227,6 +230,8 @@
 		c.writeDone(e.Seq)
 	case WriteRejected:
 		c.writeRejected(e.Seq)
+	case EvacuationsChanged:
+		c.setEvacuations(e.DataCentres)
 	case JobMemoryChanged:
 		c.config.MaxJobBytes = e.MaxBytes
 	case Suspended:
@@ -313,6 +318,7 @@
 	for _, w := range c.sortedWorkers {
 		c.tickWorker(w)
 	}
+	c.checkEvacuations()
 	c.removeDeparted()
 	c.purge()
 }
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -21,7 +21,7 @@
 		counts[c.ruledOutBy(s, w)]++
 	}
 	var parts []string
-	for _, reason := range []string{"service", "unusable", "processors", "memory", "accelerators", "label", "tasks_per_worker", "advice", "reserved", "disturbance", "suspect", "none"} {
+	for _, reason := range []string{"service", "evacuated", "unusable", "processors", "memory", "accelerators", "label", "tasks_per_worker", "advice", "reserved", "cold", "disturbance", "suspect", "none"} {
 		if counts[reason] > 0 {
 			parts = append(parts, fmt.Sprintf("%s:%d", reason, counts[reason]))
 		}
@@ -42,6 +42,8 @@
 	switch {
 	case w.info.Service != s.job.queue.Service:
 		return "service"
+	case c.evacuated(w):
+		return "evacuated"
 	case !w.recorded:
 		return "unrecorded"
 	case !c.usable(w):
@@ -60,6 +62,8 @@
 		return "advice"
 	case holder != nil && holder != s && needed.CPUMilli > 0:
 		return "reserved"
+	case c.coldRoom(w) < 1:
+		return "cold"
 	case s.spec.BestEffort && !c.mayRunBestEffort(w, s):
 		return "disturbance"
 	case !w.health.admits(c.now.MS, w.runs):
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -77,10 +77,13 @@
 	return c.fitAll(s, "")
 }
 
-// racks returns the labels of the workers, sorted.
+// racks returns the labels of the usable workers, sorted.
 func (c *Core) racks() []string {
 	var labels []string
 	for _, w := range c.sortedWorkers {
+		if !c.usable(w) {
+			continue
+		}
 		for _, label := range w.info.Labels {
 			if !slices.Contains(labels, label) {
 				labels = append(labels, label)
@@ -124,7 +127,7 @@
 	for range times {
 		need = need.plus(s.resources())
 	}
-	if s.spec.MaxPerWorker > 0 && w.runsOf(s)+times > s.spec.MaxPerWorker {
+	if s.spec.MaxPerWorker > 0 && w.runsOf(s)+times > s.spec.MaxPerWorker || c.coldRoom(w) < times {
 		return false
 	}
 	return need.fits(w.info.Capacity.minus(w.used))
--- a/internal/planner/leadership.go
+++ b/internal/planner/leadership.go
@@ -33,7 +33,9 @@
 }
 
 // commandsWithheld reports whether no task may start now.
-func (c *Core) commandsWithheld() bool { return c.suspended || c.inDoubt() }
+func (c *Core) commandsWithheld() bool {
+	return c.suspended || c.inDoubt() || c.evacuationsAwaited()
+}
 
 // checkLeadership logs the beginning and the end of a doubt.
 func (c *Core) checkLeadership() {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -362,7 +362,8 @@
 		!s.resources().fits(w.info.Capacity.minus(w.used)),
 		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
 		s.spec.MaxPerWorker > 0 && w.runsOf(s) >= s.spec.MaxPerWorker,
-		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS):
+		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS),
+		c.coldRoom(w) < 1:
 		return false
 	}
 	return w.health.admits(c.now.MS, w.runs)
@@ -379,7 +380,7 @@
 func (c *Core) usable(w *worker) bool {
 	return w.listed && !w.dead && w.reported && !w.restartPending() && !w.info.Draining && w.confirmed > 0 &&
 		(w.recorded || c.disabled.recordWorkers) &&
-		c.now.MS-w.reportedMS <= unresponsiveMS && c.now.MS >= w.noRoomUntilMS
+		c.now.MS-w.reportedMS <= unresponsiveMS && c.now.MS >= w.noRoomUntilMS && !c.evacuated(w)
 }
 
 // placeLimit returns the predicted tail latency up to which the step's
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -282,6 +282,12 @@
 			sim.divideWorkers()
 		})
 	})
+	t.Run("evacuation", func(t *testing.T) {
+		requireViolation(t, 1, maxSeeds, "EVAC", func(sim *simulation) {
+			sim.disable(safeguards{evacuation: true})
+			sim.evacuateDataCentres()
+		})
+	})
 }
 
 func (sim *simulation) disable(off safeguards) { sim.disabled, sim.leader.core.disabled = off, off }
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -12,7 +12,7 @@
 	c.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: t.ref(), Run: number,
 		Payload: j.spec.Payload, LeaseEndMS: c.nextLeaseEnd(w), Checkpoint: t.checkpoint,
-		Ticket: t.step.advice.tickets[w.info.ID].value,
+		Ticket: t.step.advice.tickets[w.info.ID].value, DataCentre: w.info.DataCentre,
 	})
 	d := c.decision("start_sent", r, reason)
 	d.AgeMS, d.Details = c.now.MS-w.reportedMS, c.startDetails(j)
@@ -80,6 +80,8 @@
 	case StaleRun:
 		// The worker has stopped or ended a run with this number or a higher one.
 		r.task.avoid(w)
+	case Evacuated:
+		c.noteDeclined(w)
 	case Refused, Unreachable:
 		w.health.refused(c.now.MS)
 	case Invalid:
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -28,6 +28,7 @@
 func (sim *simulation) onStart(f *fakeWorker, s Start) {
 	sim.starts++
 	sim.carriedOut[runKey{s.Task, s.Run}] = true
+	sim.checkEvacuated(f, s)
 	sub := sim.jobs[s.Task.Job]
 	spec := sim.spec(s.Task)
 	if sub.job.Payload != s.Payload {
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -76,6 +76,8 @@
 	dropSubmissions bool
 	// startedAt holds the starts of each task.
 	startedAt map[jobs.Task][]startedRun
+	// evacuations are those of data centres; nil without them.
+	evacuations *simEvacuations
 	// takeovers are the faults around changes of leader; nil without them.
 	takeovers *takeoverFaults
 }
@@ -226,6 +228,7 @@
 	l.core.disabled = sim.disabled
 	sim.leader = l
 	sim.step(l, LeadershipAsOf{MS: sim.now})
+	sim.beginEvacuations(l)
 	sim.configure(l)
 	sim.step(l, WorkersChanged{Workers: sim.firstList()})
 }
@@ -330,6 +333,9 @@
 	case Hold:
 		sim.hold(l, e)
 	case Start:
+		if sim.declinesStart(l, e) {
+			return
+		}
 		sim.startSentMS[runKey{e.Task, e.Run}] = sim.now
 		sim.call(l, e.Worker, e.Address, func(f *fakeWorker) Outcome { return f.start(e) }, func(o Outcome) {
 			sim.step(l, StartDone{e.Worker, e.Address, e.Task, e.Run, e.Token, o})
@@ -346,6 +352,7 @@
 		sim.advise(l, e)
 	case Decision:
 		sim.checkRunTwice(e)
+		sim.checkMoves(l, e)
 		sim.checkFailedJob(l, e)
 	case Write:
 		sim.write(l, e)
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -55,6 +55,9 @@
 	// RemainingMS is the minimum time that a draining worker still has; 0 if
 	// unknown.
 	RemainingMS int64
+	// ColdRemainingMS is how long a worker that has returned remains cold; 0 if it is
+	// not.
+	ColdRemainingMS int64
 }
 
 // Queue is a queue of jobs and its policy.
@@ -109,6 +112,8 @@
 	// WriteRejected reports that the log will never accept a Write as it is,
 	// and that no part of it is recorded.
 	WriteRejected struct{ Seq uint64 }
+	// EvacuationsChanged replaces the data centres in which nothing starts.
+	EvacuationsChanged struct{ DataCentres []string }
 	// JobMemoryChanged changes the memory that accepted jobs may take; 0 if it is not
 	// limited.
 	JobMemoryChanged struct{ MaxBytes int64 }
@@ -183,6 +188,7 @@
 func (RecordsRead) event()         {}
 func (WriteDone) event()           {}
 func (WriteRejected) event()       {}
+func (EvacuationsChanged) event()  {}
 func (JobMemoryChanged) event()    {}
 func (Suspended) event()           {}
 func (LeadershipConfirmed) event() {}
@@ -223,9 +229,12 @@
 	WrongWorker
 	// Unreachable: the connection could not be established.
 	Unreachable
+	// Evacuated: the call was not made because the worker's data centre is being
+	// evacuated.
+	Evacuated
 )
 
-var outcomeNames = [...]string{"done", "unsure", "fenced", "old_run", "late", "no_room", "no_ticket", "refused", "invalid", "other_worker", "unreached"}
+var outcomeNames = [...]string{"done", "unsure", "fenced", "old_run", "late", "no_room", "no_ticket", "refused", "invalid", "other_worker", "unreached", "evacuated"}
 
 // Valid reports whether o is one of the outcomes.
 func (o Outcome) Valid() bool { return o >= 0 && int(o) < len(outcomeNames) }
@@ -324,6 +333,8 @@
 		LeaseEndMS int64
 		Checkpoint string
 		Ticket     string
+		// DataCentre is the worker's.
+		DataCentre string
 	}
 	// Stop stops a run, or prevents one whose start has not arrived yet.
 	Stop struct {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -16,6 +16,12 @@
 	// dead is set when another worker or incarnation responds at its address.
 	dead       bool
 	deadReason string
+	// evacuated is set while the worker's data centre is under evacuation.
+	evacuated bool
+	// coldUntilMS is until when the worker is cold. countedRuns is what it adds to
+	// evacuationState.serviceRuns of the pass countedPass.
+	coldUntilMS, countedPass int64
+	countedRuns              int
 	// recorded is set while the log's record of the worker is up to date and no
 	// write may replace it. Nothing starts on a worker without one: a successor may
 	// find no directory entry of the worker, and must still wait for its report, or
@@ -202,6 +208,9 @@
 		if info.Draining && info.RemainingMS != w.info.RemainingMS {
 			w.drain.departureMS = c.now.MS + info.RemainingMS
 		}
+		if info.ColdRemainingMS != w.info.ColdRemainingMS {
+			w.coldUntilMS = c.now.MS + info.ColdRemainingMS
+		}
 		if w.info.StartedMS != 0 && info.StartedMS > w.info.StartedMS {
 			w.restartedMS = info.StartedMS
 		}
@@ -219,6 +228,7 @@
 			w.dead = false
 		}
 		w.info, w.listed = info, true
+		c.markEvacuated(w)
 	}
 	sortWorkers(c.sortedWorkers)
 	c.placementDue = true
