Read evacuations with the configuration and decline starts by them

The operators' records hold the requests to evacuate data centres beside the configuration. One reader with one offset reads both. A read returns a change: the configuration, the evacuations that began or ended, and whether it covered the newest record of each key. A configuration that cannot be decoded holds back no evacuation, and a listing that is older than what has been read withdraws none.

Each instance puts a change in force before it waits for its event loop. From then on it declines starts in the data centre: the leader when it passes the call on, a delegate when it makes it, by the data centre that the call now names. A call of an earlier release names none and is made. A new leader passes the set to its planner before its first placement.

--- a/internal/gen/redwingvale/node/v1/nodev1connect/node.connect.go
+++ b/internal/gen/redwingvale/node/v1/nodev1connect/node.connect.go
@@ -52,6 +52,9 @@
 	NodeServiceCallWorkersProcedure = "/redwingvale.node.v1.NodeService/CallWorkers"
 	// NodeServiceReportCallsProcedure is the fully-qualified name of the NodeService's ReportCalls RPC.
 	NodeServiceReportCallsProcedure = "/redwingvale.node.v1.NodeService/ReportCalls"
+	// NodeServiceListEvacuationsProcedure is the fully-qualified name of the NodeService's
+	// ListEvacuations RPC.
+	NodeServiceListEvacuationsProcedure = "/redwingvale.node.v1.NodeService/ListEvacuations"
 )
 
 // NodeServiceClient is a client for the redwingvale.node.v1.NodeService service.
@@ -74,6 +77,9 @@
 	// ReportCalls is sent by a delegate to the leader that requested the calls.
 	// Repeats are harmless.
 	ReportCalls(context.Context, *connect.Request[v1.ReportCallsRequest]) (*connect.Response[v1.ReportCallsResponse], error)
+	// ListEvacuations returns the evacuations of data centres that are in force at
+	// this instance. It is called by rwctl.
+	ListEvacuations(context.Context, *connect.Request[v1.ListEvacuationsRequest]) (*connect.Response[v1.ListEvacuationsResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the redwingvale.node.v1.NodeService service. By
@@ -135,19 +141,26 @@
 			connect.WithSchema(nodeServiceMethods.ByName("ReportCalls")),
 			connect.WithClientOptions(opts...),
 		),
+		listEvacuations: connect.NewClient[v1.ListEvacuationsRequest, v1.ListEvacuationsResponse](
+			httpClient,
+			baseURL+NodeServiceListEvacuationsProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("ListEvacuations")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // nodeServiceClient implements NodeServiceClient.
 type nodeServiceClient struct {
-	heartbeat    *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
-	checkLeader  *connect.Client[v1.CheckLeaderRequest, v1.CheckLeaderResponse]
-	submitJob    *connect.Client[v1.SubmitJobRequest, v1.SubmitJobResponse]
-	cancelJob    *connect.Client[v1.CancelJobRequest, v1.CancelJobResponse]
-	getJob       *connect.Client[v1.GetJobRequest, v1.GetJobResponse]
-	countWaiting *connect.Client[v1.CountWaitingRequest, v1.CountWaitingResponse]
-	callWorkers  *connect.Client[v1.CallWorkersRequest, v1.CallWorkersResponse]
-	reportCalls  *connect.Client[v1.ReportCallsRequest, v1.ReportCallsResponse]
+	heartbeat       *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
+	checkLeader     *connect.Client[v1.CheckLeaderRequest, v1.CheckLeaderResponse]
+	submitJob       *connect.Client[v1.SubmitJobRequest, v1.SubmitJobResponse]
+	cancelJob       *connect.Client[v1.CancelJobRequest, v1.CancelJobResponse]
+	getJob          *connect.Client[v1.GetJobRequest, v1.GetJobResponse]
+	countWaiting    *connect.Client[v1.CountWaitingRequest, v1.CountWaitingResponse]
+	callWorkers     *connect.Client[v1.CallWorkersRequest, v1.CallWorkersResponse]
+	reportCalls     *connect.Client[v1.ReportCallsRequest, v1.ReportCallsResponse]
+	listEvacuations *connect.Client[v1.ListEvacuationsRequest, v1.ListEvacuationsResponse]
 }
 
 // Heartbeat calls redwingvale.node.v1.NodeService.Heartbeat.
@@ -190,6 +203,11 @@
 	return c.reportCalls.CallUnary(ctx, req)
 }
 
+// ListEvacuations calls redwingvale.node.v1.NodeService.ListEvacuations.
+func (c *nodeServiceClient) ListEvacuations(ctx context.Context, req *connect.Request[v1.ListEvacuationsRequest]) (*connect.Response[v1.ListEvacuationsResponse], error) {
+	return c.listEvacuations.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the redwingvale.node.v1.NodeService service.
 type NodeServiceHandler interface {
 	// Heartbeat is sent by the leader to each member.
@@ -210,6 +228,9 @@
 	// ReportCalls is sent by a delegate to the leader that requested the calls.
 	// Repeats are harmless.
 	ReportCalls(context.Context, *connect.Request[v1.ReportCallsRequest]) (*connect.Response[v1.ReportCallsResponse], error)
+	// ListEvacuations returns the evacuations of data centres that are in force at
+	// this instance. It is called by rwctl.
+	ListEvacuations(context.Context, *connect.Request[v1.ListEvacuationsRequest]) (*connect.Response[v1.ListEvacuationsResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -267,6 +288,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("ReportCalls")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceListEvacuationsHandler := connect.NewUnaryHandler(
+		NodeServiceListEvacuationsProcedure,
+		svc.ListEvacuations,
+		connect.WithSchema(nodeServiceMethods.ByName("ListEvacuations")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/redwingvale.node.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceHeartbeatProcedure:
@@ -285,6 +312,8 @@
 			nodeServiceCallWorkersHandler.ServeHTTP(w, r)
 		case NodeServiceReportCallsProcedure:
 			nodeServiceReportCallsHandler.ServeHTTP(w, r)
+		case NodeServiceListEvacuationsProcedure:
+			nodeServiceListEvacuationsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -325,3 +354,7 @@
 func (UnimplementedNodeServiceHandler) ReportCalls(context.Context, *connect.Request[v1.ReportCallsRequest]) (*connect.Response[v1.ReportCallsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.node.v1.NodeService.ReportCalls is not implemented"))
 }
+
+func (UnimplementedNodeServiceHandler) ListEvacuations(context.Context, *connect.Request[v1.ListEvacuationsRequest]) (*connect.Response[v1.ListEvacuationsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingvale.node.v1.NodeService.ListEvacuations is not implemented"))
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -61,6 +61,14 @@
 	RestoreMS       float64 `toml:"restore_ms"`
 	GraceS          float64 `toml:"grace_s"`
 	ConfigInForceMS float64 `toml:"config_in_force_ms"`
+	// EvacuateInForceMS is the time within which a request to evacuate a data centre
+	// must be in force; 0 turns evacuations off.
+	EvacuateInForceMS float64 `toml:"evacuate_in_force_ms"`
+	// ColdOverage and ColdSlack limit the runs of a worker that has returned cold to
+	// ColdOverage times the mean of the others plus ColdSlack. There is no limit
+	// unless both are above 0.
+	ColdOverage float64 `toml:"cold_overage"`
+	ColdSlack   float64 `toml:"cold_slack"`
 }
 
 // DefaultConfig returns the settings that apply unless the file overrides them.
@@ -106,6 +114,11 @@
 	problems.Range("bounds.interference_ms", int64(c.Bounds.InterferenceMS), 1000, math.MaxInt32)
 	problems.Range("bounds.config_in_force_ms", int64(c.Bounds.ConfigInForceMS), 500, math.MaxInt32)
 	problems.Range("bounds.grace_s", int64(c.Bounds.GraceS), 1, 3600)
+	if c.Bounds.EvacuateInForceMS != 0 {
+		problems.Range("bounds.evacuate_in_force_ms", int64(c.Bounds.EvacuateInForceMS), 500, math.MaxInt32)
+	}
+	problems.Range("bounds.cold_overage", int64(c.Bounds.ColdOverage), 0, 1000)
+	problems.Range("bounds.cold_slack", int64(c.Bounds.ColdSlack), 0, math.MaxInt32)
 }
 
 // advertisedPeerAddr returns the address at which other instances reach this
@@ -167,6 +180,9 @@
 		OptimisticStart:   c.OptimisticStart,
 		FirstTerm:         firstTerm,
 		LeadershipLeaseMS: milliseconds(leadershipLease),
+		EvacuateMS:        int64(c.Bounds.EvacuateInForceMS),
+		ColdOverage:       c.Bounds.ColdOverage,
+		ColdSlack:         c.Bounds.ColdSlack,
 	}
 }
 
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -22,3 +22,27 @@
 		qt.Check(t, got, qt.Equals, refused, qt.Commentf("%v MB: %v", memoryMB, err))
 	}
 }
+
+// Guards against a bound that cannot be met, and against settings without
+// evacuations that are refused.
+func TestEvacuationBoundsAreChecked(t *testing.T) {
+	for _, test := range []struct {
+		bounds  Bounds
+		refused string
+	}{
+		{Bounds{}, ""},
+		{Bounds{EvacuateInForceMS: 5000, ColdOverage: 1.5, ColdSlack: 5}, ""},
+		{Bounds{EvacuateInForceMS: 100}, "bounds.evacuate_in_force_ms"},
+		{Bounds{EvacuateInForceMS: -1}, "bounds.evacuate_in_force_ms"},
+		{Bounds{ColdOverage: -1.5}, "bounds.cold_overage"},
+		{Bounds{ColdSlack: -1}, "bounds.cold_slack"},
+	} {
+		config := DefaultConfig()
+		config.Bounds.EvacuateInForceMS, config.Bounds.ColdOverage, config.Bounds.ColdSlack = test.bounds.EvacuateInForceMS, test.bounds.ColdOverage, test.bounds.ColdSlack
+		var problems settings.Problems
+		config.Check(&problems)
+		err := problems.Err()
+		got := err != nil && strings.Contains(err.Error(), test.refused)
+		qt.Check(t, got || test.refused == "" && (err == nil || !strings.Contains(err.Error(), "evacuate") && !strings.Contains(err.Error(), "cold")), qt.IsTrue, qt.Commentf("%+v: %v", test.bounds, err))
+	}
+}
--- a/internal/node/delegate.go
+++ b/internal/node/delegate.go
@@ -100,7 +100,12 @@
 // makeDelegatedCall makes one call for the leader and queues its outcome.
 func (n *Node) makeDelegatedCall(t *delegatedTerm, call *nodev1.WorkerCall) {
 	outcome, report := planner.Invalid, planner.Report{}
-	if command, ok := decodeCall(call); ok {
+	command, ok := decodeCall(call)
+	switch {
+	case !ok:
+	case n.declines(command):
+		outcome = planner.Evacuated
+	default:
 		outcome, report = makeCall(t.ctx, n.deps.Workers, command)
 	}
 	n.stats.delegatedCalls.Inc(1)
--- a/internal/node/delegation_codec.go
+++ b/internal/node/delegation_codec.go
@@ -18,7 +18,7 @@
 		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
 		call.Command = &nodev1.WorkerCall_Start{Start: &nodev1.StartCommand{
 			Task: encodeTask(e.Task), Run: uint32(e.Run), Payload: e.Payload,
-			LeaseEndMs: e.LeaseEndMS, Checkpoint: e.Checkpoint, Ticket: e.Ticket,
+			LeaseEndMs: e.LeaseEndMS, Checkpoint: e.Checkpoint, Ticket: e.Ticket, DataCentre: e.DataCentre,
 		}}
 	case planner.Stop:
 		call.Worker, call.Address, call.Token = string(e.Worker), e.Address, e.Token
@@ -43,7 +43,7 @@
 		return planner.Start{
 			Worker: worker, Address: address, Token: token,
 			Task: decodeTask(m.Start.GetTask()), Run: int(m.Start.GetRun()), Payload: m.Start.GetPayload(),
-			LeaseEndMS: m.Start.GetLeaseEndMs(), Checkpoint: m.Start.GetCheckpoint(), Ticket: m.Start.GetTicket(),
+			LeaseEndMS: m.Start.GetLeaseEndMs(), Checkpoint: m.Start.GetCheckpoint(), Ticket: m.Start.GetTicket(), DataCentre: m.Start.GetDataCentre(),
 		}, true
 	case *nodev1.WorkerCall_Stop:
 		return planner.Stop{Worker: worker, Address: address, Token: token, Task: decodeTask(m.Stop.GetTask()), Run: int(m.Stop.GetRun())}, true
--- a/internal/node/delegation_test.go
+++ b/internal/node/delegation_test.go
@@ -201,7 +201,7 @@
 	task := jobs.Task{Job: "j", Occurrence: 1, Step: 2, Index: 3}
 	for _, command := range []planner.Effect{
 		planner.Hold{Worker: "w", Address: "a", Token: 9, AckNumber: 4, LeaseEndMS: 5, WaitMS: 6},
-		planner.Start{Worker: "w", Address: "a", Token: 9, Task: task, Run: 7, Payload: "p", LeaseEndMS: 5, Checkpoint: "c", Ticket: "t"},
+		planner.Start{Worker: "w", Address: "a", Token: 9, Task: task, Run: 7, Payload: "p", LeaseEndMS: 5, Checkpoint: "c", Ticket: "t", DataCentre: "z"},
 		planner.Stop{Worker: "w", Address: "a", Token: 9, Task: task, Run: 7},
 		planner.Pace{Worker: "w", Address: "a", Token: 9, Task: task, Run: 7, Percent: 40},
 	} {
--- a/internal/node/deps.go
+++ b/internal/node/deps.go
@@ -83,14 +83,33 @@
 	Queues  []QueueRoute
 }
 
-// ManifestSource provides the operators' configuration.
+// Change is what a read of the operators' records has returned.
+type Change struct {
+	// Manifest is the newest version of the configuration, or nil if the records
+	// hold none.
+	Manifest *Manifest
+	// Begun and Ended are the data centres whose evacuation the records request or
+	// withdraw. None is in both.
+	Begun, Ended []string
+	// Complete is set if the read covered the newest record of each key: an
+	// evacuation that is not in Begun has been withdrawn.
+	Complete bool
+	// Invalid describes the malformed records of evacuations.
+	Invalid []InvalidRecord
+}
+
+// InvalidRecord is a malformed record of the operators.
+type InvalidRecord struct{ Key, Reason string }
+
+// ManifestSource provides the operators' records: the configuration and the
+// evacuations. A change that is returned with an error is valid, but the same
+// records are read again.
 type ManifestSource interface {
-	// Manifest returns the newest version, or nil if there is none, and the
-	// offset to pass to AwaitChange.
-	Manifest(ctx context.Context) (*Manifest, int64, error)
+	// Manifest returns the current state and the offset to pass to AwaitChange.
+	Manifest(ctx context.Context) (Change, int64, error)
 	// AwaitChange waits for a change after the offset, at most for the given
-	// time. It returns the newest version, or nil, and the next offset.
-	AwaitChange(ctx context.Context, from int64, wait time.Duration) (*Manifest, int64, error)
+	// time. It returns the change and the next offset.
+	AwaitChange(ctx context.Context, from int64, wait time.Duration) (Change, int64, error)
 }
 
 // Directory lists the workers.
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -59,6 +59,10 @@
 		n.stats.endWait.RecordDuration(millisecondsDuration(d.WaitedMS))
 	case "run_twice":
 		n.stats.runsTwice.Inc(1)
+	case "stop_sent":
+		if d.Reason == planner.EvacuationReason {
+			n.stats.evacuationMoves.Inc(1)
+		}
 	}
 	fields := make([]zap.Field, 0, 8)
 	fields = append(fields, zap.Uint64("epoch", t.epoch))
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -154,16 +154,16 @@
 	attempts int
 }
 
-func (m *fixedManifest) Manifest(context.Context) (*Manifest, int64, error) {
+func (m *fixedManifest) Manifest(context.Context) (Change, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return &Manifest{Version: m.version, Queues: []QueueRoute{{
+	return Change{Complete: true, Manifest: &Manifest{Version: m.version, Queues: []QueueRoute{{
 		Queue: planner.Queue{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: cmp.Or(m.attempts, 2), Stretch: 2, TargetLatencyMS: 1000}},
 		Host:  "h", Prefix: "/q/",
-	}}}, 0, nil
+	}}}}, 0, nil
 }
 
-func (m *fixedManifest) AwaitChange(ctx context.Context, from int64, wait time.Duration) (*Manifest, int64, error) {
+func (m *fixedManifest) AwaitChange(ctx context.Context, from int64, wait time.Duration) (Change, int64, error) {
 	pause(ctx, wait)
 	manifest, _, err := m.Manifest(ctx)
 	return manifest, from, err
@@ -183,6 +183,8 @@
 	idleWorkers int
 	// withoutCapacity is set if no task fits on the worker.
 	withoutCapacity bool
+	// dataCentre is the worker's.
+	dataCentre string
 }
 
 func newInstantWorkers() *instantWorkers {
@@ -193,6 +195,7 @@
 	infos := []planner.WorkerInfo{{
 		ID: "w", Address: "w", Service: "s", Capacity: planner.Resources{CPUMilli: 64_000, MemoryMB: 64_000}, StartedMS: 1,
 	}}
+	infos[0].DataCentre = w.dataCentre
 	if w.withoutCapacity {
 		infos[0].Capacity = planner.Resources{}
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -329,29 +329,34 @@
 	return err
 }
 
-// followManifest reads the operators' configuration and applies each new
-// version.
+// followManifest reads the operators' records. It applies each new version of the
+// configuration, and each change of the evacuations before it waits for the event
+// loop.
 func (n *Node) followManifest(ctx context.Context) {
 	var from int64
 	loaded := false
 	wait := n.config.manifestWait()
 	for ctx.Err() == nil {
-		var m *Manifest
+		var change Change
 		var err error
 		// The response may lack a version that was written after the request
 		// was sent.
 		currentMS := n.now().MS
 		if loaded {
 			var next int64
-			m, next, err = n.deps.Manifests.AwaitChange(ctx, from, wait)
+			change, next, err = n.deps.Manifests.AwaitChange(ctx, from, wait)
 			if next == from {
 				// The wait has ended without a change.
 				currentMS += milliseconds(wait)
 			}
 			from = next
 		} else {
-			m, from, err = n.deps.Manifests.Manifest(ctx)
-			loaded = err == nil && m != nil
+			change, from, err = n.deps.Manifests.Manifest(ctx)
+			loaded = err == nil && change.Manifest != nil
+		}
+		n.applyEvacuations(&change)
+		if err == nil {
+			n.operatorsReadMS.Store(min(currentMS, n.now().MS))
 		}
 		// After a failure the next read does not wait for a change: the version
 		// in force may be too old by now.
@@ -361,7 +366,7 @@
 			n.stats.logErrors.Inc(1)
 			n.tele.Log.Warn("manifest_unavailable", telemetry.ErrorFields(err)...)
 		}
-		if m != nil {
+		if m := change.Manifest; m != nil {
 			n.applyManifest(ctx, m)
 		}
 		if err == nil && loaded {
--- a/internal/node/late_delegate_test.go
+++ b/internal/node/late_delegate_test.go
@@ -77,9 +77,9 @@
 	d.startedMS -= milliseconds(gatherTime)
 	d.setActive(slices.Clone(delegates))
 	s.assign()
-	manifest, _, err := (&fixedManifest{version: 1}).Manifest(ctx)
+	change, _, err := (&fixedManifest{version: 1}).Manifest(ctx)
 	s.Assert(err, qt.IsNil)
-	s.queues = []planner.Queue{manifest.Queues[0].Queue}
+	s.queues = []planner.Queue{change.Manifest.Queues[0].Queue}
 	n.step(planner.QueuesChanged{Queues: s.queues})
 	n.step(planner.WorkersChanged{Workers: infos})
 	// A lease of a predecessor would be over by now.
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -163,12 +163,14 @@
 		version = n.manifest.Version
 	}
 	n.log("term_begins", zap.Uint64("epoch", c.Epoch), zap.Int64("version", version), zap.Int("workers", len(infos)), zap.Int("jobs", len(n.stateMachine.Jobs)))
+	n.passEvacuations(t)
 	n.configureTerm()
 	if !t.configured {
 		n.log("configuration_awaited", zap.Uint64("epoch", c.Epoch), zap.Int64("version", version))
 	}
 	n.step(planner.LeadershipAsOf{MS: n.logEvidenceMS.Load()})
 	n.step(planner.WorkersChanged{Workers: infos, ReadMS: readMS})
+	n.checkDataCentres(t)
 	go n.runLogWriter(t)
 	go n.sendHeartbeats(t)
 	go n.followDirectory(t, from)
@@ -182,6 +184,7 @@
 	n.log("term_ends", zap.Uint64("epoch", n.term.epoch), zap.String("reason", reason))
 	n.term.stop()
 	n.term = nil
+	n.stats.evacuatedRuns.Update(0)
 	n.lastHeartbeat.receivedMS = n.now().MS
 	if l := n.leader.Load(); l != nil && l.self {
 		n.leader.Store(&leaderInfo{epoch: n.claim.Epoch, peer: n.claim.Peer})
--- a/internal/node/lead_test.go
+++ b/internal/node/lead_test.go
@@ -20,9 +20,9 @@
 	unavailable atomic.Bool
 }
 
-func (m *unavailableManifestSource) Manifest(ctx context.Context) (*Manifest, int64, error) {
+func (m *unavailableManifestSource) Manifest(ctx context.Context) (Change, int64, error) {
 	if m.unavailable.Load() {
-		return nil, 0, ErrUnavailable
+		return Change{}, 0, ErrUnavailable
 	}
 	return m.fixedManifest.Manifest(ctx)
 }
--- a/internal/node/manifest_test.go
+++ b/internal/node/manifest_test.go
@@ -21,14 +21,14 @@
 	fails atomic.Bool
 }
 
-func (s *failingManifestSource) Manifest(ctx context.Context) (*Manifest, int64, error) {
+func (s *failingManifestSource) Manifest(ctx context.Context) (Change, int64, error) {
 	if s.fails.Load() {
-		return nil, 0, errors.New("unavailable")
+		return Change{}, 0, errors.New("unavailable")
 	}
 	return s.fixedManifest.Manifest(ctx)
 }
 
-func (s *failingManifestSource) AwaitChange(ctx context.Context, from int64, wait time.Duration) (*Manifest, int64, error) {
+func (s *failingManifestSource) AwaitChange(ctx context.Context, from int64, wait time.Duration) (Change, int64, error) {
 	pause(ctx, wait)
 	m, _, err := s.Manifest(ctx)
 	return m, from, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,15 @@
 	// manifestCurrentMS is the time until which routing is known to have been
 	// the newest version.
 	manifestCurrentMS atomic.Int64
-	lookups           lookups
+	// evacuations are the evacuations in force, or nil before the first read.
+	evacuations atomic.Pointer[evacuations]
+	// operatorsReadMS is the time up to which the operators' records have been
+	// read, or 0.
+	operatorsReadMS atomic.Int64
+	// warned holds the warnings about operators' records that have been logged. It is
+	// owned by followManifest.
+	warned  map[[3]string]bool
+	lookups lookups
 	// leaderLooks counts the looks at jobs that this instance has passed to the
 	// leader.
 	leaderLooks atomic.Int64
@@ -127,6 +135,11 @@
 	heartbeatsAnswered map[string]int64
 	inactive           map[string]bool
 	inactiveCheckedMS  int64
+	// evacuations are those that the planner knows, and lookedUp the data centres
+	// among them for which it was checked whether anything is there. They are owned
+	// by the event loop.
+	evacuations *evacuations
+	lookedUp    map[string]bool
 	// configured is set once the planner has the configuration. It is owned by
 	// the event loop.
 	configured bool
@@ -167,6 +180,7 @@
 		members:      map[string]member{},
 		replies:      map[uint64]chan planner.Reply{},
 		bodies:       newBodyMemory(config),
+		warned:       map[[3]string]bool{},
 
 		startedUnixMS: time.Now().UnixMilli(),
 	}
@@ -218,8 +232,11 @@
 // tick does what is due by time.
 func (n *Node) tick(nowMS int64) {
 	n.step(planner.Tick{LagMS: n.load.lagSinceTick(), HandledMS: n.handledMS()})
-	if n.term != nil {
-		n.term.delegation.tick()
+	if t := n.term; t != nil {
+		t.delegation.tick()
+		n.passEvacuations(t)
+		n.checkDataCentres(t)
+		n.stats.evacuatedRuns.Update(float64(t.core.EvacuatedRuns()))
 	}
 	if n.load.due(nowMS) {
 		n.reportLoad(nowMS)
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -49,6 +49,13 @@
 	// jobBytes is the memory that jobs take, jobBytesLimit what they may take; 0
 	// without a limit.
 	jobBytes, jobBytesLimit tally.Gauge
+	// evacuationsInForce is the number of data centres under evacuation,
+	// evacuatedRuns that of the runs left there, as the leader knows them.
+	evacuationsInForce, evacuatedRuns tally.Gauge
+	// evacuationMoves counts the runs that this instance has stopped as the leader
+	// to move them off such a data centre, startsDeclined the starts there that it
+	// has declined.
+	evacuationMoves, startsDeclined tally.Counter
 }
 
 func newStats(scope tally.Scope) stats {
@@ -82,6 +89,11 @@
 		runsTwice:       scope.Counter("runs_twice"),
 		jobBytes:        scope.Gauge("job_memory_bytes"),
 		jobBytesLimit:   scope.Gauge("job_memory_limit_bytes"),
+
+		evacuationsInForce: scope.Gauge("evacuations_in_force"),
+		evacuatedRuns:      scope.Gauge("evacuated_runs"),
+		evacuationMoves:    scope.Counter("evacuation_moves"),
+		startsDeclined:     scope.Counter("evacuated_starts_declined"),
 	}
 }
 
--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -76,14 +76,18 @@
 	n.dispatch(t, call)
 }
 
-// dispatch passes a call to a delegate, or makes it in a goroutine. It runs in
-// the event loop.
+// dispatch passes a call to a delegate, or makes it in a goroutine. A start in a
+// data centre that is being evacuated is declined. It runs in the event loop.
 func (n *Node) dispatch(t *term, call workerCall) {
-	if t.delegation.offer(call) {
+	declined := n.declines(call.command)
+	if !declined && t.delegation.offer(call) {
 		return
 	}
 	go func() {
-		outcome, report := makeCall(t.ctx, n.deps.Workers, call.command)
+		outcome, report := planner.Evacuated, planner.Report{}
+		if !declined {
+			outcome, report = makeCall(t.ctx, n.deps.Workers, call.command)
+		}
 		n.countCall(call, outcome)
 		done := call.done(outcome, report, n.now().MS)
 		n.post(t.ctx, dutyOf(done), func() {
