Show evacuations with rwctl

rwctl evacuations asks instances of rwnode by their peer addresses which data centres are under evacuation and since when each is in force there. From the leader it adds the workers and runs that are left and the runs that were moved.

--- a/cmd/rwctl/client.go
+++ b/cmd/rwctl/client.go
@@ -29,15 +29,24 @@
 
 // clientAt returns a client of the instance at an operator address.
 func (c *command) clientAt(address string) client {
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
+	return operatorv1connect.NewOperatorServiceClient(c.client, baseURL(address))
+}
+
+func baseURL(address string) string {
+	if strings.Contains(address, "://") {
+		return address
 	}
-	return operatorv1connect.NewOperatorServiceClient(c.client, address)
+	return "http://" + address
 }
 
 // callAll calls every instance concurrently. The responses are in the order of
 // the addresses.
 func callAll[T any](ctx context.Context, c *command, call func(context.Context, client) (*T, error)) ([]instanceResponse[T], error) {
+	return callEach(ctx, c, func(ctx context.Context, address string) (*T, error) { return call(ctx, c.clientAt(address)) })
+}
+
+// callEach is callAll for calls of any service.
+func callEach[T any](ctx context.Context, c *command, call func(ctx context.Context, address string) (*T, error)) ([]instanceResponse[T], error) {
 	addresses, err := c.addresses()
 	if err != nil {
 		return nil, err
@@ -48,7 +57,7 @@
 		group.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, callTimeLimit)
 			defer cancel()
-			value, err := call(bounded, c.clientAt(address))
+			value, err := call(bounded, address)
 			out[i] = instanceResponse[T]{address, value, err}
 		})
 	}
--- a/cmd/rwctl/docs_test.go
+++ b/cmd/rwctl/docs_test.go
@@ -27,7 +27,7 @@
 	text, err := os.ReadFile("../../docs/rwctl.md")
 	b.Assert(err, qt.IsNil)
 	page := string(text)
-	for _, line := range []string{"validate", "plan", "apply", "status", "explain", "audit", "alarms", "drain", "members list", "members remove", "restore"} {
+	for _, line := range []string{"validate", "plan", "apply", "status", "explain", "audit", "alarms", "drain", "evacuations", "members list", "members remove", "restore"} {
 		b.Assert(b.run(append(strings.Fields(line), "-h")...), qt.Equals, exitOK)
 		b.Check(page, qt.Contains, "\n### rwctl "+line+"\n")
 		section := page[strings.Index(page, "### rwctl "+line+"\n"):]
--- a/cmd/rwctl/main.go
+++ b/cmd/rwctl/main.go
@@ -74,7 +74,7 @@
 		},
 		Subcommands: []*ffcli.Command{
 			validateCommand(e), planCommand(e), applyCommand(e), statusCommand(e), explainCommand(e),
-			auditCommand(e), alarmsCommand(e), drainCommand(e), membersCommand(e), restoreCommand(e),
+			auditCommand(e), alarmsCommand(e), drainCommand(e), evacuationsCommand(e), membersCommand(e), restoreCommand(e),
 		},
 	}
 }
