Evacuate data centres in the soak

The stand-in's store notes which clients have read a request. The checker's rule EVAC reports a start in a data centre under evacuation over 5 s after the confirmation, counted from the time at which all instances count as connected, and, whatever the faults, a start over 12 s after the last instance has read the request: an order that a blocked link holds back arrives later than it was sent.

The soak evacuates one or two zones at a time beside its other faults, with odd values and keys and a dropped history. The last ones stay under evacuation until the calm phase has been checked. While capacity is missing for this reason, a long-running task that does not run is not reported as lost.

TestSoakDetectsIgnoredEvacuations runs instances whose settings turn evacuations off and requires a violation of EVAC.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -28,6 +28,8 @@
 	peer          *proxy
 	store         *proxy
 	readinessAddr string
+	// starting is called before the process starts.
+	starting func()
 
 	mu         sync.Mutex
 	process    *exec.Cmd
@@ -70,12 +72,13 @@
 stop_timeout_ms = %d
 status_s = 120
 grace_s = 6
+evacuate_in_force_ms = %d
 `
 
 // newInstance prepares an instance in a directory without starting its process.
 func newInstance(options *Options, index int, store *standin.Store, servers *[]*http.Server) (*instance, error) {
 	name := fmt.Sprintf("n%d", index)
-	in := &instance{name: name, index: index, binary: options.Binary, settingsFile: filepath.Join(options.Dir, name+".toml")}
+	in := &instance{name: name, index: index, binary: options.Binary, settingsFile: filepath.Join(options.Dir, name+".toml"), starting: func() { store.Restarted(name) }}
 	addresses, err := freeAddresses(index)
 	if err != nil {
 		return nil, err
@@ -104,8 +107,12 @@
 	if options.Delegates {
 		delegationMinWorkers = 1
 	}
+	evacuateMS := 5000
+	if options.IgnoreEvacuations {
+		evacuateMS = 0
+	}
 	settings := func(first bool) string {
-		return fmt.Sprintf(settingsText, name, zoneName(options.zone(index)), first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address(), options.memoryMB(), delegationMinWorkers, options.maxLease().Milliseconds(), options.stopTimeout().Milliseconds())
+		return fmt.Sprintf(settingsText, name, zoneName(options.zone(index)), first, addresses[0], addresses[1], addresses[2], in.peer.address(), in.store.address(), options.memoryMB(), delegationMinWorkers, options.maxLease().Milliseconds(), options.stopTimeout().Milliseconds(), evacuateMS)
 	}
 	return in, os.WriteFile(in.settingsFile, []byte(settings(true)), 0o600)
 }
@@ -114,6 +121,7 @@
 func (in *instance) start() error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.starting()
 	command := exec.Command(in.binary, "run", "-config", in.settingsFile)
 	command.Stdout, command.Stderr = in.log, in.log
 	if err := command.Start(); err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -62,6 +62,9 @@
 	// LoseWrites makes the store lose acknowledged writes, which no store may
 	// do. The checks must detect it.
 	LoseWrites bool
+	// IgnoreEvacuations turns evacuations off in the instances' settings. The checks
+	// must detect it.
+	IgnoreEvacuations bool
 	// Scenario is the name of a directed sequence of faults that each round plays
 	// instead of random ones (Scenarios).
 	Scenario string
@@ -165,6 +168,8 @@
 	// peakBytes is the largest resident memory of an instance.
 	peakBytes atomic.Int64
 	version   int
+	// evacuated are the zones under evacuation.
+	evacuated map[string]bool
 	// accepted receives a value when a submission is accepted.
 	accepted chan struct{}
 	// callers counts the callers whose jobs have not ended; callersCtx ends with the
@@ -193,7 +198,7 @@
 func newRun(options Options) *run {
 	return &run{
 		options: options, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}),
-		links: newLinks(), accepted: make(chan struct{}, 1), settled: make(chan struct{}), stages: map[jobs.ID]string{}, backlog: map[jobs.ID]bool{},
+		links: newLinks(), accepted: make(chan struct{}, 1), settled: make(chan struct{}), stages: map[jobs.ID]string{}, backlog: map[jobs.ID]bool{}, evacuated: map[string]bool{},
 		probe: &http.Client{Timeout: time.Second},
 	}
 }
@@ -238,6 +243,7 @@
 		recovered := time.Now().Add(contactBound)
 		r.checker.Calm(recovered)
 		r.watchAcks(ctx, recovered, recovered.Add(ackBound+ackWatch))
+		r.withdrawAll()
 	}
 	endSubmissions()
 	time.AfterFunc(settleTime, func() { close(r.settled) })
@@ -303,6 +309,11 @@
 		defer injectors.Done()
 		r.delayOrders(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+97)))
 	}()
+	injectors.Add(1)
+	go func() {
+		defer injectors.Done()
+		r.evacuateZones(faulting, rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+96)))
+	}()
 	injectors.Wait()
 	if r.options.KillAll {
 		rng := rand.New(rand.NewPCG(r.options.Seed, 100*(round+1)+99))
