--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -27,11 +27,11 @@
 // set is published; the planner gets it at the next tick of the event loop.
 func (n *Node) applyEvacuations(change *Change) {
 	for _, r := range change.Invalid {
-		n.warnOnce("evacuation_invalid", r.Key, r.Reason)
+		n.warnOnce("evacuation_invalid", zap.String("key", r.Key), r.Reason)
 	}
 	if n.config.Bounds.EvacuateInForceMS <= 0 {
 		for _, dataCentre := range change.Begun {
-			n.warnOnce("evacuation_ignored", dataCentre, "the settings do not turn evacuations on")
+			n.warnOnce("evacuation_ignored", zap.String("data_centre", dataCentre), "the settings do not turn evacuations on")
 		}
 		return
 	}
@@ -81,8 +81,8 @@
 
 // warnOnce logs a warning about an operators' record unless it has been logged
 // before: records are read again after a failure. Only followManifest calls it.
-func (n *Node) warnOnce(event, name, reason string) {
-	warning := [3]string{event, name, reason}
+func (n *Node) warnOnce(event string, name zap.Field, reason string) {
+	warning := [3]string{event, name.String, reason}
 	if n.warned[warning] {
 		return
 	}
@@ -90,7 +90,7 @@
 		clear(n.warned)
 	}
 	n.warned[warning] = true
-	n.tele.Log.Warn(event, zap.String("name", name), zap.String("reason", reason))
+	n.tele.Log.Warn(event, name, zap.String("reason", reason))
 }
 
 // declines reports whether a command is a start in a data centre under
