--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -79,6 +79,7 @@
 	serviceLoad  serviceLoad
 	durations    durationModel
 	interference *interferenceModel
+	evacuation   evacuationState
 	journal      journal
 	// work counts what the passes have done.
 	work Work
@@ -153,6 +154,8 @@
 	// heldTasks: the tasks that a closed worker may still run do not start before
 	// it is settled.
 	heldTasks bool
+	// evacuation: nothing starts in a data centre under evacuation.
+	evacuation bool
 }
 
 // New returns the core for the term of the given epoch. The state machine must
@@ -237,6 +240,8 @@
 		c.writeDone(e.Seq)
 	case WriteRejected:
 		c.writeRejected(e.Seq)
+	case EvacuationsChanged:
+		c.setEvacuations(e.DataCentres)
 	case JobMemoryChanged:
 		c.config.MaxJobBytes = e.MaxBytes
 	case Suspended:
@@ -324,6 +329,7 @@
 	for _, w := range c.sortedWorkers {
 		c.tickWorker(w)
 	}
+	c.checkEvacuations()
 	c.removeDeparted()
 	c.purge()
 }
