Refuse submissions that no capacity will serve in time

Under overload every submission was accepted, and long-running jobs took the processors that urgent jobs need. A model of the backlog (internal/overload) now tells the leader which submissions can no longer be served while their result has value, and how much room jobs with an objective need. Those beyond it are answered 503 with RW2009 and a Retry-After. The setting is [overload] enabled and off by default.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -56,6 +56,7 @@
 	Overloaded       Code = 2006
 	WaitTimeExceeded Code = 2007
 	JobMemoryFull    Code = 2008
+	OverloadedQueue  Code = 2009
 
 	NoTarget        Code = 3001
 	TargetRefused   Code = 3002
@@ -123,6 +124,7 @@
 	Overloaded:       {Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, "the request was shed because of overload"},
 	WaitTimeExceeded: {WaitTimeExceeded, "wait_time_exceeded", http.StatusGatewayTimeout, NotRun, "the request waited in the queue until its deadline"},
 	JobMemoryFull:    {JobMemoryFull, "job_memory_full", http.StatusServiceUnavailable, NotRun, "accepted jobs take all the memory that an instance may use for them"},
+	OverloadedQueue:  {OverloadedQueue, "overloaded_queue", http.StatusServiceUnavailable, NotRun, "there is no capacity for the job in time; repeat after Retry-After"},
 
 	NoTarget:        {NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, "no target of the service is reachable"},
 	TargetRefused:   {TargetRefused, "target_refused", http.StatusServiceUnavailable, NotRun, "the target answered that it did not run the request"},
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -65,6 +65,9 @@
 	}
 	result := n.submit(ctx, id, encoded)
 	n.stats.acceptTime.RecordDuration(time.Since(start))
+	if result.Code == code.OverloadedQueue {
+		n.stats.overload.refused.Inc(1)
+	}
 	switch code.Lookup(result.Code).Outcome {
 	case code.Ran:
 		n.stats.accepted.Inc(1)
@@ -95,7 +98,7 @@
 	for ctx.Err() == nil {
 		result := n.submitToLeader(ctx, id, encoded)
 		outcomeUnknown = outcomeUnknown || result.Code == code.AcceptanceUnsure
-		if result.Code == code.JobMemoryFull && outcomeUnknown {
+		if (result.Code == code.JobMemoryFull || result.Code == code.OverloadedQueue) && outcomeUnknown {
 			// An earlier attempt may still be recorded.
 			pause(ctx, requestRetryPause)
 			continue
@@ -143,7 +146,9 @@
 		return n.submitLocal(ctx, id, encoded)
 	}
 	ctx, sent := traceConnection(ctx)
-	response, err := n.peerClient(l.peer).SubmitJob(ctx, connect.NewRequest(&nodev1.SubmitJobRequest{Id: string(id), Job: encoded}))
+	request := connect.NewRequest(&nodev1.SubmitJobRequest{Id: string(id), Job: encoded})
+	request.Header().Set(knowsOverloadHeader, "1")
+	response, err := n.peerClient(l.peer).SubmitJob(ctx, request)
 	if err != nil && !sent.Load() {
 		return Result{Code: code.OwnerUnknown}
 	}
@@ -226,16 +231,18 @@
 
 // submitLocal accepts a job as the leader.
 func (n *Node) submitLocal(ctx context.Context, id jobs.ID, encoded []byte) Result {
+	caughtUp := false
 	request := func(requestID uint64) planner.Event {
-		return planner.SubmitRequested{RequestID: requestID, ID: id, Encoded: encoded}
+		return planner.SubmitRequested{RequestID: requestID, ID: id, Encoded: encoded, CaughtUp: caughtUp}
 	}
 	reply, status := n.requestPlanner(ctx, request)
-	if status == code.OK && reply.Full {
+	if status == code.OK && (reply.Full || reply.Overloaded) {
 		// Another instance may have recorded the job a moment ago, and a refusal must
 		// be true.
 		if _, err := n.catchUp(ctx); err != nil {
 			return Result{Code: code.LogUnavailable}
 		}
+		caughtUp = true
 		reply, status = n.requestPlanner(ctx, request)
 	}
 	if status != code.OK {
@@ -245,6 +252,8 @@
 	switch {
 	case reply.Full && !reply.TooLarge:
 		return Result{Code: code.JobMemoryFull, RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond}
+	case reply.Overloaded:
+		return Result{Code: code.OverloadedQueue, RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond}
 	case reply.TooLarge:
 		return Result{Code: code.BodyTooLarge}
 	case reply.Rejected && reply.Started:
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -48,6 +48,14 @@
 	DelegationMinWorkers int `toml:"delegation_min_workers"`
 	// OptimisticStart starts tasks while their submission is being recorded.
 	OptimisticStart bool `toml:"optimistic_start"`
+	// Overload holds the settings for more work than the workers can do in time.
+	Overload Overload `toml:"overload"`
+}
+
+// Overload says what happens with more work than the workers can do in time.
+type Overload struct {
+	// Enabled refuses submissions for which there is no capacity in time.
+	Enabled bool `toml:"enabled"`
 }
 
 // Bounds are the platform's limits and timeouts.
@@ -165,6 +173,7 @@
 		StatusRetentionMS: int64(c.Bounds.StatusS * 1000),
 		Log:               c.limits(),
 		OptimisticStart:   c.OptimisticStart,
+		Overload:          c.Overload.Enabled,
 		FirstTerm:         firstTerm,
 		LeadershipLeaseMS: milliseconds(leadershipLease),
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -258,6 +258,7 @@
 	}
 	fields := n.load.report(nowMS, n.ring.Len(), work)
 	n.noteJobBytes()
+	n.showBacklog()
 	if logged {
 		n.log("load", append(fields, zap.Bool("leading", n.term != nil))...)
 	}
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -10,11 +10,17 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"redwingvale/internal/code"
 	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
 	"redwingvale/internal/gen/redwingvale/node/v1/nodev1connect"
 	"redwingvale/internal/jobs"
 )
 
+// knowsOverloadHeader is set on submissions by instances that know the code
+// OverloadedQueue. Earlier releases would answer it with 500; they get JobMemoryFull,
+// which they answer with 503 and Retry-After as well.
+const knowsOverloadHeader = "Rw-Knows-Overload"
+
 // maxPeerConns limits the connections to one other instance.
 const maxPeerConns = 16
 
@@ -200,6 +206,9 @@
 
 func (s *peerServer) SubmitJob(ctx context.Context, r *connect.Request[nodev1.SubmitJobRequest]) (*connect.Response[nodev1.SubmitJobResponse], error) {
 	result := s.n.submitLocal(ctx, jobs.ID(r.Msg.GetId()), r.Msg.GetJob())
+	if result.Code == code.OverloadedQueue && r.Header().Get(knowsOverloadHeader) == "" {
+		result.Code = code.JobMemoryFull
+	}
 	return connect.NewResponse(&nodev1.SubmitJobResponse{Code: uint32(result.Code), RetryAfterMs: uint32(result.RetryAfter.Milliseconds())}), nil
 }
 
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -49,6 +49,8 @@
 	// jobBytes is the memory that jobs take, jobBytesLimit what they may take; 0
 	// without a limit.
 	jobBytes, jobBytesLimit tally.Gauge
+
+	overload overloadStats
 }
 
 func newStats(scope tally.Scope) stats {
@@ -82,6 +84,8 @@
 		runsTwice:       scope.Counter("runs_twice"),
 		jobBytes:        scope.Gauge("job_memory_bytes"),
 		jobBytesLimit:   scope.Gauge("job_memory_limit_bytes"),
+
+		overload: newOverloadStats(scope),
 	}
 }
 
--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -53,6 +53,7 @@
 // under another limit are checked again.
 func (c *Core) setQueues(queues []Queue) {
 	c.configured = true
+	c.setOverloadQueues(queues)
 	for i := range queues {
 		q := queues[i]
 		c.queues[q.Name] = &q
@@ -63,6 +64,9 @@
 		deadline := c.deadline(j)
 		for s := range j.steps() {
 			s.deadlineMS = deadline
+			if s.released {
+				c.noteDeadlines(s)
+			}
 		}
 		if !c.disabled.recheckFailures {
 			c.recheckAttempts(j)
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -32,6 +32,8 @@
 	Log jobs.Limits
 	// OptimisticStart starts tasks before the submission is recorded.
 	OptimisticStart bool
+	// Overload refuses submissions for which there is no capacity in time.
+	Overload bool
 	// FirstTerm is set for the first leader of a new deployment: no
 	// predecessor can have started anything.
 	FirstTerm bool
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"redwingvale/internal/jobs"
+	"redwingvale/internal/overload"
 )
 
 // Core holds the scheduling state of one leader's term. It is not safe for
@@ -45,7 +46,11 @@
 	// of their job, unrecordedBytes that of jobs whose submission is not recorded.
 	extraBytes, unrecordedBytes int64
 	drain                       drainMeter
-	advice                      adviceQueue
+	// overload is the model of the backlog; nil if Config.Overload is off.
+	overload         *overload.Model
+	overloadWarnedMS int64
+	statusBuffer     []overload.Status
+	advice           adviceQueue
 	// suspended is set while the leadership is unconfirmed; commands are
 	// withheld.
 	suspended bool
@@ -141,6 +146,9 @@
 	// verifyIncarnation: no end is acknowledged to a worker that may have
 	// restarted since its last report.
 	verifyIncarnation bool
+	// refuseUnknown: only submissions that are new to the log and to the leader are
+	// refused.
+	refuseUnknown bool
 	// recordWorkers: nothing starts on a worker whose address is not recorded.
 	recordWorkers bool
 }
@@ -163,6 +171,9 @@
 		durations:    durationModel{byQueue: map[string]*estimate{}},
 		interference: newInterferenceModel(),
 	}
+	if config.Overload {
+		c.overload = overload.New(now.MS)
+	}
 	c.priorLeaseMS = cmp.Or(config.PriorLeaseMS, config.MaxLeaseMS)
 	ids := make([]jobs.ID, 0, len(stateMachine.Jobs))
 	for id := range stateMachine.Jobs {
@@ -314,6 +325,7 @@
 		c.tickWorker(w)
 	}
 	c.removeDeparted()
+	c.sampleOverload()
 	c.purge()
 }
 
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"redwingvale/internal/jobs"
+	"redwingvale/internal/overload"
 )
 
 // job is a job that is not final, or whose final state has not been recorded
@@ -52,6 +53,8 @@
 	// unrecordedBytes is the memory that the job takes while its submission is not
 	// in the log.
 	unrecordedBytes int64
+	// backlog is the job's part of the overload model.
+	backlog overload.Job
 }
 
 // step is one step of one occurrence.
@@ -97,6 +100,8 @@
 	// reservedWorkers are the workers that the step reserved in its last full
 	// scan.
 	reservedWorkers []*worker
+	// backlog is the step's part of the overload model.
+	backlog overload.Step
 }
 
 // task is one task of a step.
@@ -151,6 +156,11 @@
 // submit accepts a submission: it is recorded with the next write and gets its
 // Reply when it is in the log.
 func (c *Core) submit(e SubmitRequested) {
+	if c.disabled.refuseUnknown {
+		if spec, err := jobs.DecodeJob(e.Encoded); err == nil && !c.admit(e, spec) {
+			return
+		}
+	}
 	if c.stateMachine.SubmittedEntry(e.ID) != nil {
 		c.emit(Reply{RequestID: e.RequestID, Accepted: true, Known: true})
 		return
@@ -173,6 +183,9 @@
 		c.refuseFull(e, spec)
 		return
 	}
+	if !c.admit(e, spec) {
+		return
+	}
 	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), !c.reconciled)
 	j.source = sourceSubmission
 	j.submitRequests = []uint64{e.RequestID}
@@ -283,6 +296,7 @@
 	// only now.
 	j.baseRun = max(progress.LastRun, int(c.epoch-1)*runsPerTerm)
 	c.jobs[id] = j
+	c.noteJob(j)
 	if spec.Repeat == 0 {
 		c.buildOccurrence(j, 0)
 	}
@@ -325,6 +339,7 @@
 func (c *Core) queueTasks(s *step) {
 	s.released = true
 	s.deadlineMS, s.remainingMS = c.deadline(s.job), c.remainingWork(s)
+	c.noteDeadlines(s)
 	for i := range s.tasks {
 		if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
 			c.requeue(t)
@@ -332,21 +347,28 @@
 	}
 }
 
-// deadline returns when the job's objective ends: its arrival plus the queue's
-// stretch factor times the longest chain of estimated work, plus the queue's
-// latency target.
-func (c *Core) deadline(j *job) int64 {
-	chain := make([]int64, len(j.spec.Steps))
+// deadline returns when the job's objective ends.
+func (c *Core) deadline(j *job) int64 { return j.arrivedMS + objective(j.queue, longestChain(j.spec)) }
+
+// objective returns the time within which a job is to complete: the queue's stretch
+// factor times the longest chain of estimated work, plus the queue's latency target.
+func objective(q *Queue, chainMS int64) int64 {
+	return int64(q.Stretch*float64(chainMS)) + q.TargetLatencyMS
+}
+
+// longestChain returns the longest chain of estimated work of a job.
+func longestChain(spec *jobs.Job) int64 {
+	chain := make([]int64, len(spec.Steps))
 	longest := int64(0)
-	for i := range j.spec.Steps {
-		s := &j.spec.Steps[i]
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
 		for _, before := range s.After {
 			chain[i] = max(chain[i], chain[before])
 		}
 		chain[i] += int64(s.EstimateMS)
 		longest = max(longest, chain[i])
 	}
-	return j.arrivedMS + int64(j.queue.Stretch*float64(longest)) + j.queue.TargetLatencyMS
+	return longest
 }
 
 // remainingWork returns the longest chain of estimated work from the step to
@@ -378,6 +400,7 @@
 		return
 	}
 	t.waiting = true
+	c.noteWaiting(s)
 	if len(s.pending) == 0 {
 		c.ready = append(c.ready, s)
 		s.pendingSinceMS = c.now.MS
@@ -394,6 +417,7 @@
 	s, j := t.step, t.step.job
 	t.done = true
 	s.done++
+	c.noteTaskDone(s)
 	j.progress.SetDone(j.spec, t.ref())
 	j.dirty = true
 	c.unqueue(t)
@@ -423,11 +447,15 @@
 	j.dirty = true
 	c.markDirty(j)
 	c.schedules.remove(j)
+	c.noteJobEnded(j)
 	c.emit(Decision{Event: "job_ended", Job: j.id, Reason: reason, AgeMS: c.now.MS - j.arrivedMS})
 	for s := range j.steps() {
 		s.pending = nil
 		for i := range s.tasks {
 			t := &s.tasks[i]
+			if t.waiting {
+				c.noteNotWaiting(s)
+			}
 			t.waiting = false
 			for _, r := range t.runs {
 				c.stopRun(r, "job ended")
@@ -442,6 +470,7 @@
 	}
 	t.waiting = false
 	s := t.step
+	c.noteNotWaiting(s)
 	for i, other := range s.pending {
 		if other == t {
 			s.pending = append(s.pending[:i], s.pending[i+1:]...)
--- a/internal/planner/occurrence.go
+++ b/internal/planner/occurrence.go
@@ -72,6 +72,7 @@
 			o.unfinished++
 		}
 		o.steps = append(o.steps, s)
+		c.noteStep(s)
 	}
 	i, _ := j.findOpen(number)
 	if len(j.open) > 0 {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -239,6 +239,7 @@
 	r.task.runs = append(r.task.runs, r)
 	r.task.unreconciled = false
 	s.activeRuns++
+	c.noteRunBegins(s)
 	c.unqueue(r.task)
 }
 
@@ -268,6 +269,7 @@
 	w, s := r.worker, r.task.step
 	w.plannedValid, w.demandValid = false, false
 	w.used = w.used.minus(s.resources())
+	c.noteRunLeaves(s)
 	if s.spec.LongRunning {
 		w.longRunning = w.longRunning.minus(s.resources())
 	}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -120,6 +120,7 @@
 		d.AgeMS = c.now.MS - r.sentMS
 		r.over = d.Reason
 		c.observeEnd(w, r, end.Kind)
+		c.noteRunEnded(r, end.Kind)
 		c.detach(r)
 	}
 	c.emit(d)
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -90,6 +90,9 @@
 		RequestID uint64
 		ID        jobs.ID
 		Encoded   []byte
+		// CaughtUp is set if the log was read to its end after an earlier request
+		// for the same job had been refused.
+		CaughtUp bool
 	}
 	// CancelRequested requests the cancellation of a job. Reply carries its
 	// RequestID.
@@ -368,6 +371,9 @@
 		// Full is set if there is no memory for the job now. No part of it is
 		// recorded.
 		Full bool
+		// Overloaded is set if there is no capacity for the job in time. No part of it
+		// is recorded or started. Without CaughtUp the refusal is provisional.
+		Overloaded bool
 		// RetryAfterMS is the suggested delay before a refused submission is
 		// repeated.
 		RetryAfterMS int64
