Test refusals under overload and describe them

Random runs submit under overload with the setting on; the oracle's rule REFUSED checks that a refused job neither runs nor is known and that a recorded one is not refused. A job of which a predecessor may have started tasks is not refused, found while writing the oracle.

--- a/internal/planner/overload.go
+++ b/internal/planner/overload.go
@@ -202,6 +202,23 @@
 	return c.overload.Statuses(out)
 }
 
+// mayHaveBegun reports whether there is a trace of an earlier submission of a job that
+// the log does not hold: a predecessor may have started its tasks, or some caller
+// has cancelled it.
+func (c *Core) mayHaveBegun(id jobs.ID) bool {
+	if !c.reconciled || len(c.earlyEnds[id]) > 0 || c.cancelledUnknown(id) {
+		return true
+	}
+	for _, w := range c.sortedWorkers {
+		for i := range w.orphans {
+			if w.orphans[i].task.Task.Job == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // admit decides about a submission and reports whether it may be accepted. The
 // caller makes sure that neither the log nor this leader holds the job. A refusal
 // counts only once the caller has read the log to its end: another instance may have
@@ -212,7 +229,7 @@
 	}
 	s := c.describeSubmission(e.ID, spec)
 	v := c.overload.Check(&s, c.now.MS)
-	if !v.Refuse || c.lag.behind || c.commandsWithheld() {
+	if !v.Refuse || c.lag.behind || c.commandsWithheld() || c.mayHaveBegun(e.ID) {
 		c.overload.Accepted(&s, &v)
 		return true
 	}
--- a/internal/planner/random_takeover_test.go
+++ b/internal/planner/random_takeover_test.go
@@ -98,7 +98,7 @@
 	old := sim.leader
 	for _, id := range sim.ids {
 		s := sim.jobs[id]
-		if s.accepted && rng.IntN(10) > 0 {
+		if s.refusal.final || s.accepted && rng.IntN(10) > 0 {
 			continue
 		}
 		switch rng.IntN(4) {
@@ -107,9 +107,9 @@
 		case 1:
 			sim.at(rng.Int64N(3000), func() { sim.recordDirectly(id) })
 		case 2:
-			sim.at(rng.Int64N(30), func() { sim.sendSubmission(id) })
+			sim.at(rng.Int64N(30), func() { sim.repeatSubmission(id) })
 		case 3:
-			sim.at(rng.Int64N(3000), func() { sim.sendSubmission(id) })
+			sim.at(rng.Int64N(3000), func() { sim.repeatSubmission(id) })
 		}
 	}
 	sim.elect()
@@ -125,7 +125,7 @@
 // recordDirectly records a submission through an instance that does not lead.
 func (sim *simulation) recordDirectly(id jobs.ID) {
 	s := sim.jobs[id]
-	if s.recorded {
+	if s.recorded || s.refusal.final {
 		return
 	}
 	if sim.now < sim.logDownUntil {
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -42,6 +42,9 @@
 		f.failing, f.stuck, f.info.Draining = false, false, false
 	}
 	sim.step(sim.leader, WorkersChanged{Workers: sim.directory()})
+	if sim.overload != nil {
+		sim.run(sim.now + backlogSeconds*1000)
+	}
 	sim.run(sim.now + settleSeconds*1000)
 	sim.checkEnds()
 	return sim
@@ -140,6 +143,12 @@
 		switch {
 		case s.cancelSent && !s.cancelDone:
 			sim.violate("ACKS", "the cancellation of %s is not answered", id)
+		case s.refusal.final:
+			if ok {
+				sim.violate("REFUSED", "%s is %s, it was refused", id, state)
+			}
+		case !s.accepted && s.refusal.refused && !ok:
+			// Its caller would return later.
 		case !s.accepted && s.submitOnce && !ok:
 			// The only submission was lost with its leader.
 		case !s.accepted && !s.submitOnce:
@@ -276,6 +285,13 @@
 			requireViolation(t, test.first, maxSeeds, "", func(sim *simulation) { sim.disable(test.disabled) })
 		})
 	}
+	t.Run("refuse unknown jobs only", func(t *testing.T) {
+		requireViolation(t, 1, maxSeeds, "REFUSED", func(sim *simulation) {
+			sim.disable(safeguards{refuseUnknown: true})
+			sim.injectOverload()
+			sim.injectTakeoverFaults()
+		})
+	})
 	t.Run("leadership lease", func(t *testing.T) {
 		requireViolation(t, 1, maxSeeds, "TWICE", func(sim *simulation) {
 			sim.disable(safeguards{leadershipLease: true})
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -30,6 +30,9 @@
 	sim.carriedOut[runKey{s.Task, s.Run}] = true
 	sub := sim.jobs[s.Task.Job]
 	spec := sim.spec(s.Task)
+	if sub.refusal.final {
+		sim.violate("REFUSED", "%s starts on %s, its job was refused", s.Task, f.info.ID)
+	}
 	if sub.job.Payload != s.Payload {
 		sim.violate("UNASKED", "%s starts with a different payload", s.Task)
 	}
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -78,6 +78,8 @@
 	startedAt map[jobs.Task][]startedRun
 	// takeovers are the faults around changes of leader; nil without them.
 	takeovers *takeoverFaults
+	// overload drives the random choices of an overload; nil without it.
+	overload *simOverload
 }
 
 // startedRun is a start that a worker has carried out.
@@ -100,6 +102,7 @@
 	// cancelSent and cancelDone are set once a cancellation has been sent and
 	// confirmed.
 	cancelSent, cancelDone bool
+	refusal                refusedSubmission
 }
 
 // leader is one instance's term; a deposed leader may continue for a while.
@@ -350,7 +353,9 @@
 	case Write:
 		sim.write(l, e)
 	case Reply:
-		sim.reply(e)
+		if !sim.handleRefusal(l, e) {
+			sim.reply(e)
+		}
 	case Deposed:
 		sim.at(sim.latency(), func() {
 			if l.epoch == sim.epoch {
@@ -416,7 +421,11 @@
 
 func (sim *simulation) submit(id jobs.ID) {
 	s := sim.jobs[id]
-	if s.accepted {
+	if s.accepted || s.refusal.final {
+		return
+	}
+	if sim.now < s.refusal.returnMS {
+		sim.at(s.refusal.returnMS-sim.now, func() { sim.submit(id) })
 		return
 	}
 	sim.sendSubmission(id)
@@ -427,6 +436,7 @@
 
 func (sim *simulation) sendSubmission(id jobs.ID) {
 	s := sim.jobs[id]
+	s.refusal.unanswered++
 	sim.lastRequestID++
 	sim.submitRequests[sim.lastRequestID] = id
 	encoded, err := jobs.EncodeJob(s.job)
@@ -438,6 +448,9 @@
 }
 
 func (sim *simulation) cancel(id jobs.ID) {
+	if sim.jobs[id].refusal.final {
+		return
+	}
 	sim.lastRequestID++
 	sim.cancelRequests[sim.lastRequestID] = id
 	sim.jobs[id].cancelSent = true
