--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -56,6 +56,8 @@
 	// to move them off such a data centre, startsDeclined the starts there that it
 	// has declined.
 	evacuationMoves, startsDeclined tally.Counter
+
+	overload overloadStats
 }
 
 func newStats(scope tally.Scope) stats {
@@ -94,6 +96,7 @@
 		evacuatedRuns:      scope.Gauge("evacuated_runs"),
 		evacuationMoves:    scope.Counter("evacuation_moves"),
 		startsDeclined:     scope.Counter("evacuated_starts_declined"),
+		overload: newOverloadStats(scope),
 	}
 }
 
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -38,6 +38,8 @@
 	// ColdOverage and ColdSlack limit the runs of a cold worker to ColdOverage times
 	// the mean of the others plus ColdSlack; no limit unless both are above 0.
 	ColdOverage, ColdSlack float64
+	// Overload refuses submissions for which there is no capacity in time.
+	Overload bool
 	// FirstTerm is set for the first leader of a new deployment: no
 	// predecessor can have started anything.
 	FirstTerm bool
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -80,6 +80,8 @@
 	evacuations *simEvacuations
 	// takeovers are the faults around changes of leader; nil without them.
 	takeovers *takeoverFaults
+	// overload drives the random choices of an overload; nil without it.
+	overload *simOverload
 }
 
 // startedRun is a start that a worker has carried out.
@@ -102,6 +104,7 @@
 	// cancelSent and cancelDone are set once a cancellation has been sent and
 	// confirmed.
 	cancelSent, cancelDone bool
+	refusal                refusedSubmission
 }
 
 // leader is one instance's term; a deposed leader may continue for a while.
@@ -362,7 +365,9 @@
 	case Write:
 		sim.write(l, e)
 	case Reply:
-		sim.reply(e)
+		if !sim.handleRefusal(l, e) {
+			sim.reply(e)
+		}
 	case Deposed:
 		sim.at(sim.latency(), func() {
 			if l.epoch == sim.epoch {
@@ -428,7 +433,11 @@
 
 func (sim *simulation) submit(id jobs.ID) {
 	s := sim.jobs[id]
-	if s.accepted {
+	if s.accepted || s.refusal.final {
+		return
+	}
+	if sim.now < s.refusal.returnMS {
+		sim.at(s.refusal.returnMS-sim.now, func() { sim.submit(id) })
 		return
 	}
 	sim.sendSubmission(id)
@@ -439,6 +448,7 @@
 
 func (sim *simulation) sendSubmission(id jobs.ID) {
 	s := sim.jobs[id]
+	s.refusal.unanswered++
 	sim.lastRequestID++
 	sim.submitRequests[sim.lastRequestID] = id
 	encoded, err := jobs.EncodeJob(s.job)
@@ -450,6 +460,9 @@
 }
 
 func (sim *simulation) cancel(id jobs.ID) {
+	if sim.jobs[id].refusal.final {
+		return
+	}
 	sim.lastRequestID++
 	sim.cancelRequests[sim.lastRequestID] = id
 	sim.jobs[id].cancelSent = true
