Order waiting steps by value and limit stops under overload

Under overload each job reached the head of the queue only when its objective was nearly used up, so its later steps missed it, and a task that was stopped near the end of its job waited behind every job in time. Some runs were stopped for interference although the move lost more work than it gained.

With the new setting [overload] enabled (off by default), the waiting steps of a priority are ordered by the value that can still be earned for the part of the job that is neither done nor running; the value grows once a job has waited 10 s without a start. A step whose place rests on its wait gets one start there, so that overdue jobs do not take all of the capacity once they have waited for 30 s. A stop that is to run a task elsewhere counts the work since the last checkpoint, is not repeated within 3 s for the same reason, and the task then comes first in its step. The former order stays in use while the setting is off.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -48,6 +48,13 @@
 	DelegationMinWorkers int `toml:"delegation_min_workers"`
 	// OptimisticStart starts tasks while their submission is being recorded.
 	OptimisticStart bool `toml:"optimistic_start"`
+	// Overload holds the settings of the overload control.
+	Overload Overload `toml:"overload"`
+}
+
+// Overload holds the settings of the overload control.
+type Overload struct {
+	Enabled bool `toml:"enabled"`
 }
 
 // Bounds are the platform's limits and timeouts.
@@ -166,6 +173,7 @@
 		Log:               c.limits(),
 		OptimisticStart:   c.OptimisticStart,
 		FirstTerm:         firstTerm,
+		Overload:          c.Overload.Enabled,
 		LeadershipLeaseMS: milliseconds(leadershipLease),
 	}
 }
--- a/internal/planner/attempts.go
+++ b/internal/planner/attempts.go
@@ -61,6 +61,7 @@
 		j := c.jobs[id]
 		j.queue = c.queueOf(j.spec)
 		deadline := c.deadline(j)
+		j.progressVersion++
 		for s := range j.steps() {
 			s.deadlineMS = deadline
 		}
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -35,6 +35,9 @@
 	// FirstTerm is set for the first leader of a new deployment: no
 	// predecessor can have started anything.
 	FirstTerm bool
+	// Overload turns on the overload control: the order of waiting steps by value
+	// and the limits on stops in favour of other work.
+	Overload bool
 }
 
 // Times and limits that follow from the round trip of some 10 ms to a worker
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -56,6 +56,9 @@
 	// deposed is set once a worker has rejected a command because it has seen a
 	// newer token.
 	deposed bool
+	// compareSteps replaces the order of the waiting steps of one priority; only
+	// tests set it.
+	compareSteps func(a, b *step) int
 	// placementDue is set when a waiting task may fit on a worker now.
 	placementDue bool
 	lastPassMS   int64
@@ -93,6 +96,7 @@
 	// placed; pendingBuffer holds its waiting tasks meanwhile.
 	candidates    []candidate
 	pendingBuffer []*task
+	orderBuffer   []orderKey
 	// useBuffer, marginBuffer and paceBuffer are scratch buffers of the interference model.
 	useBuffer    bestEffortUse
 	marginBuffer []margin
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -44,6 +44,12 @@
 	source             jobSource
 	earlyEnds, orphans int
 	arrivedMS          int64
+	// lastStartMS is when a start of one of its tasks was last sent in this term; 0
+	// if none was.
+	lastStartMS int64
+	// progressVersion counts the changes of the tasks that are done or running and of
+	// the objective.
+	progressVersion int64
 	// endOnly is set if only the final state of the job is to be recorded.
 	endOnly bool
 	// shortened is set once parts of the progress have been left out of the
@@ -76,6 +82,8 @@
 	// deadlineMS is when the job's objective ends; remainingMS is how long the
 	// job still needs from the start of the step.
 	deadlineMS, remainingMS int64
+	// rank is the step's place among the waiting steps in the last pass.
+	rank stepRank
 	// duration is the mean duration of the step's finished tasks.
 	duration estimate
 	// modelColumn and tail locate the step's container image in the
@@ -119,6 +127,10 @@
 	replaced int
 	// stalls counts the runs that were stopped because they made no progress.
 	stalls int
+	// stopped is set from a stop that the planner made, to run the task elsewhere,
+	// until its next start; stops are these stops, one for each reason.
+	stopped bool
+	stops   []taskStop
 	// avoided are the workers on which a run of the task failed or stalled.
 	avoided []WorkerID
 	// notBeforeMS is the earliest time of the next start.
@@ -382,7 +394,7 @@
 		c.ready = append(c.ready, s)
 		s.pendingSinceMS = c.now.MS
 	}
-	s.pending = append(s.pending, t)
+	s.pending = slices.Insert(s.pending, s.queuePosition(t), t)
 	c.placementDue = true
 }
 
@@ -394,6 +406,7 @@
 	s, j := t.step, t.step.job
 	t.done = true
 	s.done++
+	j.progressVersion++
 	j.progress.SetDone(j.spec, t.ref())
 	j.dirty = true
 	c.unqueue(t)
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -329,12 +329,13 @@
 		}
 		remaining := c.expectedDuration(s) * float64(100-r.percent) / 100
 		gain := remaining*100/float64(max(r.pace, 1)) - remaining
-		if gain < float64(c.config.StopTimeoutMS+c.config.RestoreMS)+moveGainMS || !c.fitsElsewhere(s, w) {
+		if gain < float64(c.config.StopTimeoutMS+c.config.RestoreMS)+moveGainMS+c.lostWork(r) ||
+			!c.mayStopAgain(r.task, stopInterference) || !c.fitsElsewhere(s, w) {
 			continue
 		}
 		w.interference.lastMoveMS = c.now.MS
 		r.task.avoid(w)
-		c.stopRun(r, "interferes with serving tasks")
+		c.stopForReplacement(r, stopInterference)
 		return
 	}
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -1,9 +1,6 @@
 package planner
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // Weights and intervals of placement. Loads are shares of the reserved or
 // declared processors.
@@ -54,12 +51,7 @@
 	c.rescanMS = rescanMS * max(1, int64(len(c.ready)*len(c.sortedWorkers)/rescanChecks))
 	c.urgentSteps = max(minUrgentSteps, passChecks/max(len(c.sortedWorkers), 1))
 	c.reservations, c.previousReservations = c.previousReservations[:0], c.reservations
-	slices.SortStableFunc(c.ready, func(a, b *step) int {
-		if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
-			return d
-		}
-		return c.compareUrgency(a, b)
-	})
+	c.orderWaiting()
 	kept := c.ready[:0]
 	for i, s := range c.ready {
 		if !s.job.state.Final() && len(s.pending) > 0 && c.considered(s, i) {
@@ -110,50 +102,6 @@
 	c.reservations = append(c.reservations, reservation{w, s})
 }
 
-// Lateness classes of a step, in the order in which they are served.
-const (
-	// onTime: the job can still meet its objective.
-	onTime = iota
-	// late: the job will miss its objective, but its result still has value to
-	// the caller.
-	late
-	// overdue: the job only has to finish at some time.
-	overdue
-)
-
-// lateFactor is the multiple of its objective up to which a job's result still
-// has value.
-const lateFactor = 3
-
-// lateness returns the class that the job can still reach if the step starts
-// now.
-func (c *Core) lateness(s *step) int {
-	end := c.now.MS + s.remainingMS
-	objective := s.deadlineMS - s.job.arrivedMS
-	switch {
-	case s.spec.LongRunning || s.job.spec.Repeat > 0 || end <= s.deadlineMS:
-		return onTime
-	case end <= s.job.arrivedMS+lateFactor*objective:
-		return late
-	}
-	return overdue
-}
-
-// compareUrgency orders the steps of one priority. Steps that can meet the
-// objective go first, by deadline: under overload, steps that are already late
-// would otherwise make all others late. Late steps are ordered by remaining
-// work, shortest first.
-func (c *Core) compareUrgency(a, b *step) int {
-	classA, classB := c.lateness(a), c.lateness(b)
-	switch {
-	case classA != classB:
-		return cmp.Compare(classA, classB)
-	case classA == late:
-		return cmp.Compare(a.remainingMS, b.remainingMS)
-	}
-	return cmp.Compare(a.deadlineMS, b.deadlineMS)
-}
-
 // placeStep starts as many of the step's waiting tasks as fit.
 func (c *Core) placeStep(s *step) {
 	if s.job.queue.Advised && !c.ensureAdvice(s) {
@@ -191,6 +139,11 @@
 			return
 		}
 		c.start(t, w, t.lastRun+1, "placed")
+		if s.rank.aged && len(s.pending) > 0 {
+			// Its place in the order rests on its wait, which this start has ended.
+			c.placementDue = true
+			break
+		}
 		c.updateCandidate(s, w)
 	}
 	s.noFitPass = 0
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -21,12 +21,18 @@
 const (
 	faultsSeconds = 40
 	settleSeconds = 60
+	// overloadSeeds is the distance between the seeds that run with the overload
+	// control on.
+	overloadSeeds = 3
 )
 
 // runSeed simulates one seed: random jobs and faults, then a period without
 // faults. change adapts the simulation before it runs.
 func runSeed(seed uint64, change func(*simulation)) *simulation {
 	sim := newSimulation(seed, faultRates{lost: 0.02, delayed: 0.02})
+	// A third of the seeds runs with the overload control on.
+	sim.config.Overload = seed%overloadSeeds == 0
+	sim.leader.core.config.Overload = sim.config.Overload
 	if change != nil {
 		change(sim)
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -154,10 +154,16 @@
 		r.phase = running
 	}
 	if rt.Checkpoint != "" {
+		if rt.Checkpoint != r.checkpoint {
+			r.checkpointPercent = rt.Percent
+		}
 		r.checkpoint = rt.Checkpoint
 	}
 	if r.firstReportMS == 0 {
 		r.firstReportMS, r.firstPercent = c.now.MS, rt.Percent
+		if r.task.checkpoint != "" {
+			r.checkpointPercent = rt.Percent
+		}
 	}
 	if rt.Percent > r.percent {
 		r.percent, r.progressMS = rt.Percent, c.now.MS
@@ -239,6 +245,7 @@
 	r.task.runs = append(r.task.runs, r)
 	r.task.unreconciled = false
 	s.activeRuns++
+	s.job.progressVersion++
 	c.unqueue(r.task)
 }
 
@@ -259,6 +266,7 @@
 	}
 	r.task.setLast(r, c.now.MS)
 	s.activeRuns--
+	s.job.progressVersion++
 	c.dropEnded(s.occurrence)
 	c.placementDue = true
 }
--- a/internal/planner/run_check.go
+++ b/internal/planner/run_check.go
@@ -35,16 +35,16 @@
 			continue
 		}
 		switch {
-		case w.info.Draining && c.mustMove(w, r):
-			c.stopRun(r, "worker is draining")
-		case c.stalled(r):
+		case w.info.Draining && c.mustMove(w, r) && (c.mayStopAgain(r.task, stopDraining) || c.mustLeaveNow(w)):
+			c.stopForReplacement(r, stopDraining)
+		case c.stalled(r) && c.mayStopAgain(r.task, stopStalled):
 			r.task.avoid(w)
 			if w.health.failure(r.task.step.job.id, c.now.MS) {
 				c.emit(Decision{Event: "worker_suspect", Worker: w.info.ID, Reason: "run makes no progress"})
 			}
 			r.progressMS = c.now.MS
 			r.task.stalls++
-			c.stopRun(r, "no progress")
+			c.stopForReplacement(r, stopStalled)
 		default:
 			c.checkSpeed(w, r)
 		}
@@ -146,7 +146,7 @@
 	remaining := float64(100-r.percent) / rate
 	fresh := expected + replaceMarginMS
 	if s.spec.Checkpointing {
-		fresh = expected*float64(100-r.percent)/100 + float64(c.config.StopTimeoutMS+c.config.RestoreMS) + replaceMarginMS
+		fresh = expected*float64(100-r.percent)/100 + float64(c.config.StopTimeoutMS+c.config.RestoreMS) + replaceMarginMS + c.lostWork(r)
 	}
 	switch {
 	case s.spec.Speculative && remaining > slowFactor*fresh:
@@ -155,10 +155,10 @@
 			c.start(r.task, other, r.task.lastRun+1, "speculative copy")
 		}
 	case s.spec.Checkpointing && remaining > slowFactor*fresh, remaining > restartFactor*fresh+float64(c.config.StopTimeoutMS):
-		if c.fitsElsewhere(s, w) {
+		if c.mayStopAgain(r.task, stopSlow) && c.fitsElsewhere(s, w) {
 			r.task.avoid(w)
 			r.task.replaced++
-			c.stopRun(r, "slow")
+			c.stopForReplacement(r, stopSlow)
 		}
 	}
 }
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -5,10 +5,10 @@
 // start sends a task to a worker.
 func (c *Core) start(t *task, w *worker, number int, reason string) *run {
 	r := &run{task: t, ref: t.ref(), worker: w, number: number, phase: starting, token: w.token, sentMS: c.now.MS, pace: 100}
-	t.lastRun = max(t.lastRun, number)
+	t.lastRun, t.stopped = max(t.lastRun, number), false
 	j := t.step.job
 	c.attach(r)
-	j.startSent = true
+	j.startSent, j.lastStartMS = true, c.now.MS
 	c.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Token: w.token, Task: t.ref(), Run: number,
 		Payload: j.spec.Payload, LeaseEndMS: c.nextLeaseEnd(w), Checkpoint: t.checkpoint,
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -12,6 +12,9 @@
 
 // durationMS returns the task's duration, the same for each run.
 func (sim *simulation) durationMS(t jobs.Task) int64 {
+	if sim.duration != nil {
+		return sim.duration(t)
+	}
 	base := int64(sim.spec(t).EstimateMS)
 	return max(base+int64(t.Index%5)*base/8, 50)
 }
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -65,7 +65,13 @@
 	// endsPerReport is the number of ends that a worker lists; 0 for all.
 	endsPerReport int
 	// oddRows adds rows to a worker's report; nil to leave reports as they are.
-	oddRows    func(*fakeWorker, *Report)
+	oddRows func(*fakeWorker, *Report)
+	// duration returns how long a task takes; nil for the default of durationMS.
+	duration func(jobs.Task) int64
+	// observe is called with each effect before it is carried out; it may be nil.
+	observe func(Effect)
+	// prepare adapts a new leader's core; it may be nil.
+	prepare    func(*Core)
 	violations []string
 	starts     int
 	// plannerTime is the processor time of the planner.
@@ -224,6 +230,9 @@
 	config.FirstTerm = sim.epoch == 1
 	l.core = New(config, l.stateMachine, sim.epoch, sim.time())
 	l.core.disabled = sim.disabled
+	if sim.prepare != nil {
+		sim.prepare(l.core)
+	}
 	sim.leader = l
 	sim.step(l, LeadershipAsOf{MS: sim.now})
 	sim.configure(l)
@@ -326,6 +335,9 @@
 			fmt.Println(sim.now, "epoch", l.epoch, line)
 		}
 	}
+	if sim.observe != nil {
+		sim.observe(effect)
+	}
 	switch e := effect.(type) {
 	case Hold:
 		sim.hold(l, e)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -135,8 +135,11 @@
 	// last measured.
 	speedCheckedMS int64
 	checkpoint     string
-	usage          int
-	usageMS        int64
+	// checkpointPercent is the progress at which the run's last checkpoint was first
+	// reported, or with which it resumed.
+	checkpointPercent int
+	usage             int
+	usageMS           int64
 	// smoothedUsage is the usage of a best-effort task in thousandths of a
 	// core; smoothedTail is the tail latency of a serving task as a share of
 	// its target.
