--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -85,6 +85,8 @@
 	pass, rescanMS int64
 	// urgentSteps is the number of waiting steps that every pass tries to place.
 	urgentSteps int
+	// otherSteps is the number of the others that it tries in turn.
+	otherSteps int64
 	// changed are the workers that have changed since the pass before it,
 	// changedNext those that have changed since it began.
 	changed, changedNext []*worker
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -28,7 +28,7 @@
 	overdueValue = 0.02
 	// minFractionLeft bounds the values of jobs that are nearly complete.
 	minFractionLeft = 0.02
-	// Steps whose values agree in rankSteps-ths are ordered by deadline.
+	// Values are compared in rankSteps-ths.
 	rankSteps = 8
 	// agingAfterMS is how long a step waits without a start of its job before its
 	// value grows. The value doubles after half of the time that is then left until
@@ -42,6 +42,8 @@
 type stepRank struct {
 	// value is the value for the remaining work, in rankSteps-ths.
 	value int64
+	// tieMS orders steps of the same value.
+	tieMS int64
 	// aged is set if the value has grown with the time that the step has waited.
 	aged bool
 	// untilMS is when time alone next changes the rank; version is the version of the
@@ -52,9 +54,9 @@
 // orderKey is what a waiting step is ordered by. The keys lie side by side, because a
 // pass over a long backlog would otherwise spend most of the sorting on fetching them.
 type orderKey struct {
-	priority          int
-	value, deadlineMS int64
-	step              *step
+	priority     int
+	value, tieMS int64
+	step         *step
 }
 
 // orderWaiting sorts the waiting steps by priority and urgency.
@@ -75,15 +77,17 @@
 	})
 }
 
-// orderByValue sorts the waiting steps by priority, by the value that can still be
-// earned for the work that is left, and equal ones by deadline.
+// orderByValue sorts the waiting steps by priority and by the value that can still be
+// earned for the work that is left. Equal ones are ordered by deadline, but late ones
+// by remaining work, shortest first, and before the others: in order of their
+// deadlines each would be served when its value is nearly lost.
 func (c *Core) orderByValue() {
 	keys := c.orderBuffer[:0]
 	for _, s := range c.ready {
 		if s.rank.version != s.job.progressVersion || c.now.MS >= s.rank.untilMS {
 			s.rank = c.rankOf(s)
 		}
-		keys = append(keys, orderKey{s.job.queue.Priority, s.rank.value, s.deadlineMS, s})
+		keys = append(keys, orderKey{s.job.queue.Priority, s.rank.value, s.rank.tieMS, s})
 	}
 	slices.SortStableFunc(keys, func(a, b orderKey) int {
 		switch {
@@ -92,7 +96,7 @@
 		case a.value != b.value:
 			return cmp.Compare(b.value, a.value)
 		}
-		return cmp.Compare(a.deadlineMS, b.deadlineMS)
+		return cmp.Compare(a.tieMS, b.tieMS)
 	})
 	for i := range keys {
 		c.ready[i] = keys[i].step
@@ -104,7 +108,7 @@
 // rankOf returns a step's rank now. The occurrences of a schedule and long-running
 // steps keep the place of a job in time of which nothing is done.
 func (c *Core) rankOf(s *step) stepRank {
-	rank := stepRank{untilMS: math.MaxInt64, version: s.job.progressVersion}
+	rank := stepRank{tieMS: s.deadlineMS, untilMS: math.MaxInt64, version: s.job.progressVersion}
 	value := 1.0
 	if !s.spec.LongRunning && s.job.spec.Repeat == 0 {
 		objective := s.deadlineMS - s.job.arrivedMS
@@ -112,7 +116,7 @@
 		case onTime:
 			rank.untilMS = s.deadlineMS - s.remainingMS + 1
 		case late:
-			value = lateValue
+			value, rank.tieMS = lateValue, s.remainingMS
 			rank.untilMS = s.job.arrivedMS + lateFactor*objective - s.remainingMS + 1
 		case overdue:
 			value = overdueValue
@@ -122,7 +126,7 @@
 	since := s.waitsSince()
 	switch waited := c.now.MS - since; {
 	case waited >= starvationMS:
-		rank.value, rank.aged = math.MaxInt64, true
+		rank.value, rank.tieMS, rank.aged = math.MaxInt64, s.deadlineMS, true
 	case waited > agingAfterMS:
 		value *= (starvationMS - agingAfterMS) / float64(starvationMS-waited)
 		rank.value, rank.aged = int64(rankSteps*value), true
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -29,6 +29,9 @@
 	passChecks     = 210_000
 	minUrgentSteps = 192
 	otherSteps     = 4
+	// otherChecks bounds the pairs of a step and a worker for the others while the
+	// overload control is on: on a large site they would take most of a pass.
+	otherChecks = 4000
 	// maxReservedWorkers is the maximum number of workers that one waiting step
 	// reserves.
 	maxReservedWorkers = 4
@@ -50,6 +53,10 @@
 	c.changed, c.changedNext = c.changedNext, c.changed[:0]
 	c.rescanMS = rescanMS * max(1, int64(len(c.ready)*len(c.sortedWorkers)/rescanChecks))
 	c.urgentSteps = max(minUrgentSteps, passChecks/max(len(c.sortedWorkers), 1))
+	c.otherSteps = otherSteps
+	if c.config.Overload {
+		c.otherSteps = max(1, min(otherSteps, int64(otherChecks/max(len(c.sortedWorkers), 1))))
+	}
 	c.reservations, c.previousReservations = c.previousReservations[:0], c.reservations
 	c.orderWaiting()
 	kept := c.ready[:0]
@@ -79,8 +86,8 @@
 		return true
 	}
 	others := int64(len(c.ready) - c.urgentSteps)
-	turn := c.pass * otherSteps % others
-	return (int64(position-c.urgentSteps)-turn+others)%others < otherSteps
+	turn := c.pass * c.otherSteps % others
+	return (int64(position-c.urgentSteps)-turn+others)%others < c.otherSteps
 }
 
 // reservation keeps the free room of a worker for a step.
