--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -48,13 +48,15 @@
 	DelegationMinWorkers int `toml:"delegation_min_workers"`
 	// OptimisticStart starts tasks while their submission is being recorded.
 	OptimisticStart bool `toml:"optimistic_start"`
-	// Overload holds the settings for more work than the workers can do in time.
+	// Overload holds the settings of the overload control.
 	Overload Overload `toml:"overload"`
 }
 
-// Overload says what happens with more work than the workers can do in time.
+// Overload holds the settings of the overload control, which decides what waits and
+// what is refused when there is more work than the workers can do in time.
 type Overload struct {
-	// Enabled refuses submissions for which there is no capacity in time.
+	// Enabled refuses submissions for which there is no capacity in time, orders the
+	// waiting steps by the value that their jobs can still earn, and limits stops.
 	Enabled bool `toml:"enabled"`
 }
 
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -96,7 +96,7 @@
 		evacuatedRuns:      scope.Gauge("evacuated_runs"),
 		evacuationMoves:    scope.Counter("evacuation_moves"),
 		startsDeclined:     scope.Counter("evacuated_starts_declined"),
-		overload: newOverloadStats(scope),
+		overload:           newOverloadStats(scope),
 	}
 }
 
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -38,11 +38,12 @@
 	// ColdOverage and ColdSlack limit the runs of a cold worker to ColdOverage times
 	// the mean of the others plus ColdSlack; no limit unless both are above 0.
 	ColdOverage, ColdSlack float64
-	// Overload refuses submissions for which there is no capacity in time.
-	Overload bool
 	// FirstTerm is set for the first leader of a new deployment: no
 	// predecessor can have started anything.
 	FirstTerm bool
+	// Overload turns on the overload control: admission by the backlog, the order of
+	// waiting steps by value and the limits on stops in favour of other work.
+	Overload bool
 }
 
 // Times and limits that follow from the round trip of some 10 ms to a worker
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -66,6 +66,9 @@
 	// deposed is set once a worker has rejected a command because it has seen a
 	// newer token.
 	deposed bool
+	// compareSteps replaces the order of the waiting steps of one priority; only
+	// tests set it.
+	compareSteps func(a, b *step) int
 	// placementDue is set when a waiting task may fit on a worker now.
 	placementDue bool
 	lastPassMS   int64
@@ -93,6 +96,8 @@
 	pass, rescanMS int64
 	// urgentSteps is the number of waiting steps that every pass tries to place.
 	urgentSteps int
+	// otherSteps is the number of the others that it tries in turn.
+	otherSteps int64
 	// changed are the workers that have changed since the pass before it,
 	// changedNext those that have changed since it began.
 	changed, changedNext []*worker
@@ -106,6 +111,7 @@
 	// placed; pendingBuffer holds its waiting tasks meanwhile.
 	candidates    []candidate
 	pendingBuffer []*task
+	orderBuffer   []orderKey
 	// useBuffer, marginBuffer and paceBuffer are scratch buffers of the interference model.
 	useBuffer    bestEffortUse
 	marginBuffer []margin
