Follow the measured durations of appends with their time limit

Cause: the leader gave its append up after 350 ms and repeated it after 900 ms, while the log, which handles one append at a time, took 0.2 to 0.6 s. Each repetition made the log do the work twice.

Change: the limit of an attempt is three times the smoothed duration of appends, from 350 ms to 2,500 ms, doubled after each attempt without a response (appendTimer).

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -217,11 +217,6 @@
 	claimGracePeriod = 3 * time.Second
 	// checkLeaderTimeout limits the query whether peers see the leader.
 	checkLeaderTimeout = 200 * time.Millisecond
-	// firstAppendTimeout limits the first attempt of an append, which takes some
-	// 15 ms, and appendTimeout the further ones, for a log that is slow. An
-	// append is retried with the same sequence number.
-	firstAppendTimeout = 350 * time.Millisecond
-	appendTimeout      = 900 * time.Millisecond
 	// unconfirmedWriteLimit is how long a write of the leader may stay
 	// unconfirmed before other instances may take over, if the log serves them:
 	// three lost responses in a row. refusedWriteLimit is the same for writes
@@ -235,7 +230,7 @@
 	// outage before the instance regards the leader as cut off from the log: in
 	// this time the leader retries its append and reports the success in a
 	// heartbeat.
-	logRecoveryDelay = appendTimeout + retryPause + 2*heartbeatInterval
+	logRecoveryDelay = longestAppendTimeout + retryPause + 2*heartbeatInterval
 	// followInterval is the pause between a follower's reads of the log.
 	followInterval = time.Second
 	// leaderReadInterval is the pause between the leader's reads of the log, for
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,9 @@
 	// logReadDurationMS is how long the last read of the log took.
 	logReadDurationMS atomic.Int64
 
+	// appendTimer determines the time limits of the leader's appends.
+	appendTimer appendTimer
+
 	// logEvidenceMS is the latest time at which the log is known to have held no
 	// newer claim than this instance has read.
 	logEvidenceMS atomic.Int64
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -42,17 +42,20 @@
 // appendWrite appends one write, or reports to the planner that the log rejects
 // it. It returns false when the term is over.
 func (n *Node) appendWrite(t *term, w planner.Write) bool {
-	timeout := firstAppendTimeout
-	// outcomeUnknown is set once an attempt may have taken effect.
+	// outcomeUnknown is set once an attempt may have taken effect, firstSent is
+	// when the first such attempt was sent.
 	outcomeUnknown := false
+	var firstSent time.Time
 	for t.ctx.Err() == nil {
 		start := time.Now()
-		ctx, cancel := context.WithTimeout(t.ctx, timeout)
+		if !outcomeUnknown {
+			firstSent = start
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, n.appendTimer.limit())
 		offset, err := n.deps.Log.Append(ctx, Append{
 			Records: w.Records, Writer: &Writer{Epoch: t.epoch, Sequence: firstSequence(t.epoch) + t.appends + 1}, ExpectedEnd: -1,
 		})
 		cancel()
-		timeout = appendTimeout
 		switch {
 		case err == nil && offset < t.lastAppendEnd:
 			// The response is that of an older append: nothing was written.
@@ -64,6 +67,7 @@
 			})
 			return false
 		case err == nil:
+			n.appendTimer.answered(time.Since(firstSent))
 			t.appends++
 			t.lastAppendEnd = offset + int64(len(w.Records))
 			n.stats.appendTime.RecordDuration(time.Since(start))
@@ -82,7 +86,10 @@
 			n.handleRejectedAppend(t, w, err, outcomeUnknown)
 			return !outcomeUnknown
 		}
-		outcomeUnknown = outcomeUnknown || errors.Is(err, ErrUnknown)
+		if errors.Is(err, ErrUnknown) && t.ctx.Err() == nil {
+			outcomeUnknown = true
+			n.appendTimer.notAnswered()
+		}
 		if errors.Is(err, ErrUnavailable) {
 			t.refusedSinceMS.CompareAndSwap(0, n.now().MS)
 		}
