Wait for a leader that is alive and share direct appends

Cause: every instance gave up on the leader after 800 ms and appended the submission itself. While the log was slow, some 775 such appends filled its queue, and the leader's own append was refused for 3.5 s.

Change: a submission waits for the leader as long as the leader is alive and its caller waits. The call is repeated on a new connection after peerTimeout, and again after twice the time each, because a connection can be silent for good. A leader counts as gone once no connection to it can be made, or without a heartbeat for the election timeout and an answer to CheckLeader. Cancellations follow the same rules. Submissions have connections of their own, since they keep them while they wait.

--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"redwingvale/internal/code"
@@ -85,77 +84,6 @@
 	return 0
 }
 
-// submit forwards the job to the leader, or appends the submission to the log
-// itself when the leader cannot be reached. Both are idempotent, so an attempt
-// with an unknown outcome is repeated.
-func (n *Node) submit(ctx context.Context, id jobs.ID, encoded []byte) Result {
-	// outcomeUnknown is set once the leader or the log may have accepted the job.
-	outcomeUnknown := false
-	refusal := Result{Code: code.OwnerUnknown, RetryAfter: retryAfter}
-	for ctx.Err() == nil {
-		result := n.submitToLeader(ctx, id, encoded)
-		outcomeUnknown = outcomeUnknown || result.Code == code.AcceptanceUnsure
-		if result.Code == code.JobMemoryFull && outcomeUnknown {
-			// An earlier attempt may still be recorded.
-			pause(ctx, requestRetryPause)
-			continue
-		}
-		if result.Code != code.OwnerUnknown && result.Code != code.LogUnavailable && result.Code != code.AcceptanceUnsure {
-			return result
-		}
-		full, known, err := n.jobMemoryFull(ctx, id, encoded)
-		switch {
-		case known:
-			return Result{Code: code.OK}
-		case full && !outcomeUnknown:
-			return Result{Code: code.JobMemoryFull, RetryAfter: retryAfter}
-		case full || err != nil:
-			refusal.Code = result.Code
-			pause(ctx, requestRetryPause)
-			continue
-		}
-		err = n.recordDirectly(ctx, jobs.SubmissionRecord(id, encoded))
-		if err == nil {
-			n.log("job_recorded_directly", zap.String("job", string(id)), zap.String("reason", result.Code.String()))
-			return Result{Code: code.OK}
-		}
-		if errors.Is(err, ErrRejected) && !outcomeUnknown {
-			return Result{Code: code.RecordRejected}
-		}
-		outcomeUnknown = outcomeUnknown || errors.Is(err, ErrUnknown)
-		refusal.Code = result.Code
-		pause(ctx, requestRetryPause)
-	}
-	if !outcomeUnknown {
-		return refusal
-	}
-	return Result{Code: code.AcceptanceUnsure}
-}
-
-func (n *Node) submitToLeader(ctx context.Context, id jobs.ID, encoded []byte) Result {
-	l := n.leader.Load()
-	if l == nil {
-		return Result{Code: code.OwnerUnknown}
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	if l.self {
-		return n.submitLocal(ctx, id, encoded)
-	}
-	ctx, sent := traceConnection(ctx)
-	response, err := n.peerClient(l.peer).SubmitJob(ctx, connect.NewRequest(&nodev1.SubmitJobRequest{Id: string(id), Job: encoded}))
-	if err != nil && !sent.Load() {
-		return Result{Code: code.OwnerUnknown}
-	}
-	if err != nil {
-		return Result{Code: code.AcceptanceUnsure}
-	}
-	return Result{
-		Code:       code.Code(response.Msg.GetCode()),
-		RetryAfter: time.Duration(response.Msg.GetRetryAfterMs()) * time.Millisecond,
-	}
-}
-
 // jobMemoryFull reports whether the jobs that the log holds leave no memory for
 // another one, and whether the log holds that one already.
 func (n *Node) jobMemoryFull(ctx context.Context, id jobs.ID, encoded []byte) (full, known bool, err error) {
@@ -173,26 +101,13 @@
 	return n.jobBytes.Load()+job.Footprint() > limit, false, nil
 }
 
-// recordDirectly appends a record to the log without the leader.
-func (n *Node) recordDirectly(ctx context.Context, r jobs.Record) error {
-	if n.lastLogReadMS.Load() == 0 {
-		return ErrUnavailable
-	}
-	_, err := n.deps.Log.Append(ctx, Append{Records: []jobs.Record{r}, ExpectedEnd: -1})
-	if err != nil {
-		n.stats.logErrors.Inc(1)
-		n.tele.Log.Warn("direct_append_failed", append(telemetry.ErrorFields(err), zap.String("key", r.Key))...)
-	}
-	return err
-}
-
 // requestPlanner posts the event for a new request ID to the planner and waits
 // for its reply.
 func (n *Node) requestPlanner(ctx context.Context, event func(requestID uint64) planner.Event) (planner.Reply, code.Code) {
 	result := make(chan planner.Reply, 1)
 	posted := n.post(ctx, dutyRequests, func() {
 		if n.term == nil {
-			close(result)
+			result <- planner.Reply{Unsent: true}
 			return
 		}
 		n.lastRequestID++
@@ -238,11 +153,12 @@
 		}
 		reply, status = n.requestPlanner(ctx, request)
 	}
-	if status != code.OK {
+	switch {
+	case status != code.OK:
 		// The planner may have accepted the job before the term ended.
 		return Result{Code: code.AcceptanceUnsure}
-	}
-	switch {
+	case reply.Unsent:
+		return Result{Code: code.OwnerUnknown}
 	case reply.Full && !reply.TooLarge:
 		return Result{Code: code.JobMemoryFull, RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond}
 	case reply.TooLarge:
@@ -271,6 +187,10 @@
 		if status == code.OK || status == code.UnknownJob {
 			return status
 		}
+		if status != code.OwnerUnknown && n.leaderAlive(n.leader.Load()) {
+			pause(ctx, requestRetryPause)
+			continue
+		}
 		if n.hasJob(ctx, id) && n.recordDirectly(ctx, jobs.CancellationRecord(id)) == nil {
 			return code.OK
 		}
@@ -289,7 +209,11 @@
 	if l.self {
 		return n.cancelLocal(ctx, id)
 	}
+	ctx, sent := traceConnection(ctx)
 	response, err := n.peerClient(l.peer).CancelJob(ctx, connect.NewRequest(&nodev1.CancelJobRequest{Id: string(id)}))
+	if err != nil && !sent.Load() {
+		return code.OwnerUnknown
+	}
 	if err != nil {
 		return code.AcceptanceUnsure
 	}
@@ -301,7 +225,12 @@
 		reply, status := n.requestPlanner(ctx, func(requestID uint64) planner.Event {
 			return planner.CancelRequested{RequestID: requestID, ID: id, RecordUnknown: caughtUp}
 		})
-		if status != code.OK || reply.Known {
+		switch {
+		case status != code.OK:
+			return status
+		case reply.Unsent:
+			return code.OwnerUnknown
+		case reply.Known:
 			return status
 		}
 		if caughtUp {
--- /dev/null
+++ b/internal/node/contact.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	nodev1 "redwingvale/internal/gen/redwingvale/node/v1"
+)
+
+// leaderContact holds the signs of life of the newest leader, for submissions, which
+// wait for a leader that is alive and are appended without one that is gone.
+type leaderContact struct {
+	mu    sync.Mutex
+	epoch uint64
+	// heardMS is when the leader was last known to run.
+	heardMS int64
+	// failedMS is when it was last found unreachable, or gave no answer to a call
+	// of CheckLeader.
+	failedMS int64
+	checking bool
+}
+
+// heard notes a sign of life of the leader of an epoch.
+func (c *leaderContact) heard(epoch uint64, atMS int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(epoch, atMS)
+	if epoch == c.epoch {
+		c.heardMS = max(c.heardMS, atMS)
+	}
+}
+
+// unreachable notes that no connection to the leader of an epoch could be made.
+func (c *leaderContact) unreachable(epoch uint64, atMS int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(epoch, atMS)
+	if epoch == c.epoch {
+		c.failedMS = atMS
+	}
+}
+
+// advance begins anew for the leader of a newer epoch, which counts as heard when it
+// becomes known. The caller holds the lock.
+func (c *leaderContact) advance(epoch uint64, atMS int64) {
+	if epoch > c.epoch {
+		c.epoch, c.heardMS, c.failedMS = epoch, atMS, 0
+	}
+}
+
+// state reports whether the leader of an epoch counts as alive. check is set if that
+// has to be found out by a call, for which it counts as alive.
+func (c *leaderContact) state(epoch uint64, nowMS int64) (alive, check bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(epoch, nowMS)
+	switch {
+	case epoch < c.epoch, c.failedMS > c.heardMS:
+		return false, false
+	case nowMS-c.heardMS <= milliseconds(electionTimeout), c.checking:
+		return true, false
+	}
+	c.checking = true
+	return true, true
+}
+
+func (c *leaderContact) checked(epoch uint64, alive bool, sentMS, nowMS int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checking = false
+	switch {
+	case epoch != c.epoch:
+	case alive:
+		c.heardMS = max(c.heardMS, sentMS)
+	default:
+		c.failedMS = nowMS
+	}
+}
+
+// leaderAlive reports whether a leader is alive: a heartbeat of it has been received
+// within the election timeout, and it has not been unreachable since. Members that
+// are not standbys get fewer heartbeats, so without one the leader is called.
+func (n *Node) leaderAlive(l *leaderInfo) bool {
+	switch {
+	case l == nil:
+		return false
+	case l.self:
+		return true
+	}
+	alive, check := n.contact.state(l.epoch, n.now().MS)
+	if check {
+		go n.checkContact(l)
+	}
+	return alive
+}
+
+// checkContact calls the leader to find out whether it leads.
+func (n *Node) checkContact(l *leaderInfo) {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	sentMS := n.now().MS
+	response, err := n.peerClient(l.peer).CheckLeader(ctx, connect.NewRequest(&nodev1.CheckLeaderRequest{Epoch: l.epoch}))
+	alive := err == nil && response.Msg.GetLeaderAlive() && response.Msg.GetEpoch() == l.epoch
+	n.contact.checked(l.epoch, alive, sentMS, n.now().MS)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,13 @@
 	clock    *clock
 	ring     *ring.Ring[loopEvent]
 	peerHTTP *http.Client
+	// submitHTTP is the client for submissions to the leader, submitFreshHTTP the
+	// same with a new connection for each call.
+	submitHTTP, submitFreshHTTP *http.Client
+	// direct appends records without the leader.
+	direct *directAppender
+	// contact holds the signs of life of the leader.
+	contact leaderContact
 
 	// routing is read by the request path without the event loop.
 	routing atomic.Pointer[routingTable]
@@ -171,8 +178,12 @@
 		replies:      map[uint64]chan planner.Reply{},
 		bodies:       newBodyMemory(config),
 
+		submitHTTP:      newSubmitClient(false),
+		submitFreshHTTP: newSubmitClient(true),
+
 		startedUnixMS: time.Now().UnixMilli(),
 	}
+	n.direct = n.newDirectAppender()
 	n.load.reportedMS = n.now().MS
 	n.jobLimit.Store(maxJobBytes(int(config.MemoryMB)))
 	n.stats.jobBytesLimit.Update(float64(n.jobLimit.Load()))
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -25,6 +25,15 @@
 	}}
 }
 
+// newSubmitClient returns a client for submissions, which wait for the leader and must
+// not keep other calls from their connections.
+func newSubmitClient(fresh bool) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxPeerConns, MaxConnsPerHost: maxSubmitConns, DisableKeepAlives: fresh,
+		DisableCompression: true, IdleConnTimeout: 30 * time.Second,
+	}}
+}
+
 // traceConnection returns a context for a call, and a flag that is set once the
 // call has a connection: before that nothing of the call has been sent.
 func traceConnection(ctx context.Context) (context.Context, *atomic.Bool) {
@@ -178,6 +187,7 @@
 		}
 	}
 	n.lastHeartbeat = latest
+	n.contact.heard(latest.epoch, now)
 	n.lookups.setDelegates(n.byNearness(m.GetDelegates()))
 	if l := n.leader.Load(); l == nil || l.epoch <= m.GetEpoch() {
 		n.leader.Store(&leaderInfo{epoch: m.GetEpoch(), peer: m.GetPeerAddress()})
--- a/internal/node/slow_log_test.go
+++ b/internal/node/slow_log_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,13 +37,13 @@
 	l.trouble, l.appends = trouble, nil
 }
 
-// sent returns the leader's appends since the last call of set that hold a submission.
+// sent returns the appends since the last call of set that hold a submission.
 func (l *troubledLog) sent() (out []Append) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, a := range l.appends {
 		for _, r := range a.Records {
-			if a.Writer != nil && jobs.SubmissionID(r) != "" {
+			if jobs.SubmissionID(r) != "" {
 				out = append(out, a)
 				break
 			}
@@ -70,18 +74,22 @@
 	return offset, err
 }
 
-// withTrouble starts an instance on a troubled log and waits until it leads.
-func withTrouble(t *testing.T) (*instance, *troubledLog) {
+// withTrouble starts instances on troubled logs and waits until the first one leads.
+func withTrouble(t *testing.T, names ...string) (instances []*instance, logs []*troubledLog) {
 	t.Helper()
-	var troubled *troubledLog
-	log := newMemoryLog()
+	log, manifest, workers := newMemoryLog(), &fixedManifest{version: 1}, newInstantWorkers()
 	log.wrap = func(l Log) Log {
-		troubled = &troubledLog{Log: l}
-		return troubled
+		logs = append(logs, &troubledLog{Log: l})
+		return logs[len(logs)-1]
 	}
-	in := startInstance(t, "n", log, &fixedManifest{version: 1}, newInstantWorkers())
-	waitFor(t, "the instance leads", func() bool { return in.Ready() && in.isLeader() })
-	return in, troubled
+	for i, name := range names {
+		config := DefaultConfig()
+		config.CPUShare = 1 / float64(1+i)
+		in := startInstanceWith(t, name, log, manifest, workers, config)
+		instances = append(instances, in)
+		waitFor(t, "the instance is ready and the first one leads", func() bool { return in.Ready() && instances[0].isLeader() })
+	}
+	return instances, logs
 }
 
 // Guards against a leader that gives its append up and repeats it while the log is
@@ -89,7 +97,8 @@
 // sends each append once. An append without a response is repeated as the same one.
 func TestSlowAppendIsSentOnce(t *testing.T) {
 	c := qt.New(t)
-	in, log := withTrouble(t)
+	instances, logs := withTrouble(t, "n")
+	in, log := instances[0], logs[0]
 	late := func(Append) appendTrouble { return appendTrouble{delay: 600 * time.Millisecond} }
 	log.set(late)
 	c.Assert(submitOne(in, "a000000000000001", job(1)), qt.Equals, code.OK)
@@ -103,3 +112,81 @@
 	c.Assert(log.sent(), qt.HasLen, 1)
 	c.Assert(in.isLeader(), qt.IsTrue)
 }
+
+// Guards against appends of all instances that take the log's time from the leader's
+// append: while heartbeats arrive, submissions wait for the leader.
+func TestSubmissionsWaitForLivingLeader(t *testing.T) {
+	c := qt.New(t)
+	instances, logs := withTrouble(t, "leader", "follower")
+	for _, l := range logs {
+		l.set(func(Append) appendTrouble { return appendTrouble{delay: 1300 * time.Millisecond} })
+	}
+	results := make(chan code.Code, 8)
+	for i := range cap(results) {
+		go func() { results <- submitOne(instances[1], jobs.ID(fmt.Sprintf("a%015d", i)), job(1)) }()
+	}
+	for range cap(results) {
+		c.Check(<-results, qt.Equals, code.OK)
+	}
+	c.Assert(logs[1].sent(), qt.HasLen, 0)
+}
+
+// silentProxy is a proxy of an address. The connections that are opened while silent
+// is above 0 receive nothing.
+type silentProxy struct {
+	listener net.Listener
+	silent   atomic.Int32
+}
+
+func newSilentProxy(t *testing.T, target func() string) *silentProxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	p := &silentProxy{listener: listener}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if p.silent.Load() > 0 {
+				p.silent.Add(-1)
+				go func() { _, _ = io.Copy(io.Discard, in) }()
+				continue
+			}
+			out, err := net.Dial("tcp", target())
+			if err != nil {
+				in.Close()
+				continue
+			}
+			for _, pair := range [][2]net.Conn{{in, out}, {out, in}} {
+				go func() {
+					_, _ = io.Copy(pair[0], pair[1])
+					pair[0].Close()
+				}()
+			}
+		}
+	}()
+	return p
+}
+
+// Guards against a submission that waits for a connection to a living leader which
+// stays silent for good.
+func TestSilentConnectionDoesNotHoldSubmission(t *testing.T) {
+	c := qt.New(t)
+	log, manifest, workers := newMemoryLog(), &fixedManifest{version: 1}, newInstantWorkers()
+	var leader *instance
+	proxy := newSilentProxy(t, func() string { return leader.config.PeerAddr })
+	config := DefaultConfig()
+	config.CPUShare, config.PeerAdvertisedAddr = 1, proxy.listener.Addr().String()
+	leader = startInstanceWith(t, "leader", log, manifest, workers, config)
+	waitFor(t, "the instance leads", func() bool { return leader.Ready() && leader.isLeader() })
+	follower := startInstance(t, "follower", log, manifest, workers)
+	waitFor(t, "the other instance is ready", follower.Ready)
+	proxy.silent.Store(1)
+	start := time.Now()
+	c.Assert(submitOne(follower, "a000000000000001", job(1)), qt.Equals, code.OK)
+	c.Assert(proxy.silent.Load(), qt.Equals, int32(0))
+	c.Assert(time.Since(start) >= peerTimeout, qt.IsTrue)
+	c.Assert(follower.isLeader(), qt.IsFalse)
+}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -365,6 +365,9 @@
 		// if the log has rejected it. No part of it is recorded; with Rejected,
 		// Started says whether tasks had been started.
 		TooLarge, Rejected, Started bool
+		// Unsent is set if the term has ended, or had not begun, and nothing of the
+		// request is in an append that was sent or has been started.
+		Unsent bool
 		// Full is set if there is no memory for the job now. No part of it is
 		// recorded.
 		Full bool
