Withdraw submissions that the log does not take in time

Cause: of 463 submissions during a slow log, 357 ended as RW5006 after 2.88 s, although most of them had neither been sent to the log nor started.

Change: the leader's planner withdraws a submission shortly before its caller's time is over, if it is in no append that was sent, no start of it was sent and no run or end of it is known. The leader reads the log before it answers: what another instance has recorded is accepted. Requests of an instance of the previous release (wait_ms 0) are never withdrawn. A leader whose term ends answers those that it has neither sent nor started as not run, and the instances try them again.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -56,6 +56,7 @@
 	Overloaded       Code = 2006
 	WaitTimeExceeded Code = 2007
 	JobMemoryFull    Code = 2008
+	LogSlow          Code = 2010
 
 	NoTarget        Code = 3001
 	TargetRefused   Code = 3002
@@ -123,6 +124,7 @@
 	Overloaded:       {Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, "the request was shed because of overload"},
 	WaitTimeExceeded: {WaitTimeExceeded, "wait_time_exceeded", http.StatusGatewayTimeout, NotRun, "the request waited in the queue until its deadline"},
 	JobMemoryFull:    {JobMemoryFull, "job_memory_full", http.StatusServiceUnavailable, NotRun, "accepted jobs take all the memory that an instance may use for them"},
+	LogSlow:          {LogSlow, "log_slow", http.StatusServiceUnavailable, NotRun, "the log did not take the submission while the caller waited"},
 
 	NoTarget:        {NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, "no target of the service is reachable"},
 	TargetRefused:   {TargetRefused, "target_refused", http.StatusServiceUnavailable, NotRun, "the target answered that it did not run the request"},
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -139,10 +139,16 @@
 	}
 }
 
-// submitLocal accepts a job as the leader.
-func (n *Node) submitLocal(ctx context.Context, id jobs.ID, encoded []byte) Result {
+// submitLocal accepts a job as the leader. The caller waits for the given time; 0 if
+// that is unknown.
+func (n *Node) submitLocal(ctx context.Context, id jobs.ID, encoded []byte, wait time.Duration) Result {
+	end := time.Now().Add(wait)
 	request := func(requestID uint64) planner.Event {
-		return planner.SubmitRequested{RequestID: requestID, ID: id, Encoded: encoded}
+		e := planner.SubmitRequested{RequestID: requestID, ID: id, Encoded: encoded}
+		if wait > 0 {
+			e.WaitMS = n.withdrawAfterMS(time.Until(end))
+		}
+		return e
 	}
 	reply, status := n.requestPlanner(ctx, request)
 	if status == code.OK && reply.Full {
@@ -159,6 +165,8 @@
 		return Result{Code: code.AcceptanceUnsure}
 	case reply.Unsent:
 		return Result{Code: code.OwnerUnknown}
+	case reply.Withdrawn:
+		return n.refuseWithdrawn(ctx, id)
 	case reply.Full && !reply.TooLarge:
 		return Result{Code: code.JobMemoryFull, RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond}
 	case reply.TooLarge:
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -180,6 +180,9 @@
 		return
 	}
 	n.log("term_ends", zap.Uint64("epoch", n.term.epoch), zap.String("reason", reason))
+	for _, requestID := range n.term.core.UnsentRequests() {
+		n.deliverReply(planner.Reply{RequestID: requestID, Unsent: true})
+	}
 	n.term.stop()
 	n.term = nil
 	n.lastHeartbeat.receivedMS = n.now().MS
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -15,7 +15,10 @@
 	accepted       tally.Counter
 	refused        tally.Counter
 	outcomeUnknown tally.Counter
-	logErrors      tally.Counter
+	// withdrawn counts the submissions that this instance refused as the leader,
+	// because the log had not taken them in time.
+	withdrawn tally.Counter
+	logErrors tally.Counter
 	// rejected counts rejected appends, notRecorded counts records that were
 	// permanently left out of the log.
 	rejected    tally.Counter
@@ -59,6 +62,7 @@
 		accepted:       scope.Counter("jobs_accepted"),
 		refused:        scope.Counter("jobs_refused"),
 		outcomeUnknown: scope.Counter("jobs_unsure"),
+		withdrawn:      scope.Counter("jobs_withdrawn"),
 		logErrors:      scope.Counter("log_errors"),
 		rejected:       scope.Counter("log_appends_rejected"),
 		notRecorded:    scope.Counter("log_records_given_up"),
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -49,7 +49,7 @@
 		case code.OwnerUnknown, code.LogUnavailable:
 			refusal.Code = result.Code
 		case code.AcceptanceUnsure:
-		case code.JobMemoryFull:
+		case code.JobMemoryFull, code.LogSlow:
 			if !s.unresolved {
 				return result
 			}
@@ -121,7 +121,7 @@
 		return Result{Code: code.OwnerUnknown}, false
 	}
 	if l.self {
-		result := n.submitLocal(ctx, s.id, s.encoded)
+		result := n.submitLocal(ctx, s.id, s.encoded, n.callerWait(ctx))
 		s.unresolved = s.unresolved || result.Code == code.AcceptanceUnsure
 		return result, true
 	}
@@ -196,7 +196,9 @@
 func (s *submission) callLeader(ctx context.Context, client *http.Client, l *leaderInfo) attempt {
 	ctx, sent := traceConnection(ctx)
 	response, err := nodev1connect.NewNodeServiceClient(client, "http://"+l.peer).
-		SubmitJob(ctx, connect.NewRequest(&nodev1.SubmitJobRequest{Id: string(s.id), Job: s.encoded}))
+		SubmitJob(ctx, connect.NewRequest(&nodev1.SubmitJobRequest{
+			Id: string(s.id), Job: s.encoded, WaitMs: uint32(s.n.callerWait(ctx).Milliseconds()),
+		}))
 	switch {
 	case err != nil && !sent.Load():
 		if ctx.Err() == nil {
--- a/internal/planner/config_faults_test.go
+++ b/internal/planner/config_faults_test.go
@@ -206,7 +206,7 @@
 // faultFreeSince returns the time since which the log is up, the worker is
 // reachable and listed, and only one leader sends commands.
 func (sim *simulation) faultFreeSince(f *fakeWorker) int64 {
-	return max(f.downUntil, f.cutOffUntil, f.unlistedUntil, sim.logDownUntil, sim.cutEndMS, sim.leader.sinceMS+deposedLeaderRunMS, sim.lateEndMS())
+	return max(f.downUntil, f.cutOffUntil, f.unlistedUntil, sim.logDownUntil, sim.slowLogUntil+sim.slowLogMS, sim.cutEndMS, sim.leader.sinceMS+deposedLeaderRunMS, sim.lateEndMS())
 }
 
 // checkAcks checks that the ends that a worker lists are acknowledged within
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -141,6 +141,8 @@
 	// verifyIncarnation: no end is acknowledged to a worker that may have
 	// restarted since its last report.
 	verifyIncarnation bool
+	// withdrawUntouched: only a submission of which nothing was started is withdrawn.
+	withdrawUntouched bool
 	// recordWorkers: nothing starts on a worker whose address is not recorded.
 	recordWorkers bool
 }
@@ -299,6 +301,7 @@
 }
 
 func (c *Core) tick() {
+	c.withdrawDue()
 	c.checkLeadership()
 	if c.deposed {
 		return
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -37,6 +37,9 @@
 	submitRequests []uint64
 	cancelRequests []uint64
 	encoded        []byte
+	// withdrawMS is when a submission that is not recorded is withdrawn if nothing of
+	// it has been sent or started; 0: never.
+	withdrawMS int64
 	// inherited is set for a job whose tasks a predecessor may have started.
 	inherited bool
 	// source, earlyEnds and orphans say how the leader learned of the job and how
@@ -156,6 +159,7 @@
 		return
 	}
 	if j := c.jobs[e.ID]; j != nil {
+		c.noteWait(j, e.WaitMS)
 		j.submitRequests = append(j.submitRequests, e.RequestID)
 		return
 	}
@@ -175,6 +179,7 @@
 	}
 	j := c.newJob(e.ID, spec, jobs.NewProgress(spec), !c.reconciled)
 	j.source = sourceSubmission
+	c.noteWait(j, e.WaitMS)
 	j.submitRequests = []uint64{e.RequestID}
 	j.encoded = e.Encoded
 	c.noteUnrecorded(j)
@@ -424,13 +429,18 @@
 	c.markDirty(j)
 	c.schedules.remove(j)
 	c.emit(Decision{Event: "job_ended", Job: j.id, Reason: reason, AgeMS: c.now.MS - j.arrivedMS})
+	c.endTasks(j, "job ended")
+}
+
+// endTasks lets no task of a final job start again and stops its active runs.
+func (c *Core) endTasks(j *job, reason string) {
 	for s := range j.steps() {
 		s.pending = nil
 		for i := range s.tasks {
 			t := &s.tasks[i]
 			t.waiting = false
 			for _, r := range t.runs {
-				c.stopRun(r, "job ended")
+				c.stopRun(r, reason)
 			}
 		}
 	}
--- a/internal/planner/journal.go
+++ b/internal/planner/journal.go
@@ -268,6 +268,10 @@
 func (c *Core) jobRecorded(j *job) {
 	if !j.recorded {
 		j.recorded = true
+		if j.withdrawMS > 0 {
+			// Its starts may have been paused.
+			c.placementDue = true
+		}
 		c.emitState(j)
 		j.encoded = nil
 		c.noteRecorded(j)
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -62,7 +62,7 @@
 	})
 	kept := c.ready[:0]
 	for i, s := range c.ready {
-		if !s.job.state.Final() && len(s.pending) > 0 && c.considered(s, i) {
+		if !s.job.state.Final() && len(s.pending) > 0 && c.considered(s, i) && !c.startsPaused(s.job) {
 			c.placeStep(s)
 		}
 		if !s.job.state.Final() && len(s.pending) > 0 {
--- a/internal/planner/random_takeover_test.go
+++ b/internal/planner/random_takeover_test.go
@@ -128,6 +128,7 @@
 	if s.recorded {
 		return
 	}
+	s.recordedDirectly = true
 	if sim.now < sim.logDownUntil {
 		sim.at(100, func() { sim.recordDirectly(id) })
 		return
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -196,7 +196,7 @@
 		*seedCount = min(*seedCount, 15)
 	}
 	for i := range *seedCount {
-		sim := runSeed(*firstSeed+uint64(i), nil)
+		sim := runSeed(*firstSeed+uint64(i), (*simulation).limitWaits)
 		starts += sim.starts
 		c.Assert(sim.violations, qt.HasLen, 0)
 	}
--- a/internal/planner/simulation_checks_test.go
+++ b/internal/planner/simulation_checks_test.go
@@ -60,6 +60,9 @@
 			}
 		}
 	}
+	if sub.mustNotRun() {
+		sim.violate("REFUSED", "%s starts after its submission was withdrawn", s.Task)
+	}
 	if sub.cancelled > 0 && sim.now-sub.cancelled > 3000 && s.Token>>tokenShift == sim.epoch {
 		sim.violate("UNASKED", "%s starts %d ms after its cancellation", s.Task, sim.now-sub.cancelled)
 	}
--- a/internal/planner/simulation_test.go
+++ b/internal/planner/simulation_test.go
@@ -72,6 +72,12 @@
 	plannerTime time.Duration
 	// logDownUntil is the time until which appends get no response.
 	logDownUntil int64
+	// waitRNG chooses how long callers wait; nil without limit.
+	waitRNG *rand.Rand
+	// withdrawals counts the submissions that were withdrawn.
+	withdrawals int
+	// slowLogUntil is the time until which writes take slowLogMS longer.
+	slowLogUntil, slowLogMS int64
 	// dropSubmissions makes the log drop submissions that it has confirmed.
 	dropSubmissions bool
 	// startedAt holds the starts of each task.
@@ -95,6 +101,10 @@
 	accepted  bool
 	cancelled int64
 	recorded  bool
+	// sent counts the submissions, withdrawn those that were withdrawn.
+	sent, withdrawn int
+	// recordedDirectly is set once another instance may record the submission.
+	recordedDirectly bool
 	// submitOnce is set if the caller does not repeat the submission.
 	submitOnce bool
 	// cancelSent and cancelDone are set once a cancellation has been sent and
@@ -384,7 +394,11 @@
 // write appends records under the leader's epoch; a deposed leader's write is
 // rejected.
 func (sim *simulation) write(l *leader, e Write) {
-	sim.at(sim.latency()+4, func() {
+	delay := sim.latency() + 4
+	if sim.now < sim.slowLogUntil {
+		delay += sim.slowLogMS
+	}
+	sim.at(delay, func() {
 		switch {
 		case sim.now < sim.logDownUntil:
 			sim.at(100, func() { sim.write(l, e) })
@@ -398,6 +412,9 @@
 		for _, r := range e.Records {
 			if id := jobs.SubmissionID(r); id != "" {
 				sim.jobs[id].recorded = true
+				if sim.jobs[id].mustNotRun() {
+					sim.violate("REFUSED", "%s is recorded after it was withdrawn", id)
+				}
 			}
 		}
 		sim.inLoop(l, func() {
@@ -434,7 +451,8 @@
 		sim.violate("TEST", "%v", err)
 		return
 	}
-	sim.step(sim.leader, SubmitRequested{RequestID: sim.lastRequestID, ID: id, Encoded: encoded})
+	s.sent++
+	sim.step(sim.leader, SubmitRequested{RequestID: sim.lastRequestID, ID: id, Encoded: encoded, WaitMS: sim.waitMS()})
 }
 
 func (sim *simulation) cancel(id jobs.ID) {
@@ -457,6 +475,9 @@
 			sim.violate("LOST", "%s is accepted before it is in the log", id)
 		}
 	}
+	if id, ok := sim.submitRequests[r.RequestID]; ok && r.Withdrawn {
+		sim.noteWithdrawn(id)
+	}
 	if id, ok := sim.cancelRequests[r.RequestID]; ok {
 		sim.handleCancelReply(sim.jobs[id], r)
 	}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -90,6 +90,9 @@
 		RequestID uint64
 		ID        jobs.ID
 		Encoded   []byte
+		// WaitMS is the time after which the submission is withdrawn if nothing of it
+		// has been sent or started; 0: never.
+		WaitMS int64
 	}
 	// CancelRequested requests the cancellation of a job. Reply carries its
 	// RequestID.
@@ -368,6 +371,9 @@
 		// Unsent is set if the term has ended, or had not begun, and nothing of the
 		// request is in an append that was sent or has been started.
 		Unsent bool
+		// Withdrawn is set if the log has not taken the submission in time. Nothing of
+		// it has been sent or started.
+		Withdrawn bool
 		// Full is set if there is no memory for the job now. No part of it is
 		// recorded.
 		Full bool
--- a/internal/planner/write.go
+++ b/internal/planner/write.go
@@ -89,13 +89,8 @@
 		c.emit(Reply{RequestID: requestID, Rejected: true, Started: j.startSent || j.started})
 	}
 	c.refuseCancellations(j)
+	c.removeDirty(j)
 	jnl := &c.journal
-	if i := slices.Index(jnl.dirty, j); i >= 0 {
-		jnl.dirty = slices.Delete(jnl.dirty, i, i+1)
-		if i < jnl.nextAcks.dirty {
-			jnl.nextAcks.dirty--
-		}
-	}
 	jnl.inFlightJobs = slices.DeleteFunc(jnl.inFlightJobs, func(other *job) bool { return other == j })
 	// A progress record may follow its submission in the same write.
 	jnl.remaining = slices.DeleteFunc(jnl.remaining, func(r jobs.Record) bool { return jobs.ProgressID(r) == j.id })
