Refuse submissions that a busy event loop has not taken

A submission that waits for the event loop when its caller's time ends is taken back and answered 503 with a Retry-After instead of 504: it has been neither sent nor started.

--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -102,10 +103,15 @@
 }
 
 // requestPlanner posts the event for a new request ID to the planner and waits
-// for its reply.
+// for its reply. A request that the event loop has not taken when ctx ends is taken
+// back.
 func (n *Node) requestPlanner(ctx context.Context, event func(requestID uint64) planner.Event) (planner.Reply, code.Code) {
 	result := make(chan planner.Reply, 1)
+	var taken atomic.Bool
 	posted := n.post(ctx, dutyRequests, func() {
+		if !taken.CompareAndSwap(false, true) {
+			return
+		}
 		if n.term == nil {
 			result <- planner.Reply{Unsent: true}
 			return
@@ -116,7 +122,7 @@
 		n.step(event(requestID))
 	})
 	if !posted {
-		return planner.Reply{}, code.AcceptanceUnsure
+		return planner.Reply{Unsent: true}, code.OK
 	}
 	select {
 	case reply, ok := <-result:
@@ -125,6 +131,9 @@
 		}
 		return reply, code.OK
 	case <-ctx.Done():
+		if taken.CompareAndSwap(false, true) {
+			return planner.Reply{Unsent: true}, code.OK
+		}
 		return planner.Reply{}, code.AcceptanceUnsure
 	}
 }
--- a/internal/node/submit_test.go
+++ b/internal/node/submit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"redwingvale/internal/code"
 	"redwingvale/internal/jobs"
+	"redwingvale/internal/telemetry"
 )
 
 // Guards against an unknown outcome for a submission that was never sent: callers
@@ -30,6 +32,22 @@
 	c.Assert(got.RetryAfter > 0, qt.IsTrue)
 }
 
+// Guards against an unknown outcome of a submission that a busy leader has not looked
+// at, and against one that it takes later although it was refused.
+func TestSubmissionBehindBusyLoopIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	n := New(DefaultConfig(), Deps{}, telemetry.New("rwnode", "a", io.Discard))
+	t.Cleanup(n.tele.Close)
+	n.leader.Store(&leaderInfo{epoch: 1, self: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	got := n.Submit(ctx, "0000000000000001", job(1))
+	c.Assert(got, qt.Equals, Result{Code: code.OwnerUnknown, RetryAfter: retryAfter})
+	event := <-n.ring.Receive()
+	event.run()
+	c.Assert(n.replies, qt.HasLen, 0)
+}
+
 // Guards against work that is accepted beyond an instance's memory, through the leader
 // or past it: the refusal is certain, and a repeated submission of a recorded job is
 // still accepted.
