Count a member's turn to claim from the log's first fast read

Cause: with a log that was slow for all and failed no read, the turns of all members had passed long before it served again, and 30 members claimed at once.

Change: a member regards the leader as cut off from the log only once the log has served it without delay for logRecoveryDelay and its turn; a slow or failed read starts the count anew. A leader whose append succeeds in that time is kept.

TestClaimsAreStaggeredAfterSlowLog: three members are due one after the other.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -226,10 +226,10 @@
 	// logReadLimit is the duration of a read from which on the log counts as
 	// slow; a normal read takes some 10 ms.
 	logReadLimit = 120 * time.Millisecond
-	// logRecoveryDelay is how long the log must serve an instance after an
-	// outage before the instance regards the leader as cut off from the log: in
-	// this time the leader retries its append and reports the success in a
-	// heartbeat.
+	// logRecoveryDelay is how long the log must serve an instance without delay,
+	// after it was down or slow, before the instance regards the leader as cut off
+	// from the log: in this time the leader retries its append and reports the
+	// success in a heartbeat.
 	logRecoveryDelay = longestAppendTimeout + retryPause + 2*heartbeatInterval
 	// followInterval is the pause between a follower's reads of the log.
 	followInterval = time.Second
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -110,7 +110,7 @@
 		decision.due, decision.reason = true, "leader unresponsive"
 	case handOverDue && n.lastHeartbeat.stopping:
 		decision.due, decision.confirm, decision.reason = true, false, "leader stopping"
-	case handOverDue && !n.lastHeartbeat.logAvailable && n.logResponsive() && now-n.logServingSinceMS.Load() >= milliseconds(logRecoveryDelay)+stagger:
+	case handOverDue && !n.lastHeartbeat.logAvailable && n.logResponsive() && now-n.logResponsiveSinceMS.Load() >= milliseconds(logRecoveryDelay)+stagger:
 		// This instance can access the log; the leader cannot.
 		decision.due, decision.confirm, decision.reason = true, false, "leader cut off from the log"
 	}
@@ -132,7 +132,7 @@
 // no better off.
 func (n *Node) logResponsive() bool {
 	readMS := n.lastLogReadMS.Load()
-	return readMS > 0 && n.now().MS-readMS < milliseconds(2*followInterval) && n.logReadDurationMS.Load() < milliseconds(logReadLimit)
+	return readMS > 0 && n.now().MS-readMS < milliseconds(2*followInterval) && n.logResponsiveSinceMS.Load() > 0
 }
 
 // peersSeeLeader queries the members that get the most frequent heartbeats and
--- a/internal/node/election_test.go
+++ b/internal/node/election_test.go
@@ -74,6 +74,7 @@
 			n.lastHeartbeat.replaceableSinceMS = now - cutOffMS
 		}
 		n.lastLogReadMS.Store(now)
+		n.logResponsiveSinceMS.Store(now - 60_000)
 		return n.evaluateElection().due
 	}
 	count := func(cutOffMS, silentMS int64) (total int) {
@@ -105,7 +106,7 @@
 		now := n.now().MS
 		n.lastHeartbeat.receivedMS, n.lastHeartbeat.logAvailable, n.lastHeartbeat.replaceableSinceMS = now-100, false, now-4000
 		n.lastLogReadMS.Store(now)
-		n.logServingSinceMS.Store(now - recoveredMS)
+		n.logResponsiveSinceMS.Store(now - recoveredMS)
 		return n.evaluateElection().due
 	}
 	// An append that the leader sent just before the log recovered times out
@@ -122,6 +123,34 @@
 	c.Check(due("weak", logRecoveryDelay.Milliseconds()+300), qt.IsTrue)
 }
 
+// Guards against claims of all members at once when a log that was slow for all, and
+// failed no read, serves again: the leader has reported for long that its append is
+// late, and each member counts its turn from the first fast read.
+func TestClaimsAreStaggeredAfterSlowLog(t *testing.T) {
+	c := qt.New(t)
+	milliCPU := map[string]int{"leader": 800, "first": 800, "second": 400, "third": 110}
+	due := func(self string, fastMS int64) bool {
+		n := newElectionNode(t, self, milliCPU, nil)
+		now := n.now().MS
+		n.lastHeartbeat.receivedMS, n.lastHeartbeat.logAvailable, n.lastHeartbeat.replaceableSinceMS = now-100, false, now-6000
+		n.lastLogReadMS.Store(now)
+		for ago := int64(30_000); ago > fastMS; ago -= 1000 {
+			n.noteReadDuration(now-ago-400, now-ago)
+		}
+		c.Check(n.logResponsive(), qt.IsFalse)
+		for ago := fastMS; ago > 0; ago -= 500 {
+			n.noteReadDuration(now-ago-10, now-ago)
+		}
+		c.Check(n.logResponsive(), qt.IsTrue)
+		return n.evaluateElection().due
+	}
+	for i, self := range []string{"first", "second", "third"} {
+		turn := milliseconds(logRecoveryDelay) + int64(i)*milliseconds(electionStagger)
+		c.Check(due(self, turn-60), qt.IsFalse, qt.Commentf("%s", self))
+		c.Check(due(self, turn+60), qt.IsTrue, qt.Commentf("%s", self))
+	}
+}
+
 // Guards against a succession of claims after a restart of all instances: a
 // claimant that is still reading the workers' entries has not failed. Once its
 // grace period is over, the claims of the other members are still staggered.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -224,18 +224,28 @@
 	if err == nil {
 		now := n.now().MS
 		if n.lastLogReadMS.Load() == 0 {
-			n.logServingSinceMS.Store(now)
 			n.log("log_reached")
 		}
 		n.lastLogReadMS.Store(now)
 		return
 	}
+	n.logResponsiveSinceMS.Store(0)
 	n.stats.logErrors.Inc(1)
 	if n.lastLogReadMS.Swap(0) != 0 {
 		n.tele.Log.Warn("log_lost", telemetry.ErrorFields(err)...)
 	}
 }
 
+// noteReadDuration notes how long a read of the log took that was answered.
+func (n *Node) noteReadDuration(sentMS, answeredMS int64) {
+	n.logReadDurationMS.Store(answeredMS - sentMS)
+	if answeredMS-sentMS >= milliseconds(logReadLimit) {
+		n.logResponsiveSinceMS.Store(0)
+		return
+	}
+	n.logResponsiveSinceMS.CompareAndSwap(0, answeredMS)
+}
+
 // loadLog reads the newest record of each key and the records that follow. A
 // listing that ends before the offset that has been applied is discarded: its
 // records may be older than the state.
@@ -290,7 +300,7 @@
 		if err != nil {
 			return 0, err
 		}
-		n.logReadDurationMS.Store(n.now().MS - startMS)
+		n.noteReadDuration(startMS, n.now().MS)
 		end, err := runInLoop(ctx, n, dutyLog, func() int64 {
 			if changed := n.apply(batch); len(changed) > 0 {
 				n.step(planner.RecordsRead{Jobs: changed})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,8 +50,9 @@
 	// lastLogReadMS is when the log was last read, on the clock of now; 0 if the
 	// last read failed.
 	lastLogReadMS atomic.Int64
-	// logServingSinceMS is the time since which no read of the log has failed.
-	logServingSinceMS atomic.Int64
+	// logResponsiveSinceMS is the time since which the log has served each read
+	// without delay; 0 if the last read failed or took too long.
+	logResponsiveSinceMS atomic.Int64
 	// logReadDurationMS is how long the last read of the log took.
 	logReadDurationMS atomic.Int64
 
