Answer all requests of a stopping instance within its grace time

From grace_s less 1 s on, a stopping instance answers every request that has no outcome: 504 if it may have been stored, otherwise 503. A body that has not arrived by then is answered RW2005. Submissions that it passes on name the shorter time, so that the leader refuses them before.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -253,6 +253,9 @@
 	// drainDelay lets the load balancer detect that the instance is not ready:
 	// two failed probes, at one probe per second.
 	drainDelay = 2500 * time.Millisecond
+	// answerMargin is how long before the end of the grace period a stopping instance
+	// answers the requests that have no outcome.
+	answerMargin = time.Second
 	// graceMargin is how long before the end of the grace period the last
 	// requests are interrupted.
 	graceMargin = 500 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,11 @@
 	// submitHTTP is the client for submissions to the leader, submitFreshHTTP the
 	// same with a new connection for each call.
 	submitHTTP, submitFreshHTTP *http.Client
+	// requestsCtx ends when a stopping instance has to answer the callers' requests,
+	// at requestsEndMS, which is 0 before.
+	requestsCtx   context.Context
+	endRequests   context.CancelFunc
+	requestsEndMS atomic.Int64
 	// direct appends records without the leader.
 	direct *directAppender
 	// contact holds the signs of life of the leader.
@@ -185,6 +190,7 @@
 		startedUnixMS: time.Now().UnixMilli(),
 	}
 	n.direct = n.newDirectAppender()
+	n.requestsCtx, n.endRequests = context.WithCancel(context.Background())
 	n.load.reportedMS = n.now().MS
 	n.jobLimit.Store(maxJobBytes(int(config.MemoryMB)))
 	n.stats.jobBytesLimit.Update(float64(n.jobLimit.Load()))
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -209,6 +209,10 @@
 }
 
 func (s *peerServer) SubmitJob(ctx context.Context, r *connect.Request[nodev1.SubmitJobRequest]) (*connect.Response[nodev1.SubmitJobResponse], error) {
+	// A leader that is stopping answers in time, too.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.n.requestsCtx, cancel)()
 	wait := time.Duration(r.Msg.GetWaitMs()) * time.Millisecond
 	result := s.n.submitLocal(ctx, jobs.ID(r.Msg.GetId()), r.Msg.GetJob(), wait)
 	return connect.NewResponse(&nodev1.SubmitJobResponse{Code: uint32(result.Code), RetryAfterMs: uint32(result.RetryAfter.Milliseconds())}), nil
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -66,6 +66,7 @@
 		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
 		if i == 0 {
 			server.Handler, server.ConnState = n.closeAfterResponse(e.handler), callers.trackState
+			server.BaseContext = func(net.Listener) context.Context { return n.requestsCtx }
 		}
 		servers = append(servers, server)
 		group.Go(func() error {
@@ -101,12 +102,15 @@
 	start := time.Now()
 	n.stopping.Store(true)
 	n.log("draining")
+	grace := time.Duration(n.config.Bounds.GraceS * float64(time.Second))
+	n.requestsEndMS.Store(n.now().MS + milliseconds(max(grace-answerMargin, 0)))
+	end := time.AfterFunc(grace-answerMargin, n.endRequests)
+	defer end.Stop()
 	for n.isLeader() && time.Since(start) < handOverTimeout {
 		time.Sleep(tickInterval)
 	}
 	time.Sleep(drainDelay - min(time.Since(start), drainDelay))
-	grace := time.Duration(n.config.Bounds.GraceS*float64(time.Second)) - graceMargin
-	ctx, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(start), graceMargin))
+	ctx, cancel := context.WithTimeout(context.Background(), max(grace-graceMargin-time.Since(start), graceMargin))
 	defer cancel()
 	callers.closeIdle(ctx)
 	// The callers' server is the first in the list; the others are closed after
--- a/internal/node/withdraw.go
+++ b/internal/node/withdraw.go
@@ -29,10 +29,16 @@
 // not limited. An instance that is stopping answers at the end of its grace time.
 func (n *Node) callerWait(ctx context.Context) time.Duration {
 	deadline, limited := ctx.Deadline()
+	wait := time.Until(deadline)
+	if endMS := n.requestsEndMS.Load(); endMS > 0 {
+		if left := millisecondsDuration(endMS - n.now().MS); !limited || left < wait {
+			wait, limited = left, true
+		}
+	}
 	if !limited {
 		return 0
 	}
-	return max(time.Until(deadline), time.Millisecond)
+	return max(wait, time.Millisecond)
 }
 
 // withdrawAfterMS returns the time after which the planner withdraws a submission
