Let restarted members take over from a leader that is stopping

Cause: in a rolling restart in the opposite order of the instances' start, the first successor was the member that restarts next. When it did, 2 s later, no restarted member was back yet, and leadership went to a third one.

Change: if the leader changed within 30 s, members that have not restarted since wait 1.5 s longer before they take over from a leader that is stopping. It leads meanwhile.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -250,6 +250,12 @@
 	// handOverTimeout is how long a stopping leader continues to lead until a
 	// successor takes over.
 	handOverTimeout = 1500 * time.Millisecond
+	// returnWait is how long members that have not restarted leave a leader that is
+	// stopping to those that have, if the leader changed within rollingWindow. It is
+	// shorter than drainDelay, in which the leader continues to lead. A restart takes
+	// some 3 s, and the next one begins 2 s later.
+	returnWait    = 1500 * time.Millisecond
+	rollingWindow = 30 * time.Second
 	// drainDelay lets the load balancer detect that the instance is not ready:
 	// two failed probes, at one probe per second.
 	drainDelay = 2500 * time.Millisecond
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -80,7 +80,8 @@
 func (n *Node) evaluateElection() election {
 	decision := election{epoch: n.claim.Epoch, confirm: true}
 	rank := 0
-	for i, m := range n.candidates(n.claim.Instance) {
+	candidates := n.candidates(n.claim.Instance)
+	for i, m := range candidates {
 		switch {
 		case m.name == n.config.Instance:
 			rank = i
@@ -108,7 +109,7 @@
 		decision.due, decision.confirm, decision.reason = now-n.startedMS >= milliseconds(firstClaimDelay)+stagger, false, "first start"
 	case now-lastSeenMS > limit+stagger:
 		decision.due, decision.reason = true, "leader unresponsive"
-	case handOverDue && n.lastHeartbeat.stopping:
+	case handOverDue && n.lastHeartbeat.stopping && now-n.lastHeartbeat.replaceableSinceMS >= stagger+n.handOverWait(candidates[:min(rank+1, len(candidates))]):
 		decision.due, decision.confirm, decision.reason = true, false, "leader stopping"
 	case handOverDue && !n.lastHeartbeat.logAvailable && n.logResponsive() && now-n.logResponsiveSinceMS.Load() >= milliseconds(logRecoveryDelay)+stagger:
 		// This instance can access the log; the leader cannot.
@@ -117,6 +118,26 @@
 	return decision
 }
 
+// handOverWait returns how long a member waits longer than its turn before it takes
+// over from a leader that is stopping. If the leader has changed a short time ago, the
+// instances are probably being restarted one after the other. A member that has not
+// restarted since may be the next, so it lets those that are about to return go
+// first. candidates are the members whose turn comes before this one's, and this one.
+// It runs in the event loop.
+func (n *Node) handOverWait(candidates []candidate) int64 {
+	now := n.now()
+	if n.claimReadMS == 0 || now.MS-n.claimReadMS > milliseconds(rollingWindow) {
+		return 0
+	}
+	changedUnixMS := now.UnixMS - (now.MS - n.claimReadMS)
+	for _, m := range candidates {
+		if m.StartedMS < changedUnixMS {
+			return milliseconds(returnWait)
+		}
+	}
+	return 0
+}
+
 // leaderLastSeenMS returns when the leader was last known to be running. A
 // claimant counts as running until its first heartbeat is due. It runs in the
 // event loop.
