Find a lost leader as soon as a connection to it breaks

A leader that reports that the log does not serve it counts as gone for an instance that the log serves.

--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -20,18 +20,40 @@
 	// of CheckLeader.
 	failedMS int64
 	checking bool
+	// cutOff is set while the leader reports that the log does not serve it.
+	cutOff bool
 }
 
-// heard notes a sign of life of the leader of an epoch.
-func (c *leaderContact) heard(epoch uint64, atMS int64) {
+// heard notes a heartbeat of the leader of an epoch.
+func (c *leaderContact) heard(epoch uint64, logAvailable bool, atMS int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(epoch, atMS)
 	if epoch == c.epoch {
-		c.heardMS = max(c.heardMS, atMS)
+		c.heardMS, c.cutOff = max(c.heardMS, atMS), !logAvailable
 	}
 }
 
+// isCutOff reports whether the leader of an epoch reports that the log does not serve it.
+func (c *leaderContact) isCutOff(epoch uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return epoch == c.epoch && c.cutOff
+}
+
+// beginCheck reports whether the leader of an epoch is to be called now: nobody else
+// does.
+func (c *leaderContact) beginCheck(epoch uint64, nowMS int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(epoch, nowMS)
+	if epoch != c.epoch || c.checking {
+		return false
+	}
+	c.checking = true
+	return true
+}
+
 // unreachable notes that no connection to the leader of an epoch could be made.
 func (c *leaderContact) unreachable(epoch uint64, atMS int64) {
 	c.mu.Lock()
@@ -46,7 +68,7 @@
 // becomes known. The caller holds the lock.
 func (c *leaderContact) advance(epoch uint64, atMS int64) {
 	if epoch > c.epoch {
-		c.epoch, c.heardMS, c.failedMS = epoch, atMS, 0
+		c.epoch, c.heardMS, c.failedMS, c.cutOff = epoch, atMS, 0, false
 	}
 }
 
@@ -81,13 +103,16 @@
 
 // leaderAlive reports whether a leader is alive: a heartbeat of it has been received
 // within the election timeout, and it has not been unreachable since. Members that
-// are not standbys get fewer heartbeats, so without one the leader is called.
+// are not standbys get fewer heartbeats, so without one the leader is called. A leader
+// that the log does not serve counts as gone for an instance that the log serves.
 func (n *Node) leaderAlive(l *leaderInfo) bool {
 	switch {
 	case l == nil:
 		return false
 	case l.self:
 		return true
+	case n.contact.isCutOff(l.epoch) && n.logResponsive():
+		return false
 	}
 	alive, check := n.contact.state(l.epoch, n.now().MS)
 	if check {
@@ -96,6 +121,14 @@
 	return alive
 }
 
+// suspectLeader finds out whether the leader still runs, after a connection to it has
+// broken.
+func (n *Node) suspectLeader(l *leaderInfo) {
+	if n.contact.beginCheck(l.epoch, n.now().MS) {
+		n.checkContact(l)
+	}
+}
+
 // checkContact calls the leader to find out whether it leads.
 func (n *Node) checkContact(l *leaderInfo) {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -206,6 +206,9 @@
 		}
 		return attempt{Result: Result{Code: code.OwnerUnknown}}
 	case err != nil:
+		if ctx.Err() == nil {
+			s.n.suspectLeader(l)
+		}
 		return attempt{Result: Result{Code: code.AcceptanceUnsure}, sent: true}
 	}
 	result := Result{
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -19,6 +19,7 @@
 var scenarios = map[string]func(*run, context.Context, *rand.Rand){
 	"join-without-record": (*run).joinWithoutRecord,
 	"full-memory":         (*run).fillMemory,
+	"leader-loss":         (*run).loseLeaders,
 }
 
 // Scenarios returns the names of the scenarios.
