--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -57,6 +57,7 @@
 	WaitTimeExceeded Code = 2007
 	JobMemoryFull    Code = 2008
 	OverloadedQueue  Code = 2009
+	LogSlow          Code = 2010
 
 	NoTarget        Code = 3001
 	TargetRefused   Code = 3002
@@ -125,6 +126,7 @@
 	WaitTimeExceeded: {WaitTimeExceeded, "wait_time_exceeded", http.StatusGatewayTimeout, NotRun, "the request waited in the queue until its deadline"},
 	JobMemoryFull:    {JobMemoryFull, "job_memory_full", http.StatusServiceUnavailable, NotRun, "accepted jobs take all the memory that an instance may use for them"},
 	OverloadedQueue:  {OverloadedQueue, "overloaded_queue", http.StatusServiceUnavailable, NotRun, "there is no capacity for the job in time; repeat after Retry-After"},
+	LogSlow:          {LogSlow, "log_slow", http.StatusServiceUnavailable, NotRun, "the log did not take the submission while the caller waited"},
 
 	NoTarget:        {NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, "no target of the service is reachable"},
 	TargetRefused:   {TargetRefused, "target_refused", http.StatusServiceUnavailable, NotRun, "the target answered that it did not run the request"},
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -244,11 +244,6 @@
 	claimGracePeriod = 3 * time.Second
 	// checkLeaderTimeout limits the query whether peers see the leader.
 	checkLeaderTimeout = 200 * time.Millisecond
-	// firstAppendTimeout limits the first attempt of an append, which takes some
-	// 15 ms, and appendTimeout the further ones, for a log that is slow. An
-	// append is retried with the same sequence number.
-	firstAppendTimeout = 350 * time.Millisecond
-	appendTimeout      = 900 * time.Millisecond
 	// unconfirmedWriteLimit is how long a write of the leader may stay
 	// unconfirmed before other instances may take over, if the log serves them:
 	// three lost responses in a row. refusedWriteLimit is the same for writes
@@ -258,11 +253,11 @@
 	// logReadLimit is the duration of a read from which on the log counts as
 	// slow; a normal read takes some 10 ms.
 	logReadLimit = 120 * time.Millisecond
-	// logRecoveryDelay is how long the log must serve an instance after an
-	// outage before the instance regards the leader as cut off from the log: in
-	// this time the leader retries its append and reports the success in a
-	// heartbeat.
-	logRecoveryDelay = appendTimeout + retryPause + 2*heartbeatInterval
+	// logRecoveryDelay is how long the log must serve an instance without delay,
+	// after it was down or slow, before the instance regards the leader as cut off
+	// from the log: in this time the leader retries its append and reports the
+	// success in a heartbeat.
+	logRecoveryDelay = longestAppendTimeout + retryPause + 2*heartbeatInterval
 	// followInterval is the pause between a follower's reads of the log.
 	followInterval = time.Second
 	// leaderReadInterval is the pause between the leader's reads of the log, for
@@ -282,9 +277,18 @@
 	// handOverTimeout is how long a stopping leader continues to lead until a
 	// successor takes over.
 	handOverTimeout = 1500 * time.Millisecond
+	// returnWait is how long members that have not restarted leave a leader that is
+	// stopping to those that have, if the leader changed within rollingWindow. It is
+	// shorter than drainDelay, in which the leader continues to lead. A restart takes
+	// some 3 s, and the next one begins 2 s later.
+	returnWait    = 1500 * time.Millisecond
+	rollingWindow = 30 * time.Second
 	// drainDelay lets the load balancer detect that the instance is not ready:
 	// two failed probes, at one probe per second.
 	drainDelay = 2500 * time.Millisecond
+	// answerMargin is how long before the end of the grace period a stopping instance
+	// answers the requests that have no outcome.
+	answerMargin = time.Second
 	// graceMargin is how long before the end of the grace period the last
 	// requests are interrupted.
 	graceMargin = 500 * time.Millisecond
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -104,7 +104,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		return in.submitLocal(ctx, id, encoded).Code == 0
+		return in.submitLocal(ctx, id, encoded, 0).Code == 0
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,18 @@
 	clock    *clock
 	ring     *ring.Ring[loopEvent]
 	peerHTTP *http.Client
+	// submitHTTP is the client for submissions to the leader, submitFreshHTTP the
+	// same with a new connection for each call.
+	submitHTTP, submitFreshHTTP *http.Client
+	// requestsCtx ends when a stopping instance has to answer the callers' requests,
+	// at requestsEndMS, which is 0 before.
+	requestsCtx   context.Context
+	endRequests   context.CancelFunc
+	requestsEndMS atomic.Int64
+	// direct appends records without the leader.
+	direct *directAppender
+	// contact holds the signs of life of the leader.
+	contact leaderContact
 
 	// routing is read by the request path without the event loop.
 	routing atomic.Pointer[routingTable]
@@ -51,11 +63,15 @@
 	// lastLogReadMS is when the log was last read, on the clock of now; 0 if the
 	// last read failed.
 	lastLogReadMS atomic.Int64
-	// logServingSinceMS is the time since which no read of the log has failed.
-	logServingSinceMS atomic.Int64
+	// logResponsiveSinceMS is the time since which the log has served each read
+	// without delay; 0 if the last read failed or took too long.
+	logResponsiveSinceMS atomic.Int64
 	// logReadDurationMS is how long the last read of the log took.
 	logReadDurationMS atomic.Int64
 
+	// appendTimer determines the time limits of the leader's appends.
+	appendTimer appendTimer
+
 	// logEvidenceMS is the latest time at which the log is known to have held no
 	// newer claim than this instance has read.
 	logEvidenceMS atomic.Int64
@@ -182,8 +198,13 @@
 		bodies:       newBodyMemory(config),
 		warned:       map[[3]string]bool{},
 
+		submitHTTP:      newSubmitClient(false),
+		submitFreshHTTP: newSubmitClient(true),
+
 		startedUnixMS: time.Now().UnixMilli(),
 	}
+	n.direct = n.newDirectAppender()
+	n.requestsCtx, n.endRequests = context.WithCancel(context.Background())
 	n.load.reportedMS = n.now().MS
 	n.jobLimit.Store(maxJobBytes(int(config.MemoryMB)))
 	n.stats.jobBytesLimit.Update(float64(n.jobLimit.Load()))
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -31,6 +31,15 @@
 	}}
 }
 
+// newSubmitClient returns a client for submissions, which wait for the leader and must
+// not keep other calls from their connections.
+func newSubmitClient(fresh bool) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxPeerConns, MaxConnsPerHost: maxSubmitConns, DisableKeepAlives: fresh,
+		DisableCompression: true, IdleConnTimeout: 30 * time.Second,
+	}}
+}
+
 // traceConnection returns a context for a call, and a flag that is set once the
 // call has a connection: before that nothing of the call has been sent.
 func traceConnection(ctx context.Context) (context.Context, *atomic.Bool) {
@@ -184,6 +193,7 @@
 		}
 	}
 	n.lastHeartbeat = latest
+	n.contact.heard(latest.epoch, latest.logAvailable, now)
 	n.lookups.setDelegates(n.byNearness(m.GetDelegates()))
 	if l := n.leader.Load(); l == nil || l.epoch <= m.GetEpoch() {
 		n.leader.Store(&leaderInfo{epoch: m.GetEpoch(), peer: m.GetPeerAddress()})
@@ -205,7 +215,12 @@
 }
 
 func (s *peerServer) SubmitJob(ctx context.Context, r *connect.Request[nodev1.SubmitJobRequest]) (*connect.Response[nodev1.SubmitJobResponse], error) {
-	result := s.n.submitLocal(ctx, jobs.ID(r.Msg.GetId()), r.Msg.GetJob())
+	// A leader that is stopping answers in time, too.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.n.requestsCtx, cancel)()
+	wait := time.Duration(r.Msg.GetWaitMs()) * time.Millisecond
+	result := s.n.submitLocal(ctx, jobs.ID(r.Msg.GetId()), r.Msg.GetJob(), wait)
 	if result.Code == code.OverloadedQueue && r.Header().Get(knowsOverloadHeader) == "" {
 		result.Code = code.JobMemoryFull
 	}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -163,6 +163,8 @@
 	// refuseUnknown: only submissions that are new to the log and to the leader are
 	// refused.
 	refuseUnknown bool
+	// withdrawUntouched: only a submission of which nothing was started is withdrawn.
+	withdrawUntouched bool
 	// recordWorkers: nothing starts on a worker whose address is not recorded.
 	recordWorkers bool
 	// heldTasks: the tasks that a closed worker may still run do not start before
@@ -332,6 +334,7 @@
 }
 
 func (c *Core) tick() {
+	c.withdrawDue()
 	c.checkLeadership()
 	if c.deposed {
 		return
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -96,6 +96,9 @@
 		// CaughtUp is set if the log was read to its end after an earlier request
 		// for the same job had been refused.
 		CaughtUp bool
+		// WaitMS is the time after which the submission is withdrawn if nothing of it
+		// has been sent or started; 0: never.
+		WaitMS int64
 	}
 	// CancelRequested requests the cancellation of a job. Reply carries its
 	// RequestID.
@@ -379,6 +382,12 @@
 		// if the log has rejected it. No part of it is recorded; with Rejected,
 		// Started says whether tasks had been started.
 		TooLarge, Rejected, Started bool
+		// Unsent is set if the term has ended, or had not begun, and nothing of the
+		// request is in an append that was sent or has been started.
+		Unsent bool
+		// Withdrawn is set if the log has not taken the submission in time. Nothing of
+		// it has been sent or started.
+		Withdrawn bool
 		// Full is set if there is no memory for the job now. No part of it is
 		// recorded.
 		Full bool
