--- a/internal/node/withdraw.go
+++ b/internal/node/withdraw.go
@@ -16,7 +16,7 @@
 	// another instance and a busy event loop.
 	refusalMargin = 200 * time.Millisecond
 	// maxCheckTime bounds the time that is kept for reading the log before the
-	// answer; a read of a slow log took up to 0.6 s.
+	// answer; an append of a log that was slow for all took 0.2 to 0.6 s.
 	maxCheckTime = 600 * time.Millisecond
 	// slowLogRetryFactor is the delay after which a withdrawn submission may be
 	// repeated, as a multiple of the duration of appends: one may be under way, and
