--- a/cmd/rwctl/evacuations.go
+++ b/cmd/rwctl/evacuations.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,7 +27,7 @@
 			return err
 		}
 		if c.settings.json {
-			err = c.evacuationsJSON(responses)
+			err = printResponses(c, responses)
 		} else {
 			err = c.showEvacuations(responses)
 		}
@@ -42,29 +41,6 @@
 	})
 }
 
-func (c *command) evacuationsJSON(responses []instanceResponse[nodev1.ListEvacuationsResponse]) error {
-	type entry struct {
-		Address     string          `json:"address"`
-		Error       string          `json:"error,omitempty"`
-		Evacuations json.RawMessage `json:"status,omitempty"`
-	}
-	out := make([]entry, 0, len(responses))
-	for _, a := range responses {
-		one := entry{Address: a.address}
-		if a.err != nil {
-			one.Error = a.err.Error()
-		} else {
-			data, err := marshalProtoJSON(a.value)
-			if err != nil {
-				return err
-			}
-			one.Evacuations = data
-		}
-		out = append(out, one)
-	}
-	return c.printJSON(out)
-}
-
 // showEvacuations prints a row for each instance and data centre, then what the
 // leader knows.
 func (c *command) showEvacuations(responses []instanceResponse[nodev1.ListEvacuationsResponse]) error {
--- a/cmd/rwctl/output.go
+++ b/cmd/rwctl/output.go
@@ -48,3 +48,30 @@
 	}
 	return text
 }
+
+// printResponses prints the response or the error of each instance as JSON.
+func printResponses[T any, M interface {
+	*T
+	proto.Message
+}](c *command, responses []instanceResponse[T]) error {
+	type entry struct {
+		Address string          `json:"address"`
+		Error   string          `json:"error,omitempty"`
+		Status  json.RawMessage `json:"status,omitempty"`
+	}
+	out := make([]entry, 0, len(responses))
+	for _, r := range responses {
+		one := entry{Address: r.address}
+		if r.err != nil {
+			one.Error = r.err.Error()
+		} else {
+			status, err := marshalProtoJSON(M(r.value))
+			if err != nil {
+				return err
+			}
+			one.Status = status
+		}
+		out = append(out, one)
+	}
+	return c.printJSON(out)
+}
--- a/cmd/rwctl/status.go
+++ b/cmd/rwctl/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 
 	"connectrpc.com/connect"
@@ -25,7 +24,7 @@
 			return err
 		}
 		if c.settings.json {
-			if err := c.statusJSON(responses); err != nil {
+			if err := printResponses(c, responses); err != nil {
 				return err
 			}
 		} else if err := c.showStatus(responses, *groups); err != nil {
@@ -45,29 +44,6 @@
 	})
 }
 
-func (c *command) statusJSON(responses []instanceResponse[operatorv1.StatusResponse]) error {
-	type entry struct {
-		Address string          `json:"address"`
-		Error   string          `json:"error,omitempty"`
-		Status  json.RawMessage `json:"status,omitempty"`
-	}
-	out := make([]entry, 0, len(responses))
-	for _, a := range responses {
-		one := entry{Address: a.address}
-		if a.err != nil {
-			one.Error = a.err.Error()
-		} else {
-			status, err := marshalProtoJSON(a.value)
-			if err != nil {
-				return err
-			}
-			one.Status = status
-		}
-		out = append(out, one)
-	}
-	return c.printJSON(out)
-}
-
 func (c *command) showStatus(responses []instanceResponse[operatorv1.StatusResponse], groups bool) error {
 	rows := make([][]string, 0, len(responses))
 	for _, a := range responses {
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -24,8 +24,8 @@
 	cutOff bool
 }
 
-// heard notes a heartbeat of the leader of an epoch.
-func (c *leaderContact) heard(epoch uint64, logAvailable bool, atMS int64) {
+// noteHeartbeat notes a heartbeat of the leader of an epoch.
+func (c *leaderContact) noteHeartbeat(epoch uint64, logAvailable bool, atMS int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(epoch, atMS)
@@ -41,7 +41,7 @@
 	return epoch == c.epoch && c.cutOff
 }
 
-// beginCheck reports whether the leader of an epoch is to be called now: nobody else
+// beginCheck reports whether the leader of an epoch is to be called now: no other goroutine
 // does.
 func (c *leaderContact) beginCheck(epoch uint64, nowMS int64) bool {
 	c.mu.Lock()
@@ -64,7 +64,7 @@
 	}
 }
 
-// advance begins anew for the leader of a newer epoch, which counts as heard when it
+// advance begins anew for the leader of a newer epoch, which counts as seen when it
 // becomes known. The caller holds the lock.
 func (c *leaderContact) advance(epoch uint64, atMS int64) {
 	if epoch > c.epoch {
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -272,7 +272,7 @@
 	c.Assert(out.String(), qt.Contains, "level=warn")
 }
 
-// Guards against a request for a misspelt data centre that nobody notices, and
+// Guards against a request for a misspelt data centre that stays unnoticed, and
 // against a list for operators that does not match what is in force.
 func TestListEvacuations(t *testing.T) {
 	c := qt.New(t)
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -193,7 +193,7 @@
 		}
 	}
 	n.lastHeartbeat = latest
-	n.contact.heard(latest.epoch, latest.logAvailable, now)
+	n.contact.noteHeartbeat(latest.epoch, latest.logAvailable, now)
 	n.lookups.setDelegates(n.byNearness(m.GetDelegates()))
 	if l := n.leader.Load(); l == nil || l.epoch <= m.GetEpoch() {
 		n.leader.Store(&leaderInfo{epoch: m.GetEpoch(), peer: m.GetPeerAddress()})
--- a/internal/node/slow_log_test.go
+++ b/internal/node/slow_log_test.go
@@ -171,7 +171,7 @@
 }
 
 // Guards against a submission that waits for a connection to a living leader which
-// stays silent for good.
+// stays silent permanently.
 func TestSilentConnectionDoesNotHoldSubmission(t *testing.T) {
 	c := qt.New(t)
 	log, manifest, workers := newMemoryLog(), &fixedManifest{version: 1}, newInstantWorkers()
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -114,7 +114,7 @@
 // ctx ends or the leader has been replaced or is gone. reached is false if there is
 // no connection to the leader. A call that has no answer after peerTimeout is
 // repeated on a new connection, and again after twice the time each: its connection
-// may be silent for good although the leader runs.
+// may be silent permanently although the leader runs.
 func (s *submission) sendToLeader(ctx context.Context, l *leaderInfo) (result Result, reached bool) {
 	n := s.n
 	if l == nil {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -175,7 +175,7 @@
 }
 
 // Guards against long-running jobs that take the processors that urgent jobs need,
-// and against capacity that is held back for nobody.
+// and against capacity that is held back without a user.
 func TestLongRunningJobsLeaveRoomForUrgentOnes(t *testing.T) {
 	c := qt.New(t)
 	alone := newSite()
--- a/internal/overload/retry.go
+++ b/internal/overload/retry.go
@@ -43,7 +43,7 @@
 	return nil
 }
 
-// inSlot reports whether a refused submission returns when it was told to.
+// inSlot reports whether a refused submission returns in its slot.
 func (r *refusals) inSlot(id string, nowMS int64) bool {
 	e := r.find(id)
 	return e != nil && nowMS >= e.slotMS-earlyMS && nowMS <= e.slotMS+returnWindowMS
--- a/internal/planner/load_run_test.go
+++ b/internal/planner/load_run_test.go
@@ -271,7 +271,7 @@
 	r.sim.step(r.sim.leader, WorkersChanged{Workers: r.sim.directory()})
 }
 
-// loseWorkers ends a seventh of the workers for good.
+// loseWorkers ends a seventh of the workers permanently.
 func (r *loadRun) loseWorkers() {
 	for _, f := range r.sim.workers[:loadWorkers/7] {
 		f.crash(1 << 40)
--- a/internal/planner/random_overload_test.go
+++ b/internal/planner/random_overload_test.go
@@ -14,7 +14,7 @@
 const backlogSeconds = 60
 
 // simOverload is a load beyond what the workers can do in time, with callers who
-// return when they are told to or give up.
+// return after the stated delay or give up.
 type simOverload struct {
 	rng *rand.Rand
 	// caughtUp are the requests that were repeated after reading the log.
@@ -33,7 +33,7 @@
 	// refused is set if the last answer was a refusal, final once the caller has
 	// given up after it and no request is unanswered.
 	refused, final bool
-	// returnMS is when the caller was told to return.
+	// returnMS is when the caller is to return.
 	returnMS int64
 }
 
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -58,7 +58,7 @@
 		for i := range burstJobs {
 			sim.at(burstAtMS+sim.rng.Int64N(3000), func() {
 				sim.newJob(1000 + i)
-				// Long-running jobs would fill the workers for good.
+				// Long-running jobs would fill the workers permanently.
 				id := sim.ids[len(sim.ids)-1]
 				sim.at(8000, func() {
 					if s := sim.jobs[id]; s.job.Queue == "watch" && !s.cancelSent {
