Remove a withdrawn submission from the model of the backlog

Withdrawing a submission ended its tasks without the step that tells the model of the backlog that the job has ended. Its long-running tasks counted as capacity that is taken until the term ended, so that later jobs could be refused without need.

--- a/internal/overload/model.go
+++ b/internal/overload/model.go
@@ -358,6 +358,8 @@
 // Status is the backlog of a queue.
 type Status struct {
 	Queue string
+	// Jobs is the number of jobs that have been accepted and have not ended.
+	Jobs int
 	// Tasks and Work wait, also late ones and those whose result has lost its value.
 	Tasks, Work int64
 	// WaitMS is the expected wait of a job that is submitted now.
@@ -373,7 +375,7 @@
 		if !q.configured {
 			continue
 		}
-		s := Status{Queue: q.name}
+		s := Status{Queue: q.name, Jobs: q.jobs}
 		kind := BestEffort
 		for size := range sizes {
 			for k := range kinds {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -419,13 +419,13 @@
 	j.dirty = true
 	c.markDirty(j)
 	c.schedules.remove(j)
-	c.noteJobEnded(j)
 	c.emit(Decision{Event: "job_ended", Job: j.id, Reason: reason, AgeMS: c.now.MS - j.arrivedMS})
 	c.endTasks(j, "job ended")
 }
 
 // endTasks lets no task of a final job start again and stops its active runs.
 func (c *Core) endTasks(j *job, reason string) {
+	c.noteJobEnded(j)
 	for s := range j.steps() {
 		s.pending = nil
 		for i := range s.tasks {
--- a/internal/planner/overload_test.go
+++ b/internal/planner/overload_test.go
@@ -106,6 +106,9 @@
 			if seed%2 == 1 {
 				sim.injectTakeoverFaults()
 			}
+			if seed%3 == 0 {
+				sim.slowLog()
+			}
 			for i := range int64(80) {
 				sim.at(500*i, func() {
 					if differs := sim.leader.core.modelDifference(); differs != "" {
@@ -118,11 +121,14 @@
 	}
 }
 
-// modelDifference compares the waiting tasks of the model with the planner's.
+// modelDifference compares the jobs and waiting tasks of the model with the planner's.
 func (c *Core) modelDifference() string {
-	tasks, work := map[string]int64{}, map[string]int64{}
+	tasks, work, open := map[string]int64{}, map[string]int64{}, map[string]int{}
 	for _, id := range c.jobIDs() {
 		j := c.jobs[id]
+		if !j.state.Final() {
+			open[j.spec.Queue]++
+		}
 		for s := range j.steps() {
 			n := int64(len(s.pending))
 			tasks[j.spec.Queue] += n
@@ -130,6 +136,9 @@
 		}
 	}
 	for _, s := range c.Backlog(nil) {
+		if s.Jobs != open[s.Queue] {
+			return fmt.Sprintf("queue %s: %d jobs in the model, %d are open", s.Queue, s.Jobs, open[s.Queue])
+		}
 		if s.Tasks != tasks[s.Queue] || s.Work != work[s.Queue] {
 			return fmt.Sprintf("queue %s: %d tasks and work %d in the model, %d and %d wait", s.Queue, s.Tasks, s.Work, tasks[s.Queue], work[s.Queue])
 		}
