--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -49,7 +49,8 @@
 	stop    chan struct{}
 	client  *http.Client
 	// begun holds the submissions of which a worker has begun a task.
-	begun map[string]bool
+	begun    map[string]bool
+	failures failures
 	// verbose writes each start and stop into the record.
 	verbose bool
 }
@@ -124,6 +125,12 @@
 func (c *cluster) noteOrders(w *standin.Worker, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		name := strings.TrimPrefix(r.URL.Path, "/api/")
+		if name == "hold" {
+			answer := &bodyWriter{ResponseWriter: rw}
+			next.ServeHTTP(answer, r)
+			c.failures.note(answer.body.Bytes())
+			return
+		}
 		if name != "run-start" && name != "run-stop" {
 			next.ServeHTTP(rw, r)
 			return
@@ -162,6 +169,61 @@
 	s.ResponseWriter.WriteHeader(status)
 }
 
+// bodyWriter keeps a copy of a response's body.
+type bodyWriter struct {
+	http.ResponseWriter
+	body bytes.Buffer
+}
+
+func (b *bodyWriter) Write(p []byte) (int, error) {
+	b.body.Write(p)
+	return b.ResponseWriter.Write(p)
+}
+
+// failures holds the runs that workers have listed as failed, by task.
+type failures struct {
+	mu   sync.Mutex
+	runs map[string]map[int]bool
+}
+
+func (f *failures) note(body []byte) {
+	var report struct {
+		Finished [][]any `json:"finished"`
+	}
+	if json.Unmarshal(body, &report) != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, row := range report.Finished {
+		task, _ := row[1].(string)
+		run, _ := row[2].(float64)
+		if row[3] != "failed" {
+			continue
+		}
+		if f.runs == nil {
+			f.runs = map[string]map[int]bool{}
+		}
+		if f.runs[task] == nil {
+			f.runs[task] = map[int]bool{}
+		}
+		f.runs[task][int(run)] = true
+	}
+}
+
+// counts returns how many tasks of a submission have failed how often.
+func (f *failures) counts(id string) map[int]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[int]int{}
+	for task, runs := range f.runs {
+		if strings.HasPrefix(task, id+".") {
+			out[len(runs)]++
+		}
+	}
+	return out
+}
+
 // hasBegun reports whether a worker has begun a task of a submission.
 func (c *cluster) hasBegun(id string) bool {
 	c.mu.Lock()
