--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,6 @@
 # project's stand-ins in it. Run it after the build line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-3/ ./review/standin-3
+go build -tags review -ldflags=-linkmode=external -o target/review-3/ ./review/standin-3
+# review/14 plays a case of the second review's program.
+go build -tags review -ldflags=-linkmode=external -o target/rwreview2 ./review/standin-2
--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -49,8 +49,12 @@
 	stop    chan struct{}
 	client  *http.Client
 	// begun holds the submissions of which a worker has begun a task.
-	begun    map[string]bool
-	failures failures
+	begun map[string]bool
+	// adviser is the placement adviser, if the case has one; advised holds the
+	// submissions whose starts need a ticket.
+	adviser    *adviser
+	adviceAddr string
+	advised    map[string]bool
 	// verbose writes each start and stop into the record.
 	verbose bool
 }
@@ -69,6 +73,7 @@
 readiness_addr = %q
 peer_addr = %q
 store_addr = %q
+advice_addr = %q
 cpu_share = 0.4
 cores = 1
 memory_mb = 284
@@ -91,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &cluster{record: r, dir: dir, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}), client: &http.Client{}, begun: map[string]bool{}, verbose: true}, nil
+	return &cluster{record: r, dir: dir, store: standin.NewStore(), checker: standin.NewChecker(), stop: make(chan struct{}), client: &http.Client{}, begun: map[string]bool{}, advised: map[string]bool{}, verbose: true}, nil
 }
 
 // freeAddress returns an unused address of the instance.
@@ -125,12 +130,6 @@
 func (c *cluster) noteOrders(w *standin.Worker, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		name := strings.TrimPrefix(r.URL.Path, "/api/")
-		if name == "hold" {
-			answer := &bodyWriter{ResponseWriter: rw}
-			next.ServeHTTP(answer, r)
-			c.failures.note(answer.body.Bytes())
-			return
-		}
 		if name != "run-start" && name != "run-stop" {
 			next.ServeHTTP(rw, r)
 			return
@@ -141,15 +140,26 @@
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		var order struct {
-			Task  string `json:"task"`
-			RunID int    `json:"runId"`
+			Task   string `json:"task"`
+			RunID  int    `json:"runId"`
+			Ticket string `json:"ticket"`
 		}
 		_ = json.Unmarshal(body, &order)
+		id := strings.SplitN(order.Task, ".", 2)[0]
+		c.mu.Lock()
+		advised := c.advised[id]
+		c.mu.Unlock()
+		if name == "run-start" && advised && !c.adviser.valid(order.Task, w.ID(), order.Ticket) {
+			c.line("run-start at %s: %s run %d: 409 ticket", w.ID(), order.Task, order.RunID)
+			rw.WriteHeader(http.StatusConflict)
+			_ = json.NewEncoder(rw).Encode(map[string]any{"reason": "ticket"})
+			return
+		}
 		answer := &statusWriter{ResponseWriter: rw}
 		next.ServeHTTP(answer, r)
 		if name == "run-start" && answer.status == http.StatusOK {
 			c.mu.Lock()
-			c.begun[strings.SplitN(order.Task, ".", 2)[0]] = true
+			c.begun[id] = true
 			c.mu.Unlock()
 		}
 		if c.verbose {
@@ -169,61 +179,6 @@
 	s.ResponseWriter.WriteHeader(status)
 }
 
-// bodyWriter keeps a copy of a response's body.
-type bodyWriter struct {
-	http.ResponseWriter
-	body bytes.Buffer
-}
-
-func (b *bodyWriter) Write(p []byte) (int, error) {
-	b.body.Write(p)
-	return b.ResponseWriter.Write(p)
-}
-
-// failures holds the runs that workers have listed as failed, by task.
-type failures struct {
-	mu   sync.Mutex
-	runs map[string]map[int]bool
-}
-
-func (f *failures) note(body []byte) {
-	var report struct {
-		Finished [][]any `json:"finished"`
-	}
-	if json.Unmarshal(body, &report) != nil {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, row := range report.Finished {
-		task, _ := row[1].(string)
-		run, _ := row[2].(float64)
-		if row[3] != "failed" {
-			continue
-		}
-		if f.runs == nil {
-			f.runs = map[string]map[int]bool{}
-		}
-		if f.runs[task] == nil {
-			f.runs[task] = map[int]bool{}
-		}
-		f.runs[task][int(run)] = true
-	}
-}
-
-// counts returns how many tasks of a submission have failed how often.
-func (f *failures) counts(id string) map[int]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := map[int]int{}
-	for task, runs := range f.runs {
-		if strings.HasPrefix(task, id+".") {
-			out[len(runs)]++
-		}
-	}
-	return out
-}
-
 // hasBegun reports whether a worker has begun a task of a submission.
 func (c *cluster) hasBegun(id string) bool {
 	c.mu.Lock()
@@ -248,7 +203,7 @@
 			}
 		}
 		p.settings = filepath.Join(c.dir, p.name+".toml")
-		text := fmt.Sprintf(settingsText, p.name, true, p.callers, p.readiness, peer, storeListener.Addr().String())
+		text := fmt.Sprintf(settingsText, p.name, true, p.callers, p.readiness, peer, storeListener.Addr().String(), c.adviceAddr)
 		if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(c *cluster, trouble bool) int{
 	"11": reservedWorkers,
+	"12": advisedGang,
 }
 
 func main() { os.Exit(run()) }
