--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,7 +18,7 @@
 
 var cases = map[string]func(c *cluster, trouble bool) int{
 	"11": reservedWorkers,
-	"12": advisedGang,
+	"13": advisedGang,
 }
 
 func main() { os.Exit(run()) }
