Review 3: cases 13 and 15, gangs of a queue with advice in a burst, and a worker of another kind

Tried: gangs at one a second, and 2.6 times as often for 12 s (13); the entry of KNOWN-RED.txt on a worker that boots as another kind (15). The single gang is case 14 now.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -tags review -ldflags=-linkmode=external -o target/review-3/ ./review/standin-3
-# review/14 plays a case of the second review's program.
+# review/15 plays a case of the second review's program.
 go build -tags review -ldflags=-linkmode=external -o target/rwreview2 ./review/standin-2
--- a/review/standin-3/adviser.go
+++ b/review/standin-3/adviser.go
@@ -111,7 +111,7 @@
 	return nil
 }
 
-// advisedGang plays case 13: the manifest adds a queue with advice, and a gang is
+// advisedGang plays case 14: the manifest adds a queue with advice, and a gang is
 // submitted to it.
 func advisedGang(c *cluster, trouble bool) int {
 	const workers, members, validity = 64, 22, 3000
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,7 +18,8 @@
 
 var cases = map[string]func(c *cluster, trouble bool) int{
 	"11": reservedWorkers,
-	"13": advisedGang,
+	"14": advisedGang,
+	"13": gangBurst,
 }
 
 func main() { os.Exit(run()) }
