--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,8 +18,8 @@
 
 var cases = map[string]func(c *cluster, trouble bool) int{
 	"11": reservedWorkers,
-	"14": advisedGang,
 	"13": gangBurst,
+	"14": advisedGang,
 }
 
 func main() { os.Exit(run()) }
