--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -86,8 +86,9 @@
 	turns int
 }
 
-func (a *adviceState) allows(id WorkerID, nowMS int64) bool {
-	t := a.tickets[id]
+// allows reports whether a start on the worker may carry a ticket.
+func (a *adviceState) allows(w *worker, nowMS int64) bool {
+	t := a.tickets[w.info.ID]
 	return t.value != "" && nowMS < t.untilMS
 }
 
@@ -121,7 +122,7 @@
 // if not, it requests advice about further workers.
 func (c *Core) ensureAdvice(s *step) bool {
 	for id := range s.advice.tickets {
-		if w := c.workers[id]; w != nil && s.advice.allows(id, c.now.MS) && c.usable(w) && s.resources().fits(w.info.Capacity.minus(w.used)) {
+		if w := c.workers[id]; w != nil && s.advice.allows(w, c.now.MS) && c.usable(w) && s.resources().fits(w.free()) {
 			return true
 		}
 	}
@@ -227,9 +228,9 @@
 	var out []*worker
 	for _, w := range c.sortedWorkers {
 		if w.info.Service != s.job.queue.Service || !c.usable(w) ||
-			s.advice.denies(w, c.now.MS) || s.advice.allows(w.info.ID, c.now.MS) ||
+			s.advice.denies(w, c.now.MS) || s.advice.allows(w, c.now.MS) ||
 			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) ||
-			!s.resources().fits(w.info.Capacity.minus(w.used)) {
+			!s.resources().fits(w.free()) {
 			continue
 		}
 		out = append(out, w)
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -75,7 +75,7 @@
 	// reservations are the workers whose free room is kept in this pass, with
 	// the step it is kept for; previousReservations is the same for the previous
 	// pass.
-	reservations, previousReservations []reservation
+	reservations, previousReservations []reservedWorker
 
 	lag         lag
 	takeoverLog takeoverLog
--- a/internal/planner/evacuation.go
+++ b/internal/planner/evacuation.go
@@ -93,7 +93,7 @@
 	for _, s := range c.ready {
 		if s.spec.Label != "" {
 			// The reason why it waits may have changed.
-			s.explained = false
+			s.explainAtMS = 0
 		}
 	}
 	c.placementDue = true
@@ -324,7 +324,7 @@
 		if !c.feasible(s, w) {
 			continue
 		}
-		free, coming := w.info.Capacity.minus(w.used), 0
+		free, coming := w.free(), 0
 		for _, m := range c.evacuation.moves {
 			if m.to == w {
 				free, coming = free.minus(m.run.task.step.resources()), coming+1
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -2,72 +2,51 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 )
 
-// explainAfterMS is how long a step waits before the reason is logged.
-const explainAfterMS = 2000
+const (
+	// explainAfterMS is how long a step waits before the reason is logged.
+	explainAfterMS = 2000
+	// explainFactor is the factor by which the wait has grown when it is logged again.
+	explainFactor = 4
+)
 
-// explainWait logs once why a step's waiting tasks fit on no worker: the number
-// of workers that each reason rules out.
+// explainWait logs why a step's waiting tasks fit on no worker: the number of workers
+// that each obstacle rules out, and a step for which others are reserved.
 func (c *Core) explainWait(s *step) {
-	if s.explained || c.now.MS-s.pendingSinceMS < explainAfterMS {
+	waited := c.now.MS - s.pendingSinceMS
+	if waited < max(s.explainAtMS, explainAfterMS) {
 		return
 	}
-	s.explained = true
-	counts := map[string]int{}
+	s.explainAtMS = explainFactor * waited
+	var counts [obstacles]int
+	var holder *step
 	for _, w := range c.sortedWorkers {
-		counts[c.ruledOutBy(s, w)]++
+		o := c.ruledOutBy(s, w)
+		counts[o]++
+		if o == reservedRoom && holder == nil {
+			holder = c.reservedFor(w)
+		}
 	}
 	var parts []string
-	for _, reason := range []string{"service", "evacuated", "unusable", "processors", "memory", "accelerators", "label", "tasks_per_worker", "advice", "reserved", "cold", "disturbance", "suspect", "none"} {
-		if counts[reason] > 0 {
-			parts = append(parts, fmt.Sprintf("%s:%d", reason, counts[reason]))
+	for o, n := range counts {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%s:%d", obstacle(o), n))
 		}
 	}
-	id := s.id()
-	c.emit(Decision{
-		Event: "step_waits", Job: id.Job, Task: fmt.Sprintf("%s.%d.%d", id.Job, id.Occurrence, id.Step),
+	d := Decision{
+		Event: "step_waits", Job: s.job.id, Task: s.id().String(),
 		Reason: fmt.Sprintf("tasks=%d cpu=%d mem=%d ruled_out=%s", len(s.pending), s.spec.CPUMilli, s.spec.MemoryMB, strings.Join(parts, ",")),
-		AgeMS:  c.now.MS - s.pendingSinceMS,
-	})
+		AgeMS:  waited,
+	}
+	if holder != nil {
+		d.Details = []Detail{{Name: "reserved_for", Text: holder.id().String()}}
+	}
+	c.emit(d)
 }
 
-// ruledOutBy returns the first reason why a worker cannot run the step's tasks
-// now, or "none".
-func (c *Core) ruledOutBy(s *step, w *worker) string {
-	free, needed := w.info.Capacity.minus(w.used), s.resources()
-	holder := c.reservedFor(w)
-	switch {
-	case w.info.Service != s.job.queue.Service:
-		return "service"
-	case c.evacuated(w):
-		return "evacuated"
-	case !w.recorded:
-		return "unrecorded"
-	case !c.usable(w):
-		return "unusable"
-	case s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label):
-		return "label"
-	case needed.CPUMilli > free.CPUMilli:
-		return "processors"
-	case needed.MemoryMB > free.MemoryMB:
-		return "memory"
-	case needed.GPU > free.GPU:
-		return "accelerators"
-	case s.spec.MaxPerWorker > 0 && w.runsOf(s) >= s.spec.MaxPerWorker:
-		return "tasks_per_worker"
-	case s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS):
-		return "advice"
-	case holder != nil && holder != s && needed.CPUMilli > 0:
-		return "reserved"
-	case c.coldRoom(w) < 1:
-		return "cold"
-	case s.spec.BestEffort && !c.mayRunBestEffort(w, s):
-		return "disturbance"
-	case !w.health.admits(c.now.MS, w.runs):
-		return "suspect"
-	}
-	return "none"
+// String returns the step's name in log lines.
+func (id StepID) String() string {
+	return fmt.Sprintf("%s.%d.%d", id.Job, id.Occurrence, id.Step)
 }
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -176,5 +176,5 @@
 	if s.spec.MaxPerWorker > 0 && w.runsOf(s)+times > s.spec.MaxPerWorker || c.coldRoom(w) < times {
 		return false
 	}
-	return need.fits(w.info.Capacity.minus(w.used))
+	return need.fits(w.free()) && c.reservationAdmits(s, w, need)
 }
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -106,8 +106,8 @@
 	// crowdedMS is when a search for another worker for one of the step's runs
 	// last found none, or 0.
 	crowdedMS int64
-	// explained is set once the log states why the step waits.
-	explained bool
+	// explainAtMS is how long the step has to wait until the log states why again.
+	explainAtMS int64
 	// reservedWorkers are the workers that the step reserved in its last full
 	// scan.
 	reservedWorkers []*worker
--- a/internal/planner/load_run_test.go
+++ b/internal/planner/load_run_test.go
@@ -118,24 +118,30 @@
 		}
 		sim.prepare(sim.leader.core)
 	}
+	sim.replaceWorkers(loadWorkers, Resources{CPUMilli: loadCores, MemoryMB: 256_000})
+	for i := range loadWorkers * servingTasks {
+		r.serve(fmt.Sprintf("serve%04d", i), 1)
+	}
+	sim.run(sim.now + 3000)
+	r.begunMS = sim.now
+	return r
+}
+
+// replaceWorkers gives the simulation other workers, in three data centres and racks
+// of eight.
+func (sim *simulation) replaceWorkers(n int, capacity Resources) {
 	sim.workers = nil
-	for i := range loadWorkers {
+	for i := range n {
 		sim.workers = append(sim.workers, &fakeWorker{
 			sim: sim, clockRate: 1, clockStartMS: sim.now - 5000, startedMS: sim.now - 5000,
 			runs: map[jobs.Task]*fakeRun{}, highestRun: map[jobs.Task]int{}, endedAt: map[int64]int64{},
 			info: WorkerInfo{
 				ID: WorkerID(fmt.Sprintf("w%03d", i)), Address: fmt.Sprint(i), Service: "s", DataCentre: fmt.Sprint("dc", i%3),
-				Capacity: Resources{CPUMilli: loadCores, MemoryMB: 256_000}, Labels: []string{fmt.Sprintf("r%d", i/8)}, StartedMS: sim.now - 5000,
+				Capacity: capacity, Labels: []string{fmt.Sprintf("r%d", i/8)}, StartedMS: sim.now - 5000,
 			},
 		})
 	}
 	sim.step(sim.leader, WorkersChanged{Workers: sim.directory()})
-	for i := range loadWorkers * servingTasks {
-		r.serve(fmt.Sprintf("serve%04d", i), 1)
-	}
-	sim.run(sim.now + 3000)
-	r.begunMS = sim.now
-	return r
 }
 
 // serve submits a long-running job.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -32,9 +32,6 @@
 	// otherChecks bounds the pairs of a step and a worker for the others while the
 	// overload control is on: on a large site they would take most of a pass.
 	otherChecks = 4000
-	// maxReservedWorkers is the maximum number of workers that one waiting step
-	// reserves.
-	maxReservedWorkers = 4
 	// avoidedPenalty ranks the workers that a task avoids behind all others
 	// without excluding them.
 	avoidedPenalty = 1000.0
@@ -90,25 +87,6 @@
 	return (int64(position-c.urgentSteps)-turn+others)%others < c.otherSteps
 }
 
-// reservation keeps the free room of a worker for a step.
-type reservation struct {
-	worker *worker
-	step   *step
-}
-
-// reservedFor returns the step that a worker's free room is kept for, or nil.
-func (c *Core) reservedFor(w *worker) *step {
-	if w.reservedPass != c.pass {
-		return nil
-	}
-	return w.reservedFor
-}
-
-func (c *Core) reserveWorker(w *worker, s *step) {
-	w.reservedFor, w.reservedPass = s, c.pass
-	c.reservations = append(c.reservations, reservation{w, s})
-}
-
 // placeStep starts as many of the step's waiting tasks as fit.
 func (c *Core) placeStep(s *step) {
 	if s.job.queue.Advised && !c.ensureAdvice(s) {
@@ -216,53 +194,8 @@
 	}
 }
 
-// reserve keeps room that becomes free for the waiting tasks of a step, ahead
-// of the steps that follow in this pass. Otherwise smaller tasks would take the
-// room as it becomes free and a wide task would never start.
-func (c *Core) reserve(s *step) {
-	if s.spec.BestEffort {
-		return
-	}
-	if s.noFitPass > 0 && s.fullScanMS != c.now.MS {
-		for _, w := range s.reservedWorkers {
-			if c.reservedFor(w) == nil && c.usable(w) {
-				c.reserveWorker(w, s)
-			}
-		}
-		return
-	}
-	s.reservedWorkers = c.mostFreeWorkers(s, min(len(s.pending), maxReservedWorkers), s.reservedWorkers[:0])
-	for _, w := range s.reservedWorkers {
-		c.reserveWorker(w, s)
-	}
-}
-
-// mostFreeWorkers appends the n workers without a reservation that have the most
-// free processors and would fit a task of the step beside their long-running
-// tasks.
-func (c *Core) mostFreeWorkers(s *step, n int, out []*worker) []*worker {
-	for _, w := range c.sortedWorkers {
-		if c.reservedFor(w) != nil || w.info.Service != s.job.queue.Service || !c.usable(w) ||
-			!s.resources().fits(w.info.Capacity.minus(w.longRunning)) ||
-			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) {
-			continue
-		}
-		i := len(out)
-		for i > 0 && w.freeCPU() > out[i-1].freeCPU() {
-			i--
-		}
-		if i == n {
-			continue
-		}
-		if len(out) == n {
-			out = out[:n-1]
-		}
-		out = slices.Insert(out, i, w)
-	}
-	return out
-}
-
-func (w *worker) freeCPU() int { return w.info.Capacity.CPUMilli - w.used.CPUMilli }
+// free returns the room that no run holds.
+func (w *worker) free() Resources { return w.info.Capacity.minus(w.used) }
 
 func (c *Core) mayStart(t *task) bool {
 	return len(t.runs) == 0 && !c.startHeld(t)
@@ -311,25 +244,6 @@
 	return c.hasRoom(s, w) && (!s.spec.BestEffort || c.mayRunBestEffort(w, s))
 }
 
-// hasRoom reports whether the worker may run a task of the step now, leaving
-// aside the interference between best-effort and serving tasks.
-func (c *Core) hasRoom(s *step, w *worker) bool {
-	if holder := c.reservedFor(w); holder != nil && holder != s && s.resources().CPUMilli > 0 {
-		return false
-	}
-	switch {
-	case w.info.Service != s.job.queue.Service,
-		!c.usable(w),
-		!s.resources().fits(w.info.Capacity.minus(w.used)),
-		s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label),
-		s.spec.MaxPerWorker > 0 && w.runsOf(s) >= s.spec.MaxPerWorker,
-		s.job.queue.Advised && !s.advice.allows(w.info.ID, c.now.MS),
-		c.coldRoom(w) < 1:
-		return false
-	}
-	return w.health.admits(c.now.MS, w.runs)
-}
-
 // mayRunBestEffort reports whether another best-effort task of the step would
 // leave the serving tasks their processor time and keep their tail latencies
 // within the limit.
@@ -356,7 +270,7 @@
 
 // score ranks a feasible worker for the tasks of a step; higher is better.
 func (c *Core) score(s *step, w *worker) float64 {
-	free := w.info.Capacity.minus(w.used)
+	free := w.free()
 	var score float64
 	switch {
 	case s.spec.BestEffort:
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -90,10 +90,7 @@
 	used      Resources
 	// longRunning is the part of used that long-running tasks hold.
 	longRunning Resources
-	// reservedFor is the step that the worker's free room is kept for in the pass
-	// reservedPass.
-	reservedFor  *step
-	reservedPass int64
+	reservation reservation
 	// changedPass is the first pass that has to consider the worker again,
 	// because more may fit on it than in the passes before.
 	changedPass int64
