--- a/internal/planner/evacuation.go
+++ b/internal/planner/evacuation.go
@@ -264,16 +264,15 @@
 }
 
 // capacityWanted reports whether a task of the service waits for capacity. A step
-// that no usable worker could ever run, because of its label or size, waits for the
-// end of the evacuation instead.
+// that every usable worker is too small for, or that anything else but room keeps from
+// them, does not: it may wait for the end of the evacuation.
 func (c *Core) capacityWanted(service string) bool {
 	for _, s := range c.ready {
 		if s.job.queue.Service != service || s.job.state.Final() || len(s.pending) == 0 {
 			continue
 		}
 		if slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool {
-			return w.info.Service == service && c.usable(w) && s.resources().fits(w.info.Capacity) &&
-				(s.spec.Label == "" || slices.Contains(w.info.Labels, s.spec.Label))
+			return s.resources().fits(w.info.Capacity) && c.obstacle(s, w) == noObstacle
 		}) {
 			return true
 		}
--- a/internal/planner/evacuation_test.go
+++ b/internal/planner/evacuation_test.go
@@ -424,3 +424,19 @@
 		})
 	}
 }
+
+// Guards against an evacuation that moves nothing as long as a task waits that may run
+// on no worker: every other one runs a task of its step already.
+func TestUnplaceableTaskDelaysNoMove(t *testing.T) {
+	s := newEvacuationSite(t, "a1", "b1", "b2")
+	s.evacuate()
+	s.submitSteps(t, "spread", jobs.Step{Count: 4, CPUMilli: 1000, EstimateMS: 300, LongRunning: true, MaxPerWorker: 1})
+	s.submitSteps(t, "moved", jobs.Step{Count: 3, CPUMilli: 5000, EstimateMS: 9000, Checkpointing: true})
+	s.run(1000)
+	s.Assert(s.startsIn("a"), qt.Equals, 2)
+	s.evacuate("a")
+	s.run(3000)
+	s.Assert(s.stops, qt.HasLen, 1)
+	s.Assert(s.stops[0].task.Job, qt.Equals, jobs.ID("moved"))
+	s.Assert(s.startsIn("b"), qt.Equals, 5)
+}
