--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -20,8 +20,7 @@
 // backfill starts one task of a best-effort step that fits nowhere, if nothing
 // of its job runs.
 func (c *Core) backfill(s *step) {
-	if !s.spec.BestEffort || c.now.MS-s.pendingSinceMS < backfillAfterMS || s.job.hasRuns() ||
-		c.reservedShare(s.job.queue.Service) > backfillLoad {
+	if !s.spec.BestEffort || !c.standsStill(s) {
 		return
 	}
 	for _, t := range s.pending {
@@ -54,30 +53,55 @@
 // reservedShare returns the share of a service's processors that is reserved,
 // as of the current pass.
 func (c *Core) reservedShare(service string) float64 {
-	if c.serviceLoad.pass != c.pass {
-		c.serviceLoad.pass = c.pass
-		clear(c.serviceLoad.byService)
+	load := c.loadOf(service)
+	return float64(load.used) / float64(max(load.capacity, 1))
+}
+
+// loadOf returns the load of a service's usable workers, as of the current pass.
+func (c *Core) loadOf(service string) *serviceLoad {
+	if c.serviceLoads.pass != c.pass {
+		c.serviceLoads.pass = c.pass
+		for _, load := range c.serviceLoads.byService {
+			*load = serviceLoad{}
+		}
 		for _, w := range c.sortedWorkers {
 			if c.usable(w) {
-				load := c.serviceLoad.byService[w.info.Service]
+				load := c.serviceLoads.of(w.info.Service)
+				load.workers++
 				load.used += w.used.CPUMilli
 				load.capacity += w.info.Capacity.CPUMilli
-				c.serviceLoad.byService[w.info.Service] = load
 			}
 		}
 	}
-	load := c.serviceLoad.byService[service]
-	return float64(load.used) / float64(max(load.capacity, 1))
+	return c.serviceLoads.of(service)
 }
 
-// serviceLoad caches the reserved processors of each service's usable workers
-// for one pass, in thousandths of a core.
-type serviceLoad struct {
+// serviceLoads caches the loads of all services for one pass.
+type serviceLoads struct {
 	pass      int64
-	byService map[string]processorLoad
+	byService map[string]*serviceLoad
 }
 
-type processorLoad struct{ used, capacity int }
+func (l *serviceLoads) of(service string) *serviceLoad {
+	load := l.byService[service]
+	if load == nil {
+		load = &serviceLoad{}
+		l.byService[service] = load
+	}
+	return load
+}
+
+// serviceLoad is the number of a service's usable workers, their processors and the
+// part of these that runs hold, in thousandths of a core, and the number of workers on
+// which waiting steps have reserved room.
+type serviceLoad struct{ workers, used, capacity, reserved int }
+
+// standsStill reports whether nothing of the step's job runs and it has waited for a
+// while, although at least half of its service's processors are free.
+func (c *Core) standsStill(s *step) bool {
+	return c.now.MS-s.pendingSinceMS >= backfillAfterMS && !s.job.hasRuns() &&
+		c.reservedShare(s.job.queue.Service) <= backfillLoad
+}
 
 // hasRuns reports whether any task of the job has an active run.
 func (j *job) hasRuns() bool {
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -84,7 +84,7 @@
 	// handledMS is the time up to which everything received had been handled at
 	// the last tick.
 	handledMS    int64
-	serviceLoad  serviceLoad
+	serviceLoads serviceLoads
 	durations    durationModel
 	interference *interferenceModel
 	evacuation   evacuationState
@@ -116,6 +116,8 @@
 	useBuffer    bestEffortUse
 	marginBuffer []margin
 	paceBuffer   []pacedRun
+	// endBuffer holds the expected ends of a worker's runs.
+	endBuffer []expectedEnd
 	// disabled lists the safeguards that a test has turned off.
 	disabled safeguards
 	effects  []Effect
@@ -188,7 +190,7 @@
 		workers:      map[WorkerID]*worker{},
 		jobs:         map[jobs.ID]*job{},
 		earlyEnds:    map[jobs.ID][]jobs.EarlyEnd{},
-		serviceLoad:  serviceLoad{byService: map[string]processorLoad{}},
+		serviceLoads: serviceLoads{byService: map[string]*serviceLoad{}},
 		durations:    durationModel{byQueue: map[string]*estimate{}},
 		interference: newInterferenceModel(),
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -244,6 +244,7 @@
 // attach adds a run to its worker and task and reserves its room.
 func (c *Core) attach(r *run) {
 	s := r.task.step
+	c.useSpare(r.worker, s)
 	r.worker.runs = append(r.worker.runs, r)
 	r.worker.plannedValid, r.worker.demandValid = false, false
 	r.worker.used = r.worker.used.plus(s.resources())
--- a/internal/planner/reservation_test.go
+++ b/internal/planner/reservation_test.go
@@ -84,3 +84,68 @@
 	c.Assert(starts, qt.HasLen, 1)
 	c.Assert(starts[0].Worker, qt.Equals, WorkerID("w001"))
 }
+
+// Guards against work that stands still beside reservations for a wide step although
+// it would not delay that step: tasks that are over before the room can be used, that
+// fit beside the step, or that fit on a worker that it does not need.
+func TestWorkRunsBesideReservations(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		count int
+		step  jobs.Step
+	}{
+		{"over before the room can be used", 2, jobs.Step{CPUMilli: 4000, EstimateMS: 500}},
+		{"fits beside the wide step", 2, jobs.Step{CPUMilli: 1000, EstimateMS: 300_000}},
+		{"lasts, and fits beside the wide step", 2, jobs.Step{CPUMilli: 1000, EstimateMS: 300, LongRunning: true}},
+		{"fits on the other workers", 6, jobs.Step{CPUMilli: 4000, EstimateMS: 300_000}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			sim := newWideWorkers(4)
+			sim.addSteps("batch", "long", jobs.Step{Count: 4, CPUMilli: 8000, MemoryMB: 500, EstimateMS: 60_000, MaxPerWorker: 1})
+			sim.run(sim.now + 2000)
+			sim.addSteps("urgent", "wide", jobs.Step{Count: 4, CPUMilli: 30_000, MemoryMB: 500, EstimateMS: 1000})
+			sim.run(sim.now + 2000)
+			submittedMS := sim.now
+			test.step.Count, test.step.MemoryMB = test.count, 500
+			sim.addSteps("batch", "narrow", test.step)
+			sim.run(sim.now + 10_000)
+			c.Assert(sim.violations, qt.HasLen, 0)
+			started := sim.startedMS("narrow")
+			c.Assert(started >= submittedMS && started < submittedMS+1000, qt.IsTrue, qt.Commentf("submitted at %d, started at %d", submittedMS, started))
+			sim.run(sim.now + 60_000)
+			c.Assert(sim.startedMS("wide") > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a wide step that starves, or waits much longer than the runs in its
+// way, behind a stream of narrow tasks whose estimates are wrong.
+func TestReservationBoundsDelay(t *testing.T) {
+	const longMS, narrowMS = 5000, 3000
+	for _, estimateMS := range []int{50, narrowMS, 20_000} {
+		t.Run(fmt.Sprint("estimate ", estimateMS), func(t *testing.T) {
+			c := qt.New(t)
+			sim := newWideWorkers(1)
+			sim.duration = func(t jobs.Task) int64 {
+				if t.Job == "long" {
+					return longMS
+				}
+				return narrowMS
+			}
+			sim.addSteps("batch", "long", jobs.Step{Count: 1, CPUMilli: 8000, MemoryMB: 500, EstimateMS: longMS})
+			sim.run(sim.now + 1000)
+			submittedMS := sim.now
+			sim.addSteps("urgent", "wide", jobs.Step{Count: 1, CPUMilli: 30_000, MemoryMB: 500, EstimateMS: 1000})
+			for i := range 100 {
+				sim.at(int64(i)*200, func() {
+					sim.addSteps("batch", fmt.Sprintf("narrow%03d", i), jobs.Step{Count: 1, CPUMilli: 3000, MemoryMB: 500, EstimateMS: estimateMS})
+				})
+			}
+			sim.run(sim.now + 25_000)
+			c.Assert(sim.violations, qt.HasLen, 0)
+			started := sim.startedMS("wide")
+			c.Assert(started > 0 && started-submittedMS <= longMS+narrowMS+500, qt.IsTrue, qt.Commentf("started after %d ms", started-submittedMS))
+		})
+	}
+}
