--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -35,10 +35,11 @@
 	untilMS   int64
 }
 
-// ticket is the permission to start the step's tasks on one worker.
+// ticket is the permission to start the step's tasks on one incarnation of a worker.
 type ticket struct {
-	value   string
-	untilMS int64
+	value     string
+	startedMS int64
+	untilMS   int64
 }
 
 const (
@@ -89,7 +90,7 @@
 // allows reports whether a start on the worker may carry a ticket.
 func (a *adviceState) allows(w *worker, nowMS int64) bool {
 	t := a.tickets[w.info.ID]
-	return t.value != "" && nowMS < t.untilMS
+	return t.value != "" && t.startedMS == w.startedMS && nowMS < t.untilMS
 }
 
 // denies reports whether the adviser has denied the worker's current
@@ -110,7 +111,7 @@
 	untilMS := cmp.Or(e.ReceivedMS, nowMS) + validityMS - min(adviceMarginMS, validityMS/2)
 	for _, q := range a.requested {
 		if value := e.Tickets[q.worker]; value != "" {
-			a.tickets[q.worker] = ticket{value, untilMS}
+			a.tickets[q.worker] = ticket{value, q.startedMS, untilMS}
 			delete(a.denied, q.worker)
 		} else {
 			a.denied[q.worker] = denial{q.startedMS, nowMS + adviceRecheckMS}
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -37,8 +37,6 @@
 	speedWeight = 0.3
 )
 
-func (h *health) reset() { *h = health{relativeSpeed: 1} }
-
 // admits reports whether the worker may get another task.
 func (h *health) admits(nowMS int64, runs []*run) bool {
 	if !h.suspect {
--- a/internal/planner/incarnation_test.go
+++ b/internal/planner/incarnation_test.go
@@ -76,6 +76,33 @@
 	c.Assert(w.runs, qt.HasLen, 1)
 }
 
+// Guards against what a worker's former incarnation leaves to the next one: a ticket,
+// a pause, a cut of the margins, and a cold time that is taken for the former one's.
+func TestIncarnationInheritsNothing(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.core.config.ColdOverage, h.core.config.ColdSlack = 1, 1
+	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true}}}})
+	cold := testWorker
+	cold.ColdRemainingMS = 3000
+	h.join(cold)
+	a := &fakeAdviser{allowed: []WorkerID{"w"}}
+	a.respond(h, h.submit(t, "j", jobs.Step{Count: 1, CPUMilli: 40_000, EstimateMS: 900}, jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 60_000}))
+	a.respond(h, h.advance(3500))
+	w, s := h.core.workers["w"], h.core.jobs["j"].open[0].steps[1]
+	c.Assert(s.advice.allows(w, h.now), qt.IsTrue)
+	c.Assert(h.now >= w.coldUntilMS, qt.IsTrue)
+	w.noRoomUntilMS, w.interference.marginCut = h.now+60_000, 1
+
+	again := restart(cold)
+	h.confirmWrites(h.report(again, Report{StartedMS: again.StartedMS, ClockMS: 50}))
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{again}}))
+	c.Assert(s.advice.allows(w, h.now), qt.IsFalse)
+	c.Assert(w.noRoomUntilMS <= h.now, qt.IsTrue)
+	c.Assert(w.interference.marginCut, qt.Equals, 0.0)
+	c.Assert(w.coldUntilMS, qt.Equals, h.now+3000)
+}
+
 // changeKinds lets workers restart as another kind under their ids: the directory may
 // learn of it before or after the first report, and leaders change meanwhile. A worker
 // is away for longer than a hold call takes: a leader cannot notice a restart that is
--- a/internal/planner/order_test.go
+++ b/internal/planner/order_test.go
@@ -188,7 +188,7 @@
 		h.core.config.Overload = overload
 		h.submit(t, "j", jobs.Step{Count: 4, CPUMilli: 1000, EstimateMS: 1000})
 		s := h.core.jobs["j"].open[0].steps[0]
-		w := &worker{info: testWorker}
+		w := &worker{entry: entry{info: testWorker}}
 		for _, i := range []int{2, 3} {
 			r := &run{task: &s.tasks[i], worker: w, phase: running}
 			h.core.attach(r)
@@ -213,7 +213,7 @@
 func TestDrainingStopIsNotDelayedPastDeparture(t *testing.T) {
 	c := qt.New(t)
 	h := newOverloadHarness()
-	w := &worker{info: testWorker}
+	w := &worker{entry: entry{info: testWorker}}
 	w.drain.departureMS = h.now + 2000
 	c.Check(h.core.mustLeaveNow(w), qt.IsTrue)
 	w.drain.departureMS = h.now + 60_000
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -16,7 +16,7 @@
 		c.handleRestart(w, e.Report.StartedMS)
 	}
 	if w.startedMS == 0 {
-		w.startedMS = e.Report.StartedMS
+		w.startedMS, w.knownMS = e.Report.StartedMS, c.now.MS
 		if w.info.StartedMS != 0 && w.startedMS > w.info.StartedMS {
 			w.restartedMS = w.startedMS
 			w.closure.open()
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -200,8 +200,7 @@
 		if c.workers[k.ID] != nil {
 			continue
 		}
-		w := &worker{token: c.epoch << tokenShift, nextHoldMS: c.now.MS, addedMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS}
-		w.health.reset()
+		w := &worker{incarnation: newIncarnation(), token: c.epoch << tokenShift, nextHoldMS: c.now.MS, addedMS: c.now.MS, inherited: true, restartedMS: k.RestartedMS}
 		w.info = WorkerInfo{ID: k.ID, Address: k.Address, Service: k.Service, DataCentre: k.DataCentre, Capacity: k.Capacity, Labels: k.Labels, StartedMS: k.StartedMS}
 		c.inheritClosure(w, k.Closed, k.Tasks)
 		c.workers[k.ID] = w
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -5,7 +5,8 @@
 // worker is the leader's view of a worker: its current incarnation, lease and
 // runs.
 type worker struct {
-	info WorkerInfo
+	entry
+	incarnation
 	// listed is false once the worker is missing from the directory.
 	listed bool
 	// inherited is set for a worker that the predecessor recorded; it may run
@@ -18,24 +19,20 @@
 	deadReason string
 	// evacuated is set while the worker's data centre is under evacuation.
 	evacuated bool
-	// coldUntilMS is until when the worker is cold. countedRuns is what it adds to
-	// evacuationState.serviceRuns of the pass countedPass.
-	coldUntilMS, countedPass int64
-	countedRuns              int
+	// countedRuns is what the worker adds to evacuationState.serviceRuns of the pass
+	// countedPass.
+	countedPass int64
+	countedRuns int
 	// recorded is set while the log's record of the worker is up to date and no
 	// write may replace it. Nothing starts on a worker without one: a successor may
 	// find no directory entry of the worker, and must still wait for its report, or
 	// for the longest lease that it may hold, before it starts tasks that it has
 	// found nowhere.
-	recorded  bool
-	startedMS int64
+	recorded bool
 
 	// token is the fencing token of every call; it is raised when the outcome
 	// of a call is unknown.
 	token uint64
-	// confirmed is the highest token of a hold call that returned a report:
-	// calls with a lower token can no longer be carried out.
-	confirmed uint64
 	// restartedMS is the Unix time at which an incarnation replaced an earlier
 	// one that a leader knew; 0 if there is none.
 	restartedMS int64
@@ -47,10 +44,6 @@
 	fenced      bool
 	fencedCount int
 
-	// processedEnd is the number of the last end that was processed, ackableEnd
-	// that of the last one that may be acknowledged.
-	processedEnd, ackableEnd int64
-	ackDelay                 ackDelay
 	// unacknowledged is set while the worker is listed in journal.unacknowledged.
 	unacknowledged bool
 
@@ -67,15 +60,7 @@
 	// unverified is set while the worker may have restarted since its last
 	// report. A restarted worker numbers its ends from the beginning, so none
 	// is acknowledged.
-	unverified  bool
-	clockMS     int64
-	clockReadMS int64
-	// leaseEndMS is the latest lease end sent, on the worker's clock.
-	leaseEndMS int64
-	// inheritedLeaseEndMS is the latest possible end of a lease that a
-	// predecessor, or a call from before a restart, has obtained, on the worker's
-	// clock.
-	inheritedLeaseEndMS int64
+	unverified bool
 
 	runs []*run
 	// findFrom is the index in runs at which findRun begins.
@@ -86,7 +71,6 @@
 	// moreEnded is set while the worker may have ends that its last report does
 	// not list.
 	moreEnded bool
-	orphans   []orphan
 	used      Resources
 	// longRunning is the part of used that long-running tasks hold.
 	longRunning Resources
@@ -95,21 +79,77 @@
 	// because more may fit on it than in the passes before.
 	changedPass int64
 	// runsCheckedMS is when the runs were last checked for stalls and slowness.
-	runsCheckedMS int64
-	// noRoomUntilMS is the end of the pause after the worker rejected a task
-	// for lack of room.
-	noRoomUntilMS    int64
-	health           health
-	interference     interferenceState
+	runsCheckedMS    int64
 	planned          []plannedTail
 	plannedValid     bool
 	bestEffortWanted float64
 	unusedCPU        float64
 	demandValid      bool
-	drain            drainState
 	closure          closure
 }
 
+// incarnation is what the leader has learned from the calls to a worker's present
+// incarnation. A restart replaces it as a whole. What outlives a restart, as the token
+// and the runs until a report shows which of them are lost, stands in worker.
+type incarnation struct {
+	startedMS int64
+	// knownMS is when the incarnation reported first.
+	knownMS int64
+	// confirmed is the highest token of a hold call that returned a report:
+	// calls with a lower token can no longer be carried out.
+	confirmed uint64
+	// processedEnd is the number of the last end that was processed, ackableEnd
+	// that of the last one that may be acknowledged.
+	processedEnd, ackableEnd int64
+	ackDelay                 ackDelay
+	clockMS                  int64
+	clockReadMS              int64
+	// leaseEndMS is the latest lease end sent, on the worker's clock.
+	leaseEndMS int64
+	// inheritedLeaseEndMS is the latest possible end of a lease that a
+	// predecessor, or a call from before a restart, has obtained, on the worker's
+	// clock.
+	inheritedLeaseEndMS int64
+	orphans             []orphan
+	// noRoomUntilMS is the end of the pause after the worker rejected a task
+	// for lack of room.
+	noRoomUntilMS int64
+	health        health
+	interference  interferenceState
+}
+
+func newIncarnation() incarnation {
+	return incarnation{health: health{relativeSpeed: 1}}
+}
+
+// entry is what the directory says of a worker, with the times that follow from it. An
+// entry of another incarnation replaces it as a whole.
+type entry struct {
+	info WorkerInfo
+	// coldUntilMS is until when the worker is cold.
+	coldUntilMS int64
+	drain       drainState
+}
+
+// update takes over the directory's present entry and reports whether it is the first
+// one that says that the incarnation drains.
+func (e *entry) update(info WorkerInfo, nowMS int64) (beginsDrain bool) {
+	if info.StartedMS != e.info.StartedMS {
+		*e = entry{}
+	}
+	if info.Draining && !e.info.Draining {
+		e.drain, beginsDrain = drainState{sinceMS: nowMS}, true
+	}
+	if info.Draining && info.RemainingMS != e.info.RemainingMS {
+		e.drain.departureMS = nowMS + info.RemainingMS
+	}
+	if info.ColdRemainingMS != e.info.ColdRemainingMS {
+		e.coldUntilMS = nowMS + info.ColdRemainingMS
+	}
+	e.info = info
+	return beginsDrain
+}
+
 // run is one start of a task on a worker.
 type run struct {
 	task *task
@@ -190,8 +230,7 @@
 		info := infos[i]
 		w := c.workers[info.ID]
 		if w == nil {
-			w = &worker{token: max(c.epoch<<tokenShift, c.tokenFloor), nextHoldMS: c.now.MS, addedMS: c.now.MS}
-			w.health.reset()
+			w = &worker{incarnation: newIncarnation(), token: max(c.epoch<<tokenShift, c.tokenFloor), nextHoldMS: c.now.MS, addedMS: c.now.MS}
 			c.workers[info.ID] = w
 			c.sortedWorkers = append(c.sortedWorkers, w)
 		}
@@ -202,16 +241,6 @@
 		if w.info.ID != info.ID || w.info.Address != info.Address || w.info.Service != info.Service || w.info.Capacity != info.Capacity || w.info.StartedMS != info.StartedMS {
 			c.markWorkerDirty(info.ID)
 		}
-		if info.Draining && !w.info.Draining {
-			w.drain = drainState{sinceMS: c.now.MS}
-			c.emit(Decision{Event: "worker_draining", Worker: info.ID})
-		}
-		if info.Draining && info.RemainingMS != w.info.RemainingMS {
-			w.drain.departureMS = c.now.MS + info.RemainingMS
-		}
-		if info.ColdRemainingMS != w.info.ColdRemainingMS {
-			w.coldUntilMS = c.now.MS + info.ColdRemainingMS
-		}
 		if w.info.StartedMS != 0 && info.StartedMS > w.info.StartedMS {
 			w.restartedMS = info.StartedMS
 		}
@@ -232,7 +261,14 @@
 			// What is recorded about the closing is about another incarnation.
 			w.closure.open()
 		}
-		w.info, w.listed = info, true
+		wasCurrent := !w.reported || w.entryCurrent()
+		w.listed = true
+		if w.entry.update(info, c.now.MS) {
+			c.emit(Decision{Event: "worker_draining", Worker: info.ID})
+		}
+		if !wasCurrent && w.entryCurrent() {
+			c.emit(Decision{Event: "worker_entry_read", Worker: info.ID, Reason: "entry of the present incarnation", AgeMS: c.now.MS - w.knownMS})
+		}
 		c.markEvacuated(w)
 	}
 	sortWorkers(c.sortedWorkers)
@@ -462,11 +498,10 @@
 func (c *Core) handleRestart(w *worker, startedMS int64) {
 	c.emit(Decision{Event: "worker_reborn", Worker: w.info.ID})
 	c.placementDue = true
-	w.startedMS, w.processedEnd, w.ackableEnd, w.clockMS, w.leaseEndMS, w.inheritedLeaseEndMS, w.confirmed = startedMS, 0, 0, 0, 0, 0, 0
-	w.orphans, w.ackDelay = nil, ackDelay{}
+	w.incarnation = newIncarnation()
+	w.startedMS, w.knownMS = startedMS, c.now.MS
 	w.closure.open()
 	w.closure.unrecorded, w.closure.unmatched = nil, nil
-	w.health.reset()
 	w.token++
 	w.restartToken, w.restartedMS = w.token, startedMS
 	c.markWorkerDirty(w.info.ID)
