--- a/internal/planner/incarnation_test.go
+++ b/internal/planner/incarnation_test.go
@@ -103,6 +103,23 @@
 	c.Assert(w.coldUntilMS, qt.Equals, h.now+3000)
 }
 
+// Guards against a successor that goes by labels or a data centre that the worker no
+// longer has: a change without a restart has to be recorded too.
+func TestChangedLabelsAreRecorded(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	h.join(testWorker)
+	changed := testWorker
+	changed.Labels = []string{"b"}
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{changed}}))
+	h.confirmWrites(h.advance(100))
+	c.Assert(string(h.core.stateMachine.Workers["w"]), qt.Contains, `"l":["b"]`)
+	changed.DataCentre = "dc2"
+	h.confirmWrites(h.step(WorkersChanged{Workers: []WorkerInfo{changed}}))
+	h.confirmWrites(h.advance(100))
+	c.Assert(string(h.core.stateMachine.Workers["w"]), qt.Contains, `"d":"dc2"`)
+}
+
 // changeKinds lets workers restart as another kind under their ids: the directory may
 // learn of it before or after the first report, and leaders change meanwhile. A worker
 // is away for longer than a hold call takes: a leader cannot notice a restart that is
--- a/internal/planner/takeover.go
+++ b/internal/planner/takeover.go
@@ -98,6 +98,12 @@
 	Tasks  []string `json:"o,omitempty"`
 }
 
+// recordsAs reports whether the records of a worker with either entry are the same.
+func (i *WorkerInfo) recordsAs(other *WorkerInfo) bool {
+	return i.ID == other.ID && i.Address == other.Address && i.Service == other.Service && i.DataCentre == other.DataCentre &&
+		i.Capacity == other.Capacity && i.StartedMS == other.StartedMS && slices.Equal(i.Labels, other.Labels)
+}
+
 // markWorkerDirty schedules an update of a worker's record.
 func (c *Core) markWorkerDirty(id WorkerID) {
 	if w := c.workers[id]; w != nil {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -238,7 +238,7 @@
 			w.listed = true
 			continue
 		}
-		if w.info.ID != info.ID || w.info.Address != info.Address || w.info.Service != info.Service || w.info.Capacity != info.Capacity || w.info.StartedMS != info.StartedMS {
+		if !w.info.recordsAs(&info) {
 			c.markWorkerDirty(info.ID)
 		}
 		if w.info.StartedMS != 0 && info.StartedMS > w.info.StartedMS {
