--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -174,6 +174,11 @@
 	heldTasks bool
 	// evacuation: nothing starts in a data centre under evacuation.
 	evacuation bool
+	// currentEntry: nothing starts on a worker whose entry or report may be of another
+	// incarnation than the present one.
+	currentEntry bool
+	// backfill: tasks that delay no other step run beside reservations.
+	backfill bool
 }
 
 // New returns the core for the term of the given epoch. The state machine must
--- a/internal/planner/obstacle.go
+++ b/internal/planner/obstacle.go
@@ -63,7 +63,7 @@
 			return restarted
 		}
 		return notUsable
-	case w.unverified:
+	case w.unverified && !c.disabled.currentEntry:
 		return mayHaveRestarted
 	case s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label):
 		return missingLabel
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -253,7 +253,7 @@
 
 // usable reports whether the worker may get new tasks at all.
 func (c *Core) usable(w *worker) bool {
-	return w.listed && !w.dead && w.reported && w.entryCurrent() && !w.info.Draining && !w.closure.closed && w.confirmed > 0 &&
+	return w.listed && !w.dead && w.reported && (w.entryCurrent() || c.disabled.currentEntry && !w.restartPending()) && !w.info.Draining && !w.closure.closed && w.confirmed > 0 &&
 		(w.recorded || c.disabled.recordWorkers) &&
 		c.now.MS-w.reportedMS <= unresponsiveMS && c.now.MS >= w.noRoomUntilMS && !c.evacuated(w)
 }
--- a/internal/planner/random_test.go
+++ b/internal/planner/random_test.go
@@ -336,6 +336,22 @@
 			sim.drainAroundTakeovers()
 		})
 	})
+	t.Run("current entry", func(t *testing.T) {
+		requireViolation(t, 1, maxSeeds, "ROUTE", func(sim *simulation) {
+			sim.disable(safeguards{currentEntry: true})
+			sim.changeKinds()
+		})
+	})
+	t.Run("backfill", func(t *testing.T) {
+		c := qt.New(t)
+		for seed := uint64(1); seed < maxSeeds; seed++ {
+			if broken := runShapes(seed, safeguards{backfill: true}).violations; len(broken) > 0 {
+				c.Assert(broken[0], qt.Contains, "LOST")
+				return
+			}
+		}
+		c.Fatalf("no violation in %d seeds", maxSeeds)
+	})
 	t.Run("evacuation", func(t *testing.T) {
 		requireViolation(t, 1, maxSeeds, "EVAC", func(sim *simulation) {
 			sim.disable(safeguards{evacuation: true})
--- a/internal/planner/reservation.go
+++ b/internal/planner/reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -22,8 +23,9 @@
 	// backfillFactor is the factor by which a task may exceed its expected duration
 	// without delaying the step beside whose reservation it runs.
 	backfillFactor = 1.5
-	// maxStandstillMS is how long a job of which nothing runs may be kept off a worker
-	// while its service has much free room.
+	// maxStandstillMS is how long a job of which nothing runs waits for a reserved worker
+	// while at least half of its service's processors are free: no job may stand still
+	// for 3 s then.
 	maxStandstillMS = 2000
 )
 
@@ -165,24 +167,37 @@
 // its end is not known.
 func (c *Core) reservationAdmits(s *step, w *worker, needed Resources) bool {
 	holder := c.reservedFor(w)
-	if holder == nil || holder == s || needed.CPUMilli == 0 || needed.fits(w.reservation.spare) {
+	if holder == nil || holder == s || needed.CPUMilli == 0 {
 		return true
 	}
-	if w.reservation.availableMS-c.now.MS > maxStandstillMS && c.standsStill(s) && c.now.MS-holder.pendingSinceMS < starvationMS {
-		return true
-	}
-	if s.spec.LongRunning || s.spec.Gang {
+	if c.disabled.backfill {
 		return false
 	}
+	if needed.fits(w.reservation.spare) {
+		return true
+	}
+	return c.latestEndMS(s) <= w.reservation.availableMS ||
+		w.reservation.availableMS-c.now.MS > maxStandstillMS && c.standsStill(s)
+}
+
+// latestEndMS returns when a task of the step is expected to be over at the latest if it
+// starts now. A gang may have to wait for members whose starts fail.
+func (c *Core) latestEndMS(s *step) int64 {
 	expected := c.expectedDuration(s)
-	return expected > 0 && c.now.MS+int64(backfillFactor*expected) <= w.reservation.availableMS
+	if s.spec.LongRunning || expected <= 0 {
+		return math.MaxInt64
+	}
+	end := c.now.MS + int64(backfillFactor*expected)
+	if s.spec.Gang {
+		end += c.config.GangTimeoutMS
+	}
+	return end
 }
 
 // useSpare takes the room of a run that has started beside a reservation from what is
 // spare, unless the run is over before the reserved room can be used.
 func (c *Core) useSpare(w *worker, s *step) {
-	if holder := c.reservedFor(w); holder == nil || holder == s ||
-		!s.spec.LongRunning && c.now.MS+int64(backfillFactor*c.expectedDuration(s)) <= w.reservation.availableMS {
+	if holder := c.reservedFor(w); holder == nil || holder == s || c.latestEndMS(s) <= w.reservation.availableMS {
 		return
 	}
 	w.reservation.spare = w.reservation.spare.minus(s.resources())
--- a/internal/planner/reservation_test.go
+++ b/internal/planner/reservation_test.go
@@ -90,21 +90,21 @@
 // fit beside the step, or that fit on a worker that it does not need.
 func TestWorkRunsBesideReservations(t *testing.T) {
 	for _, test := range []struct {
-		name  string
-		count int
-		step  jobs.Step
+		name           string
+		workers, count int
+		step           jobs.Step
 	}{
-		{"over before the room can be used", 2, jobs.Step{CPUMilli: 4000, EstimateMS: 500}},
-		{"fits beside the wide step", 2, jobs.Step{CPUMilli: 1000, EstimateMS: 300_000}},
-		{"lasts, and fits beside the wide step", 2, jobs.Step{CPUMilli: 1000, EstimateMS: 300, LongRunning: true}},
-		{"fits on the other workers", 6, jobs.Step{CPUMilli: 4000, EstimateMS: 300_000}},
+		{"over before the room can be used", 1, 2, jobs.Step{CPUMilli: 4000, EstimateMS: 500}},
+		{"fits beside the wide step", 1, 2, jobs.Step{CPUMilli: 1000, EstimateMS: 300_000}},
+		{"lasts, and fits beside the wide step", 1, 2, jobs.Step{CPUMilli: 1000, EstimateMS: 300, LongRunning: true}},
+		{"fits on the other workers", 4, 6, jobs.Step{CPUMilli: 4000, EstimateMS: 300_000}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			sim := newWideWorkers(4)
-			sim.addSteps("batch", "long", jobs.Step{Count: 4, CPUMilli: 8000, MemoryMB: 500, EstimateMS: 60_000, MaxPerWorker: 1})
+			sim := newWideWorkers(test.workers)
+			sim.addSteps("batch", "long", jobs.Step{Count: test.workers, CPUMilli: 8000, MemoryMB: 500, EstimateMS: 60_000, MaxPerWorker: 1})
 			sim.run(sim.now + 2000)
-			sim.addSteps("urgent", "wide", jobs.Step{Count: 4, CPUMilli: 30_000, MemoryMB: 500, EstimateMS: 1000})
+			sim.addSteps("urgent", "wide", jobs.Step{Count: test.workers, CPUMilli: 30_000, MemoryMB: 500, EstimateMS: 1000})
 			sim.run(sim.now + 2000)
 			submittedMS := sim.now
 			test.step.Count, test.step.MemoryMB = test.count, 500
--- a/internal/planner/standstill_test.go
+++ b/internal/planner/standstill_test.go
@@ -155,7 +155,7 @@
 			sim.addSteps(queue, id, step)
 		})
 	}
-	for i := range rng.IntN(len(sim.workers) / 2) {
+	for i := range rng.IntN(len(sim.workers)/2 + 1) {
 		sim.at(2000+rng.Int64N(3000), func() {
 			sim.workers[i].crash(1 << 40)
 			sim.at(3300, func() {
@@ -166,22 +166,28 @@
 	}
 }
 
+// runShapes simulates a seed of mixShapes.
+func runShapes(seed uint64, disabled safeguards) *simulation {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	sim := newWideWorkers(1 + rng.IntN(8))
+	sim.disable(disabled)
+	sim.seed = seed
+	sim.duration = func(t jobs.Task) int64 {
+		// Estimates are wrong by a factor of up to three either way.
+		return int64(float64(sim.spec(t).EstimateMS) * (0.33 + float64(hashOf(seed, string(t.Job))%1000)/375))
+	}
+	sim.mixShapes(rng)
+	// The tasks of a lost worker wait for the longest lease that it may hold.
+	sim.at(17_000, sim.watchStandstill)
+	sim.run(sim.now + 120_000)
+	return sim
+}
+
 // Guards against jobs of which nothing runs for seconds although most of the capacity
 // is free, in a mix of shapes after the loss of workers.
 func TestNoJobStandsStill(t *testing.T) {
 	c := qt.New(t)
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
-		rng := rand.New(rand.NewPCG(seed, 5))
-		sim := newWideWorkers(3 + rng.IntN(6))
-		sim.seed = seed
-		sim.duration = func(t jobs.Task) int64 {
-			// Estimates are wrong by a factor of up to three either way.
-			return int64(float64(sim.spec(t).EstimateMS) * (0.33 + float64(hashOf(seed, string(t.Job))%1000)/375))
-		}
-		sim.mixShapes(rng)
-		// The tasks of a lost worker wait for the longest lease that it may hold.
-		sim.at(17_000, sim.watchStandstill)
-		sim.run(sim.now + 120_000)
-		c.Assert(sim.violations, qt.HasLen, 0)
+		c.Assert(runShapes(seed, safeguards{}).violations, qt.HasLen, 0)
 	}
 }
