--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -18,8 +18,9 @@
 	requestedMS int64
 	// queued is set while the step waits for its turn to ask.
 	queued bool
-	// requests counts the requests, failures those in a row without a response.
-	requests, failures int
+	// requests counts the requests, turnRequests those of the present turn, failures
+	// those in a row without a response.
+	requests, turnRequests, failures int
 }
 
 // adviceQuery is an incarnation of a worker about which advice is requested.
@@ -83,8 +84,10 @@
 	// asking is the step with the outstanding request, or nil.
 	asking   *step
 	askingMS int64
-	// turns counts the requests.
+	// turns counts the turns.
 	turns int
+	// allowed holds the share of the workers that the adviser allows, by queue.
+	allowed map[string]*estimate
 }
 
 // allows reports whether a start on the worker may carry a ticket.
@@ -143,20 +146,27 @@
 	c.askAdviser()
 }
 
+// needsAdvice reports whether some of the step's tasks wait and need a ticket.
+func (s *step) needsAdvice() bool {
+	return !s.job.state.Final() && len(s.pending) > 0 && s.job.queue.Advised
+}
+
 // askAdviser sends the next request unless one is outstanding.
 func (c *Core) askAdviser() {
 	q := &c.advice
 	for q.asking == nil && len(q.waiting) > 0 && !c.commandsWithheld() {
 		s := q.next()
-		s.advice.queued = false
-		if s.job.state.Final() || len(s.pending) == 0 || !s.job.queue.Advised {
+		s.advice.queued, s.advice.turnRequests = false, 0
+		if !s.needsAdvice() {
 			continue
 		}
-		candidates := c.adviceCandidates(s)
-		if len(candidates) == 0 {
+		if s.spec.Gang {
+			c.askForGang(s)
 			continue
 		}
-		c.sendAdvise(s, candidates[:min(len(candidates), s.adviceBatch(len(q.waiting)))])
+		if candidates := c.adviceCandidates(s); len(candidates) > 0 {
+			c.sendAdvise(s, candidates[:min(len(candidates), s.adviceBatch(len(q.waiting)))])
+		}
 	}
 }
 
@@ -208,6 +218,7 @@
 	}
 	a.requestedMS = c.now.MS
 	a.requests++
+	a.turnRequests++
 	c.advice.asking, c.advice.askingMS = s, c.now.MS
 	c.emit(Advise{Step: s.id(), Workers: workers, TimeoutMS: s.adviceTimeout(len(workers))})
 }
@@ -222,9 +233,20 @@
 	c.askAdviser()
 }
 
+// compareAdviceCandidates is the order in which a step asks about workers: first those
+// near its data, then those with the most free processors.
+func (s *step) compareAdviceCandidates(a, b *worker) int {
+	far := func(w *worker) int {
+		if s.spec.Rack != "" && slices.Contains(w.info.Labels, s.spec.Rack) {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(b.free().CPUMilli, a.free().CPUMilli))
+}
+
 // adviceCandidates returns the workers that have room now and whose permission
-// is not known: first those near the step's data, then those with the most free
-// processors.
+// is not known.
 func (c *Core) adviceCandidates(s *step) []*worker {
 	var out []*worker
 	for _, w := range c.sortedWorkers {
@@ -236,16 +258,7 @@
 		}
 		out = append(out, w)
 	}
-	near := func(w *worker) int {
-		if s.spec.Rack != "" && slices.Contains(w.info.Labels, s.spec.Rack) {
-			return 0
-		}
-		return 1
-	}
-	free := func(w *worker) int { return w.info.Capacity.CPUMilli - w.used.CPUMilli }
-	slices.SortStableFunc(out, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(near(a), near(b)), cmp.Compare(free(b), free(a)))
-	})
+	slices.SortStableFunc(out, s.compareAdviceCandidates)
 	return out
 }
 
@@ -256,6 +269,9 @@
 	}
 	if s != nil && s.advice.requested != nil {
 		c.handleAdvice(s, e)
+		if s.spec.Gang && e.Outcome == Done && c.advice.asking == nil && s.advice.turnRequests < maxGangRequests {
+			c.askForGang(s)
+		}
 	}
 	c.askAdviser()
 }
@@ -276,6 +292,7 @@
 	}
 	c.emit(d)
 	a.failures = 0
+	c.noteAllowed(s, e)
 	validityMS := cmp.Or(e.ValidityMS, s.job.queue.Advice.ValidityMS, maxValidityMS)
 	a.record(e, min(validityMS, maxValidityMS), c.now.MS)
 	a.requested = nil
--- a/internal/planner/slow_advice_test.go
+++ b/internal/planner/slow_advice_test.go
@@ -13,8 +13,9 @@
 
 // slowAdviser handles one request at a time, as long as its queue's figures say, and
 // leaves a request out once its caller has given up. It allows each step on one of
-// four workers.
+// four workers, or denies it on one of four.
 type slowAdviser struct {
+	lenient bool
 	h       *harness
 	advice  map[jobs.ID]jobs.Advice
 	waiting []slowRequest
@@ -65,7 +66,7 @@
 			a.answers++
 			done := AdviceDone{Step: r.Step, Outcome: Done, Tickets: map[WorkerID]string{}}
 			for _, id := range r.Workers {
-				if (int(id[len(id)-1])+len(r.Step.Job))%4 == 0 {
+				if ((int(id[len(id)-1])+len(r.Step.Job))%4 == 0) != a.lenient {
 					done.Tickets[id] = "ticket"
 				}
 			}
@@ -236,3 +237,51 @@
 	}
 	c.Assert(started, qt.HasLen, 60)
 }
+
+// Guards against gangs that never have enough tickets at one moment: a response about
+// few workers takes as long as their tickets are valid, or less.
+func TestGangGetsTicketsAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		advice   jobs.Advice
+		withinMS int64
+	}{
+		{jobs.Advice{DecisionMS: 200, WorkerMS: 100, ValidityMS: 3000}, 8000},
+		{jobs.Advice{DecisionMS: 200, WorkerMS: 100, ValidityMS: 400}, 8000},
+		{jobs.Advice{DecisionMS: 1000, WorkerMS: 0, ValidityMS: 60}, 4000},
+		{jobs.Advice{DecisionMS: 0, WorkerMS: 900, ValidityMS: 5000}, 60_000},
+	} {
+		t.Run(fmt.Sprint(test.advice), func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(safeguards{})
+			h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true, Advice: test.advice}}}})
+			infos := h.joinMany(64)
+			a := &slowAdviser{h: h, lenient: true, advice: map[jobs.ID]jobs.Advice{"gang": test.advice}}
+			a.take(h.submit(t, "gang", jobs.Step{Count: 22, CPUMilli: 20_000, EstimateMS: 900, Gang: true}))
+			a.run(test.withinMS, infos)
+			c.Assert(a.starts, qt.HasLen, 22, qt.Commentf("%d responses", a.answers))
+		})
+	}
+}
+
+// Guards against gangs that starve one another after a burst: at equal shares of the
+// adviser's time the tickets of each expire before it has enough. The burst asks for
+// two thirds of what the adviser can answer if it names only the workers that a gang
+// needs, and of those that it denies as many as it has to.
+func TestGangsShareAdviserAfterBurst(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	advice := jobs.Advice{DecisionMS: 100, WorkerMS: 20, ValidityMS: 3000}
+	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true, Advice: advice}}}})
+	infos := h.joinMany(64)
+	a := &slowAdviser{h: h, lenient: true, advice: map[jobs.ID]jobs.Advice{}}
+	const gangs, members = 44, 8
+	for i := range gangs {
+		// Their lengths differ, so that the adviser denies them different workers.
+		id := jobs.ID(fmt.Sprintf("g%d%s", 10+i, "xxxx"[:i%4]))
+		a.advice[id] = advice
+		a.take(h.submit(t, id, jobs.Step{Count: members, CPUMilli: 100, EstimateMS: 900, Gang: true, MaxPerWorker: 1}))
+		a.run(400, infos)
+	}
+	a.run(5000, infos)
+	c.Assert(a.starts, qt.HasLen, gangs*members)
+}
