--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -234,15 +234,23 @@
 }
 
 // compareAdviceCandidates is the order in which a step asks about workers: first those
-// near its data, then those with the most free processors.
+// that the adviser has not denied before, since a denial seldom changes, then those near
+// the step's data, and of these those with the most free processors. Workers that were
+// denied come in the order of their denials.
 func (s *step) compareAdviceCandidates(a, b *worker) int {
+	denied := func(w *worker) int64 {
+		if d := s.advice.denied[w.info.ID]; d.startedMS == w.startedMS {
+			return d.untilMS
+		}
+		return 0
+	}
 	far := func(w *worker) int {
 		if s.spec.Rack != "" && slices.Contains(w.info.Labels, s.spec.Rack) {
 			return 0
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(b.free().CPUMilli, a.free().CPUMilli))
+	return cmp.Or(cmp.Compare(denied(a), denied(b)), cmp.Compare(far(a), far(b)), cmp.Compare(b.free().CPUMilli, a.free().CPUMilli))
 }
 
 // adviceCandidates returns the workers that have room now and whose permission
--- a/internal/planner/slow_advice_test.go
+++ b/internal/planner/slow_advice_test.go
@@ -13,9 +13,10 @@
 
 // slowAdviser handles one request at a time, as long as its queue's figures say, and
 // leaves a request out once its caller has given up. It allows each step on one of
-// four workers, or denies it on one of four.
+// four workers, or denies it on one of four, or allows one worker only.
 type slowAdviser struct {
 	lenient bool
+	only    WorkerID
 	h       *harness
 	advice  map[jobs.ID]jobs.Advice
 	waiting []slowRequest
@@ -66,7 +67,7 @@
 			a.answers++
 			done := AdviceDone{Step: r.Step, Outcome: Done, Tickets: map[WorkerID]string{}}
 			for _, id := range r.Workers {
-				if ((int(id[len(id)-1])+len(r.Step.Job))%4 == 0) != a.lenient {
+				if a.only == id || a.only == "" && ((int(id[len(id)-1])+len(r.Step.Job))%4 == 0) != a.lenient {
 					done.Tickets[id] = "ticket"
 				}
 			}
@@ -285,3 +286,27 @@
 	a.run(5000, infos)
 	c.Assert(a.starts, qt.HasLen, gangs*members)
 }
+
+// Guards against steps that ask about the same few workers for ever: many of them wait
+// for their turns for longer than a denial is kept.
+func TestExpiredDenialsComeLast(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(safeguards{})
+	advice := jobs.Advice{DecisionMS: 3, WorkerMS: 400}
+	h.step(QueuesChanged{Queues: []Queue{{Name: "q", Policy: jobs.Policy{Service: "s", MaxAttempts: 2, Advised: true, Advice: advice}}}})
+	infos := h.joinMany(8)
+	a := &slowAdviser{h: h, only: infos[7].ID, advice: map[jobs.ID]jobs.Advice{}}
+	const steps = 60
+	started := map[jobs.ID]bool{}
+	for i := range steps {
+		id := jobs.ID(fmt.Sprint("j", i))
+		a.advice[id] = advice
+		a.take(h.submit(t, id, jobs.Step{Count: 1, CPUMilli: 100, EstimateMS: 900}))
+	}
+	// Time for twice as many requests as there are pairs of a step and a worker.
+	a.run(2*steps*8*(advice.DecisionMS+advice.WorkerMS), infos)
+	for _, s := range a.starts {
+		started[s.Task.Job] = true
+	}
+	c.Assert(started, qt.HasLen, steps)
+}
