--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -258,13 +258,9 @@
 func (c *Core) adviceCandidates(s *step) []*worker {
 	var out []*worker
 	for _, w := range c.sortedWorkers {
-		if w.info.Service != s.job.queue.Service || !c.usable(w) ||
-			s.advice.denies(w, c.now.MS) || s.advice.allows(w, c.now.MS) ||
-			s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) ||
-			!s.resources().fits(w.free()) {
-			continue
+		if s.resources().fits(w.free()) && !s.advice.allows(w, c.now.MS) && c.obstacle(s, w) == noObstacle {
+			out = append(out, w)
 		}
-		out = append(out, w)
 	}
 	slices.SortStableFunc(out, s.compareAdviceCandidates)
 	return out
--- a/internal/planner/gang_advice.go
+++ b/internal/planner/gang_advice.go
@@ -1,8 +1,6 @@
 package planner
 
-import (
-	"slices"
-)
+import "slices"
 
 // The members of a gang start together, so that it needs tickets for all of them at one
 // moment, and a ticket expires. A gang asks about as many workers as are expected to
--- a/internal/planner/obstacle.go
+++ b/internal/planner/obstacle.go
@@ -27,8 +27,8 @@
 	coldWorker
 	underSuspicion
 
-	// Of the following the ends of other runs, or of the reservation, remove the first
-	// four; the adviser is asked for a ticket once there is room.
+	// The following pass: with the ends of other runs, with the reservation, with a
+	// request to the adviser once there is room, and with the load of the serving tasks.
 	noProcessors
 	noMemory
 	noAccelerators
