--- a/internal/planner/slow_advice_test.go
+++ b/internal/planner/slow_advice_test.go
@@ -287,7 +287,7 @@
 	c.Assert(a.starts, qt.HasLen, gangs*members)
 }
 
-// Guards against steps that ask about the same few workers for ever: many of them wait
+// Guards against steps that ask about the same few workers only: many of them wait
 // for their turns for longer than a denial is kept.
 func TestExpiredDenialsComeLast(t *testing.T) {
 	c := qt.New(t)
--- a/internal/planner/standstill_test.go
+++ b/internal/planner/standstill_test.go
@@ -132,7 +132,7 @@
 }
 
 // mixShapes submits jobs of very different shapes to a few workers, some of which are
-// lost for good: lasting jobs with one task on each worker, wide tasks, tasks that run
+// lost permanently: lasting jobs with one task on each worker, wide tasks, tasks that run
 // long, and small ones whose estimates are wrong.
 func (sim *simulation) mixShapes(rng *rand.Rand) {
 	for i := range 30 {
